--- /dev/null
+++ b/rhubarbctl/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/rhubarbfall-admission/src/lib.rs
@@ -0,0 +1,1 @@
+//! Queues, fair shares and upper limits.
--- /dev/null
+++ b/rhubarbfall-core/src/execution.rs
@@ -0,0 +1,34 @@
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// Whether a request reached an upstream and was started there.
+///
+/// # Examples
+///
+/// ```
+/// use rhubarbfall_core::{Execution, ResultCode};
+///
+/// assert_eq!(ResultCode::QueueFull.execution(), Execution::NotRun);
+/// assert_eq!(Execution::NotRun.to_string(), "not run");
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Execution {
+    /// No upstream has started the request, and none will.
+    NotRun,
+    /// An upstream has run the request to its end.
+    Ran,
+    /// An upstream may have started the request.
+    Unknown,
+}
+
+impl fmt::Display for Execution {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::NotRun => "not run",
+            Self::Ran => "ran",
+            Self::Unknown => "unknown",
+        })
+    }
+}
--- /dev/null
+++ b/rhubarbfall-core/src/ids.rs
@@ -0,0 +1,146 @@
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use quick_error::quick_error;
+use serde::de::{self, Deserializer, Visitor};
+use serde::{Deserialize, Serialize, Serializer};
+
+/// The largest length of an identifier, in bytes.
+const MAX_ID_LENGTH_BYTES: usize = 128;
+
+quick_error! {
+    /// Why a text is not an identifier.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum ParseIdError {
+        /// The text is empty.
+        Empty {
+            display("an identifier must not be empty")
+        }
+        /// The text is longer than an identifier may be.
+        TooLong(length_bytes: usize) {
+            display("an identifier has at most {MAX_ID_LENGTH_BYTES} bytes, this one has {length_bytes}")
+        }
+        /// The text has a character that identifiers may not have.
+        BadCharacter(character: char) {
+            display("identifiers have letters, digits, '-', '_', '.' and ':', not {character:?}")
+        }
+    }
+}
+
+fn check_id(text: &str) -> Result<(), ParseIdError> {
+    if text.is_empty() {
+        return Err(ParseIdError::Empty);
+    }
+    if text.len() > MAX_ID_LENGTH_BYTES {
+        return Err(ParseIdError::TooLong(text.len()));
+    }
+    let is_allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.' | ':');
+    match text.chars().find(|c| !is_allowed(*c)) {
+        Some(character) => Err(ParseIdError::BadCharacter(character)),
+        None => Ok(()),
+    }
+}
+
+macro_rules! id_types {
+    ($($(#[$doc:meta])* $name:ident, $example:literal;)*) => {$(
+        $(#[$doc])*
+        ///
+        /// # Examples
+        ///
+        /// ```
+        #[doc = concat!("use rhubarbfall_core::", stringify!($name), ";")]
+        ///
+        #[doc = concat!("let id: ", stringify!($name), " = \"", $example, "\".parse()?;")]
+        #[doc = concat!("assert_eq!(id.as_str(), \"", $example, "\");")]
+        /// # Ok::<(), rhubarbfall_core::ParseIdError>(())
+        /// ```
+        #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Returns the identifier as text.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{}({})", stringify!($name), self.0)
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.pad(&self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseIdError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                check_id(text)?;
+                Ok(Self(Arc::from(text)))
+            }
+        }
+
+        impl Serialize for $name {
+            fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+                serializer.serialize_str(&self.0)
+            }
+        }
+
+        impl<'de> Deserialize<'de> for $name {
+            fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+                deserializer.deserialize_str(IdVisitor).map(Self)
+            }
+        }
+    )*};
+}
+
+struct IdVisitor;
+
+impl Visitor<'_> for IdVisitor {
+    type Value = Arc<str>;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("an identifier")
+    }
+
+    fn visit_str<E: de::Error>(self, text: &str) -> Result<Arc<str>, E> {
+        check_id(text).map_err(E::custom)?;
+        Ok(Arc::from(text))
+    }
+}
+
+id_types! {
+    /// Identifies an availability zone.
+    AvailabilityZoneId, "zone-a";
+    /// Identifies an entry by the VM that it runs on; a replacement on the same VM keeps it.
+    EntryId, "zone-a-entry-1";
+    /// Identifies a pool of VMs.
+    PoolId, "labels-pool";
+    /// Identifies a queue.
+    QueueId, "labels-urgent";
+    /// Identifies a rack, the smallest failure domain that holds more than one VM.
+    RackId, "zone-a-rack-3";
+    /// Identifies a region.
+    RegionId, "west";
+    /// Identifies a request; the caller chooses it and repeats it on a resend.
+    RequestId, "req-7f3a";
+    /// Identifies a run.
+    RunId, "run-2026-12-04-1";
+    /// Identifies a service.
+    ServiceId, "labels";
+    /// Identifies a team.
+    TeamId, "house-a";
+    /// Identifies an upstream.
+    UpstreamId, "zone-a-labels-1";
+    /// Identifies a VM.
+    VmId, "vm-0042";
+    /// Identifies a maintenance wave.
+    WaveId, "wave-12";
+}
--- /dev/null
+++ b/rhubarbfall-core/src/lib.rs
@@ -0,0 +1,26 @@
+//! Identifiers, units, the clock and result codes that every other package builds on.
+
+mod clock;
+mod execution;
+mod ids;
+mod manual_clock;
+mod result_code;
+mod revision;
+mod system_clock;
+mod units;
+
+#[cfg(test)]
+mod tests;
+
+pub use clock::{Clock, SharedClock};
+pub use execution::Execution;
+pub use ids::{
+    AvailabilityZoneId, EntryId, ParseIdError, PoolId, QueueId, RackId, RegionId, RequestId, RunId,
+    ServiceId, TeamId, UpstreamId, VmId, WaveId,
+};
+pub use litemap::LiteMap;
+pub use manual_clock::ManualClock;
+pub use result_code::{ParseResultCodeError, ResultCode};
+pub use revision::{FencingNumber, Generation, Incarnation, Revision, RowVersion, SectionVersion};
+pub use system_clock::SystemClock;
+pub use units::{Bytes, Connections, ShareWeight, Slots, VmCount};
--- /dev/null
+++ b/rhubarbfall-core/src/system_clock.rs
@@ -0,0 +1,34 @@
+use std::time::{Instant, SystemTime};
+
+use crate::Clock;
+
+/// The operating system's clock.
+///
+/// # Examples
+///
+/// ```
+/// use rhubarbfall_core::{Clock, SystemClock};
+///
+/// let started = SystemClock::new().now();
+/// assert!(started.elapsed().as_secs() < 60);
+/// ```
+#[derive(Debug, Clone, Copy, Default)]
+pub struct SystemClock;
+
+impl SystemClock {
+    /// Creates a clock that reads the operating system's time.
+    #[must_use]
+    pub const fn new() -> Self {
+        Self
+    }
+}
+
+impl Clock for SystemClock {
+    fn now(&self) -> Instant {
+        Instant::now()
+    }
+
+    fn wall_time(&self) -> SystemTime {
+        SystemTime::now()
+    }
+}
--- /dev/null
+++ b/rhubarbfall-document/src/document.rs
@@ -0,0 +1,63 @@
+use rhubarbfall_core::{LiteMap, PoolId, QueueId, Revision, ServiceId, TeamId};
+use serde::{Deserialize, Serialize};
+
+use crate::{FleetSection, KeysSection, PoolSpec, QueueSpec, ServiceSpec, TeamSection, TeamSpec};
+
+/// The state of every section at one revision.
+///
+/// The lists inside are sorted by identifier once the document has been checked, so that look-ups
+/// are binary searches.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Document {
+    /// The revision that this state belongs to.
+    #[serde(default)]
+    pub revision: Revision,
+    /// Pools, services, queues and the limits of teams.
+    #[serde(default)]
+    pub fleet: FleetSection,
+    /// The keys that are granted.
+    #[serde(default)]
+    pub keys: KeysSection,
+    /// Each team's own section.
+    #[serde(default, rename = "team")]
+    pub teams: LiteMap<TeamId, TeamSection>,
+}
+
+impl Document {
+    /// Sorts every list by identifier, which the look-ups rely on.
+    #[must_use]
+    pub fn sorted(mut self) -> Self {
+        self.fleet.pools.sort_by(|a, b| a.id.cmp(&b.id));
+        self.fleet.services.sort_by(|a, b| a.id.cmp(&b.id));
+        self.fleet.queues.sort_by(|a, b| a.id.cmp(&b.id));
+        self.fleet.teams.sort_by(|a, b| a.id.cmp(&b.id));
+        self.keys.keys.sort_by(|a, b| a.digest.cmp(&b.digest));
+        self
+    }
+
+    /// Returns the pool with this identifier.
+    pub fn pool(&self, id: &PoolId) -> Option<&PoolSpec> {
+        find(&self.fleet.pools, id, |pool| &pool.id)
+    }
+
+    /// Returns the queue with this identifier.
+    pub fn queue(&self, id: &QueueId) -> Option<&QueueSpec> {
+        find(&self.fleet.queues, id, |queue| &queue.id)
+    }
+
+    /// Returns the service with this identifier.
+    pub fn service(&self, id: &ServiceId) -> Option<&ServiceSpec> {
+        find(&self.fleet.services, id, |service| &service.id)
+    }
+
+    /// Returns the limits of the team with this identifier.
+    pub fn team(&self, id: &TeamId) -> Option<&TeamSpec> {
+        find(&self.fleet.teams, id, |team| &team.id)
+    }
+}
+
+fn find<'a, T, K: Ord>(list: &'a [T], id: &K, id_of: impl Fn(&T) -> &K) -> Option<&'a T> {
+    let index = list.binary_search_by(|item| id_of(item).cmp(id)).ok()?;
+    Some(&list[index])
+}
--- /dev/null
+++ b/rhubarbfall-entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry process: settings, traffic, control and the operators' interface.
--- /dev/null
+++ b/rhubarbfall-fleet/src/lib.rs
@@ -0,0 +1,1 @@
+//! Pools, disruption permits, maintenance waves and moves.
--- /dev/null
+++ b/rhubarbfall-membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Entry membership, zone leases and configuration freshness.
--- /dev/null
+++ b/rhubarbfall-platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Clients of the platform's table, object store and VM list.
--- /dev/null
+++ b/rhubarbfall-routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Upstream choice, health, retries and connections.
--- /dev/null
+++ b/rhubarbfall-testing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins, fault relay and scenario support for tests.
--- /dev/null
+++ b/rhubarbfall-wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages between entry processes.
--- /dev/null
+++ b/rhubarbfall/src/main.rs
@@ -0,0 +1,3 @@
+//! The process that runs on every entry VM.
+
+fn main() {}
