feat(admission): rights under a team's upper limit, lent on leases

Cause: each entry alone would run a team's whole limit. Change: a ledger row per team divides the limit among entry processes; own slots never lapse, the rest is borrowed on leases counted from before the request was sent. Grants of dead processes are reused only after a proof of death and a delay that outlasts every loan and request. Ruled out: moving ownership by messages (a lost message loses the right until every holder is asked), and leases renewed at the table (an outage of the table would lapse them everywhere). Found by the test and mended: a team withdrawn before the process knew it was read at an old revision; a successor borrowed from its own predecessor; a lender without spare slots hid another's spare ones. Conclusion: the limit holds at every step, and the whole limit is usable again after the faults.

--- /dev/null
+++ b/rhubarbfall-admission/src/rights/mod.rs
@@ -0,0 +1,21 @@
+//! Rights to run work under a team's upper limit.
+//!
+//! Every entry owns a part of each limit, recorded in the team's ledger row, and lends what it does
+//! not use to other entries on short leases.
+
+mod ledger_plan;
+mod ledger_row;
+mod loan;
+mod reclaim_watch;
+#[expect(clippy::module_inception, reason = "one type a file named for it")]
+mod rights;
+mod rights_settings;
+mod rights_state;
+mod team_rights;
+
+pub use ledger_row::{Grant, LedgerRow};
+pub use loan::{LoanReply, LoanRequest};
+pub use reclaim_watch::ReclaimWatch;
+pub use rights::{OutgoingLoanRequest, Rights};
+pub use rights_settings::RightsSettings;
+pub use rights_state::{RightsState, TeamRightsState};
--- /dev/null
+++ b/rhubarbfall-admission/src/rights/team_rights.rs
@@ -0,0 +1,310 @@
+use std::time::{Duration, Instant};
+
+use rhubarbfall_core::{EntryId, Incarnation};
+
+use super::ledger_row::LedgerRow;
+use super::loan::{LentSlots, Loan, LoanReply, LoanRequest};
+use super::rights_settings::RightsSettings;
+use crate::shares::{Claim, fair_portions};
+
+/// How long a claimant keeps a slot that does not divide evenly.
+const TURN_MS: u64 = 2_000;
+
+/// The rights of one team at one entry.
+///
+/// Own slots come from the team's ledger row and never lapse. Borrowed slots lapse with their
+/// lease. Work starts only against a slot of either kind that no other work holds.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct TeamRights {
+    pub(crate) limit: u32,
+    pub(crate) owned: u32,
+    /// What the ledger row becomes for this process by the write that is under way.
+    pub(crate) pending: Option<PendingGrant>,
+    pub(crate) occupied_owned: u32,
+    pub(crate) waiting: u32,
+    pub(crate) loans: Vec<Loan>,
+    pub(crate) lent: Vec<LentSlots>,
+    /// Ends of work whose outcome is unknown.
+    pub(crate) holds: Vec<Instant>,
+    pub(crate) granted_total: u32,
+    /// Rotates the slots that do not divide evenly among claimants.
+    turn: usize,
+    turn_ends_at: Option<Instant>,
+}
+
+/// A ledger write whose result is not known yet.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct PendingGrant {
+    before: u32,
+    after: u32,
+}
+
+impl TeamRights {
+    /// Returns the own slots that may be used under the limit in force.
+    ///
+    /// While the ledger still grants more than the limit, each owner uses its part of the limit.
+    fn usable_owned(&self) -> u32 {
+        if self.granted_total <= self.limit {
+            return self.owned;
+        }
+        let part = u64::from(self.owned) * u64::from(self.limit) / u64::from(self.granted_total);
+        part as u32
+    }
+
+    fn lent_slots(&self) -> u32 {
+        self.lent.iter().map(|lent| lent.slots).sum()
+    }
+
+    pub(crate) fn running(&self) -> u32 {
+        self.occupied_owned + self.loans.iter().map(|loan| loan.occupied).sum::<u32>()
+    }
+
+    pub(crate) fn demand(&self) -> u32 {
+        self.running().saturating_add(self.waiting)
+    }
+
+    /// Returns how many more requests may start now.
+    pub(crate) fn free_slots(&self, now: Instant, settings: &RightsSettings) -> u32 {
+        if self.limit == 0 {
+            return 0;
+        }
+        let borrowed: u32 = self
+            .loans
+            .iter()
+            .map(|loan| loan.valid_slots(now).saturating_sub(loan.occupied))
+            .sum();
+        self.free_owned(settings).saturating_add(borrowed)
+    }
+
+    fn free_owned(&self, settings: &RightsSettings) -> u32 {
+        let usable = self.usable_owned().saturating_sub(self.lent_slots());
+        usable
+            .min(self.own_portion(settings))
+            .saturating_sub(self.occupied_owned)
+    }
+
+    /// Returns the part of the own slots that this entry uses itself while borrowers want some.
+    fn own_portion(&self, settings: &RightsSettings) -> u32 {
+        let others: u32 = self.lent.iter().map(|lent| lent.wanted).sum();
+        let owned = self.usable_owned();
+        if others == 0 || self.demand() + others <= owned {
+            return owned;
+        }
+        self.portions()[0].max(settings.reserve(owned))
+    }
+
+    /// Divides the own slots among this entry (first) and its borrowers.
+    fn portions(&self) -> Vec<u32> {
+        let claim = |demand: u32| Claim {
+            weight: 1.0,
+            demand_slots: f64::from(demand),
+        };
+        let mut claims = vec![claim(self.demand())];
+        claims.extend(self.lent.iter().map(|lent| claim(lent.wanted)));
+        let owned = self.usable_owned();
+        let exact = fair_portions(f64::from(owned), &claims);
+        let mut whole: Vec<u32> = exact.iter().map(|portion| portion.floor() as u32).collect();
+        let mut left = owned.saturating_sub(whole.iter().sum());
+        for offset in 0..whole.len() {
+            let index = (self.turn + offset) % whole.len();
+            let wants_more = f64::from(whole[index]) < claims[index].demand_slots;
+            if left > 0 && wants_more {
+                whole[index] += 1;
+                left -= 1;
+            }
+        }
+        whole
+    }
+
+    /// Takes a right for work that starts now.
+    pub(crate) fn try_take(&mut self, now: Instant, settings: &RightsSettings) -> bool {
+        if self.limit == 0 {
+            return false;
+        }
+        if self.free_owned(settings) > 0 {
+            self.occupied_owned += 1;
+            return true;
+        }
+        let free = |loan: &&mut Loan| loan.valid_slots(now) > loan.occupied;
+        match self.loans.iter_mut().find(free) {
+            Some(loan) => {
+                loan.occupied += 1;
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Gives back the right of work that has ended; borrowed slots become free first.
+    pub(crate) fn release(&mut self, now: Instant) {
+        let occupied = |loan: &&mut Loan| loan.occupied > 0;
+        let lapsed_first = |loan: &&mut Loan| loan.valid_slots(now);
+        match self
+            .loans
+            .iter_mut()
+            .filter(occupied)
+            .min_by_key(lapsed_first)
+        {
+            Some(loan) => loan.occupied -= 1,
+            None => self.occupied_owned = self.occupied_owned.saturating_sub(1),
+        }
+    }
+
+    /// Drops what has lapsed, and frees the rights of work that must have ended.
+    pub(crate) fn expire(&mut self, now: Instant) {
+        self.lent.retain(|lent| now < lent.free_at);
+        for loan in &mut self.loans {
+            loan.lapse(now);
+        }
+        if self.turn_ends_at.is_none_or(|ends_at| ends_at <= now) {
+            self.turn = self.turn.wrapping_add(1);
+            self.turn_ends_at = Some(now + Duration::from_millis(TURN_MS));
+        }
+        let ended = self.holds.iter().filter(|until| **until <= now).count();
+        self.holds.retain(|until| now < *until);
+        for _ in 0..ended {
+            self.release(now);
+        }
+    }
+
+    /// Answers a borrower; `None` for a request that a later one has overtaken.
+    pub(crate) fn lend(
+        &mut self,
+        now: Instant,
+        borrower: (&EntryId, Incarnation),
+        request: &LoanRequest,
+        settings: &RightsSettings,
+    ) -> Option<LoanReply> {
+        self.expire(now);
+        let index = self.lent_index(now, borrower, request.sequence)?;
+        self.lent[index].sequence = request.sequence;
+        self.lent[index].wanted = request.wanted_slots;
+        self.lent[index].slots = request.held_slots;
+        let owned = self.usable_owned();
+        let busy = self.lent_slots() + self.occupied_owned;
+        let kept = settings.reserve(owned).saturating_sub(self.occupied_owned);
+        let idle = owned.saturating_sub(busy + kept);
+        let portion = self.portions()[index + 1];
+        let ceiling = if owned < busy {
+            0
+        } else if portion <= request.held_slots {
+            portion
+        } else {
+            request.held_slots + idle
+        };
+        let granted = request.wanted_slots.min(ceiling).min(portion);
+        let own_waiting = self.waiting.min(self.own_portion(settings));
+        let lent = &mut self.lent[index];
+        lent.slots = granted.max(request.held_slots);
+        if granted > 0 || (lent.slots > 0 && lent.free_at <= now) {
+            lent.free_at = now + settings.lender_hold();
+        } else if lent.slots == 0 {
+            // A borrower that was refused stays a claimant until it is due to ask again.
+            lent.free_at = now + settings.loan_lease;
+        }
+        let extra = lent.slots - request.held_slots;
+        Some(LoanReply {
+            sequence: request.sequence,
+            granted_slots: granted,
+            spare_slots: idle.saturating_sub(extra).saturating_sub(own_waiting),
+        })
+    }
+
+    fn lent_index(
+        &mut self,
+        now: Instant,
+        (borrower, incarnation): (&EntryId, Incarnation),
+        sequence: u64,
+    ) -> Option<usize> {
+        let known = self
+            .lent
+            .iter()
+            .position(|lent| lent.borrower == *borrower && lent.incarnation == incarnation);
+        if let Some(index) = known {
+            return (self.lent[index].sequence < sequence).then_some(index);
+        }
+        self.lent.push(LentSlots {
+            borrower: borrower.clone(),
+            incarnation,
+            slots: 0,
+            wanted: 0,
+            sequence,
+            free_at: now,
+        });
+        Some(self.lent.len() - 1)
+    }
+
+    /// Takes a lender's answer to the last request.
+    pub(crate) fn take_reply(
+        &mut self,
+        lender: &EntryId,
+        reply: &LoanReply,
+        settings: &RightsSettings,
+    ) {
+        let Some(loan) = self.loans.iter_mut().find(|loan| loan.lender == *lender) else {
+            return;
+        };
+        if loan.sequence != reply.sequence {
+            return;
+        }
+        let Some(asked_at) = loan.asked_at.take() else {
+            return;
+        };
+        loan.slots = reply.granted_slots;
+        loan.expires_at = Some(asked_at + settings.loan_lease);
+        loan.offer = reply.granted_slots + reply.spare_slots;
+    }
+
+    /// Takes over what the team's ledger row says of the other owners.
+    ///
+    /// An earlier process on this entry's VM still has its grant in the row, but lends nothing.
+    pub(crate) fn observe(&mut self, own: &EntryId, row: &LedgerRow) {
+        self.granted_total = row.granted_slots();
+        let owners = || {
+            row.grants
+                .iter()
+                .filter(|grant| grant.slots > 0 && grant.entry != *own)
+        };
+        for grant in owners() {
+            if !self.loans.iter().any(|loan| loan.lender == grant.entry) {
+                self.loans.push(Loan::new(grant.entry.clone(), grant.slots));
+            }
+        }
+        self.loans.retain(|loan| {
+            loan.held_slots() > 0 || owners().any(|grant| grant.entry == loan.lender)
+        });
+    }
+
+    /// Starts a ledger write that changes the own grant; what is given up is gone from now on.
+    pub(crate) fn begin(&mut self, after: u32) {
+        self.pending = Some(PendingGrant {
+            before: self.owned,
+            after,
+        });
+        self.owned = self.owned.min(after);
+    }
+
+    /// Ends a ledger write whose result is certain.
+    pub(crate) fn settle(&mut self, was_applied: bool) {
+        if let Some(pending) = self.pending.take() {
+            self.owned = if was_applied {
+                pending.after
+            } else {
+                pending.before
+            };
+        }
+    }
+
+    /// Returns the own slots that neither work nor a borrower holds.
+    pub(crate) fn idle_owned(&self) -> u32 {
+        self.owned
+            .saturating_sub(self.occupied_owned + self.lent_slots())
+    }
+
+    /// Returns whether the team was withdrawn and nothing of it is left.
+    pub(crate) fn is_unused(&self) -> bool {
+        let is_held = self.owned > 0 || self.pending.is_some() || self.running() > 0;
+        let is_shared = !self.lent.is_empty() || self.loans.iter().any(|loan| loan.slots > 0);
+        self.limit == 0 && self.waiting == 0 && !is_held && !is_shared
+    }
+}
--- /dev/null
+++ b/rhubarbfall-admission/tests/upper_limits.rs
@@ -0,0 +1,44 @@
+//! The upper limit under random faults: work counted at the upstreams against the ledger.
+
+mod rights_model;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rights_model::{Fault, Model};
+
+fn faults() -> impl Strategy<Value = Vec<(u16, Fault)>> {
+    let fault = prop_oneof![
+        (0..4_usize).prop_map(Fault::Crash),
+        (0..4_usize).prop_map(Fault::ReplaceSameVm),
+        (0..4_usize).prop_map(Fault::ReplaceOtherVm),
+        (0..4_usize, 5..150_u16).prop_map(|(entry, steps)| Fault::Pause(entry, steps)),
+        (0..4_usize, 5..150_u16).prop_map(|(entry, steps)| Fault::CutOff(entry, steps)),
+        (5..200_u16).prop_map(Fault::TableOutage),
+        (0..14_u32).prop_map(Fault::SetLimit),
+        Just(Fault::WithdrawTeam),
+    ];
+    prop::collection::vec((5..60_u16, fault), 0..30)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 128,
+        rng_seed: RngSeed::Fixed(41),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn running_work_never_exceeds_the_limit_and_no_right_is_lost(seed: u64, faults in faults()) {
+        let mut model = Model::new(seed, 9);
+        model.run(100)?;
+        for (steps, fault) in faults {
+            model.inject(fault);
+            model.run(steps)?;
+        }
+        model.heal();
+        model.run(500)?;
+        let reached = model.highest_running(200)?;
+        prop_assert_eq!(reached, 9, "the whole limit is usable again at one entry");
+    }
+}
