--- a/rhubarbfall-entry/src/lib.rs
+++ b/rhubarbfall-entry/src/lib.rs
@@ -1,1 +1,18 @@
 //! The entry process: settings, traffic, control and the operators' interface.
+//!
+//! Traffic threads serve callers. One control thread polls the platform and keeps the state in
+//! [`Shared`] up to date. Operators use an HTTP interface of their own.
+
+pub mod control;
+pub mod dispatch;
+mod entry;
+mod lifecycle;
+pub mod operator;
+pub mod settings;
+mod shared;
+pub mod traffic;
+
+pub use entry::{Addresses, Entry, StartError};
+pub use lifecycle::{Lifecycle, Phase};
+pub use settings::Settings;
+pub use shared::Shared;
--- /dev/null
+++ b/rhubarbfall-entry/src/lifecycle.rs
@@ -0,0 +1,71 @@
+use std::sync::atomic::{AtomicU8, AtomicU32, Ordering};
+
+use serde::Serialize;
+
+/// What the process does with new requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Phase {
+    /// No configuration is in force yet.
+    Starting,
+    /// Requests are taken.
+    Ready,
+    /// A planned stop has begun; readiness is off and requests are still taken.
+    Draining,
+    /// No new request is taken; those that run end.
+    Stopping,
+}
+
+/// The phase of the process and the number of requests in flight.
+#[derive(Debug)]
+pub struct Lifecycle {
+    phase: AtomicU8,
+    in_flight: AtomicU32,
+}
+
+impl Lifecycle {
+    /// Creates the lifecycle of a process that has just started.
+    #[must_use]
+    pub const fn new() -> Self {
+        Self {
+            phase: AtomicU8::new(Phase::Starting as u8),
+            in_flight: AtomicU32::new(0),
+        }
+    }
+
+    /// Returns the phase.
+    #[must_use]
+    pub fn phase(&self) -> Phase {
+        match self.phase.load(Ordering::Acquire) {
+            0 => Phase::Starting,
+            1 => Phase::Ready,
+            2 => Phase::Draining,
+            _ => Phase::Stopping,
+        }
+    }
+
+    /// Moves to a later phase; an earlier one is ignored.
+    pub fn advance(&self, phase: Phase) {
+        self.phase.fetch_max(phase as u8, Ordering::AcqRel);
+    }
+
+    /// Returns how many requests are in flight.
+    #[must_use]
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::Acquire)
+    }
+
+    pub(crate) fn begin_request(&self) {
+        self.in_flight.fetch_add(1, Ordering::AcqRel);
+    }
+
+    pub(crate) fn end_request(&self) {
+        self.in_flight.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+impl Default for Lifecycle {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/rhubarbfall-entry/src/settings/mod.rs
@@ -0,0 +1,13 @@
+//! The settings of one process, read from TOML and checked as a whole.
+
+mod sections;
+#[expect(clippy::module_inception, reason = "the module is named after its main type")]
+mod settings;
+mod settings_error;
+
+pub use sections::{
+    ControlSettings, EntrySettings, ListenSettings, LogFormat, LogSettings, PlatformSettings,
+    SecretSettings, StopSettings, TrafficSettings,
+};
+pub use settings::Settings;
+pub use settings_error::SettingsError;
--- /dev/null
+++ b/rhubarbfall-entry/src/traffic/caller_request.rs
@@ -0,0 +1,84 @@
+use std::str::FromStr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rhubarbfall_core::{QueueId, RequestId, ResultCode};
+use xitca_web::http::HeaderMap;
+
+use super::Refusal;
+use crate::dispatch::WorkClass;
+
+/// The path under which queues take requests.
+const QUEUE_PATH: &str = "/v1/queues/";
+
+/// What a caller's head says, checked.
+#[derive(Debug, Clone)]
+pub struct CallerRequest {
+    /// The queue.
+    pub queue: QueueId,
+    /// The request's identifier.
+    pub request_id: RequestId,
+    /// The key, when one came.
+    pub key: Option<Arc<str>>,
+    /// Whether the request may run more than once.
+    pub is_idempotent: bool,
+    /// How soon the answer is needed.
+    pub class: WorkClass,
+    /// How long the caller waits.
+    pub deadline: Option<Duration>,
+}
+
+impl CallerRequest {
+    /// Reads the path and the headers of a request.
+    ///
+    /// # Errors
+    ///
+    /// [`ResultCode::BadRequest`] with the name of the header that is malformed or missing, or
+    /// [`ResultCode::UnknownQueue`].
+    pub fn parse(path: &str, headers: &HeaderMap) -> Result<Self, Refusal> {
+        let queue = path
+            .strip_prefix(QUEUE_PATH)
+            .and_then(|name| name.parse().ok())
+            .ok_or_else(|| Refusal::new(ResultCode::UnknownQueue))?;
+        let request_id = parse_header(headers, "x-request-id")?
+            .ok_or_else(|| bad_header("x-request-id", "is missing"))?;
+        let class = match text_header(headers, "x-rhubarbfall-class")? {
+            None | Some("urgent") => WorkClass::Urgent,
+            Some("batch") => WorkClass::Batch,
+            Some(_) => return Err(bad_header("x-rhubarbfall-class", "is not urgent or batch")),
+        };
+        let is_idempotent = parse_header(headers, "x-rhubarbfall-idempotent")?;
+        let deadline_ms = parse_header(headers, "x-rhubarbfall-deadline-ms")?;
+        Ok(Self {
+            queue,
+            request_id,
+            key: text_header(headers, "x-rhubarbfall-key")?.map(Arc::from),
+            is_idempotent: is_idempotent.unwrap_or(false),
+            class,
+            deadline: deadline_ms.map(Duration::from_millis),
+        })
+    }
+}
+
+fn text_header<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Refusal> {
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        return Err(bad_header(name, "came more than once"));
+    }
+    let text = value.to_str();
+    text.map(Some)
+        .map_err(|_| bad_header(name, "is not visible ASCII"))
+}
+
+fn parse_header<T: FromStr>(headers: &HeaderMap, name: &str) -> Result<Option<T>, Refusal> {
+    let text = text_header(headers, name)?;
+    text.map(|text| text.parse().map_err(|_| bad_header(name, "is malformed")))
+        .transpose()
+}
+
+fn bad_header(name: &str, fault: &str) -> Refusal {
+    Refusal::new(ResultCode::BadRequest).message(format!("header {name} {fault}"))
+}
--- /dev/null
+++ b/rhubarbfall-entry/src/traffic/handler.rs
@@ -0,0 +1,153 @@
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use rhubarbfall_core::ResultCode;
+use xitca_web::body::{BodyExt, RequestBody, ResponseBody};
+use xitca_web::handler::body::Body;
+use xitca_web::handler::state::StateRef;
+use xitca_web::http::{HeaderMap, HeaderValue, Uri, WebResponse};
+
+use super::authorize::authorize;
+use super::exchange::{Answer, exchange};
+use super::upstream_body::{InProgress, UpstreamBody};
+use super::{CallerRequest, Refusal};
+use crate::dispatch::{Permit, Work};
+use crate::{Phase, Shared};
+
+/// Takes one request of a caller and answers it.
+pub(super) async fn handle(
+    StateRef(shared): StateRef<'_, Arc<Shared>>,
+    uri: &Uri,
+    headers: &HeaderMap,
+    Body(body): Body<RequestBody>,
+) -> WebResponse {
+    let started = shared.clock.now();
+    let _in_flight = InFlight::new(shared);
+    let result = answer(shared, uri, headers, body, started).await;
+    let elapsed = shared.clock.now().duration_since(started);
+    metrics::histogram!("rhubarbfall_request_seconds").record(elapsed);
+    match result {
+        Ok(response) => {
+            count(ResultCode::Completed);
+            response
+        }
+        Err(refusal) => {
+            count(refusal.code);
+            let request = refusal.request_id.as_ref().map_or("-", |id| id.as_str());
+            log::info!(
+                "event=refused request={request} path={} code={} execution={:?}",
+                uri.path(),
+                refusal.code.number(),
+                refusal.execution,
+            );
+            refusal.into_response()
+        }
+    }
+}
+
+fn count(code: ResultCode) {
+    metrics::counter!("rhubarbfall_requests_total", "code" => code.number().to_string())
+        .increment(1);
+}
+
+/// Counts a request as in flight until this is dropped.
+struct InFlight<'a>(&'a Shared);
+
+impl<'a> InFlight<'a> {
+    fn new(shared: &'a Shared) -> Self {
+        shared.lifecycle.begin_request();
+        Self(shared)
+    }
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.0.lifecycle.end_request();
+    }
+}
+
+async fn answer(
+    shared: &Arc<Shared>,
+    uri: &Uri,
+    headers: &HeaderMap,
+    body: RequestBody,
+    started: Instant,
+) -> Result<WebResponse, Refusal> {
+    let caller = CallerRequest::parse(uri.path(), headers)?;
+    let refuse = |code| Refusal::new(code).request_id(caller.request_id.clone());
+    if shared.lifecycle.phase() == Phase::Stopping {
+        return Err(refuse(ResultCode::EntryStopping));
+    }
+    let body = read_body(shared, body).await.map_err(refuse)?;
+    let document = shared.document.load_full();
+    let document = document.ok_or_else(|| refuse(ResultCode::NotReady))?;
+    let pepper = &shared.settings.secrets.key_pepper;
+    let is_fresh = shared.is_document_fresh();
+    let authorized = authorize(&document, pepper, is_fresh, &caller).map_err(refuse)?;
+    let default_deadline = Duration::from_millis(shared.settings.traffic.default_deadline_ms);
+    let work = Work {
+        request: caller.request_id.clone(),
+        team: authorized.team.clone(),
+        queue: caller.queue.clone(),
+        service: authorized.service.clone(),
+        class: caller.class,
+        deadline: started + caller.deadline.unwrap_or(default_deadline),
+    };
+    let permit = shared
+        .dispatcher
+        .acquire(work, shared.clock.now())
+        .await
+        .map_err(refuse)?;
+    let service = document.service(&authorized.service);
+    let timeout = service.map_or(default_deadline, |service| {
+        Duration::from_millis(service.answer_timeout_ms)
+    });
+    let answer = exchange(shared, &caller, &authorized, &permit, headers, body, timeout)
+        .await
+        .map_err(refuse)?;
+    Ok(pass_on(shared, permit, answer))
+}
+
+async fn read_body(shared: &Shared, mut body: RequestBody) -> Result<Bytes, ResultCode> {
+    let max_bytes = shared.settings.traffic.max_body_bytes;
+    let timeout = Duration::from_millis(shared.settings.traffic.body_timeout_ms);
+    let read = async {
+        let mut buffer = BytesMut::new();
+        while let Some(data) = body.data().await {
+            let data = data.map_err(|_| ResultCode::BadRequest)?;
+            if buffer.len() + data.len() > max_bytes {
+                return Err(ResultCode::BodyTooLarge);
+            }
+            buffer.extend_from_slice(&data);
+        }
+        Ok(buffer.freeze())
+    };
+    tokio::time::timeout(timeout, read)
+        .await
+        .map_err(|_| ResultCode::BodyTooSlow)?
+}
+
+fn pass_on(shared: &Arc<Shared>, permit: Permit, answer: Answer) -> WebResponse {
+    let Answer {
+        response,
+        connection,
+    } = answer;
+    let (mut parts, incoming) = response.into_parts();
+    for name in ["connection", "keep-alive", "transfer-encoding", "content-length"] {
+        parts.headers.remove(name);
+    }
+    let code = HeaderValue::from(ResultCode::Completed.number());
+    parts.headers.insert("x-rhubarbfall-code", code);
+    let ran = HeaderValue::from_static("ran");
+    parts.headers.insert("x-rhubarbfall-execution", ran);
+    let body = UpstreamBody {
+        incoming,
+        in_progress: Some(InProgress {
+            shared: Arc::clone(shared),
+            permit,
+            connection,
+        }),
+    };
+    WebResponse::from_parts(parts, ResponseBody::boxed(body))
+}
