feat(document): read, check and print the document, with keyed digests

A fault in one field hides no other: tables are read field by field over the spanned TOML tree, so that every fault has its line and column. Deriving the whole document by serde was ruled out, since it stops at the first fault and cannot refuse unknown fields beside a flattened owner.

--- a/rhubarbfall-document/src/document.rs
+++ b/rhubarbfall-document/src/document.rs
@@ -1,7 +1,10 @@
 use rhubarbfall_core::{LiteMap, PoolId, QueueId, Revision, ServiceId, TeamId};
 use serde::{Deserialize, Serialize};
 
-use crate::{FleetSection, KeysSection, PoolSpec, QueueSpec, ServiceSpec, TeamSection, TeamSpec};
+use crate::{
+    FleetSection, KeyDigest, KeySpec, KeysSection, PoolSpec, QueueSpec, Section, SectionId,
+    ServiceSpec, TeamSection, TeamSpec,
+};
 
 /// The state of every section at one revision.
 ///
@@ -20,7 +23,7 @@
     #[serde(default)]
     pub keys: KeysSection,
     /// Each team's own section.
-    #[serde(default, rename = "team")]
+    #[serde(default, rename = "team", skip_serializing_if = "LiteMap::is_empty")]
     pub teams: LiteMap<TeamId, TeamSection>,
 }
 
@@ -32,7 +35,7 @@
         self.fleet.services.sort_by(|a, b| a.id.cmp(&b.id));
         self.fleet.queues.sort_by(|a, b| a.id.cmp(&b.id));
         self.fleet.teams.sort_by(|a, b| a.id.cmp(&b.id));
-        self.keys.keys.sort_by(|a, b| a.digest.cmp(&b.digest));
+        self.keys.keys.sort_by_key(|key| key.digest);
         self
     }
 
@@ -55,6 +58,48 @@
     pub fn team(&self, id: &TeamId) -> Option<&TeamSpec> {
         find(&self.fleet.teams, id, |team| &team.id)
     }
+
+    /// Returns the granted key with this digest.
+    ///
+    /// The search compares keyed digests, whose order nobody without the pepper can predict; the
+    /// candidate is then verified in constant time.
+    pub fn key(&self, digest: &KeyDigest) -> Option<&KeySpec> {
+        let keys = &self.keys.keys;
+        let index = keys.partition_point(|key| key.digest < *digest);
+        keys.get(index).filter(|key| key.digest.matches(digest))
+    }
+
+    /// Returns the contents of a section; a team that has set nothing has an empty one.
+    pub fn section(&self, id: &SectionId) -> Section {
+        match id {
+            SectionId::Fleet => Section::Fleet(self.fleet.clone()),
+            SectionId::Keys => Section::Keys(self.keys.clone()),
+            SectionId::Team(team) => {
+                Section::Team(self.teams.get(team).cloned().unwrap_or_default())
+            }
+        }
+    }
+
+    /// Replaces the contents of a section; contents of another kind change nothing.
+    pub fn set_section(&mut self, id: &SectionId, section: Section) {
+        match (id, section) {
+            (SectionId::Fleet, Section::Fleet(fleet)) => self.fleet = fleet,
+            (SectionId::Keys, Section::Keys(keys)) => self.keys = keys,
+            (SectionId::Team(team), Section::Team(body)) => {
+                self.teams.insert(team.clone(), body);
+            }
+            _ => {}
+        }
+    }
+
+    /// Returns the sections that the document holds, in order.
+    pub fn section_ids(&self) -> Vec<SectionId> {
+        let teams = self.teams.keys().cloned().map(SectionId::Team);
+        [SectionId::Fleet, SectionId::Keys]
+            .into_iter()
+            .chain(teams)
+            .collect()
+    }
 }
 
 fn find<'a, T, K: Ord>(list: &'a [T], id: &K, id_of: impl Fn(&T) -> &K) -> Option<&'a T> {
--- /dev/null
+++ b/rhubarbfall-document/src/document_error.rs
@@ -0,0 +1,50 @@
+use std::fmt;
+
+use rhubarbfall_core::ResultCode;
+use serde::{Deserialize, Serialize};
+
+use crate::Fault;
+
+/// How many faults are listed; a text that is no document at all has one at each line.
+pub(crate) const MAX_FAULTS: usize = 100;
+
+/// Everything that is wrong with a document.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DocumentError {
+    /// Whether the text is no TOML, so that its contents were not looked at.
+    pub is_syntax: bool,
+    /// The faults, in the order of the text; at most the first hundred.
+    pub faults: Vec<Fault>,
+}
+
+impl DocumentError {
+    pub(crate) fn new(is_syntax: bool, mut faults: Vec<Fault>) -> Self {
+        faults.sort_by_key(|fault| fault.position.map_or((1, None), |p| (0, Some(p))));
+        faults.truncate(MAX_FAULTS);
+        Self { is_syntax, faults }
+    }
+
+    /// Returns the result code that the fault is answered with.
+    #[must_use]
+    pub const fn code(&self) -> ResultCode {
+        if self.is_syntax {
+            ResultCode::DocumentSyntax
+        } else {
+            ResultCode::DocumentInvalid
+        }
+    }
+}
+
+impl fmt::Display for DocumentError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, fault) in self.faults.iter().enumerate() {
+            if index > 0 {
+                f.write_str("\n")?;
+            }
+            write!(f, "{fault}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for DocumentError {}
--- /dev/null
+++ b/rhubarbfall-document/src/draft.rs
@@ -0,0 +1,137 @@
+use std::sync::Arc;
+
+use rhubarbfall_core::{LiteMap, Revision, SectionVersion};
+
+use crate::document_error::DocumentError;
+use crate::fault::{Fault, Position};
+use crate::limits::MAX_DOCUMENT_BYTES;
+use crate::line_index::LineIndex;
+use crate::read::read_draft;
+use crate::table_reader::{Findings, Located, TableReader};
+use crate::{Document, Section, SectionId};
+
+/// The sections of a text, read but not yet checked against the rest of the document.
+///
+/// # Examples
+///
+/// ```
+/// use rhubarbfall_document::{Draft, SectionId};
+///
+/// let draft = Draft::parse("versions.fleet = 7\n[[fleet.pool]]\nid = 'a'\nmax_unavailable_vms = 1")?;
+/// assert_eq!(draft.base_version(&SectionId::Fleet).map(|v| v.get()), Some(7));
+///
+/// let error = Draft::parse("[[fleet.pool]]\nid = 'a'\nmax_unavailable = 1").unwrap_err();
+/// assert_eq!(error.faults.len(), 2);
+/// assert_eq!(error.faults[1].position.map(|p| p.line), Some(3));
+/// # Ok::<(), rhubarbfall_document::DocumentError>(())
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct Draft {
+    pub(crate) revision: Revision,
+    pub(crate) versions: LiteMap<SectionId, SectionVersion>,
+    pub(crate) sections: LiteMap<SectionId, Section>,
+    pub(crate) positions: Vec<(String, Position)>,
+}
+
+impl Draft {
+    /// Reads a text, and lists every fault that shows without the rest of the document.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault with its line and column.
+    pub fn parse(text: &str) -> Result<Self, DocumentError> {
+        let (draft, faults) = Self::parse_recoverable(text)?;
+        if faults.is_empty() {
+            Ok(draft)
+        } else {
+            Err(DocumentError::new(false, faults))
+        }
+    }
+
+    /// Reads a text as far as its syntax allows; the faults come beside what could be read.
+    pub(crate) fn parse_recoverable(text: &str) -> Result<(Self, Vec<Fault>), DocumentError> {
+        if text.len() > MAX_DOCUMENT_BYTES {
+            return Err(too_large(text.len()));
+        }
+        let lines = LineIndex::new(text);
+        let (table, errors) = toml::de::DeTable::parse_recoverable(text);
+        if !errors.is_empty() {
+            let faults = errors.iter().map(|error| syntax_fault(&lines, error));
+            return Err(DocumentError::new(true, faults.collect()));
+        }
+        let mut findings = Findings::default();
+        let mut draft = read_draft(TableReader::new("", table), &mut findings);
+        let fields = findings.fields.into_iter();
+        draft.positions = fields
+            .map(|(path, at)| (path, lines.position(at)))
+            .collect();
+        draft.positions.sort();
+        let locate = |found: Located| Fault {
+            position: Some(lines.position(found.offset_bytes)),
+            path: Arc::from(found.path),
+            message: Arc::from(found.message),
+        };
+        Ok((draft, findings.faults.into_iter().map(locate).collect()))
+    }
+
+    /// Returns the sections that the text holds.
+    pub fn sections(&self) -> impl Iterator<Item = (&SectionId, &Section)> {
+        self.sections.iter()
+    }
+
+    /// Returns the version of a section that the text was edited from, if the text says so.
+    pub fn base_version(&self, section: &SectionId) -> Option<SectionVersion> {
+        self.versions.get(section).copied()
+    }
+
+    /// Sets the version that a section was edited from.
+    pub fn set_base_version(&mut self, section: SectionId, version: SectionVersion) {
+        self.versions.insert(section, version);
+    }
+
+    /// Returns a document with the sections of the text, and nothing else.
+    #[must_use]
+    pub fn to_document(&self) -> Document {
+        let mut document = Document {
+            revision: self.revision,
+            ..Document::default()
+        };
+        for (id, section) in self.sections() {
+            document.set_section(id, section.clone());
+        }
+        document
+    }
+
+    /// Returns where a field stands: its own place, or that of the nearest table around it.
+    pub(crate) fn position(&self, path: &str) -> Option<Position> {
+        let mut path = path;
+        loop {
+            let found = self
+                .positions
+                .binary_search_by(|(p, _)| p.as_str().cmp(path));
+            if let Ok(index) = found {
+                return Some(self.positions[index].1);
+            }
+            path = &path[..path.rfind(['.', '['])?];
+        }
+    }
+}
+
+fn too_large(length_bytes: usize) -> DocumentError {
+    let message = format!("a document has at most {MAX_DOCUMENT_BYTES} bytes, not {length_bytes}");
+    let fault = Fault {
+        position: Some(Position { line: 1, column: 1 }),
+        path: Arc::from(""),
+        message: Arc::from(message),
+    };
+    DocumentError::new(true, vec![fault])
+}
+
+fn syntax_fault(lines: &LineIndex<'_>, error: &toml::de::Error) -> Fault {
+    let offset_bytes = error.span().map_or(0, |span| span.start);
+    Fault {
+        position: Some(lines.position(offset_bytes)),
+        path: Arc::from(""),
+        message: Arc::from(error.message().trim()),
+    }
+}
--- a/rhubarbfall-document/src/fleet_section.rs
+++ b/rhubarbfall-document/src/fleet_section.rs
@@ -7,15 +7,15 @@
 #[serde(deny_unknown_fields)]
 pub struct FleetSection {
     /// The pools of VMs.
-    #[serde(default, rename = "pool")]
+    #[serde(default, rename = "pool", skip_serializing_if = "Vec::is_empty")]
     pub pools: Vec<PoolSpec>,
     /// The services that pools run.
-    #[serde(default, rename = "service")]
+    #[serde(default, rename = "service", skip_serializing_if = "Vec::is_empty")]
     pub services: Vec<ServiceSpec>,
     /// The queues through which work reaches services.
-    #[serde(default, rename = "queue")]
+    #[serde(default, rename = "queue", skip_serializing_if = "Vec::is_empty")]
     pub queues: Vec<QueueSpec>,
     /// The limits and shares of teams.
-    #[serde(default, rename = "team")]
+    #[serde(default, rename = "team", skip_serializing_if = "Vec::is_empty")]
     pub teams: Vec<TeamSpec>,
 }
--- a/rhubarbfall-document/src/lib.rs
+++ b/rhubarbfall-document/src/lib.rs
@@ -2,24 +2,52 @@
 //!
 //! The document is edited by section. The `fleet` and `keys` sections belong to operators; each
 //! team owns the section `team.<id>`. One [`Document`] is the state of every section at one
-//! revision.
+//! revision. [`accept`] decides whether a change becomes the next revision; it touches no socket
+//! and no clock, and gives back the transaction that the platform's table has to take.
 
+mod access_key;
+mod check;
 mod document;
+mod document_error;
+mod draft;
+mod fault;
 mod fleet_section;
+mod key_digest;
+mod key_owner;
+mod key_spec;
 mod keys_section;
+mod limits;
+mod line_index;
+mod parse;
+mod pepper;
 mod pool_spec;
 mod queue_access;
 mod queue_spec;
+mod read;
+mod section;
+mod section_id;
 mod service_spec;
+mod table_reader;
 mod team_section;
 mod team_spec;
 
+pub use access_key::{AccessKey, MAX_KEY_BYTES, ParseAccessKeyError};
 pub use document::Document;
+pub use document_error::DocumentError;
+pub use draft::Draft;
+pub use fault::{Fault, Position};
 pub use fleet_section::FleetSection;
-pub use keys_section::{KeyOwner, KeySpec, KeysSection};
+pub use key_digest::{KeyDigest, ParseKeyDigestError};
+pub use key_owner::KeyOwner;
+pub use key_spec::KeySpec;
+pub use keys_section::KeysSection;
+pub use limits::MAX_DOCUMENT_BYTES;
+pub use pepper::{ParsePepperError, Pepper, digest_key};
 pub use pool_spec::PoolSpec;
 pub use queue_access::QueueAccess;
 pub use queue_spec::QueueSpec;
+pub use section::Section;
+pub use section_id::{ParseSectionIdError, SectionId};
 pub use service_spec::ServiceSpec;
 pub use team_section::TeamSection;
 pub use team_spec::TeamSpec;
--- /dev/null
+++ b/rhubarbfall-document/src/line_index.rs
@@ -0,0 +1,29 @@
+use crate::Position;
+
+/// Where each line starts, so that a position costs one binary search.
+#[derive(Debug)]
+pub(crate) struct LineIndex<'t> {
+    text: &'t str,
+    starts: Vec<usize>,
+}
+
+impl<'t> LineIndex<'t> {
+    pub(crate) fn new(text: &'t str) -> Self {
+        let after_breaks = text.match_indices('\n').map(|(at, _)| at + 1);
+        Self {
+            text,
+            starts: std::iter::once(0).chain(after_breaks).collect(),
+        }
+    }
+
+    pub(crate) fn position(&self, offset_bytes: usize) -> Position {
+        let line = self.starts.partition_point(|start| *start <= offset_bytes);
+        let start = self.starts[line - 1];
+        let within = &self.text.as_bytes()[start..offset_bytes.min(self.text.len())];
+        let column = String::from_utf8_lossy(within).chars().count() + 1;
+        Position {
+            line: line as u32,
+            column: column as u32,
+        }
+    }
+}
--- /dev/null
+++ b/rhubarbfall-document/src/parse.rs
@@ -0,0 +1,105 @@
+use std::sync::Arc;
+
+use crate::check::{Violation, check};
+use crate::document_error::DocumentError;
+use crate::draft::Draft;
+use crate::fault::Fault;
+use crate::{Document, SectionId};
+
+impl Document {
+    /// Reads and checks a whole document.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault with its line and column.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use rhubarbfall_document::Document;
+    ///
+    /// let text = "[[fleet.service]]\nid = 'labels'\npool = 'none'\nslots_per_upstream = 8\n\
+    ///             connections_per_upstream = 64\nanswer_timeout_ms = 5000\n";
+    /// let error = Document::parse(text).unwrap_err();
+    /// assert_eq!(
+    ///     error.to_string(),
+    ///     "line 3, column 1: fleet.service[0].pool: no pool is named none",
+    /// );
+    /// ```
+    pub fn parse(text: &str) -> Result<Self, DocumentError> {
+        let (draft, faults) = Draft::parse_recoverable(text)?;
+        let document = draft.to_document();
+        let faults = with_violations(&draft, faults, check(&document));
+        if faults.is_empty() {
+            Ok(document.sorted())
+        } else {
+            Err(DocumentError::new(false, faults))
+        }
+    }
+
+    /// Checks a document that did not come as text, such as one read from the table.
+    ///
+    /// # Errors
+    ///
+    /// Returns every broken rule.
+    pub fn check(&self) -> Result<(), DocumentError> {
+        let faults = with_violations(&Draft::default(), Vec::new(), check(self));
+        if faults.is_empty() {
+            Ok(())
+        } else {
+            Err(DocumentError::new(false, faults))
+        }
+    }
+
+    /// Returns the canonical text: lists in order of identifier, and no comments.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use rhubarbfall_document::Document;
+    ///
+    /// let document = Document::parse("team = {}\nrevision = 4")?;
+    /// assert_eq!(Document::parse(&document.to_toml())?, document);
+    /// # Ok::<(), rhubarbfall_document::DocumentError>(())
+    /// ```
+    #[must_use]
+    pub fn to_toml(&self) -> String {
+        toml::to_string(&self.clone().sorted()).expect("every part of a document has a TOML form")
+    }
+
+    /// Returns the canonical text of some sections.
+    #[must_use]
+    pub fn sections_to_toml(&self, sections: &[SectionId]) -> String {
+        let mut part = Self::default();
+        for id in sections {
+            part.set_section(id, self.section(id));
+        }
+        let text = part.to_toml();
+        text.strip_prefix("revision = 0\n")
+            .unwrap_or(&text)
+            .trim_start()
+            .to_owned()
+    }
+}
+
+/// Adds the broken rules to the faults, but none where the field could not be read at all.
+pub(crate) fn with_violations(
+    draft: &Draft,
+    mut faults: Vec<Fault>,
+    violations: Vec<Violation>,
+) -> Vec<Fault> {
+    let mut unreadable: Vec<Arc<str>> = faults.iter().map(|fault| fault.path.clone()).collect();
+    unreadable.sort();
+    for violation in violations {
+        let path = Arc::from(violation.path);
+        if unreadable.binary_search(&path).is_ok() {
+            continue;
+        }
+        faults.push(Fault {
+            position: draft.position(&path),
+            path,
+            message: Arc::from(violation.message),
+        });
+    }
+    faults
+}
--- a/rhubarbfall-document/src/queue_spec.rs
+++ b/rhubarbfall-document/src/queue_spec.rs
@@ -5,6 +5,7 @@
 
 /// A queue through which work reaches a service.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct QueueSpec {
     /// The queue's identifier.
     pub id: QueueId,
--- a/rhubarbfall-document/src/team_section.rs
+++ b/rhubarbfall-document/src/team_section.rs
@@ -8,9 +8,9 @@
 #[serde(deny_unknown_fields)]
 pub struct TeamSection {
     /// Whom to ask about the team's work.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub contact: Option<Arc<str>>,
     /// How the team divides its own share among queues; a queue that is not named has weight 1.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "LiteMap::is_empty")]
     pub queue_weights: LiteMap<QueueId, ShareWeight>,
 }
