--- a/rhubarbfall-document/tests/parse.rs
+++ b/rhubarbfall-document/tests/parse.rs
@@ -1,5 +1,8 @@
 //! What the parser says about good, bad and arbitrary text.
 
+// The snapshot library writes the hashes.
+#![allow(clippy::needless_raw_string_hashes)]
+
 use expect_test::expect;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
