feat(entry): serve the whole path with separate processes

Change: settings, traffic threads on xitca-web, one control thread that polls the document and the VM list, an operators' interface, the stand-ins as subcommands, and a rig of separate processes with the platform behind a relay per zone.

--- /dev/null
+++ b/rhubarbfall-entry/src/control/control_thread.rs
@@ -0,0 +1,61 @@
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::LocalSet;
+use tokio::time::sleep;
+
+use super::{document_poll, upstream_poll};
+use crate::{Phase, Shared};
+
+/// How often a stopping process looks whether its requests have ended.
+const STOP_POLL: Duration = Duration::from_millis(20);
+
+/// Runs the control duties until a planned stop is complete.
+///
+/// # Errors
+///
+/// Any error of the system when the runtime or the signal handler cannot be set up.
+pub fn run(shared: &Arc<Shared>, handles_signals: bool) -> io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let duties = LocalSet::new();
+    duties.spawn_local(document_poll::run(Arc::clone(shared)));
+    duties.spawn_local(upstream_poll::run(Arc::clone(shared)));
+    duties.block_on(&runtime, async {
+        if handles_signals {
+            let mut terminate = signal(SignalKind::terminate())?;
+            let begun_elsewhere = wait_for_drain(shared);
+            tokio::select! {
+                _ = terminate.recv() => shared.lifecycle.advance(Phase::Draining),
+                () = begun_elsewhere => {}
+            }
+        } else {
+            wait_for_drain(shared).await;
+        }
+        stop(shared).await;
+        Ok(())
+    })
+}
+
+async fn wait_for_drain(shared: &Shared) {
+    while shared.lifecycle.phase() < Phase::Draining {
+        sleep(STOP_POLL).await;
+    }
+}
+
+/// Ends the process without cutting off a request.
+async fn stop(shared: &Shared) {
+    let settings = &shared.settings.stop;
+    log::info!("event=stop phase=draining");
+    sleep(Duration::from_millis(settings.balancer_grace_ms)).await;
+    shared.lifecycle.advance(Phase::Stopping);
+    let deadline = shared.clock.now() + Duration::from_millis(settings.longest_request_ms);
+    while shared.lifecycle.in_flight() > 0 && shared.clock.now() < deadline {
+        sleep(STOP_POLL).await;
+    }
+    let in_flight = shared.lifecycle.in_flight();
+    log::info!("event=stop phase=stopped in_flight={in_flight}");
+}
--- /dev/null
+++ b/rhubarbfall-entry/src/control/mod.rs
@@ -0,0 +1,8 @@
+//! The control thread: polls the platform and keeps the shared state up to date.
+
+mod control_thread;
+mod document_poll;
+mod upstream_poll;
+
+pub use control_thread::run;
+pub(crate) use document_poll::{DOCUMENT_ROW, put_in_force};
--- /dev/null
+++ b/rhubarbfall-entry/src/control/upstream_poll.rs
@@ -0,0 +1,60 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rhubarbfall_core::{LiteMap, PoolId, UpstreamId, VmId};
+use rhubarbfall_platform::PlatformError;
+use rhubarbfall_platform::vms::{VmKind, VmRecord, VmState};
+use serde::Deserialize;
+use tokio::time::sleep;
+
+use crate::Shared;
+
+/// What the table says of one VM.
+#[derive(Debug, Deserialize)]
+struct VmRow {
+    pool: PoolId,
+}
+
+/// Reads the list of VMs until the process ends, and routes to the live ones of its zone.
+pub(super) async fn run(shared: Arc<Shared>) {
+    let interval = Duration::from_millis(shared.settings.control.vm_list_poll_ms);
+    loop {
+        if let Err(error) = poll(&shared).await {
+            log::warn!("event=vm-poll error={error}");
+        }
+        sleep(interval).await;
+    }
+}
+
+async fn poll(shared: &Arc<Shared>) -> Result<(), PlatformError> {
+    let Some(document) = shared.document.load_full() else {
+        return Ok(());
+    };
+    let vms = shared.vm_list.list().await?;
+    let mut pools: LiteMap<VmId, PoolId> = LiteMap::new();
+    for row in shared.table.scan("vm/").await? {
+        let id: Option<VmId> = row.key.strip_prefix("vm/").and_then(|id| id.parse().ok());
+        if let Some(id) = id {
+            pools.insert(id, row.parse::<VmRow>()?.pool);
+        }
+    }
+    for service in &document.fleet.services {
+        let upstreams: Vec<(UpstreamId, SocketAddr)> = vms
+            .iter()
+            .filter(|vm| is_routable(shared, vm) && pools.get(&vm.id) == Some(&service.pool))
+            .filter_map(|vm| Some((vm.id.as_str().parse().ok()?, vm.address)))
+            .collect();
+        let slots = service.slots_per_upstream;
+        shared
+            .dispatcher
+            .set_upstreams(&service.id, slots, &upstreams);
+    }
+    Ok(())
+}
+
+fn is_routable(shared: &Shared, vm: &VmRecord) -> bool {
+    vm.kind == VmKind::Worker
+        && vm.state == VmState::Live
+        && vm.availability_zone == shared.settings.entry.availability_zone
+}
--- a/rhubarbfall-entry/src/dispatch/dispatch_state.rs
+++ b/rhubarbfall-entry/src/dispatch/dispatch_state.rs
@@ -146,7 +146,7 @@
     #[must_use]
     pub(super) fn pump(&mut self) -> Vec<Start> {
         let mut starts = Vec::new();
-        for state in self.services.values_mut() {
+        for (_, state) in &mut self.services {
             state.waiting.retain(|waiting| !waiting.reply.is_closed());
             start_waiting(state, &mut self.teams, &mut starts);
         }
--- /dev/null
+++ b/rhubarbfall-entry/src/entry.rs
@@ -0,0 +1,125 @@
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+
+use metrics_exporter_prometheus::PrometheusHandle;
+use quick_error::quick_error;
+use rhubarbfall_core::SharedClock;
+use serde::Serialize;
+
+use crate::operator::{self, OperatorContext};
+use crate::traffic::{self, HttpListener};
+use crate::{Phase, Settings, Shared, control};
+
+quick_error! {
+    /// Why an entry could not start.
+    #[derive(Debug)]
+    pub enum StartError {
+        /// An address could not be opened.
+        Listen(address: SocketAddr, error: io::Error) {
+            display("cannot listen on {address}: {error}")
+        }
+        /// A thread could not be started.
+        Thread(error: io::Error) {
+            from()
+            display("cannot start a thread: {error}")
+        }
+    }
+}
+
+/// Where a started entry listens.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub struct Addresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
+}
+
+/// A running entry.
+#[derive(Debug)]
+pub struct Entry {
+    shared: Arc<Shared>,
+    addresses: Addresses,
+    control: JoinHandle<io::Result<()>>,
+}
+
+impl Entry {
+    /// Opens the addresses and starts the threads.
+    ///
+    /// `handles_signals` makes SIGTERM begin a planned stop.
+    ///
+    /// # Errors
+    ///
+    /// [`StartError`] when an address is taken or a thread cannot be started.
+    pub fn start(
+        settings: Settings,
+        clock: SharedClock,
+        metrics: Option<PrometheusHandle>,
+        handles_signals: bool,
+    ) -> Result<Self, StartError> {
+        let callers = open(settings.listen.callers)?;
+        let operators = open(settings.listen.operators)?;
+        let addresses = Addresses {
+            callers: callers.address,
+            operators: operators.address,
+        };
+        let shared = Arc::new(Shared::new(settings, clock));
+        let for_traffic = Arc::clone(&shared);
+        spawn("traffic", move || traffic::serve(for_traffic, callers))?;
+        let context = OperatorContext {
+            shared: Arc::clone(&shared),
+            metrics,
+        };
+        spawn("operators", move || operator::serve(context, operators))?;
+        let for_control = Arc::clone(&shared);
+        let control = spawn("control", move || {
+            control::run(&for_control, handles_signals)
+        })?;
+        Ok(Self {
+            shared,
+            addresses,
+            control,
+        })
+    }
+
+    /// Returns where the entry listens.
+    #[must_use]
+    pub const fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// Returns the state that the entry's threads share.
+    #[must_use]
+    pub const fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
+    /// Begins a planned stop.
+    pub fn stop(&self) {
+        self.shared.lifecycle.advance(Phase::Draining);
+    }
+
+    /// Waits until a planned stop is complete.
+    ///
+    /// # Errors
+    ///
+    /// Any error of the system with which the control thread ended.
+    pub fn wait(self) -> io::Result<()> {
+        self.control
+            .join()
+            .unwrap_or_else(|_| Err(io::Error::other("the control thread panicked")))
+    }
+}
+
+fn open(address: SocketAddr) -> Result<HttpListener, StartError> {
+    HttpListener::open(address).map_err(|error| StartError::Listen(address, error))
+}
+
+fn spawn<T: Send + 'static>(
+    name: &str,
+    run: impl FnOnce() -> T + Send + 'static,
+) -> io::Result<JoinHandle<T>> {
+    thread::Builder::new().name(name.to_owned()).spawn(run)
+}
--- a/rhubarbfall-entry/src/lifecycle.rs
+++ b/rhubarbfall-entry/src/lifecycle.rs
@@ -3,7 +3,7 @@
 use serde::Serialize;
 
 /// What the process does with new requests.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Phase {
     /// No configuration is in force yet.
--- /dev/null
+++ b/rhubarbfall-entry/src/operator/health_endpoints.rs
@@ -0,0 +1,49 @@
+use serde::Serialize;
+use xitca_web::body::ResponseBody;
+use xitca_web::handler::state::StateRef;
+use xitca_web::http::header::{CONTENT_TYPE, HeaderValue};
+use xitca_web::http::{StatusCode, WebResponse};
+
+use super::{OperatorContext, StateDump};
+use crate::Phase;
+
+/// Answers that the process runs.
+pub(super) async fn live() -> &'static str {
+    "live\n"
+}
+
+/// Answers whether the balancer may send requests.
+pub(super) async fn ready(StateRef(context): StateRef<'_, OperatorContext>) -> WebResponse {
+    let is_ready = context.shared.lifecycle.phase() == Phase::Ready;
+    let status = if is_ready {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    };
+    let mut response = WebResponse::new(ResponseBody::bytes("ready\n"));
+    *response.status_mut() = status;
+    response
+}
+
+/// Answers with the metrics in the Prometheus format.
+pub(super) async fn metrics(StateRef(context): StateRef<'_, OperatorContext>) -> String {
+    context
+        .metrics
+        .as_ref()
+        .map(metrics_exporter_prometheus::PrometheusHandle::render)
+        .unwrap_or_default()
+}
+
+/// Answers with the whole state as JSON.
+pub(super) async fn state(StateRef(context): StateRef<'_, OperatorContext>) -> WebResponse {
+    json(&StateDump::of(&context.shared))
+}
+
+/// Makes an answer with a value as JSON.
+pub(super) fn json(value: &impl Serialize) -> WebResponse {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    let mut response = WebResponse::new(ResponseBody::bytes(body));
+    let content_type = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, content_type);
+    response
+}
--- /dev/null
+++ b/rhubarbfall-entry/src/operator/server.rs
@@ -0,0 +1,45 @@
+use std::io;
+use std::sync::Arc;
+
+use metrics_exporter_prometheus::PrometheusHandle;
+use xitca_web::App;
+use xitca_web::handler::handler_service;
+use xitca_web::route::get;
+
+use super::{document_endpoints, health_endpoints};
+use crate::Shared;
+use crate::traffic::HttpListener;
+
+/// What the operators' handlers use.
+#[derive(Debug, Clone)]
+pub struct OperatorContext {
+    /// The process's shared state.
+    pub shared: Arc<Shared>,
+    /// Renders the metrics, when this process records them.
+    pub metrics: Option<PrometheusHandle>,
+}
+
+/// Serves operators until the process ends.
+///
+/// # Errors
+///
+/// Any error of the system when the server's threads cannot be started.
+pub fn serve(context: OperatorContext, listener: HttpListener) -> io::Result<()> {
+    App::new()
+        .at("/live", get(handler_service(health_endpoints::live)))
+        .at("/ready", get(handler_service(health_endpoints::ready)))
+        .at("/metrics", get(handler_service(health_endpoints::metrics)))
+        .at("/state", get(handler_service(health_endpoints::state)))
+        .at(
+            "/v1/document",
+            get(handler_service(document_endpoints::show))
+                .put(handler_service(document_endpoints::apply)),
+        )
+        .with_state(context)
+        .serve()
+        .disable_signal()
+        .worker_threads(1)
+        .listen(listener.socket)?
+        .run()
+        .wait()
+}
--- a/rhubarbfall-entry/src/settings/mod.rs
+++ b/rhubarbfall-entry/src/settings/mod.rs
@@ -1,7 +1,10 @@
 //! The settings of one process, read from TOML and checked as a whole.
 
 mod sections;
-#[expect(clippy::module_inception, reason = "the module is named after its main type")]
+#[expect(
+    clippy::module_inception,
+    reason = "the module is named after its main type"
+)]
 mod settings;
 mod settings_error;
 
--- a/rhubarbfall-entry/src/settings/settings.rs
+++ b/rhubarbfall-entry/src/settings/settings.rs
@@ -49,7 +49,10 @@
 
     fn check(&self) -> Result<(), SettingsError> {
         let rules = [
-            (self.traffic.threads > 0, "traffic.threads must be at least 1"),
+            (
+                self.traffic.threads > 0,
+                "traffic.threads must be at least 1",
+            ),
             (
                 self.platform.timeout_ms > 0,
                 "platform.timeout_ms must be at least 1",
--- a/rhubarbfall-entry/src/traffic/handler.rs
+++ b/rhubarbfall-entry/src/traffic/handler.rs
@@ -103,9 +103,17 @@
     let timeout = service.map_or(default_deadline, |service| {
         Duration::from_millis(service.answer_timeout_ms)
     });
-    let answer = exchange(shared, &caller, &authorized, &permit, headers, body, timeout)
-        .await
-        .map_err(refuse)?;
+    let answer = exchange(
+        shared,
+        &caller,
+        &authorized,
+        &permit,
+        headers,
+        body,
+        timeout,
+    )
+    .await
+    .map_err(refuse)?;
     Ok(pass_on(shared, permit, answer))
 }
 
@@ -134,7 +142,12 @@
         connection,
     } = answer;
     let (mut parts, incoming) = response.into_parts();
-    for name in ["connection", "keep-alive", "transfer-encoding", "content-length"] {
+    for name in [
+        "connection",
+        "keep-alive",
+        "transfer-encoding",
+        "content-length",
+    ] {
         parts.headers.remove(name);
     }
     let code = HeaderValue::from(ResultCode::Completed.number());
--- a/rhubarbfall-entry/src/traffic/refusal.rs
+++ b/rhubarbfall-entry/src/traffic/refusal.rs
@@ -68,10 +68,7 @@
         *response.status_mut() = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        headers.insert(
-            "x-rhubarbfall-code",
-            HeaderValue::from(self.code.number()),
-        );
+        headers.insert("x-rhubarbfall-code", HeaderValue::from(self.code.number()));
         let execution = self.execution.to_string();
         if let Ok(execution) = HeaderValue::from_str(&execution) {
             headers.insert("x-rhubarbfall-execution", execution);
--- a/rhubarbfall-entry/src/traffic/server.rs
+++ b/rhubarbfall-entry/src/traffic/server.rs
@@ -40,7 +40,7 @@
 pub fn serve(shared: Arc<Shared>, listener: HttpListener) -> io::Result<()> {
     let threads = shared.settings.traffic.threads;
     App::new()
-        .at("/*path", post(handler_service(handle)))
+        .at("/{*path}", post(handler_service(handle)))
         .with_state(shared)
         .serve()
         .disable_signal()
--- a/rhubarbfall/src/main.rs
+++ b/rhubarbfall/src/main.rs
@@ -1,3 +1,11 @@
 //! The process that runs on every entry VM.
 
-fn main() {}
+mod cli;
+mod commands;
+mod logging;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cli::run()
+}
--- /dev/null
+++ b/rhubarbfall/tests/whole_path.rs
@@ -0,0 +1,99 @@
+//! The whole path with every part as a separate process.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::{Method, StatusCode};
+use rhubarbfall_testing::rig::{FleetShape, Process, Request, TestFleet, wait_until};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_rhubarbfall");
+
+fn labels(address: SocketAddr, id: &str) -> Request {
+    Request::to_queue(address, "labels-urgent", id)
+}
+
+#[test]
+fn request_with_a_key_is_answered_by_an_upstream() {
+    let fleet = TestFleet::start(PROGRAM, FleetShape::new()).expect("the fleet starts");
+    for (index, entry) in fleet.entries.iter().enumerate() {
+        let id = format!("request-{index}");
+        let request = labels(entry.callers(), &id).key("house-a-key");
+        let answer = fleet.send(request).expect("a whole answer");
+        assert_eq!(answer.status, StatusCode::OK);
+        assert_eq!(answer.code(), Some(1000));
+        assert_eq!(answer.body, format!("done {id}\n"));
+    }
+    assert_eq!(fleet.log.report().started, 4);
+}
+
+#[test]
+fn request_without_the_right_key_is_refused_and_not_run() {
+    let fleet = TestFleet::start(PROGRAM, FleetShape::new().zones(["zone-a"])).expect("starts");
+    let address = fleet.entries[0].callers();
+    let refused = [
+        (labels(address, "r1"), 2002),
+        (labels(address, "r2").key("wrong"), 2003),
+        (labels(address, "r3").key("operator-key"), 2003),
+        (
+            Request::to_queue(address, "nothing", "r4").key("house-a-key"),
+            2001,
+        ),
+    ];
+    for (request, code) in refused {
+        let answer = fleet.send(request).expect("a whole answer");
+        assert_eq!(answer.code(), Some(code));
+        assert_eq!(answer.header("x-rhubarbfall-execution"), Some("not run"));
+    }
+    let open = Request::to_queue(address, "labels-open", "r5");
+    assert_eq!(fleet.send(open).expect("an answer").code(), Some(1000));
+    assert_eq!(fleet.log.report().started, 1);
+}
+
+#[test]
+fn long_answer_arrives_whole() {
+    let fleet = TestFleet::start(PROGRAM, FleetShape::new().zones(["zone-a"])).expect("starts");
+    let size_bytes = 20 * 1024 * 1024;
+    let request = labels(fleet.entries[0].callers(), "long")
+        .key("house-a-key")
+        .header("x-answer-bytes", size_bytes.to_string());
+    let answer = fleet.send(request).expect("a whole answer");
+    assert_eq!(answer.body.len(), size_bytes);
+}
+
+#[test]
+fn stand_ins_run_as_processes_of_their_own() {
+    let platform = Process::start(PROGRAM, ["stand-in", "platform"]).expect("starts");
+    let arguments = [
+        "stand-in",
+        "upstream",
+        "--id",
+        "labels-1",
+        "--run-for",
+        "60",
+    ];
+    let mut upstream = Process::start(PROGRAM, arguments).expect("starts");
+    let fleet = TestFleet::start(PROGRAM, FleetShape::new().zones(["zone-a"])).expect("starts");
+    let vms = Request::new(Method::GET, platform.address("address"), "/v1/vms");
+    assert_eq!(fleet.send(vms).expect("an answer").body, "[]");
+    let health = Request::new(Method::GET, upstream.address("address"), "/health");
+    assert_eq!(
+        fleet.send(health).expect("an answer").status,
+        StatusCode::OK
+    );
+    upstream.kill();
+}
+
+#[test]
+fn planned_stop_ends_with_exit_code_zero() {
+    let mut fleet = TestFleet::start(PROGRAM, FleetShape::new().zones(["zone-a"])).expect("starts");
+    let mut entry = fleet.entries.remove(0);
+    entry.process.terminate();
+    wait_until("readiness is off", Duration::from_secs(5), || {
+        let ready = Request::new(Method::GET, entry.operators(), "/ready");
+        fleet
+            .send(ready)
+            .is_ok_and(|answer| answer.status == StatusCode::SERVICE_UNAVAILABLE)
+    });
+    let status = entry.process.wait_exit(Duration::from_secs(10));
+    assert_eq!(status.and_then(|status| status.code()), Some(0));
+}
