feat(document): decide acceptances, and plan them as one table transaction

A section's version is the revision that last changed it, so that rows read before and after an acceptance are recognised, and the head row names only the newest revisions instead of every section: at 560 teams a list of all versions would be about 20 KB at each poll. Only the head row is a condition, since every acceptance writes it; racing edits of different sections meet there and the loser decides again on the new state. Identifiers of changes count per author, so that nobody's repeat is taken for somebody else's.

--- /dev/null
+++ b/rhubarbfall-document/src/accept.rs
@@ -0,0 +1,341 @@
+//! The decision whether a change becomes the next revision.
+
+use std::sync::Arc;
+
+use rhubarbfall_core::{QueueId, Revision, SectionVersion, TeamId};
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::change_error::{ChangeError, SectionConflict};
+use crate::check::check;
+use crate::difference::diff_sections;
+use crate::document_error::DocumentError;
+use crate::document_state::SectionRow;
+use crate::head::MAX_RECENT_CHANGES;
+use crate::parse::with_violations;
+use crate::table_plan::{
+    HEAD_ROW_KEY, HISTORY_ROW_PREFIX, PlannedCondition, PlannedWrite, SECTION_ROW_PREFIX, TablePlan,
+};
+use crate::{
+    Change, Document, DocumentState, Draft, Head, HistoryRecord, RecentChange, SectionChange,
+    SectionId,
+};
+
+/// How many revisions the history goes back.
+const MAX_HISTORY_RECORDS: u64 = 100;
+
+/// What becomes of a change that is not refused.
+#[derive(Debug, Clone)]
+pub enum Acceptance {
+    /// The change is the next revision once the table has taken the plan.
+    Next(Box<NextRevision>),
+    /// The same change was recorded before, as this revision.
+    AlreadyAccepted(Revision),
+    /// The sections already stand as the change wants them.
+    Unchanged(Revision),
+}
+
+/// The state after a change, and how to record it.
+#[derive(Debug, Clone)]
+pub struct NextRevision {
+    /// The state once the plan has been taken.
+    pub state: DocumentState,
+    /// What the change does.
+    pub record: HistoryRecord,
+    /// The transaction that records it.
+    pub plan: TablePlan,
+}
+
+/// Decides whether a change becomes the next revision.
+///
+/// # Errors
+///
+/// [`ChangeError::Forbidden`], [`ChangeError::Conflict`] and [`ChangeError::Invalid`], in this
+/// order of checks; each lists everything that it finds.
+///
+/// # Examples
+///
+/// ```
+/// use rhubarbfall_document::{Acceptance, Change, DocumentState, Draft, KeyOwner, accept};
+///
+/// let change = Change {
+///     owner: KeyOwner::Operator("ann".into()),
+///     transaction_id: "t-1".into(),
+///     draft: Draft::parse("versions.fleet = 0\n[[fleet.pool]]\nid = 'a'\nmax_unavailable_vms = 1")?,
+///     now_unix_ms: 0,
+/// };
+/// let Acceptance::Next(next) = accept(&DocumentState::default(), &change)? else {
+///     unreachable!("the fleet section changes");
+/// };
+/// assert_eq!(next.state.document.revision.get(), 1);
+/// assert!(matches!(accept(&next.state, &change)?, Acceptance::AlreadyAccepted(_)));
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
+pub fn accept(state: &DocumentState, change: &Change) -> Result<Acceptance, ChangeError> {
+    if let Some(revision) = revision_of(state, &full_transaction_id(change)) {
+        return Ok(Acceptance::AlreadyAccepted(revision));
+    }
+    check_permission(change)?;
+    check_base_versions(state, &change.draft)?;
+    let document = merge(&state.document, &change.draft);
+    let faults = with_violations(&change.draft, Vec::new(), check(&document));
+    if !faults.is_empty() {
+        return Err(ChangeError::Invalid(DocumentError::new(false, faults)));
+    }
+    let author = change.owner.to_string();
+    let next = next_revision(state, document.sorted(), author, change);
+    if next.record.changes.is_empty() {
+        return Ok(Acceptance::Unchanged(state.document.revision));
+    }
+    Ok(Acceptance::Next(Box::new(next)))
+}
+
+/// Plans the first revision of a fleet whose table holds no document yet.
+///
+/// # Errors
+///
+/// Returns every rule that the document breaks.
+pub fn plan_initial(document: Document, now_unix_ms: u64) -> Result<NextRevision, DocumentError> {
+    document.check()?;
+    let change = Change {
+        owner: crate::KeyOwner::Operator(Arc::from("initial")),
+        transaction_id: Arc::from("initial-document"),
+        draft: Draft::default(),
+        now_unix_ms,
+    };
+    let author = change.owner.to_string();
+    let empty = DocumentState::default();
+    Ok(next_revision(&empty, document.sorted(), author, &change))
+}
+
+/// Keeps the identifiers of one author apart from those of another.
+fn full_transaction_id(change: &Change) -> String {
+    format!("{}:{}", change.owner, change.transaction_id)
+}
+
+fn revision_of(state: &DocumentState, transaction_id: &str) -> Option<Revision> {
+    let mut recent = state.head.recent.iter();
+    let mut history = state.history.iter();
+    recent
+        .find(|change| &*change.transaction_id == transaction_id)
+        .map(|change| change.revision)
+        .or_else(|| {
+            history
+                .find(|record| &*record.transaction_id == transaction_id)
+                .map(|record| record.revision)
+        })
+}
+
+fn check_permission(change: &Change) -> Result<(), ChangeError> {
+    let sections = change.draft.sections().map(|(id, _)| id);
+    let forbidden: Vec<SectionId> = sections
+        .filter(|id| !change.owner.may_edit(id))
+        .cloned()
+        .collect();
+    if forbidden.is_empty() {
+        Ok(())
+    } else {
+        Err(ChangeError::Forbidden(forbidden))
+    }
+}
+
+fn check_base_versions(state: &DocumentState, draft: &Draft) -> Result<(), ChangeError> {
+    let conflict = |section: &SectionId| {
+        let base_version = draft.base_version(section);
+        let current_version = state.version(section);
+        (base_version != Some(current_version)).then(|| SectionConflict {
+            section: section.clone(),
+            base_version,
+            current_version,
+            changed_since: changes_of(state, section, base_version.unwrap_or(current_version)),
+        })
+    };
+    let conflicts: Vec<_> = draft
+        .sections()
+        .filter_map(|(id, _)| conflict(id))
+        .collect();
+    if conflicts.is_empty() {
+        Ok(())
+    } else {
+        Err(ChangeError::Conflict(conflicts))
+    }
+}
+
+/// Returns the history of one section after a version of it.
+fn changes_of(
+    state: &DocumentState,
+    section: &SectionId,
+    version: SectionVersion,
+) -> Vec<HistoryRecord> {
+    let records = state.changes_since(Revision::new(version.get())).iter();
+    let only_section = |record: &HistoryRecord| HistoryRecord {
+        changes: record
+            .changes
+            .iter()
+            .filter(|change| change.section == *section)
+            .cloned()
+            .collect(),
+        ..record.clone()
+    };
+    records
+        .map(only_section)
+        .filter(|record| !record.changes.is_empty())
+        .collect()
+}
+
+/// Puts the edited sections into the document.
+///
+/// What teams set for a queue or a team that the fleet section no longer has goes too: operators
+/// cannot edit a team's section, and must be able to remove what it names.
+fn merge(current: &Document, draft: &Draft) -> Document {
+    let mut next = current.clone();
+    for (id, section) in draft.sections() {
+        next.set_section(id, section.clone());
+    }
+    let mut teams: Vec<&TeamId> = next.fleet.teams.iter().map(|team| &team.id).collect();
+    let mut queues: Vec<&QueueId> = next.fleet.queues.iter().map(|queue| &queue.id).collect();
+    teams.sort();
+    queues.sort();
+    let is_edited = |team: &TeamId| draft.sections.contains_key(&SectionId::Team(team.clone()));
+    next.teams
+        .retain(|team, _| is_edited(team) || teams.binary_search(&team).is_ok());
+    for (team, section) in next.teams.iter_mut() {
+        if !is_edited(team) {
+            let queue_weights = &mut section.queue_weights;
+            queue_weights.retain(|queue, _| queues.binary_search(&queue).is_ok());
+        }
+    }
+    next
+}
+
+fn next_revision(
+    state: &DocumentState,
+    mut document: Document,
+    author: String,
+    change: &Change,
+) -> NextRevision {
+    let revision = state.document.revision.next();
+    document.revision = revision;
+    let record = HistoryRecord {
+        revision,
+        accepted_unix_ms: change.now_unix_ms,
+        author: Arc::from(author),
+        transaction_id: Arc::from(full_transaction_id(change)),
+        changes: section_changes(&state.document, &document),
+    };
+    let head = next_head(&state.head, &record);
+    let plan = plan(state, &document, &head, &record);
+    let mut next = DocumentState {
+        document,
+        versions: state.versions.clone(),
+        head,
+        head_row_version: state.head_row_version.next(),
+        history: state.history.clone(),
+    };
+    for change in &record.changes {
+        if is_gone(&next.document, &change.section) {
+            next.versions.remove(&change.section);
+        } else {
+            next.versions.insert(change.section.clone(), change.version);
+        }
+    }
+    let oldest = oldest_record(revision);
+    next.history.retain(|record| record.revision > oldest);
+    next.history.push(record.clone());
+    NextRevision {
+        state: next,
+        record,
+        plan,
+    }
+}
+
+fn section_changes(before: &Document, after: &Document) -> Vec<SectionChange> {
+    let version = SectionVersion::new(after.revision.get());
+    let mut sections = before.section_ids();
+    sections.extend(after.section_ids());
+    sections.sort();
+    sections.dedup();
+    let changed = |section: SectionId| {
+        let (old, new) = (before.section(&section), after.section(&section));
+        let differences = diff_sections(&old, &new);
+        (old != new).then(|| SectionChange::new(section, version, differences))
+    };
+    sections.into_iter().filter_map(changed).collect()
+}
+
+fn next_head(head: &Head, record: &HistoryRecord) -> Head {
+    let sections = record.changes.iter().map(|change| change.section.clone());
+    let newest = RecentChange {
+        revision: record.revision,
+        transaction_id: Arc::clone(&record.transaction_id),
+        sections: sections.collect(),
+    };
+    let kept = head.recent.len().min(MAX_RECENT_CHANGES - 1);
+    let mut recent = head.recent[head.recent.len() - kept..].to_vec();
+    recent.push(newest);
+    Head {
+        revision: record.revision,
+        recent,
+    }
+}
+
+fn plan(
+    state: &DocumentState,
+    document: &Document,
+    head: &Head,
+    record: &HistoryRecord,
+) -> TablePlan {
+    let mut writes = vec![write(HEAD_ROW_KEY, Some(to_value(head)))];
+    for change in &record.changes {
+        let key = format!("{SECTION_ROW_PREFIX}{}", change.section);
+        let row = SectionRow {
+            version: change.version,
+            body: document.section(&change.section),
+        };
+        writes.push(write(
+            &key,
+            (!is_gone(document, &change.section)).then(|| to_value(&row)),
+        ));
+    }
+    writes.push(write(&history_key(record.revision), Some(to_value(record))));
+    let oldest = oldest_record(record.revision);
+    if oldest > Revision::default() {
+        writes.push(write(&history_key(oldest), None));
+    }
+    let condition = PlannedCondition {
+        key: Arc::from(HEAD_ROW_KEY),
+        version: state.head_row_version,
+    };
+    TablePlan {
+        id: Arc::from(format!(
+            "document:{}:{}",
+            record.transaction_id, record.revision
+        )),
+        conditions: vec![condition],
+        writes,
+    }
+}
+
+fn is_gone(document: &Document, section: &SectionId) -> bool {
+    matches!(section, SectionId::Team(team) if !document.teams.contains_key(team))
+}
+
+const fn oldest_record(newest: Revision) -> Revision {
+    Revision::new(newest.get().saturating_sub(MAX_HISTORY_RECORDS))
+}
+
+/// Pads the number, so that rows come in order of revision.
+fn history_key(revision: Revision) -> String {
+    format!("{HISTORY_ROW_PREFIX}{revision:020}")
+}
+
+fn write(key: &str, value: Option<Value>) -> PlannedWrite {
+    PlannedWrite {
+        key: Arc::from(key),
+        value,
+    }
+}
+
+fn to_value(content: &impl Serialize) -> Value {
+    serde_json::to_value(content).expect("every row has a JSON form")
+}
--- /dev/null
+++ b/rhubarbfall-document/src/document_state.rs
@@ -0,0 +1,137 @@
+use std::sync::Arc;
+
+use quick_error::quick_error;
+use rhubarbfall_core::{LiteMap, Revision, RowVersion, SectionVersion};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::table_plan::{HEAD_ROW_KEY, HISTORY_ROW_PREFIX, SECTION_ROW_PREFIX, TableRow};
+use crate::{Document, Head, HistoryRecord, Section, SectionId};
+
+quick_error! {
+    /// Why the rows of the table are no document.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum RowsError {
+        /// A row's content has another shape.
+        Malformed(key: Arc<str>, reason: String) {
+            display("row {key}: {reason}")
+        }
+        /// The rows belong to different revisions; reading them again helps.
+        Torn(section: SectionId) {
+            display("section {section} does not belong to the revision of the head row")
+        }
+    }
+}
+
+/// The document as the table holds it, with what an acceptance has to know.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct DocumentState {
+    /// The newest revision.
+    pub document: Document,
+    /// The version of each section; an absent section has version 0.
+    pub versions: LiteMap<SectionId, SectionVersion>,
+    /// The head row's content.
+    pub head: Head,
+    /// The head row's version in the table; zero while there is none.
+    pub head_row_version: RowVersion,
+    /// The newest changes, in ascending order of revision.
+    pub history: Vec<HistoryRecord>,
+}
+
+/// The content of a section's row.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct SectionRow<B> {
+    pub(crate) version: SectionVersion,
+    pub(crate) body: B,
+}
+
+impl DocumentState {
+    /// Puts the rows under [`crate::ROW_KEY_PREFIX`] together; no rows are an empty document.
+    ///
+    /// # Errors
+    ///
+    /// [`RowsError::Malformed`] when a row has another shape, [`RowsError::Torn`] when rows were
+    /// read before and after an acceptance.
+    pub fn from_rows(rows: impl IntoIterator<Item = TableRow>) -> Result<Self, RowsError> {
+        let mut state = Self::default();
+        for row in rows {
+            state.add_row(&row)?;
+        }
+        state.history.sort_by_key(|record| record.revision);
+        state.document.revision = state.head.revision;
+        state.document = state.document.sorted();
+        state.check_whole()?;
+        Ok(state)
+    }
+
+    /// Returns the version of a section.
+    pub fn version(&self, section: &SectionId) -> SectionVersion {
+        self.versions.get(section).copied().unwrap_or_default()
+    }
+
+    /// Returns what changed after a revision, as far as the history goes back.
+    pub fn changes_since(&self, revision: Revision) -> &[HistoryRecord] {
+        let first = self
+            .history
+            .partition_point(|record| record.revision <= revision);
+        &self.history[first..]
+    }
+
+    fn add_row(&mut self, row: &TableRow) -> Result<(), RowsError> {
+        if &*row.key == HEAD_ROW_KEY {
+            self.head = decode(row)?;
+            self.head_row_version = row.version;
+        } else if let Some(id) = row.key.strip_prefix(SECTION_ROW_PREFIX) {
+            let id = id.parse().map_err(|error| malformed(row, &error))?;
+            self.add_section(id, row)?;
+        } else if row.key.starts_with(HISTORY_ROW_PREFIX) {
+            self.history.push(decode(row)?);
+        }
+        Ok(())
+    }
+
+    fn add_section(&mut self, id: SectionId, row: &TableRow) -> Result<(), RowsError> {
+        let content: SectionRow<Value> = decode(row)?;
+        let section = match id {
+            SectionId::Fleet => Section::Fleet(decode_value(row, &content.body)?),
+            SectionId::Keys => Section::Keys(decode_value(row, &content.body)?),
+            SectionId::Team(_) => Section::Team(decode_value(row, &content.body)?),
+        };
+        self.document.set_section(&id, section);
+        self.versions.insert(id, content.version);
+        Ok(())
+    }
+
+    /// Refuses rows of different revisions: a section's version is the revision that last
+    /// changed it, so that it is neither above the head's nor below what the head names.
+    fn check_whole(&self) -> Result<(), RowsError> {
+        let head = self.head.revision.get();
+        for (section, version) in &self.versions {
+            if version.get() > head {
+                return Err(RowsError::Torn(section.clone()));
+            }
+        }
+        for change in &self.head.recent {
+            for section in &change.sections {
+                let version = self.versions.get(section);
+                if version.is_some_and(|version| version.get() < change.revision.get()) {
+                    return Err(RowsError::Torn(section.clone()));
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+fn decode<T: DeserializeOwned>(row: &TableRow) -> Result<T, RowsError> {
+    decode_value(row, &row.value)
+}
+
+fn decode_value<T: DeserializeOwned>(row: &TableRow, value: &Value) -> Result<T, RowsError> {
+    T::deserialize(value).map_err(|error| malformed(row, &error))
+}
+
+fn malformed(row: &TableRow, reason: &impl ToString) -> RowsError {
+    RowsError::Malformed(Arc::clone(&row.key), reason.to_string())
+}
--- /dev/null
+++ b/rhubarbfall-document/src/head.rs
@@ -0,0 +1,70 @@
+use std::sync::Arc;
+
+use rhubarbfall_core::Revision;
+use serde::{Deserialize, Serialize};
+
+use crate::SectionId;
+
+/// How many revisions the head row names, so that a reader that polls it stays cheap.
+pub(crate) const MAX_RECENT_CHANGES: usize = 16;
+
+/// The one row that every acceptance writes and every entry polls.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Head {
+    /// The newest revision.
+    pub revision: Revision,
+    /// The newest revisions, in ascending order; a reader that knows one of them reads only the
+    /// sections that changed since.
+    pub recent: Vec<RecentChange>,
+}
+
+impl Head {
+    /// Returns the sections that changed after a revision, or nothing when it is too long ago.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use rhubarbfall_core::Revision;
+    /// use rhubarbfall_document::{Head, RecentChange, SectionId};
+    ///
+    /// let head = Head {
+    ///     revision: Revision::new(8),
+    ///     recent: vec![RecentChange {
+    ///         revision: Revision::new(8),
+    ///         transaction_id: "t-8".into(),
+    ///         sections: vec![SectionId::Keys],
+    ///     }],
+    /// };
+    /// assert_eq!(head.changed_since(Revision::new(7)), Some(vec![SectionId::Keys]));
+    /// assert_eq!(head.changed_since(Revision::new(5)), None);
+    /// ```
+    #[must_use]
+    pub fn changed_since(&self, known: Revision) -> Option<Vec<SectionId>> {
+        if known >= self.revision {
+            return Some(Vec::new());
+        }
+        let first = self
+            .recent
+            .partition_point(|change| change.revision <= known);
+        let newer = &self.recent[first..];
+        if newer.first()?.revision != known.next() {
+            return None;
+        }
+        let sections = newer.iter().flat_map(|change| change.sections.iter());
+        let mut sections: Vec<SectionId> = sections.cloned().collect();
+        sections.sort();
+        sections.dedup();
+        Some(sections)
+    }
+}
+
+/// The sections that one revision changed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RecentChange {
+    /// The revision.
+    pub revision: Revision,
+    /// The identifier that the author gave the change.
+    pub transaction_id: Arc<str>,
+    /// The sections that changed.
+    pub sections: Vec<SectionId>,
+}
--- a/rhubarbfall-document/src/lib.rs
+++ b/rhubarbfall-document/src/lib.rs
@@ -5,13 +5,20 @@
 //! revision. [`accept`] decides whether a change becomes the next revision; it touches no socket
 //! and no clock, and gives back the transaction that the platform's table has to take.
 
+mod accept;
 mod access_key;
+mod change;
+mod change_error;
 mod check;
+mod difference;
 mod document;
 mod document_error;
+mod document_state;
 mod draft;
 mod fault;
 mod fleet_section;
+mod head;
+mod history_record;
 mod key_digest;
 mod key_owner;
 mod key_spec;
@@ -27,16 +34,24 @@
 mod section;
 mod section_id;
 mod service_spec;
+mod table_plan;
 mod table_reader;
 mod team_section;
 mod team_spec;
 
+pub use accept::{Acceptance, NextRevision, accept, plan_initial};
 pub use access_key::{AccessKey, MAX_KEY_BYTES, ParseAccessKeyError};
+pub use change::Change;
+pub use change_error::{ChangeError, SectionConflict};
+pub use difference::{Difference, SectionDifference, diff};
 pub use document::Document;
 pub use document_error::DocumentError;
+pub use document_state::{DocumentState, RowsError};
 pub use draft::Draft;
 pub use fault::{Fault, Position};
 pub use fleet_section::FleetSection;
+pub use head::{Head, RecentChange};
+pub use history_record::{HistoryRecord, SectionChange};
 pub use key_digest::{KeyDigest, ParseKeyDigestError};
 pub use key_owner::KeyOwner;
 pub use key_spec::KeySpec;
@@ -49,5 +64,8 @@
 pub use section::Section;
 pub use section_id::{ParseSectionIdError, SectionId};
 pub use service_spec::ServiceSpec;
+pub use table_plan::{
+    HEAD_ROW_KEY, PlannedCondition, PlannedWrite, ROW_KEY_PREFIX, TablePlan, TableRow,
+};
 pub use team_section::TeamSection;
 pub use team_spec::TeamSpec;
--- /dev/null
+++ b/rhubarbfall-document/tests/accept.rs
@@ -0,0 +1,288 @@
+//! What becomes of changes: permission, versions, repeats, rows.
+
+// The snapshot library writes the hashes.
+#![allow(clippy::needless_raw_string_hashes)]
+
+use std::sync::Arc;
+
+use expect_test::expect;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use rhubarbfall_core::{LiteMap, RowVersion, SectionVersion};
+use rhubarbfall_document::{
+    Acceptance, Change, ChangeError, Document, DocumentState, Draft, KeyOwner, NextRevision,
+    RowsError, SectionId, TablePlan, TableRow, accept, plan_initial,
+};
+use serde_json::Value;
+
+const EXAMPLE: &str = include_str!("example.toml");
+
+/// The rows of a table, as plainly as can be.
+#[derive(Debug, Clone, Default)]
+struct Rows(LiteMap<Arc<str>, (RowVersion, Option<Value>)>);
+
+impl Rows {
+    fn version(&self, key: &str) -> RowVersion {
+        match self.0.get(key) {
+            Some((version, Some(_))) => *version,
+            _ => RowVersion::default(),
+        }
+    }
+
+    fn take(&mut self, plan: &TablePlan) -> bool {
+        let holds = |c: &rhubarbfall_document::PlannedCondition| self.version(&c.key) == c.version;
+        if !plan.conditions.iter().all(holds) {
+            return false;
+        }
+        for write in &plan.writes {
+            let last = self.0.get(&write.key).map(|row| row.0).unwrap_or_default();
+            let row = (last.next(), write.value.clone());
+            self.0.insert(Arc::clone(&write.key), row);
+        }
+        true
+    }
+
+    fn state(&self) -> Result<DocumentState, RowsError> {
+        DocumentState::from_rows(self.0.iter().filter_map(|(key, (version, value))| {
+            Some(TableRow {
+                key: Arc::clone(key),
+                version: *version,
+                value: value.clone()?,
+            })
+        }))
+    }
+}
+
+fn operator() -> KeyOwner {
+    KeyOwner::Operator(Arc::from("ann"))
+}
+
+fn team(name: &str) -> KeyOwner {
+    KeyOwner::Team(name.parse().expect("the name is an identifier"))
+}
+
+fn change(owner: KeyOwner, id: &str, text: &str) -> Change {
+    Change {
+        owner,
+        transaction_id: Arc::from(id),
+        draft: Draft::parse(text).expect("the text is readable"),
+        now_unix_ms: 7,
+    }
+}
+
+fn start() -> (Rows, DocumentState) {
+    let document = Document::parse(EXAMPLE).expect("the example is valid");
+    let next = plan_initial(document, 0).expect("the example is valid");
+    let mut rows = Rows::default();
+    assert!(rows.take(&next.plan));
+    (rows, next.state)
+}
+
+fn next(state: &DocumentState, change: &Change) -> NextRevision {
+    match accept(state, change) {
+        Ok(Acceptance::Next(next)) => *next,
+        other => panic!("a next revision was expected, not {other:?}"),
+    }
+}
+
+#[test]
+fn rows_give_the_state_back() {
+    let (mut rows, state) = start();
+    assert_eq!(rows.state().as_ref(), Ok(&state));
+    let edit = change(
+        team("house-b"),
+        "1",
+        "[versions]\n'team.house-b' = 0\n[team.house-b]\ncontact = 'b'",
+    );
+    let next = next(&state, &edit);
+    assert!(rows.take(&next.plan));
+    assert_eq!(rows.state(), Ok(next.state));
+}
+
+#[test]
+fn a_team_cannot_touch_another_section() {
+    let (_, state) = start();
+    let text = "[versions]\n'team.house-a' = 1\nfleet = 1\n[fleet]\n[team.house-a]\ncontact = 'b'";
+    let refused = accept(&state, &change(team("house-b"), "1", text)).expect_err("refused");
+    expect![[r#"
+        section fleet belongs to somebody else
+        section team.house-a belongs to somebody else
+    "#]]
+    .assert_eq(&refused.to_string());
+}
+
+#[test]
+fn of_two_racing_edits_of_one_section_one_wins() {
+    let (mut rows, state) = start();
+    let edit = |id: &str, contact: &str| {
+        let text = format!("[versions]\n'team.house-a' = 1\n[team.house-a]\ncontact = '{contact}'");
+        change(team("house-a"), id, &text)
+    };
+    let (first, second) = (edit("1", "one"), edit("2", "two"));
+    assert!(rows.take(&next(&state, &first).plan));
+    assert!(
+        !rows.take(&next(&state, &second).plan),
+        "the head has moved on"
+    );
+    let state = rows.state().expect("the rows are whole");
+    let conflict = accept(&state, &second).expect_err("the section has moved on");
+    expect![[r#"
+        section team.house-a: edited 1, in force is 2
+          revision 2 by team house-a:
+            ~ contact: "labels@house-a.example" -> "one"
+            - queue_weights.labels-urgent: 3
+    "#]]
+    .assert_eq(&conflict.to_string());
+}
+
+#[test]
+fn racing_edits_of_two_sections_both_succeed() {
+    let (mut rows, state) = start();
+    let a = change(
+        team("house-a"),
+        "1",
+        "[versions]\n'team.house-a' = 1\n[team.house-a]",
+    );
+    let b = change(
+        team("house-b"),
+        "1",
+        "[versions]\n'team.house-b' = 0\n[team.house-b]\ncontact = 'b'",
+    );
+    assert!(rows.take(&next(&state, &a).plan));
+    assert!(!rows.take(&next(&state, &b).plan));
+    let state = rows.state().expect("the rows are whole");
+    assert!(
+        rows.take(&next(&state, &b).plan),
+        "the repeat on the new head succeeds"
+    );
+}
+
+#[test]
+fn an_operator_removes_a_team_with_its_section() {
+    let (mut rows, state) = start();
+    let without_b = EXAMPLE.replace(", \"house-b\"", "");
+    let cut = without_b.find("[[fleet.team]]").expect("teams are listed");
+    let house_a = without_b
+        .find("[[fleet.team]]\nid = \"house-a\"")
+        .expect("house-a is listed");
+    let end = without_b.find("[[keys.key]]").expect("keys are listed");
+    let b = change(
+        team("house-b"),
+        "1",
+        "[versions]\n'team.house-b' = 0\n[team.house-b]\ncontact = 'b'",
+    );
+    assert!(rows.take(&next(&state, &b).plan));
+    let state = rows.state().expect("the rows are whole");
+    let text = format!(
+        "versions.fleet = 1\n{}{}",
+        &without_b[..cut],
+        &without_b[house_a..end]
+    );
+    let removed = next(&state, &change(operator(), "2", &text));
+    assert!(rows.take(&removed.plan));
+    assert_eq!(rows.state(), Ok(removed.state.clone()));
+    assert_eq!(
+        removed
+            .state
+            .version(&"team.house-b".parse().expect("a section"))
+            .get(),
+        0
+    );
+}
+
+#[test]
+fn a_broken_rule_elsewhere_is_named_without_a_line() {
+    let (_, state) = start();
+    let refused = accept(
+        &state,
+        &change(operator(), "1", "versions.fleet = 1\n[fleet]"),
+    );
+    let Err(ChangeError::Invalid(error)) = refused else {
+        panic!("an invalid document was expected, not {refused:?}");
+    };
+    expect![[r#"
+        in a section outside this text: keys.key[0].team: no team is named house-a"#]]
+    .assert_eq(&error.to_string());
+}
+
+#[test]
+fn rows_of_two_revisions_are_refused() {
+    let (rows, state) = start();
+    let edit = change(
+        team("house-a"),
+        "1",
+        "[versions]\n'team.house-a' = 1\n[team.house-a]",
+    );
+    let mut newer = rows.clone();
+    assert!(newer.take(&next(&state, &edit).plan));
+    for key in ["document/head", "document/section/team.house-a"] {
+        let mut torn = newer.clone();
+        let old = rows.0.get(key).expect("the row exists").clone();
+        torn.0.insert(Arc::from(key), old);
+        assert!(matches!(torn.state(), Err(RowsError::Torn(_))), "{key}");
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Step {
+    team: usize,
+    base_offset: u64,
+    contact: u8,
+    id: u8,
+    is_late: bool,
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = (0..2_usize, 0..3_u64, 0..4_u8, 0..40_u8, any::<bool>()).prop_map(
+        |(team, base_offset, contact, id, is_late)| Step {
+            team,
+            base_offset,
+            contact,
+            id,
+            is_late,
+        },
+    );
+    prop::collection::vec(step, 1..40)
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 64,
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    #[test]
+    fn an_acceptance_never_lowers_a_version(steps in steps()) {
+        let (mut rows, mut state) = start();
+        let mut stale = state.clone();
+        for step in steps {
+            let name = ["house-a", "house-b"][step.team];
+            let section: SectionId = format!("team.{name}").parse().expect("a section");
+            let base = state.version(&section).get().saturating_sub(step.base_offset);
+            let text = format!("[versions]\n'{section}' = {base}\n[team.{name}]\ncontact = 'c{}'", step.contact);
+            let change = change(team(name), &step.id.to_string(), &text);
+            let seen = if step.is_late { &stale } else { &state };
+            let Ok(Acceptance::Next(next)) = accept(seen, &change) else {
+                continue;
+            };
+            let is_taken = rows.take(&next.plan);
+            prop_assert_eq!(is_taken, seen == &state);
+            if !is_taken {
+                continue;
+            }
+            prop_assert_eq!(next.state.document.revision, state.document.revision.next());
+            for (section, version) in &state.versions {
+                prop_assert!(next.state.version(section) >= *version);
+            }
+            let version = SectionVersion::new(next.state.document.revision.get());
+            prop_assert_eq!(next.state.version(&section), version);
+            let repeat = accept(&next.state, &change);
+            prop_assert!(matches!(repeat, Ok(Acceptance::AlreadyAccepted(_))));
+            stale = std::mem::replace(&mut state, next.state);
+            let read = rows.state();
+            prop_assert_eq!(read.as_ref(), Ok(&state));
+        }
+    }
+}
