feat(membership): decide on fresh evidence, acceptance, zone lease and gossip

A withdrawn key must stop within 5 s also where everything is cut off, while an outage of the table alone must stop nothing. Waiting until every silent member's knowledge has lapsed was ruled out: the VM list lags by 30 s, so an entry that died during an outage would have stopped keyed work for that long. Instead an acceptor needs a holder of its intent in another zone (from three zones on), so the words of all entries outside one zone prove a moment, dead entries included; who holds an intent admits only what both revisions allow, so an acceptance in doubt stops nothing either.

The zone lease is judged from before the request, a lost answer is read back and never written again, a claimant waits out the duration and a margin from its first sight of the row.

Before: no such code.

--- /dev/null
+++ b/rhubarbfall-membership/src/freshness/evidence.rs
@@ -0,0 +1,289 @@
+use std::time::{Duration, Instant};
+
+use rhubarbfall_core::{AvailabilityZoneId, EntryId, Incarnation, LiteMap, Revision};
+
+use super::{Intent, IntentId, Word};
+use crate::MembershipConfig;
+
+/// The number of availability zones from which on an acceptor needs an entry of another zone, and
+/// the words of one zone may be missing.
+///
+/// With two, a zone that is cut off would keep the other from accepting any change.
+pub(crate) const MIN_ZONES_FOR_EXCLUSION: usize = 3;
+
+/// Decides whether keyed work may go on: whether the revision in force is proved newest.
+///
+/// A moment is proved by a table read that began at it, by words of every member from it on, or by
+/// words of every member outside one of at least three availability zones. The last suffices
+/// because an acceptor then records nothing before an entry of another zone holds its intent.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::{Duration, Instant};
+///
+/// use rhubarbfall_core::Revision;
+/// use rhubarbfall_membership::{Freshness, MembershipConfig};
+///
+/// let now = Instant::now();
+/// let zone = "zone-a".parse()?;
+/// let mut freshness = Freshness::new(MembershipConfig::new(), zone, now);
+/// assert_eq!(freshness.valid_until(now), None);
+/// freshness.observe_read(now, Revision::new(7));
+/// freshness.put_in_force(Revision::new(7));
+/// assert_eq!(freshness.valid_until(now), Some(now + Duration::from_secs(5)));
+/// # Ok::<(), rhubarbfall_core::ParseIdError>(())
+/// ```
+#[derive(Debug, Clone)]
+pub struct Freshness {
+    config: MembershipConfig,
+    zone: AvailabilityZoneId,
+    started: Instant,
+    is_settled: bool,
+    in_force: Option<Revision>,
+    highest_seen: Revision,
+    newest_read: Option<Read>,
+    members: LiteMap<EntryId, MemberWord>,
+    intents: LiteMap<IntentId, Intent>,
+}
+
+/// A table read, own or relayed.
+#[derive(Debug, Clone, Copy)]
+struct Read {
+    began: Instant,
+    revision: Revision,
+}
+
+#[derive(Debug, Clone)]
+struct MemberWord {
+    zone: AvailabilityZoneId,
+    incarnation: Incarnation,
+    word: Option<Word>,
+}
+
+impl Freshness {
+    /// Creates the state of a process that has just started in this availability zone.
+    #[must_use]
+    pub fn new(config: MembershipConfig, zone: AvailabilityZoneId, now: Instant) -> Self {
+        Self {
+            config,
+            zone,
+            started: now,
+            is_settled: false,
+            in_force: None,
+            highest_seen: Revision::default(),
+            newest_read: None,
+            members: LiteMap::new(),
+            intents: LiteMap::new(),
+        }
+    }
+
+    /// Returns the revision in force.
+    #[must_use]
+    pub const fn in_force(&self) -> Option<Revision> {
+        self.in_force
+    }
+
+    /// Returns the highest revision that this process has heard of.
+    #[must_use]
+    pub const fn highest_seen(&self) -> Revision {
+        self.highest_seen
+    }
+
+    /// Returns whether a newer revision is known than the one in force.
+    #[must_use]
+    pub fn is_behind(&self) -> bool {
+        self.in_force
+            .is_none_or(|in_force| in_force < self.highest_seen)
+    }
+
+    /// Returns whether this process knows of every intent that its predecessors answered.
+    #[must_use]
+    pub const fn is_settled(&self) -> bool {
+        self.is_settled
+    }
+
+    /// Returns the intents that this process holds.
+    #[must_use]
+    pub const fn intents(&self) -> &LiteMap<IntentId, Intent> {
+        &self.intents
+    }
+
+    /// Puts a revision in force; returns false and changes nothing when that would be a step back.
+    #[must_use = "a lower revision is not put in force"]
+    pub fn try_put_in_force(&mut self, revision: Revision) -> bool {
+        if revision < self.highest_seen || Some(revision) < self.in_force {
+            return false;
+        }
+        self.in_force = Some(revision);
+        self.highest_seen = revision;
+        self.intents.retain(|_, intent| intent.revision > revision);
+        true
+    }
+
+    /// Puts a revision in force unless that would be a step back.
+    pub fn put_in_force(&mut self, revision: Revision) {
+        let _ = self.try_put_in_force(revision);
+    }
+
+    /// Takes in a table read, own or relayed, that began at `began` on this process's clock.
+    pub fn observe_read(&mut self, began: Instant, revision: Revision) {
+        self.highest_seen = self.highest_seen.max(revision);
+        let is_newer = self.newest_read.is_none_or(|read| read.began < began);
+        if is_newer {
+            self.newest_read = Some(Read { began, revision });
+        }
+    }
+
+    /// Returns when the newest table read, own or relayed, began.
+    #[must_use]
+    pub fn newest_read(&self) -> Option<(Instant, Revision)> {
+        self.newest_read.map(|read| (read.began, read.revision))
+    }
+
+    /// Replaces the other members of the fleet; words of those that stay are kept.
+    pub fn set_members(
+        &mut self,
+        members: impl IntoIterator<Item = (EntryId, AvailabilityZoneId, Incarnation)>,
+    ) {
+        let mut old = std::mem::take(&mut self.members);
+        for (entry, zone, incarnation) in members {
+            let word = old.remove(&entry).and_then(|old| old.word);
+            let word = word.filter(|word| word.incarnation == incarnation);
+            self.members.insert(
+                entry,
+                MemberWord {
+                    zone,
+                    incarnation,
+                    word,
+                },
+            );
+        }
+    }
+
+    /// Takes in what a member said; a word of an earlier process or moment is left out.
+    pub fn observe_word(&mut self, entry: &EntryId, word: Word) {
+        self.highest_seen = self.highest_seen.max(word.revision);
+        let Some(member) = self.members.get_mut(entry) else {
+            return;
+        };
+        if word.incarnation != member.incarnation {
+            return;
+        }
+        if member.word.as_ref().is_none_or(|old| old.time <= word.time) {
+            member.word = Some(word);
+        }
+    }
+
+    /// Returns the newest word of a member.
+    #[must_use]
+    pub fn word(&self, entry: &EntryId) -> Option<&Word> {
+        self.members.get(entry)?.word.as_ref()
+    }
+
+    /// Holds an intent; the caller admits only what both revisions allow from now on.
+    pub fn hold_intent(&mut self, intent: Intent) {
+        if Some(intent.revision) > self.in_force {
+            self.intents.insert(intent.id.clone(), intent);
+        }
+    }
+
+    /// Lets go of an intent that its acceptor has given up.
+    pub fn release_intent(&mut self, id: &IntentId) {
+        self.intents.remove(id);
+    }
+
+    /// Lets go of intents whose lifetime ended before a table read that does not show them.
+    pub fn release_overtaken(&mut self, is_overtaken: impl Fn(&Intent) -> bool) {
+        self.intents.retain(|_, intent| !is_overtaken(intent));
+    }
+
+    /// Returns the intents that members hold and this process does not.
+    #[must_use]
+    pub fn missing_intents(&self) -> Vec<(EntryId, IntentId)> {
+        let mut missing = Vec::new();
+        for (entry, member) in &self.members {
+            let held = member.word.iter().flat_map(|word| &word.intents);
+            let unknown = held.filter(|id| !self.intents.contains_key(*id));
+            missing.extend(unknown.map(|id| (entry.clone(), id.clone())));
+        }
+        missing
+    }
+
+    /// Returns until when keyed work may be admitted without newer evidence.
+    #[must_use]
+    pub fn valid_until(&self, now: Instant) -> Option<Instant> {
+        let proved = self.proved_at()?;
+        let until = proved + self.config.evidence_bound;
+        (until > now).then_some(until)
+    }
+
+    /// Returns the age of the evidence that the revision in force is the newest.
+    #[must_use]
+    pub fn evidence_age(&self, now: Instant) -> Option<Duration> {
+        self.proved_at()
+            .map(|proved| now.saturating_duration_since(proved))
+    }
+
+    /// Records whether the evidence so far settles this process.
+    ///
+    /// What a predecessor on the VM answered has been committed or given up once the settling time
+    /// has passed, and evidence from then on shows which.
+    pub fn settle(&mut self) {
+        let settled_from = self.started + self.config.settling_time();
+        self.is_settled |= self
+            .proved_at()
+            .is_some_and(|proved| proved >= settled_from);
+    }
+
+    fn proved_at(&self) -> Option<Instant> {
+        let in_force = self.in_force?;
+        let by_read = self.newest_read.filter(|read| read.revision <= in_force);
+        let by_read = by_read.map(|read| read.began);
+        by_read.max(self.proved_by_words(in_force))
+    }
+
+    fn proved_by_words(&self, in_force: Revision) -> Option<Instant> {
+        if self.members.is_empty() {
+            return None;
+        }
+        let by_all = self.oldest_word(in_force, None);
+        let zones = self.members.values().map(|member| &member.zone);
+        let mut zones: Vec<_> = zones.chain([&self.zone]).collect();
+        zones.sort();
+        zones.dedup();
+        if zones.len() < MIN_ZONES_FOR_EXCLUSION {
+            return by_all;
+        }
+        let outside = zones
+            .into_iter()
+            .map(|zone| self.oldest_word(in_force, Some(zone)));
+        outside.fold(by_all, Option::max)
+    }
+
+    /// Returns the time of the oldest word of the members outside `excluded`; nothing when one is
+    /// missing, unsettled, or tells of something that this process does not have.
+    fn oldest_word(
+        &self,
+        in_force: Revision,
+        excluded: Option<&AvailabilityZoneId>,
+    ) -> Option<Instant> {
+        let is_own_zone = excluded == Some(&self.zone);
+        if !self.is_settled && !is_own_zone {
+            return None;
+        }
+        let mut oldest = None;
+        for member in self.members.values() {
+            if excluded == Some(&member.zone) {
+                continue;
+            }
+            let word = member.word.as_ref()?;
+            let is_known = word.intents.iter().all(|id| self.intents.contains_key(id));
+            if !word.is_settled || !is_known || word.revision > in_force {
+                return None;
+            }
+            oldest = Some(oldest.map_or(word.time, |time: Instant| time.min(word.time)));
+        }
+        oldest
+    }
+}
--- /dev/null
+++ b/rhubarbfall-membership/src/freshness/mod.rs
@@ -0,0 +1,9 @@
+//! Whether the configuration in force is proved to be the newest, and until when.
+
+pub(crate) mod evidence;
+mod intent;
+mod word;
+
+pub use evidence::Freshness;
+pub use intent::{Intent, IntentId};
+pub use word::Word;
--- /dev/null
+++ b/rhubarbfall-membership/src/gossip/receive.rs
@@ -0,0 +1,136 @@
+use std::time::{Duration, Instant};
+
+use rhubarbfall_core::{EntryId, Incarnation, Revision};
+use rhubarbfall_wire::messages::membership::{Heartbeat, ZoneWord};
+
+use super::state::Gossip;
+use crate::{IntentId, Word};
+
+/// What a heartbeat asks of its receiver.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Received {
+    /// The sender has another list of members; send it this one's.
+    pub needs_roster: bool,
+    /// The sender has a newer document; ask for it.
+    pub has_newer_document: bool,
+}
+
+impl Gossip {
+    /// Takes in a heartbeat.
+    pub fn receive(
+        &mut self,
+        now: Instant,
+        sender: &EntryId,
+        incarnation: Incarnation,
+        heartbeat: &Heartbeat,
+    ) -> Received {
+        let needs_roster = heartbeat.roster_digest != self.roster_digest;
+        let Some(peer) = self.peers.get_mut(sender) else {
+            return Received {
+                needs_roster,
+                ..Received::default()
+            };
+        };
+        if peer.member.incarnation != incarnation {
+            return Received {
+                needs_roster,
+                ..Received::default()
+            };
+        }
+        peer.last_heard = Some(now);
+        peer.last_stamp_ms = Some(heartbeat.stamp_ms);
+        peer.is_speaker = heartbeat.is_speaker;
+        peer.roster_digest = heartbeat.roster_digest;
+        peer.has_admitted |= !needs_roster;
+        if let Some(composed) = self.composed_at(now, heartbeat) {
+            self.learn(composed, sender, incarnation, heartbeat, needs_roster);
+        }
+        let revision = heartbeat.word.as_ref().map_or(0, |word| word.revision);
+        Received {
+            needs_roster,
+            has_newer_document: Some(Revision::new(revision)) > self.freshness.in_force(),
+        }
+    }
+
+    /// Returns a moment on the own clock before which the message cannot have been composed.
+    fn composed_at(&self, now: Instant, heartbeat: &Heartbeat) -> Option<Instant> {
+        let echo = Duration::from_millis(u64::from(heartbeat.echo_ms?));
+        Some(self.started + echo).filter(|composed| *composed <= now)
+    }
+
+    fn learn(
+        &mut self,
+        composed: Instant,
+        sender: &EntryId,
+        incarnation: Incarnation,
+        heartbeat: &Heartbeat,
+        needs_roster: bool,
+    ) {
+        if let Some(read) = heartbeat.read
+            && let Some(began) = earlier(composed, read.age_ms)
+        {
+            self.freshness
+                .observe_read(began, Revision::new(read.revision));
+        }
+        if let Some(word) = &heartbeat.word {
+            self.observe(composed, sender, incarnation, word);
+        }
+        if needs_roster {
+            return;
+        }
+        for word in &heartbeat.zones {
+            self.learn_zone(composed, word);
+        }
+    }
+
+    /// Takes in a word of a whole zone; the rosters are equal, so places name the same entries.
+    fn learn_zone(&mut self, composed: Instant, summary: &ZoneWord) {
+        let zones = self.zones();
+        let Some(zone) = zones.get(summary.zone_index as usize) else {
+            return;
+        };
+        if **zone == self.own.zone {
+            return;
+        }
+        let Some(time) = earlier(composed, summary.age_ms) else {
+            return;
+        };
+        let entries = self.entries_of(zone).into_iter().enumerate();
+        let covered = entries.filter(|(index, _)| !summary.uncovered.contains(&(*index as u32)));
+        let covered: Vec<EntryId> = covered.map(|(_, entry)| entry.clone()).collect();
+        for entry in covered {
+            let Some(peer) = self.peers.get_mut(&entry) else {
+                continue;
+            };
+            peer.has_admitted = true;
+            peer.roster_digest = self.roster_digest;
+            let incarnation = peer.member.incarnation;
+            self.observe(time, &entry, incarnation, summary);
+        }
+    }
+
+    fn observe(
+        &mut self,
+        time: Instant,
+        entry: &EntryId,
+        incarnation: Incarnation,
+        message: &ZoneWord,
+    ) {
+        let intents = message.intents.iter();
+        let Some(intents) = intents.map(IntentId::from_reference).collect() else {
+            return;
+        };
+        let word = Word {
+            incarnation,
+            time,
+            revision: Revision::new(message.revision),
+            is_settled: !message.is_unsettled,
+            intents,
+        };
+        self.freshness.observe_word(entry, word);
+    }
+}
+
+fn earlier(moment: Instant, age_ms: u32) -> Option<Instant> {
+    moment.checked_sub(Duration::from_millis(u64::from(age_ms)))
+}
--- /dev/null
+++ b/rhubarbfall-membership/src/gossip/roster.rs
@@ -0,0 +1,112 @@
+use rhubarbfall_core::{EntryId, Incarnation};
+use rhubarbfall_wire::messages::membership::{Roster, RosterMember};
+
+use super::peer_state::PeerState;
+use super::state::Gossip;
+use crate::Member;
+
+/// The first value and the factor of the FNV-1a hash with 64 bits.
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0100_0000_01b3;
+
+impl Gossip {
+    /// Adds members and later processes of known ones; never brings back one that is gone.
+    pub fn add_members(&mut self, members: impl IntoIterator<Item = (EntryId, Member)>) {
+        let mut has_changed = false;
+        for (entry, member) in members {
+            if self.is_newer(&entry, &member) {
+                self.peers.insert(entry, PeerState::new(member));
+                has_changed = true;
+            }
+        }
+        if has_changed {
+            self.roster_changed();
+        }
+    }
+
+    /// Drops a member that the platform shows as gone, or whose row has been deleted.
+    pub fn remove_member(&mut self, entry: &EntryId) {
+        let Some(peer) = self.peers.remove(entry) else {
+            return;
+        };
+        self.gone.insert(entry.clone(), peer.member.incarnation);
+        self.roster_changed();
+    }
+
+    /// Returns every member, this process included, for a peer with another list.
+    #[must_use]
+    pub fn roster(&self) -> Roster {
+        let own = [(&self.entry, &self.own)];
+        let members = self.members().chain(own);
+        Roster {
+            members: members.map(to_message).collect(),
+        }
+    }
+
+    /// Takes in the list of a peer.
+    pub fn receive_roster(&mut self, roster: &Roster) {
+        self.add_members(roster.members.iter().filter_map(from_message));
+    }
+
+    /// Returns whether a later process of this entry is known, so that this one is out.
+    #[must_use]
+    pub fn is_superseded_by(&self, entry: &EntryId, incarnation: Incarnation) -> bool {
+        *entry == self.entry && incarnation > self.own.incarnation
+    }
+
+    fn is_newer(&self, entry: &EntryId, member: &Member) -> bool {
+        if *entry == self.entry || self.gone.get(entry) >= Some(&member.incarnation) {
+            return false;
+        }
+        let known = self.peers.get(entry).map(|peer| peer.member.incarnation);
+        known < Some(member.incarnation)
+    }
+
+    pub(super) fn roster_changed(&mut self) {
+        let members = self.peers.iter().map(|(entry, peer)| {
+            let member = &peer.member;
+            (entry.clone(), member.zone.clone(), member.incarnation)
+        });
+        let members: Vec<_> = members.collect();
+        self.freshness.set_members(members);
+        self.roster_digest = self.digest();
+    }
+
+    fn digest(&self) -> u64 {
+        let own = [(&self.entry, &self.own)];
+        let mut members: Vec<_> = self.members().chain(own).collect();
+        members.sort_by_key(|(entry, _)| *entry);
+        let mut hash = FNV_OFFSET;
+        for (entry, member) in members {
+            hash = fnv(hash, entry.as_str().as_bytes());
+            hash = fnv(hash, member.zone.as_str().as_bytes());
+            hash = fnv(hash, &member.incarnation.get().to_be_bytes());
+        }
+        hash
+    }
+}
+
+fn fnv(hash: u64, bytes: &[u8]) -> u64 {
+    let separated = bytes.iter().chain(&[0]);
+    separated.fold(hash, |hash, byte| {
+        (hash ^ u64::from(*byte)).wrapping_mul(FNV_PRIME)
+    })
+}
+
+fn to_message((entry, member): (&EntryId, &Member)) -> RosterMember {
+    RosterMember {
+        entry: entry.to_string(),
+        zone: member.zone.to_string(),
+        incarnation: member.incarnation.get(),
+        address: member.address.to_string(),
+    }
+}
+
+fn from_message(message: &RosterMember) -> Option<(EntryId, Member)> {
+    let member = Member {
+        zone: message.zone.parse().ok()?,
+        incarnation: Incarnation::new(message.incarnation),
+        address: message.address.parse().ok()?,
+    };
+    Some((message.entry.parse().ok()?, member))
+}
--- /dev/null
+++ b/rhubarbfall-membership/src/gossip/state.rs
@@ -0,0 +1,164 @@
+use std::time::{Duration, Instant};
+
+use rhubarbfall_core::{AvailabilityZoneId, EntryId, Incarnation, LiteMap};
+use rhubarbfall_wire::messages::membership::Heartbeat;
+
+use super::peer_state::PeerState;
+use crate::{Freshness, Member, MembershipConfig};
+
+/// A heartbeat to send.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Outgoing {
+    /// The entry that gets it.
+    pub to: EntryId,
+    /// The message.
+    pub heartbeat: Heartbeat,
+}
+
+/// One entry's part in the exchange among entries.
+///
+/// Within a zone every entry sends to every other. Between zones only the speakers do, each a
+/// summary of its zone, and pass on in their own zone what they hear. The speaker of a zone is its
+/// first live entry.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Instant;
+///
+/// use rhubarbfall_core::Incarnation;
+/// use rhubarbfall_membership::{Gossip, Member, MembershipConfig};
+///
+/// let now = Instant::now();
+/// let member = Member {
+///     zone: "zone-a".parse()?,
+///     incarnation: Incarnation::new(1),
+///     address: ([127, 0, 0, 1], 7000).into(),
+/// };
+/// let mut gossip = Gossip::new(MembershipConfig::new(), "entry-1".parse()?, member, now);
+/// assert!(gossip.is_speaker(now));
+/// assert!(gossip.tick(now).is_empty());
+/// # Ok::<(), rhubarbfall_core::ParseIdError>(())
+/// ```
+#[derive(Debug, Clone)]
+pub struct Gossip {
+    pub(super) config: MembershipConfig,
+    pub(super) entry: EntryId,
+    pub(super) own: Member,
+    pub(super) started: Instant,
+    pub(super) freshness: Freshness,
+    pub(super) peers: LiteMap<EntryId, PeerState>,
+    /// Members that are gone, so that a peer's older roster does not bring them back.
+    pub(super) gone: LiteMap<EntryId, Incarnation>,
+    pub(super) roster_digest: u64,
+    pub(super) next_tick: Instant,
+}
+
+impl Gossip {
+    /// Creates the state of a process that has just started and knows no other entry.
+    #[must_use]
+    pub fn new(config: MembershipConfig, entry: EntryId, own: Member, now: Instant) -> Self {
+        let freshness = Freshness::new(config, own.zone.clone(), now);
+        let mut gossip = Self {
+            config,
+            entry,
+            own,
+            started: now,
+            freshness,
+            peers: LiteMap::new(),
+            gone: LiteMap::new(),
+            roster_digest: 0,
+            next_tick: now,
+        };
+        gossip.roster_changed();
+        gossip
+    }
+
+    /// Returns the evidence that this process has.
+    #[must_use]
+    pub const fn freshness(&self) -> &Freshness {
+        &self.freshness
+    }
+
+    /// Returns the evidence that this process has, to add to it.
+    pub const fn freshness_mut(&mut self) -> &mut Freshness {
+        &mut self.freshness
+    }
+
+    /// Returns the other members with their states.
+    pub fn members(&self) -> impl Iterator<Item = (&EntryId, &Member)> {
+        let peers = self.peers.iter();
+        peers.map(|(entry, peer)| (entry, &peer.member))
+    }
+
+    /// Returns whether every member was seen to know this process.
+    ///
+    /// Until then it neither accepts changes nor answers intents: others would not miss its word.
+    #[must_use]
+    pub fn is_admitted(&self) -> bool {
+        self.peers.values().all(|peer| peer.has_admitted)
+    }
+
+    /// Returns whether a member is taken for alive.
+    #[must_use]
+    pub fn is_live(&self, entry: &EntryId, now: Instant) -> bool {
+        let Some(peer) = self.peers.get(entry) else {
+            return false;
+        };
+        let word = self.freshness.word(entry).map(|word| word.time);
+        let limit = if peer.member.zone == self.own.zone {
+            self.config.silence_timeout
+        } else {
+            self.config.evidence_bound
+        };
+        let last = peer.last_heard.max(word).unwrap_or(self.started);
+        now.saturating_duration_since(last) < limit
+    }
+
+    /// Returns whether this process speaks for its zone.
+    #[must_use]
+    pub fn is_speaker(&self, now: Instant) -> bool {
+        let earlier = self
+            .peers
+            .iter()
+            .take_while(|(entry, _)| **entry < self.entry);
+        let mut earlier = earlier.filter(|(_, peer)| peer.member.zone == self.own.zone);
+        !earlier.any(|(entry, _)| self.is_live(entry, now))
+    }
+
+    /// Returns when the next heartbeats are due.
+    #[must_use]
+    pub const fn next_tick(&self) -> Instant {
+        self.next_tick
+    }
+
+    /// Returns the heartbeats that are due.
+    pub fn tick(&mut self, now: Instant) -> Vec<Outgoing> {
+        if now < self.next_tick {
+            return Vec::new();
+        }
+        self.next_tick = now + self.interval(now);
+        self.freshness.settle();
+        let mut outgoing = self.zone_heartbeats(now);
+        if self.is_speaker(now) {
+            outgoing.extend(self.speaker_heartbeats(now));
+        }
+        outgoing
+    }
+
+    /// Heartbeats are the only evidence while the table does not answer, and half as frequent else.
+    fn interval(&self, now: Instant) -> Duration {
+        let stale = self.config.poll_age * 2;
+        let read = self.freshness.newest_read();
+        let is_read_fresh = read.is_some_and(|(began, _)| now < began + stale);
+        self.config.heartbeat_interval * if is_read_fresh { 2 } else { 1 }
+    }
+
+    pub(super) fn zones(&self) -> Vec<&AvailabilityZoneId> {
+        let zones = self.peers.values().map(|peer| &peer.member.zone);
+        let mut zones: Vec<_> = zones.chain([&self.own.zone]).collect();
+        zones.sort();
+        zones.dedup();
+        zones
+    }
+}
--- a/rhubarbfall-membership/src/lib.rs
+++ b/rhubarbfall-membership/src/lib.rs
@@ -1,1 +1,20 @@
 //! Entry membership, zone leases and configuration freshness.
+//!
+//! Everything here is a decision over the time, an event and its own state; the entry process owns
+//! the sockets and the clock.
+
+mod acceptance;
+mod config;
+mod freshness;
+mod gossip;
+mod member;
+mod table_poll;
+mod zone_lease;
+
+pub use acceptance::{Acceptance, AcceptanceStep};
+pub use config::MembershipConfig;
+pub use freshness::{Freshness, Intent, IntentId, Word};
+pub use gossip::{Gossip, Outgoing, Received};
+pub use member::Member;
+pub use table_poll::TablePoll;
+pub use zone_lease::{LeaseRequest, LeaseRow, ZoneLease, ZoneLeaseConfig};
--- /dev/null
+++ b/rhubarbfall-membership/src/zone_lease/state.rs
@@ -0,0 +1,243 @@
+use std::time::Instant;
+
+use rhubarbfall_core::{EntryId, FencingNumber, Incarnation, RowVersion};
+
+use super::{LeaseRow, ZoneLeaseConfig};
+
+/// A request to the table that the lease asks for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LeaseRequest {
+    /// Read the row.
+    Read,
+    /// Write the row if it still has this version; zero stands for an absent row.
+    Write {
+        /// The version that the row must have.
+        expected: RowVersion,
+        /// The new content.
+        row: LeaseRow,
+    },
+}
+
+/// One entry's view of its zone's lease.
+///
+/// The owner sends what [`ZoneLease::next_request`] asks for, one request at a time, and reports its
+/// outcome. A lost answer is followed by a read, never by another write.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Instant;
+///
+/// use rhubarbfall_core::{Incarnation, RowVersion};
+/// use rhubarbfall_membership::{LeaseRequest, ZoneLease, ZoneLeaseConfig};
+///
+/// let now = Instant::now();
+/// let mut lease = ZoneLease::new(ZoneLeaseConfig::new(), "entry-1".parse()?, Incarnation::new(1), now);
+/// assert_eq!(lease.next_request(now), Some(LeaseRequest::Read));
+/// lease.observe_row(now, None);
+/// assert!(matches!(lease.next_request(now), Some(LeaseRequest::Write { .. })));
+/// lease.observe_written(now, RowVersion::new(1));
+/// assert!(lease.fencing(now).is_some());
+/// # Ok::<(), rhubarbfall_core::ParseIdError>(())
+/// ```
+#[derive(Debug, Clone)]
+pub struct ZoneLease {
+    config: ZoneLeaseConfig,
+    entry: EntryId,
+    incarnation: Incarnation,
+    row: Option<Observed>,
+    sent: Option<Sent>,
+    held: Option<Held>,
+    next_at: Instant,
+    must_read: bool,
+    renewals: u64,
+}
+
+/// The row as it was last read.
+#[derive(Debug, Clone)]
+struct Observed {
+    version: RowVersion,
+    row: Option<LeaseRow>,
+    /// When this version was first seen, after the answer came.
+    first_seen: Instant,
+}
+
+/// A write whose outcome is open, also after its answer was lost.
+#[derive(Debug, Clone)]
+struct Sent {
+    at: Instant,
+    row: LeaseRow,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Held {
+    taken: Instant,
+    until: Instant,
+    fencing: FencingNumber,
+}
+
+impl ZoneLease {
+    /// Creates the view of a process that knows nothing of the lease yet.
+    #[must_use]
+    pub const fn new(
+        config: ZoneLeaseConfig,
+        entry: EntryId,
+        incarnation: Incarnation,
+        now: Instant,
+    ) -> Self {
+        Self {
+            config,
+            entry,
+            incarnation,
+            row: None,
+            sent: None,
+            held: None,
+            next_at: now,
+            must_read: true,
+            renewals: 0,
+        }
+    }
+
+    /// Returns the fencing number while this process holds the lease.
+    ///
+    /// To be called right before each act of the holder, since the process may have been paused.
+    #[must_use]
+    pub fn fencing(&self, now: Instant) -> Option<FencingNumber> {
+        let held = self.held.filter(|held| now < held.until)?;
+        Some(held.fencing)
+    }
+
+    /// Returns the holder that the row named when it was last read.
+    #[must_use]
+    pub fn holder(&self) -> Option<&EntryId> {
+        let row = self.row.as_ref()?.row.as_ref()?;
+        Some(&row.holder)
+    }
+
+    /// Returns the request to send now, if one is due.
+    #[must_use]
+    pub fn next_request(&mut self, now: Instant) -> Option<LeaseRequest> {
+        if now < self.next_at {
+            return None;
+        }
+        // No second request is sent before the outcome of this one is reported.
+        self.next_at = now + self.config.duration;
+        let observed = self.row.clone().filter(|_| !self.must_read);
+        let writable = observed.filter(|observed| self.may_write(observed, now));
+        let Some(observed) = writable else {
+            return Some(LeaseRequest::Read);
+        };
+        let expected = observed.version;
+        let row = self.new_row(observed.row.as_ref(), now);
+        self.sent = Some(Sent {
+            at: now,
+            row: row.clone(),
+        });
+        Some(LeaseRequest::Write { expected, row })
+    }
+
+    /// Takes in what a read gave: the row and its version, or nothing when it is absent.
+    pub fn observe_row(&mut self, now: Instant, row: Option<(RowVersion, LeaseRow)>) {
+        self.must_read = false;
+        let (version, row) = match row {
+            Some((version, row)) => (version, Some(row)),
+            None => (RowVersion::default(), None),
+        };
+        self.confirm_sent(row.as_ref());
+        let is_known = self.row.as_ref().is_some_and(|old| old.version == version);
+        if !is_known {
+            self.row = Some(Observed {
+                version,
+                row,
+                first_seen: now,
+            });
+        }
+        self.schedule(now);
+    }
+
+    /// Takes in that the write took effect and gave the row this version.
+    pub fn observe_written(&mut self, now: Instant, version: RowVersion) {
+        let Some(sent) = self.sent.take() else {
+            return;
+        };
+        self.hold(&sent);
+        self.row = Some(Observed {
+            version,
+            row: Some(sent.row),
+            first_seen: now,
+        });
+        self.schedule(now);
+    }
+
+    /// Takes in that the row had changed, so that the write had no effect.
+    pub fn observe_conflict(&mut self, now: Instant) {
+        self.sent = None;
+        self.must_read = true;
+        self.next_at = now;
+    }
+
+    /// Takes in that no answer came; a write may have taken effect, so a read comes next.
+    pub fn observe_no_answer(&mut self, now: Instant) {
+        self.must_read = true;
+        self.next_at = now + self.config.watch_interval / 5;
+    }
+
+    fn may_write(&self, observed: &Observed, now: Instant) -> bool {
+        let Some(row) = &observed.row else {
+            return true;
+        };
+        self.is_own(row) || now >= self.claimable_at(observed)
+    }
+
+    fn claimable_at(&self, observed: &Observed) -> Instant {
+        observed.first_seen + self.config.duration + self.config.drift_margin
+    }
+
+    fn is_own(&self, row: &LeaseRow) -> bool {
+        row.holder == self.entry && row.incarnation == self.incarnation
+    }
+
+    fn new_row(&mut self, old: Option<&LeaseRow>, now: Instant) -> LeaseRow {
+        self.renewals += 1;
+        let last = old.map_or(FencingNumber::default(), |row| row.fencing);
+        let is_renewal = old.is_some_and(|row| self.is_own(row)) && self.fencing(now).is_some();
+        LeaseRow {
+            holder: self.entry.clone(),
+            incarnation: self.incarnation,
+            fencing: if is_renewal { last } else { last.next() },
+            renewal: self.renewals,
+        }
+    }
+
+    /// Finds out whether a write whose answer was lost took effect.
+    fn confirm_sent(&mut self, row: Option<&LeaseRow>) {
+        let Some(sent) = self.sent.take() else {
+            return;
+        };
+        if row == Some(&sent.row) {
+            self.hold(&sent);
+        }
+    }
+
+    fn hold(&mut self, sent: &Sent) {
+        self.held = Some(Held {
+            taken: sent.at,
+            until: sent.at + self.config.duration,
+            fencing: sent.row.fencing,
+        });
+    }
+
+    fn schedule(&mut self, now: Instant) {
+        let Some(observed) = &self.row else {
+            return;
+        };
+        self.next_at = match (&observed.row, self.held) {
+            (Some(row), Some(held)) if self.is_own(row) => held.taken + self.config.renew_after,
+            (Some(row), _) if !self.is_own(row) => {
+                let watch = now + self.config.watch_interval;
+                watch.min(self.claimable_at(observed).max(now))
+            }
+            _ => now,
+        };
+    }
+}
--- /dev/null
+++ b/rhubarbfall-membership/tests/freshness.rs
@@ -0,0 +1,243 @@
+//! The traps of fresh evidence, each with the outcome that keyed work depends on.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use rhubarbfall_core::{AvailabilityZoneId, EntryId, Incarnation, Revision};
+use rhubarbfall_membership::{
+    Acceptance, AcceptanceStep, Freshness, Intent, IntentId, MembershipConfig, Word,
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn id(name: &str) -> EntryId {
+    name.parse().expect("an identifier")
+}
+
+fn zone(name: &str) -> AvailabilityZoneId {
+    name.parse().expect("an identifier")
+}
+
+fn word(time: Instant) -> Word {
+    Word {
+        incarnation: Incarnation::new(1),
+        time,
+        revision: Revision::new(7),
+        is_settled: true,
+        intents: Vec::new(),
+    }
+}
+
+fn intent(acceptor: &str) -> Intent {
+    Intent {
+        id: IntentId {
+            acceptor: id(acceptor),
+            incarnation: Incarnation::new(1),
+            number: 1,
+        },
+        revision: Revision::new(8),
+        change: Bytes::from_static(b"key withdrawn"),
+    }
+}
+
+/// An entry `a-1` in a fleet of three zones with two entries each, revision 7 in force.
+struct Fixture {
+    start: Instant,
+    freshness: Freshness,
+}
+
+const OTHERS: [(&str, &str); 5] = [
+    ("a-2", "zone-a"),
+    ("b-1", "zone-b"),
+    ("b-2", "zone-b"),
+    ("c-1", "zone-c"),
+    ("c-2", "zone-c"),
+];
+
+impl Fixture {
+    /// Starts with one table read after the settling time.
+    fn settled() -> Self {
+        let mut fixture = Self::started();
+        let settled = fixture.start + MembershipConfig::new().settling_time();
+        fixture.freshness.observe_read(settled, Revision::new(7));
+        fixture.freshness.settle();
+        fixture.start = settled;
+        fixture
+    }
+
+    fn started() -> Self {
+        let start = Instant::now();
+        let mut freshness = Freshness::new(MembershipConfig::new(), zone("zone-a"), start);
+        freshness.set_members(
+            OTHERS.map(|(entry, place)| (id(entry), zone(place), Incarnation::new(1))),
+        );
+        freshness.put_in_force(Revision::new(7));
+        Self { start, freshness }
+    }
+
+    fn at(&self, seconds: u64) -> Instant {
+        self.start + SECOND * seconds as u32
+    }
+
+    fn hear(&mut self, names: &[&str], seconds: u64) {
+        for name in names {
+            self.freshness
+                .observe_word(&id(name), word(self.at(seconds)));
+        }
+    }
+
+    fn admits(&self, seconds: u64) -> bool {
+        self.freshness.valid_until(self.at(seconds)).is_some()
+    }
+}
+
+#[test]
+fn cut_off_from_all_stops_at_the_bound() {
+    let fixture = Fixture::settled();
+    assert!(fixture.admits(4));
+    assert!(!fixture.admits(5));
+}
+
+#[test]
+fn cut_off_zone_does_not_live_on_its_own_words() {
+    let mut fixture = Fixture::settled();
+    fixture.hear(&["a-2"], 60);
+    assert!(!fixture.admits(60));
+}
+
+#[test]
+fn table_outage_alone_stops_nothing() {
+    let mut fixture = Fixture::settled();
+    fixture.hear(&["a-2", "b-1", "b-2", "c-1", "c-2"], 3600);
+    assert!(fixture.admits(3604));
+    assert!(!fixture.admits(3605));
+}
+
+#[test]
+fn peer_that_falls_silent_among_two_zones_stops_keyed_work() {
+    let mut fixture = Fixture::settled();
+    fixture.hear(&["a-2", "b-2", "c-1", "c-2"], 10);
+    fixture.hear(&["b-1"], 4);
+    assert!(fixture.admits(11), "zone-b alone may be silent");
+    fixture.hear(&["a-2", "b-2", "c-1"], 20);
+    assert!(!fixture.admits(20), "words of two zones are missing");
+}
+
+#[test]
+fn entry_that_dies_during_the_outage_is_not_missed_for_long() {
+    let mut fixture = Fixture::settled();
+    for seconds in 0..100 {
+        fixture.hear(&["a-2", "b-2", "c-1", "c-2"], seconds);
+        assert!(fixture.admits(seconds), "at {seconds} s");
+    }
+}
+
+#[test]
+fn held_intent_of_a_dead_acceptor_does_not_stop_keyed_work() {
+    let mut fixture = Fixture::settled();
+    let mut holder = word(fixture.at(10));
+    holder.intents.push(intent("b-1").id);
+    fixture.hear(&["a-2", "c-2", "b-2"], 10);
+    fixture.freshness.observe_word(&id("c-1"), holder);
+    assert!(!fixture.admits(10), "the intent is not known here");
+    assert_eq!(
+        fixture.freshness.missing_intents(),
+        [(id("c-1"), intent("b-1").id)]
+    );
+    fixture.freshness.hold_intent(intent("b-1"));
+    assert!(fixture.admits(10), "both revisions are enforced");
+}
+
+#[test]
+fn restarted_entry_vouches_only_once_settled() {
+    let mut fixture = Fixture::settled();
+    let mut restarted = word(fixture.at(10));
+    restarted.is_settled = false;
+    fixture.hear(&["a-2", "b-2", "c-2"], 10);
+    fixture
+        .freshness
+        .observe_word(&id("b-1"), restarted.clone());
+    fixture.hear(&["c-1"], 10);
+    assert!(fixture.admits(10), "zone-b is left out");
+    fixture.freshness.observe_word(&id("c-1"), restarted);
+    assert!(
+        !fixture.admits(10),
+        "two zones have forgotten what they answered"
+    );
+}
+
+#[test]
+fn new_entry_during_the_outage_lives_on_settled_words_of_other_zones() {
+    let mut fixture = Fixture::started();
+    fixture.hear(&["b-1", "b-2", "c-1", "c-2"], 1);
+    assert!(fixture.admits(2));
+    assert!(!fixture.freshness.is_settled());
+    fixture.hear(&["b-1", "b-2", "c-1", "c-2"], 15);
+    fixture.freshness.settle();
+    assert!(fixture.freshness.is_settled());
+}
+
+#[test]
+fn word_of_an_earlier_process_is_left_out() {
+    let mut fixture = Fixture::settled();
+    let members = OTHERS.map(|(entry, place)| (id(entry), zone(place), Incarnation::new(2)));
+    fixture.freshness.set_members(members);
+    fixture.hear(&["a-2", "b-1", "b-2", "c-1", "c-2"], 10);
+    assert!(!fixture.admits(10));
+}
+
+#[test]
+fn newer_revision_at_a_peer_ends_the_evidence_and_nothing_reverts() {
+    let mut fixture = Fixture::settled();
+    let mut newer = word(fixture.at(1));
+    newer.revision = Revision::new(8);
+    fixture.freshness.observe_word(&id("b-1"), newer);
+    assert!(fixture.freshness.is_behind());
+    assert!(!fixture.freshness.try_put_in_force(Revision::new(7)));
+    assert!(fixture.freshness.try_put_in_force(Revision::new(8)));
+    assert!(!fixture.freshness.try_put_in_force(Revision::new(7)));
+    assert_eq!(fixture.freshness.in_force(), Some(Revision::new(8)));
+}
+
+#[test]
+fn table_read_of_a_newer_revision_is_no_evidence_for_the_old_one() {
+    let mut fixture = Fixture::settled();
+    fixture
+        .freshness
+        .observe_read(fixture.at(3), Revision::new(8));
+    assert!(!fixture.admits(3));
+}
+
+#[test]
+fn acceptor_needs_a_holder_in_another_zone() {
+    let now = Instant::now();
+    let config = MembershipConfig::new();
+    let members = OTHERS.map(|(entry, place)| (id(entry), zone(place)));
+    let mut acceptance = Acceptance::new(config, zone("zone-a"), now, members);
+    assert_eq!(acceptance.step(now), AcceptanceStep::Wait(now + SECOND));
+    acceptance.observe_answer(&id("a-2"));
+    assert_eq!(acceptance.step(now + SECOND), AcceptanceStep::Refuse);
+    acceptance.observe_answer(&id("c-1"));
+    assert_eq!(acceptance.step(now + SECOND), AcceptanceStep::Commit);
+    let paused = now + config.intent_lifetime;
+    assert_eq!(acceptance.step(paused), AcceptanceStep::Refuse);
+}
+
+#[test]
+fn two_zones_accept_without_each_other_and_miss_each_other() {
+    let now = Instant::now();
+    let acceptance = Acceptance::new(
+        MembershipConfig::new(),
+        zone("zone-a"),
+        now,
+        [(id("b-1"), zone("zone-b"))],
+    );
+    assert_eq!(acceptance.step(now + SECOND), AcceptanceStep::Commit);
+    let mut fixture = Fixture::settled();
+    fixture.freshness.set_members([
+        (id("a-2"), zone("zone-a"), Incarnation::new(1)),
+        (id("b-1"), zone("zone-b"), Incarnation::new(1)),
+    ]);
+    fixture.hear(&["a-2"], 10);
+    assert!(!fixture.admits(10));
+}
--- a/rhubarbfall-wire/src/messages/mod.rs
+++ b/rhubarbfall-wire/src/messages/mod.rs
@@ -2,3 +2,5 @@
 //!
 //! Kinds 1 to 19 belong to membership and configuration, 20 to 29 to admission, 30 to 39 to
 //! routing and 40 to 49 to fleet.
+
+pub mod membership;
