feat(ctl): add the operators' command line

Commands read a section, change a part and apply it with the version they read; a change whose answer is lost is sent again under the same transaction id. It talks to endpoints that the entry does not serve yet.

--- /dev/null
+++ b/rhubarbctl/src/client.rs
@@ -0,0 +1,211 @@
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use rhubarbfall_core::{ResultCode, Revision};
+use rhubarbfall_document::AccessKey;
+use rhubarbfall_document::HistoryRecord;
+use rhubarbfall_document::api::{
+    ChangeAnswer, DocumentView, ErrorAnswer, KEY_HEADER, KeyDigestAnswer, StatusView,
+    TRANSACTION_HEADER, UpstreamView,
+};
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+use crate::ctl_error::CtlError;
+use crate::settings::Settings;
+
+/// How long one answer may take; longer than an entry waits for the platform and its peers.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// The largest answer that is read; the state of a large fleet stays well below.
+const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+
+/// How often a change whose answer was lost is sent again.
+const MAX_REPEATS: u32 = 3;
+
+/// How long to wait before a change is sent again.
+const REPEAT_DELAY: Duration = Duration::from_millis(300);
+
+/// A client of one entry's operators' interface.
+#[derive(Debug, Clone)]
+pub(crate) struct Client {
+    settings: Settings,
+}
+
+impl Client {
+    pub(crate) const fn new(settings: Settings) -> Self {
+        Self { settings }
+    }
+
+    /// Reads the part of the document that the key's owner may see.
+    pub(crate) async fn document(&self) -> Result<DocumentView, CtlError> {
+        self.get("/v1/document").await
+    }
+
+    /// Reads the history after a revision.
+    pub(crate) async fn history(&self, since: Revision) -> Result<Vec<HistoryRecord>, CtlError> {
+        self.get(&format!("/v1/document/history?since={since}"))
+            .await
+    }
+
+    /// Reads who has which revision in force.
+    pub(crate) async fn status(&self) -> Result<StatusView, CtlError> {
+        self.get("/v1/status").await
+    }
+
+    /// Reads the upstreams that the entry knows.
+    pub(crate) async fn upstreams(&self) -> Result<Vec<UpstreamView>, CtlError> {
+        self.get("/v1/upstreams").await
+    }
+
+    /// Asks that no new work goes to an upstream.
+    pub(crate) async fn drain_upstream(&self, id: &str) -> Result<Value, CtlError> {
+        let path = format!("/v1/upstreams/{id}/drain");
+        self.request(Method::POST, &path, Bytes::new(), None).await
+    }
+
+    /// Reads the process's whole state.
+    pub(crate) async fn state(&self) -> Result<Value, CtlError> {
+        self.get("/state").await
+    }
+
+    /// Asks for the digest of a key.
+    pub(crate) async fn key_digest(&self, key: &AccessKey) -> Result<KeyDigestAnswer, CtlError> {
+        let body = Bytes::from(key.reveal().to_owned());
+        self.request(Method::POST, "/v1/key-digest", body, None)
+            .await
+    }
+
+    /// Asks whether a change would be accepted.
+    pub(crate) async fn check(&self, text: &str) -> Result<ChangeAnswer, CtlError> {
+        let body = Bytes::from(text.to_owned());
+        self.request(Method::POST, "/v1/document/check", body, Some("check"))
+            .await
+    }
+
+    /// Sends a change, and repeats it under the same identifier while its answer is lost.
+    pub(crate) async fn apply(
+        &self,
+        text: &str,
+        transaction_id: &str,
+    ) -> Result<ChangeAnswer, CtlError> {
+        let body = Bytes::from(text.to_owned());
+        let mut was_sent = false;
+        let mut repeat = 0;
+        loop {
+            let sent = self.request(
+                Method::POST,
+                "/v1/document",
+                body.clone(),
+                Some(transaction_id),
+            );
+            let error = match sent.await {
+                Ok(answer) => return Ok(answer),
+                Err(error) => error,
+            };
+            was_sent |= may_have_been_made(&error);
+            if is_final(&error) {
+                return Err(error);
+            }
+            if repeat == MAX_REPEATS {
+                return Err(if was_sent {
+                    CtlError::Unknown(transaction_id.to_owned(), error.to_string())
+                } else {
+                    error
+                });
+            }
+            repeat += 1;
+            sleep(REPEAT_DELAY * repeat).await;
+        }
+    }
+
+    async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, CtlError> {
+        self.request(Method::GET, path, Bytes::new(), None).await
+    }
+
+    async fn request<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        transaction_id: Option<&str>,
+    ) -> Result<T, CtlError> {
+        let mut request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", self.settings.endpoint.to_string());
+        if let Some(key) = &self.settings.key {
+            request = request.header(KEY_HEADER, key.reveal());
+        }
+        if let Some(id) = transaction_id {
+            request = request.header(TRANSACTION_HEADER, id);
+        }
+        let request = request.body(Full::new(body));
+        let request = request.map_err(|error| CtlError::Usage(error.to_string()))?;
+        let (status, body) = self.exchange(request).await?;
+        if status.is_success() {
+            return serde_json::from_slice(&body)
+                .map_err(|error| CtlError::Malformed(error.to_string()));
+        }
+        match serde_json::from_slice::<ErrorAnswer>(&body) {
+            Ok(answer) => Err(CtlError::Refused(Box::new(answer))),
+            Err(_) => Err(CtlError::Malformed(format!("status {status}"))),
+        }
+    }
+
+    async fn exchange(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(StatusCode, Bytes), CtlError> {
+        let endpoint = self.settings.endpoint;
+        let unreachable = |reason: String| CtlError::Unreachable(endpoint.to_string(), reason);
+        let lost = |reason: String| CtlError::AnswerLost(endpoint.to_string(), reason);
+        let stream = timeout(ANSWER_TIMEOUT, TcpStream::connect(endpoint)).await;
+        let stream = stream.map_err(|elapsed| unreachable(elapsed.to_string()))?;
+        let stream = stream.map_err(|error| unreachable(error.to_string()))?;
+        let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| unreachable(error.to_string()))?;
+        tokio::spawn(connection);
+        let exchange = async {
+            let response = sender.send_request(request).await?;
+            let status = response.status();
+            let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+            Ok((status, body.collect().await?.to_bytes()))
+        };
+        let answer: Result<_, Box<dyn std::error::Error + Send + Sync>> =
+            timeout(ANSWER_TIMEOUT, exchange)
+                .await
+                .map_err(|elapsed| lost(elapsed.to_string()))?;
+        answer.map_err(|error| lost(error.to_string()))
+    }
+}
+
+fn may_have_been_made(error: &CtlError) -> bool {
+    match error {
+        CtlError::AnswerLost(..) | CtlError::Malformed(_) => true,
+        CtlError::Refused(answer) => answer.execution == rhubarbfall_core::Execution::Unknown,
+        _ => false,
+    }
+}
+
+/// Returns whether another try under the same identifier cannot help.
+fn is_final(error: &CtlError) -> bool {
+    match error {
+        CtlError::Refused(answer) => !matches!(
+            answer.code,
+            ResultCode::ChangeUnknown
+                | ResultCode::PlatformAnswerLost
+                | ResultCode::PlatformUnavailable
+                | ResultCode::AcceptanceUnproved
+        ),
+        CtlError::Usage(_) => true,
+        _ => false,
+    }
+}
--- /dev/null
+++ b/rhubarbctl/src/commands/fleet_edit.rs
@@ -0,0 +1,45 @@
+//! Changes of one section that read it, change a part and apply it.
+
+use clap::ArgMatches;
+use rhubarbfall_core::ResultCode;
+use rhubarbfall_document::api::{ChangeAnswer, ViewSource};
+use rhubarbfall_document::{Document, SectionId};
+
+use super::transaction_id;
+use crate::client::Client;
+use crate::ctl_error::CtlError;
+use crate::settings::usage;
+
+/// How often a change is tried again on a newer version of its section.
+const MAX_CONFLICTS: u32 = 5;
+
+/// Changes a section, again on the newest version when somebody else's change came between.
+pub(super) async fn edit_section(
+    client: &Client,
+    matches: &ArgMatches,
+    section: &SectionId,
+    change: impl Fn(&mut Document) -> Result<(), CtlError>,
+) -> Result<ChangeAnswer, CtlError> {
+    let transaction_id = transaction_id(matches);
+    let mut conflicts = 0;
+    loop {
+        let view = client.document().await?;
+        if view.source == ViewSource::InForce {
+            return Err(usage(
+                "the table does not answer, so that nothing can be changed",
+            ));
+        }
+        let mut document = view.document;
+        change(&mut document)?;
+        let version = view.versions.get(section).copied().unwrap_or_default();
+        let sections = document.sections_to_toml(std::slice::from_ref(section));
+        let text = format!("[versions]\n\"{section}\" = {version}\n\n{sections}");
+        let result = client.apply(&text, &transaction_id).await;
+        let is_conflict = matches!(&result, Err(CtlError::Refused(answer))
+            if answer.code == ResultCode::SectionVersionConflict);
+        if !is_conflict || conflicts == MAX_CONFLICTS {
+            return result;
+        }
+        conflicts += 1;
+    }
+}
--- /dev/null
+++ b/rhubarbctl/src/commands/observe.rs
@@ -0,0 +1,87 @@
+//! Commands that look at one process and change nothing but an upstream's drain.
+
+use clap::ArgMatches;
+use rhubarbfall_core::UpstreamId;
+use rhubarbfall_document::api::{EntryStatus, StatusView};
+
+use crate::client::Client;
+use crate::ctl_error::CtlError;
+use crate::report::Report;
+use crate::text_table::TextTable;
+
+/// Prints the entries: all of `status`, or only the list.
+pub(super) async fn status(client: &Client, group: &str, report: Report) -> Result<(), CtlError> {
+    let view = client.status().await?;
+    if group == "entry" {
+        return report.print(&view.entries, |entries| entries_table(entries).to_string());
+    }
+    report.print(&view, |view| {
+        format!("{}\n{}", newest(view), entries_table(&view.entries))
+    })
+}
+
+pub(super) async fn upstream(
+    client: &Client,
+    matches: &ArgMatches,
+    report: Report,
+) -> Result<(), CtlError> {
+    let (name, matches) = matches.subcommand().expect("a subcommand is required");
+    if name == "drain" {
+        let id: &UpstreamId = matches.get_one("id").expect("the identifier is required");
+        let answer = client.drain_upstream(id.as_str()).await?;
+        return report.print(&answer, |_| format!("{id} receives no new work\n"));
+    }
+    let upstreams = client.upstreams().await?;
+    report.print(&upstreams, |upstreams| {
+        let headings = [
+            "upstream",
+            "service",
+            "availability zone",
+            "state",
+            "running",
+        ];
+        let mut table = TextTable::new(&headings);
+        for upstream in upstreams {
+            table = table.row([
+                upstream.id.to_string(),
+                upstream.service.to_string(),
+                upstream.availability_zone.to_string(),
+                upstream.state.to_string(),
+                upstream.running_slots.to_string(),
+            ]);
+        }
+        table.to_string()
+    })
+}
+
+/// Prints the whole state of the process; it is JSON either way.
+pub(super) async fn state(client: &Client, report: Report) -> Result<(), CtlError> {
+    let state = client.state().await?;
+    report.print(&state, |state| format!("{state:#}\n"))
+}
+
+fn newest(view: &StatusView) -> String {
+    match view.newest {
+        Some(revision) => format!(
+            "newest revision {revision}, as entry {} knows it",
+            view.entry
+        ),
+        None => format!("entry {} cannot read the table", view.entry),
+    }
+}
+
+fn entries_table(entries: &[EntryStatus]) -> TextTable {
+    let headings = ["availability zone", "entry", "revision", "age"];
+    entries
+        .iter()
+        .fold(TextTable::new(&headings), |table, entry| {
+            let revision = entry.revision.map(|revision| revision.to_string());
+            let age = entry.age_ms.map(|age_ms| format!("{age_ms} ms"));
+            table.row([
+                entry.availability_zone.to_string(),
+                entry.entry.to_string(),
+                revision.unwrap_or_else(|| "-".to_owned()),
+                age.unwrap_or_else(|| "-".to_owned()),
+            ])
+        })
+}
--- /dev/null
+++ b/rhubarbctl/src/commands/pool.rs
@@ -0,0 +1,102 @@
+use clap::ArgMatches;
+use rhubarbfall_core::{PoolId, VmCount};
+use rhubarbfall_document::{Document, PoolSpec, SectionId, ServiceSpec};
+use serde::Serialize;
+
+use super::document::change_text;
+use super::fleet_edit::edit_section;
+use crate::client::Client;
+use crate::ctl_error::CtlError;
+use crate::report::Report;
+use crate::settings::usage;
+use crate::text_table::TextTable;
+
+/// A pool beside the services that its VMs run.
+#[derive(Debug, Serialize)]
+struct PoolView {
+    #[serde(flatten)]
+    spec: PoolSpec,
+    services: Vec<ServiceSpec>,
+}
+
+pub(super) async fn run(
+    client: &Client,
+    matches: &ArgMatches,
+    report: Report,
+) -> Result<(), CtlError> {
+    let (name, matches) = matches.subcommand().expect("a subcommand is required");
+    match name {
+        "list" => list(client, report).await,
+        "show" => show(client, id(matches), report).await,
+        _ => set(client, matches, report).await,
+    }
+}
+
+async fn list(client: &Client, report: Report) -> Result<(), CtlError> {
+    let view = client.document().await?;
+    report.print(&view.document.fleet.pools, |pools| {
+        pools_table(pools.iter()).to_string()
+    })
+}
+
+async fn show(client: &Client, id: &PoolId, report: Report) -> Result<(), CtlError> {
+    let document = client.document().await?.document;
+    let spec = document.pool(id).cloned();
+    let spec = spec.ok_or_else(|| usage(format!("no pool is named {id}")))?;
+    let mut services = document.fleet.services;
+    services.retain(|service| service.pool == *id);
+    report.print(&PoolView { spec, services }, |view| {
+        let mut table = TextTable::new(&["service", "slots", "connections", "timeout (ms)"]);
+        for service in &view.services {
+            table = table.row([
+                service.id.to_string(),
+                service.slots_per_upstream.to_string(),
+                service.connections_per_upstream.to_string(),
+                service.answer_timeout_ms.to_string(),
+            ]);
+        }
+        format!("{}\n{table}", pools_table(std::iter::once(&view.spec)))
+    })
+}
+
+async fn set(client: &Client, matches: &ArgMatches, report: Report) -> Result<(), CtlError> {
+    let change = |document: &mut Document| set_pool(document, matches);
+    let answer = edit_section(client, matches, &SectionId::Fleet, change).await?;
+    report.print(&answer, change_text)
+}
+
+fn set_pool(document: &mut Document, matches: &ArgMatches) -> Result<(), CtlError> {
+    let id = id(matches);
+    let budget = matches.get_one::<VmCount>("max-unavailable-vms").copied();
+    let min_vms = matches.get_one::<VmCount>("min-vms").copied();
+    let pools = &mut document.fleet.pools;
+    if let Some(pool) = pools.iter_mut().find(|pool| pool.id == *id) {
+        pool.max_unavailable_vms = budget.unwrap_or(pool.max_unavailable_vms);
+        pool.min_vms = min_vms.unwrap_or(pool.min_vms);
+        return Ok(());
+    }
+    let Some(max_unavailable_vms) = budget else {
+        return Err(usage(format!("pool {id} is new: it needs a budget")));
+    };
+    pools.push(PoolSpec {
+        id: id.clone(),
+        max_unavailable_vms,
+        min_vms: min_vms.unwrap_or_default(),
+    });
+    Ok(())
+}
+
+fn pools_table<'a>(pools: impl Iterator<Item = &'a PoolSpec>) -> TextTable {
+    let table = TextTable::new(&["pool", "may be unavailable (VMs)", "keeps (VMs)"]);
+    pools.fold(table, |table, pool| {
+        table.row([
+            pool.id.to_string(),
+            pool.max_unavailable_vms.to_string(),
+            pool.min_vms.to_string(),
+        ])
+    })
+}
+
+fn id(matches: &ArgMatches) -> &PoolId {
+    matches.get_one("id").expect("the identifier is required")
+}
--- /dev/null
+++ b/rhubarbctl/src/commands/team.rs
@@ -0,0 +1,96 @@
+use clap::ArgMatches;
+use rhubarbfall_core::{ShareWeight, Slots, TeamId};
+use rhubarbfall_document::{Document, SectionId, TeamSection, TeamSpec};
+use serde::Serialize;
+
+use super::document::change_text;
+use super::fleet_edit::edit_section;
+use crate::client::Client;
+use crate::ctl_error::CtlError;
+use crate::report::Report;
+use crate::settings::usage;
+use crate::text_table::TextTable;
+
+/// A team's limits beside what it sets for itself.
+#[derive(Debug, Serialize)]
+struct TeamView {
+    #[serde(flatten)]
+    spec: TeamSpec,
+    section: TeamSection,
+}
+
+pub(super) async fn run(
+    client: &Client,
+    matches: &ArgMatches,
+    report: Report,
+) -> Result<(), CtlError> {
+    let (name, matches) = matches.subcommand().expect("a subcommand is required");
+    match name {
+        "list" => list(client, report).await,
+        "show" => show(client, id(matches), report).await,
+        _ => set(client, matches, report).await,
+    }
+}
+
+async fn list(client: &Client, report: Report) -> Result<(), CtlError> {
+    let view = client.document().await?;
+    report.print(&view.document.fleet.teams, |teams| {
+        teams_table(teams.iter()).to_string()
+    })
+}
+
+async fn show(client: &Client, id: &TeamId, report: Report) -> Result<(), CtlError> {
+    let document = client.document().await?.document;
+    let spec = document.team(id).cloned();
+    let spec = spec.ok_or_else(|| usage(format!("no team is named {id}")))?;
+    let section = document.teams.get(id).cloned().unwrap_or_default();
+    report.print(&TeamView { spec, section }, |view| {
+        let section = SectionId::Team(id.clone());
+        let own = document.sections_to_toml(std::slice::from_ref(&section));
+        format!("{}\n{own}", teams_table(std::iter::once(&view.spec)))
+    })
+}
+
+async fn set(client: &Client, matches: &ArgMatches, report: Report) -> Result<(), CtlError> {
+    let change = |document: &mut Document| set_team(document, matches);
+    let answer = edit_section(client, matches, &SectionId::Fleet, change).await?;
+    report.print(&answer, change_text)
+}
+
+fn set_team(document: &mut Document, matches: &ArgMatches) -> Result<(), CtlError> {
+    let id = id(matches);
+    let limit = matches.get_one::<Slots>("upper-limit-slots").copied();
+    let weight = matches.get_one::<ShareWeight>("share-weight").copied();
+    let teams = &mut document.fleet.teams;
+    if let Some(team) = teams.iter_mut().find(|team| team.id == *id) {
+        team.upper_limit_slots = limit.unwrap_or(team.upper_limit_slots);
+        team.share_weight = weight.unwrap_or(team.share_weight);
+        return Ok(());
+    }
+    let (Some(upper_limit_slots), Some(share_weight)) = (limit, weight) else {
+        return Err(usage(format!(
+            "team {id} is new: it needs a limit and a share"
+        )));
+    };
+    teams.push(TeamSpec {
+        id: id.clone(),
+        upper_limit_slots,
+        share_weight,
+    });
+    Ok(())
+}
+
+fn teams_table<'a>(teams: impl Iterator<Item = &'a TeamSpec>) -> TextTable {
+    let table = TextTable::new(&["team", "upper limit (slots)", "share weight"]);
+    teams.fold(table, |table, team| {
+        table.row([
+            team.id.to_string(),
+            team.upper_limit_slots.to_string(),
+            team.share_weight.to_string(),
+        ])
+    })
+}
+
+fn id(matches: &ArgMatches) -> &TeamId {
+    matches.get_one("id").expect("the identifier is required")
+}
--- /dev/null
+++ b/rhubarbctl/src/report.rs
@@ -0,0 +1,37 @@
+use std::io::{self, Write};
+
+use serde::Serialize;
+
+use crate::ctl_error::CtlError;
+
+/// Prints results: tables and text for people, or JSON for programs.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Report {
+    is_json: bool,
+}
+
+impl Report {
+    pub(crate) const fn new(is_json: bool) -> Self {
+        Self { is_json }
+    }
+
+    /// Prints a value as JSON, or what `text` makes of it.
+    pub(crate) fn print<T: Serialize>(
+        self,
+        value: &T,
+        text: impl FnOnce(&T) -> String,
+    ) -> Result<(), CtlError> {
+        let text = if self.is_json {
+            let json = serde_json::to_string_pretty(value);
+            json.map_err(|error| CtlError::Malformed(error.to_string()))? + "\n"
+        } else {
+            text(value)
+        };
+        match io::stdout().write_all(text.as_bytes()) {
+            Ok(()) => Ok(()),
+            // A reader that has seen enough, such as `head`, is no failure.
+            Err(error) if error.kind() == io::ErrorKind::BrokenPipe => Ok(()),
+            Err(error) => Err(CtlError::File("standard output".into(), error)),
+        }
+    }
+}
--- /dev/null
+++ b/rhubarbfall-document/src/api/upstream_view.rs
@@ -0,0 +1,19 @@
+use std::sync::Arc;
+
+use rhubarbfall_core::{AvailabilityZoneId, ServiceId, UpstreamId};
+use serde::{Deserialize, Serialize};
+
+/// An upstream as one entry knows it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamView {
+    /// The upstream.
+    pub id: UpstreamId,
+    /// The service that it serves.
+    pub service: ServiceId,
+    /// Its availability zone.
+    pub availability_zone: AvailabilityZoneId,
+    /// Whether it takes work, leaves, or is unhealthy.
+    pub state: Arc<str>,
+    /// The slots that run work of this entry.
+    pub running_slots: u32,
+}
--- a/rhubarbfall-document/src/lib.rs
+++ b/rhubarbfall-document/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod accept;
 mod access_key;
+pub mod api;
 mod change;
 mod change_error;
 mod check;
--- a/rhubarbfall-document/src/parse.rs
+++ b/rhubarbfall-document/src/parse.rs
@@ -1,10 +1,13 @@
 use std::sync::Arc;
 
+use rhubarbfall_core::{LiteMap, TeamId};
+use serde::Serialize;
+
 use crate::check::{Violation, check};
 use crate::document_error::DocumentError;
 use crate::draft::Draft;
 use crate::fault::Fault;
-use crate::{Document, SectionId};
+use crate::{Document, FleetSection, KeysSection, SectionId, TeamSection};
 
 impl Document {
     /// Reads and checks a whole document.
@@ -70,18 +73,33 @@
     /// Returns the canonical text of some sections.
     #[must_use]
     pub fn sections_to_toml(&self, sections: &[SectionId]) -> String {
-        let mut part = Self::default();
-        for id in sections {
-            part.set_section(id, self.section(id));
-        }
-        let text = part.to_toml();
-        text.strip_prefix("revision = 0\n")
-            .unwrap_or(&text)
-            .trim_start()
-            .to_owned()
+        let is_wanted = |id: &SectionId| sections.contains(id);
+        let teams = sections.iter().filter_map(|id| match id {
+            SectionId::Team(team) => Some((team.clone(), self.teams.get(team).cloned())),
+            _ => None,
+        });
+        let part = Part {
+            fleet: is_wanted(&SectionId::Fleet).then_some(&self.fleet),
+            keys: is_wanted(&SectionId::Keys).then_some(&self.keys),
+            teams: teams
+                .map(|(id, section)| (id, section.unwrap_or_default()))
+                .collect(),
+        };
+        toml::to_string(&part).expect("every part of a document has a TOML form")
     }
 }
 
+/// Some sections of a document; those that are left out have no heading either.
+#[derive(Debug, Serialize)]
+struct Part<'d> {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    fleet: Option<&'d FleetSection>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    keys: Option<&'d KeysSection>,
+    #[serde(rename = "team", skip_serializing_if = "LiteMap::is_empty")]
+    teams: LiteMap<TeamId, TeamSection>,
+}
+
 /// Adds the broken rules to the faults, but none where the field could not be read at all.
 pub(crate) fn with_violations(
     draft: &Draft,
--- a/rhubarbfall-document/tests/parse.rs
+++ b/rhubarbfall-document/tests/parse.rs
@@ -6,7 +6,7 @@
 use expect_test::expect;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
-use rhubarbfall_document::{Document, Draft};
+use rhubarbfall_document::{Document, Draft, SectionId};
 
 const EXAMPLE: &str = include_str!("example.toml");
 
@@ -177,6 +177,19 @@
     .assert_eq(&error.to_string());
 }
 
+#[test]
+fn the_text_of_a_section_holds_no_other() {
+    let document = Document::parse(EXAMPLE).expect("the example is valid");
+    for id in document.section_ids() {
+        let text = document.sections_to_toml(std::slice::from_ref(&id));
+        let draft = Draft::parse(&text).expect("canonical text is readable");
+        let sections: Vec<_> = draft.sections().collect();
+        assert_eq!(sections, [(&id, &document.section(&id))]);
+    }
+    let empty = Document::default().sections_to_toml(&[SectionId::Fleet]);
+    assert_eq!(empty, "[fleet]\n");
+}
+
 #[test]
 fn unknown_fields_are_refused_in_json_too() {
     let queue =
