--- a/rhubarbfall-membership/src/config.rs
+++ b/rhubarbfall-membership/src/config.rs
@@ -24,8 +24,6 @@
     pub max_poll_backoff: Duration,
     /// The time between two heartbeats to one peer.
     pub heartbeat_interval: Duration,
-    /// How long a peer may stay silent before it is taken for dead.
-    pub silence_timeout: Duration,
     /// How long an acceptor waits for answers to an intent before it goes on with those it has.
     pub intent_answer_timeout: Duration,
     /// How long answers to an intent hold; a commit starts before they end.
@@ -42,7 +40,6 @@
             min_poll_backoff: Duration::from_millis(500),
             max_poll_backoff: Duration::from_secs(4),
             heartbeat_interval: Duration::from_millis(500),
-            silence_timeout: Duration::from_secs(2),
             intent_answer_timeout: Duration::from_secs(1),
             intent_lifetime: Duration::from_secs(10),
         }
--- a/rhubarbfall-membership/src/gossip/compose.rs
+++ b/rhubarbfall-membership/src/gossip/compose.rs
@@ -1,6 +1,6 @@
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use rhubarbfall_core::{AvailabilityZoneId, EntryId};
+use rhubarbfall_core::EntryId;
 use rhubarbfall_wire::messages::membership::{Heartbeat, IntentReference, RelayedRead, ZoneWord};
 
 use super::messages::age_ms;
@@ -15,18 +15,24 @@
         } else {
             Vec::new()
         };
-        let peers = self.peers.iter();
-        let near = peers.filter(|(_, peer)| peer.member.zone == self.own.zone);
+        let near = self.zones.get(&self.own.zone).into_iter().flatten();
+        let near = near.filter_map(|entry| self.peers.get(entry).map(|peer| (entry, peer)));
         near.map(|(entry, peer)| self.outgoing(now, entry, peer, zones.clone()))
             .collect()
     }
 
     /// Returns the heartbeats to one entry of each other zone.
     pub(super) fn speaker_heartbeats(&self, now: Instant) -> Vec<Outgoing> {
-        let own: Vec<_> = self.zone_word(now, &self.own.zone).into_iter().collect();
-        let zones = self.zones().into_iter();
-        let others = zones.filter(|zone| **zone != self.own.zone);
-        let targets = others.filter_map(|zone| self.speaker_of(now, zone));
+        let own_zone = self.zones.iter().enumerate();
+        let own_zone = own_zone.filter(|(_, (zone, _))| **zone == self.own.zone);
+        let own: Vec<_> = own_zone
+            .filter_map(|(index, (_, entries))| self.zone_word(now, index, entries))
+            .collect();
+        let others = self
+            .zones
+            .iter()
+            .filter(|(zone, _)| **zone != self.own.zone);
+        let targets = others.filter_map(|(_, entries)| self.speaker_of(now, entries));
         targets
             .map(|(entry, peer)| self.outgoing(now, entry, peer, own.clone()))
             .collect()
@@ -72,47 +78,54 @@
         ids.map(IntentReference::from).collect()
     }
 
-    /// Returns the entry of another zone to talk to: its speaker, or each in turn until one answers.
-    fn speaker_of(
-        &self,
+    /// Returns the entry of another zone to talk to: its speaker, its first live entry, or each in
+    /// turn until one answers.
+    fn speaker_of<'a>(
+        &'a self,
         now: Instant,
-        zone: &AvailabilityZoneId,
-    ) -> Option<(&EntryId, &PeerState)> {
-        let peers = self.peers.iter();
-        let entries: Vec<_> = peers
-            .filter(|(_, peer)| peer.member.zone == *zone)
-            .collect();
-        let has_spoken = |peer: &PeerState| {
-            let heard = peer.last_heard.filter(|_| peer.is_speaker);
-            heard.is_some_and(|heard| now < heard + self.config.silence_timeout)
+        entries: &'a [EntryId],
+    ) -> Option<(&'a EntryId, &'a PeerState)> {
+        let limit = self.silence_limit(now);
+        let has_spoken = |entry: &&EntryId| {
+            let speaker = self.peers.get(entry).filter(|peer| peer.is_speaker);
+            let heard = speaker.and_then(|peer| peer.last_heard);
+            heard.is_some_and(|heard| now < heard + limit)
         };
-        let speaker = entries.iter().find(|(_, peer)| has_spoken(peer));
-        if let Some(speaker) = speaker {
-            return Some(*speaker);
-        }
-        let tries = now.saturating_duration_since(self.started).as_millis()
-            / self.config.silence_timeout.as_millis().max(1);
-        let index = tries as usize % entries.len().max(1);
-        entries.get(index).copied()
+        let has_word = |entry: &&EntryId| {
+            self.word_age(now, entry)
+                .is_some_and(|age| age < self.config.evidence_bound)
+        };
+        let turn =
+            now.saturating_duration_since(self.started).as_millis() / limit.as_millis().max(1);
+        let in_turn = entries.get(turn as usize % entries.len().max(1));
+        let spoken = entries.iter().find(has_spoken);
+        let entry = spoken
+            .or_else(|| entries.iter().find(has_word))
+            .or(in_turn)?;
+        Some((entry, self.peers.get(entry)?))
+    }
+
+    fn word_age(&self, now: Instant, entry: &EntryId) -> Option<Duration> {
+        let word = self.freshness.word(entry)?;
+        Some(now.saturating_duration_since(word.time))
     }
 
     fn other_zone_words(&self, now: Instant) -> Vec<ZoneWord> {
-        let zones = self.zones().into_iter();
-        let others = zones.filter(|zone| **zone != self.own.zone);
+        let zones = self.zones.iter().enumerate();
+        let others = zones.filter(|(_, (zone, _))| **zone != self.own.zone);
         others
-            .filter_map(|zone| self.zone_word(now, zone))
+            .filter_map(|(index, (_, entries))| self.zone_word(now, index, entries))
             .collect()
     }
 
     /// Returns one word for a whole zone; it covers the members with a recent and settled word.
-    fn zone_word(&self, now: Instant, zone: &AvailabilityZoneId) -> Option<ZoneWord> {
-        let zone_index = self.zones().binary_search(&zone).ok()?;
+    fn zone_word(&self, now: Instant, zone_index: usize, entries: &[EntryId]) -> Option<ZoneWord> {
         let mut summary = ZoneWord {
             zone_index: zone_index as u32,
             ..ZoneWord::default()
         };
         let mut covered = 0;
-        for (index, entry) in self.entries_of(zone).into_iter().enumerate() {
+        for (index, entry) in entries.iter().enumerate() {
             if self.cover(now, entry, &mut summary) {
                 covered += 1;
             } else {
@@ -150,15 +163,6 @@
         add_intents(summary, intents.collect());
         true
     }
-
-    /// Returns the entries of a zone in order, this one included.
-    pub(super) fn entries_of(&self, zone: &AvailabilityZoneId) -> Vec<&EntryId> {
-        let members = self.members().chain([(&self.entry, &self.own)]);
-        let near = members.filter(|(_, member)| member.zone == *zone);
-        let mut entries: Vec<_> = near.map(|(entry, _)| entry).collect();
-        entries.sort();
-        entries
-    }
 }
 
 fn add_intents(summary: &mut ZoneWord, intents: Vec<IntentReference>) {
--- a/rhubarbfall-membership/src/gossip/receive.rs
+++ b/rhubarbfall-membership/src/gossip/receive.rs
@@ -37,6 +37,10 @@
                 ..Received::default()
             };
         }
+        // An answer at once lets both date what they hear one heartbeat earlier.
+        if peer.last_heard.is_none() {
+            self.next_tick = now;
+        }
         peer.last_heard = Some(now);
         peer.last_stamp_ms = Some(heartbeat.stamp_ms);
         peer.is_speaker = heartbeat.is_speaker;
@@ -85,19 +89,16 @@
 
     /// Takes in a word of a whole zone; the rosters are equal, so places name the same entries.
     fn learn_zone(&mut self, composed: Instant, summary: &ZoneWord) {
-        let zones = self.zones();
-        let Some(zone) = zones.get(summary.zone_index as usize) else {
+        let zone = self.zones.get_indexed(summary.zone_index as usize);
+        let Some((_, entries)) = zone.filter(|(zone, _)| **zone != self.own.zone) else {
             return;
         };
-        if **zone == self.own.zone {
-            return;
-        }
+        let covered = entries.iter().enumerate();
+        let covered = covered.filter(|(index, _)| !summary.uncovered.contains(&(*index as u32)));
+        let covered: Vec<EntryId> = covered.map(|(_, entry)| entry.clone()).collect();
         let Some(time) = earlier(composed, summary.age_ms) else {
             return;
         };
-        let entries = self.entries_of(zone).into_iter().enumerate();
-        let covered = entries.filter(|(index, _)| !summary.uncovered.contains(&(*index as u32)));
-        let covered: Vec<EntryId> = covered.map(|(_, entry)| entry.clone()).collect();
         for entry in covered {
             let Some(peer) = self.peers.get_mut(&entry) else {
                 continue;
--- a/rhubarbfall-membership/src/gossip/roster.rs
+++ b/rhubarbfall-membership/src/gossip/roster.rs
@@ -1,4 +1,4 @@
-use rhubarbfall_core::{EntryId, Incarnation};
+use rhubarbfall_core::{AvailabilityZoneId, EntryId, Incarnation, LiteMap};
 use rhubarbfall_wire::messages::membership::{Roster, RosterMember};
 
 use super::peer_state::PeerState;
@@ -70,6 +70,23 @@
         let members: Vec<_> = members.collect();
         self.freshness.set_members(members);
         self.roster_digest = self.digest();
+        self.zones = self.entries_by_zone();
+    }
+
+    fn entries_by_zone(&self) -> LiteMap<AvailabilityZoneId, Vec<EntryId>> {
+        let own = [(&self.entry, &self.own)];
+        let mut members: Vec<_> = self.members().chain(own).collect();
+        members.sort_by_key(|(entry, _)| *entry);
+        let mut zones: LiteMap<AvailabilityZoneId, Vec<EntryId>> = LiteMap::new();
+        for (entry, member) in members {
+            match zones.get_mut(&member.zone) {
+                Some(entries) => entries.push(entry.clone()),
+                None => {
+                    zones.insert(member.zone.clone(), vec![entry.clone()]);
+                }
+            }
+        }
+        zones
     }
 
     fn digest(&self) -> u64 {
--- a/rhubarbfall-membership/src/gossip/state.rs
+++ b/rhubarbfall-membership/src/gossip/state.rs
@@ -51,6 +51,8 @@
     /// Members that are gone, so that a peer's older roster does not bring them back.
     pub(super) gone: LiteMap<EntryId, Incarnation>,
     pub(super) roster_digest: u64,
+    /// The entries of each zone, this one included.
+    pub(super) zones: LiteMap<AvailabilityZoneId, Vec<EntryId>>,
     pub(super) next_tick: Instant,
 }
 
@@ -68,6 +70,7 @@
             peers: LiteMap::new(),
             gone: LiteMap::new(),
             roster_digest: 0,
+            zones: LiteMap::new(),
             next_tick: now,
         };
         gossip.roster_changed();
@@ -107,7 +110,7 @@
         };
         let word = self.freshness.word(entry).map(|word| word.time);
         let limit = if peer.member.zone == self.own.zone {
-            self.config.silence_timeout
+            self.silence_limit(now)
         } else {
             self.config.evidence_bound
         };
@@ -154,11 +157,8 @@
         self.config.heartbeat_interval * if is_read_fresh { 2 } else { 1 }
     }
 
-    pub(super) fn zones(&self) -> Vec<&AvailabilityZoneId> {
-        let zones = self.peers.values().map(|peer| &peer.member.zone);
-        let mut zones: Vec<_> = zones.chain([&self.own.zone]).collect();
-        zones.sort();
-        zones.dedup();
-        zones
+    /// How long an entry of the own zone may stay silent: two heartbeats may be lost.
+    pub(super) fn silence_limit(&self, now: Instant) -> Duration {
+        self.interval(now) * 5 / 2
     }
 }
