feat(entry): accept changes of the document by section

The document stood in one row that whoever came last overwrote. Sections are rows now, an acceptance is one transaction on the head row, and an entry reads only the sections that changed since the revision that it has in force. Whose key a change comes with is decided on the state that the change is accepted on, not on the one in force, so that a withdrawn key changes nothing.

--- a/rhubarbfall-document/src/accept.rs
+++ b/rhubarbfall-document/src/accept.rs
@@ -14,11 +14,11 @@
 use crate::head::MAX_RECENT_CHANGES;
 use crate::parse::with_violations;
 use crate::table_plan::{
-    HEAD_ROW_KEY, HISTORY_ROW_PREFIX, PlannedCondition, PlannedWrite, SECTION_ROW_PREFIX, TablePlan,
+    HEAD_ROW_KEY, HISTORY_ROW_PREFIX, PlannedCondition, PlannedWrite, TablePlan, section_row_key,
 };
 use crate::{
-    Change, Document, DocumentState, Draft, Head, HistoryRecord, RecentChange, SectionChange,
-    SectionId,
+    Change, Document, DocumentState, Draft, Head, HistoryRecord, KeyOwner, RecentChange,
+    SectionChange, SectionId,
 };
 
 /// How many revisions the history goes back.
@@ -82,30 +82,41 @@
     if !faults.is_empty() {
         return Err(ChangeError::Invalid(DocumentError::new(false, faults)));
     }
-    let author = change.owner.to_string();
-    let next = next_revision(state, document.sorted(), author, change);
+    let next = next_revision(state, document.sorted(), change);
     if next.record.changes.is_empty() {
         return Ok(Acceptance::Unchanged(state.document.revision));
     }
     Ok(Acceptance::Next(Box::new(next)))
 }
 
-/// Plans the first revision of a fleet whose table holds no document yet.
+/// Decides whether a change becomes the first revision of a fleet whose table holds none yet.
+///
+/// The first document comes as a whole, with the sections of teams, from an operator whose key it
+/// grants itself; base versions are not looked at.
 ///
 /// # Errors
 ///
-/// Returns every rule that the document breaks.
-pub fn plan_initial(document: Document, now_unix_ms: u64) -> Result<NextRevision, DocumentError> {
-    document.check()?;
-    let change = Change {
-        owner: crate::KeyOwner::Operator(Arc::from("initial")),
-        transaction_id: Arc::from("initial-document"),
-        draft: Draft::default(),
-        now_unix_ms,
-    };
-    let author = change.owner.to_string();
-    let empty = DocumentState::default();
-    Ok(next_revision(&empty, document.sorted(), author, &change))
+/// As [`accept`]; [`ChangeError::Conflict`] with every section when a document exists.
+pub fn accept_first(state: &DocumentState, change: &Change) -> Result<Acceptance, ChangeError> {
+    if let Some(revision) = revision_of(state, &full_transaction_id(change)) {
+        return Ok(Acceptance::AlreadyAccepted(revision));
+    }
+    if state.head.revision > Revision::default() {
+        let ids = state.document.section_ids();
+        let conflicts = ids.iter().map(|id| conflict(state, &change.draft, id));
+        return Err(ChangeError::Conflict(conflicts.collect()));
+    }
+    if !matches!(change.owner, KeyOwner::Operator(_)) {
+        let sections = change.draft.sections().map(|(id, _)| id.clone());
+        return Err(ChangeError::Forbidden(sections.collect()));
+    }
+    let document = change.draft.to_document();
+    let faults = with_violations(&change.draft, Vec::new(), check(&document));
+    if !faults.is_empty() {
+        return Err(ChangeError::Invalid(DocumentError::new(false, faults)));
+    }
+    let next = next_revision(state, document.sorted(), change);
+    Ok(Acceptance::Next(Box::new(next)))
 }
 
 /// Keeps the identifiers of one author apart from those of another.
@@ -140,19 +151,11 @@
 }
 
 fn check_base_versions(state: &DocumentState, draft: &Draft) -> Result<(), ChangeError> {
-    let conflict = |section: &SectionId| {
-        let base_version = draft.base_version(section);
-        let current_version = state.version(section);
-        (base_version != Some(current_version)).then(|| SectionConflict {
-            section: section.clone(),
-            base_version,
-            current_version,
-            changed_since: changes_of(state, section, base_version.unwrap_or(current_version)),
-        })
-    };
+    let is_stale = |id: &SectionId| draft.base_version(id) != Some(state.version(id));
     let conflicts: Vec<_> = draft
         .sections()
-        .filter_map(|(id, _)| conflict(id))
+        .filter(|(id, _)| is_stale(id))
+        .map(|(id, _)| conflict(state, draft, id))
         .collect();
     if conflicts.is_empty() {
         Ok(())
@@ -161,6 +164,17 @@
     }
 }
 
+fn conflict(state: &DocumentState, draft: &Draft, section: &SectionId) -> SectionConflict {
+    let base_version = draft.base_version(section);
+    let current_version = state.version(section);
+    SectionConflict {
+        section: section.clone(),
+        base_version,
+        current_version,
+        changed_since: changes_of(state, section, base_version.unwrap_or(current_version)),
+    }
+}
+
 /// Returns the history of one section after a version of it.
 fn changes_of(
     state: &DocumentState,
@@ -208,18 +222,13 @@
     next
 }
 
-fn next_revision(
-    state: &DocumentState,
-    mut document: Document,
-    author: String,
-    change: &Change,
-) -> NextRevision {
+fn next_revision(state: &DocumentState, mut document: Document, change: &Change) -> NextRevision {
     let revision = state.document.revision.next();
     document.revision = revision;
     let record = HistoryRecord {
         revision,
         accepted_unix_ms: change.now_unix_ms,
-        author: Arc::from(author),
+        author: Arc::from(change.owner.to_string()),
         transaction_id: Arc::from(full_transaction_id(change)),
         changes: section_changes(&state.document, &document),
     };
@@ -287,7 +296,7 @@
 ) -> TablePlan {
     let mut writes = vec![write(HEAD_ROW_KEY, Some(to_value(head)))];
     for change in &record.changes {
-        let key = format!("{SECTION_ROW_PREFIX}{}", change.section);
+        let key = section_row_key(&change.section);
         let row = SectionRow {
             version: change.version,
             body: document.section(&change.section),
--- a/rhubarbfall-document/src/document_state.rs
+++ b/rhubarbfall-document/src/document_state.rs
@@ -78,6 +78,36 @@
         &self.history[first..]
     }
 
+    /// Returns a document with the rows of the sections that changed up to a newer head; an absent
+    /// row stands for a section that is gone.
+    ///
+    /// # Errors
+    ///
+    /// [`RowsError::Torn`] when a row is newer than the head, so that both must be read again.
+    pub fn catch_up(
+        document: &Document,
+        head: &Head,
+        rows: impl IntoIterator<Item = (SectionId, Option<TableRow>)>,
+    ) -> Result<Document, RowsError> {
+        let mut state = Self {
+            document: document.clone(),
+            head: head.clone(),
+            ..Self::default()
+        };
+        for (section, row) in rows {
+            match (section, row) {
+                (section, Some(row)) => state.add_section(section, &row)?,
+                (SectionId::Team(team), None) => {
+                    state.document.teams.remove(&team);
+                }
+                (section, None) => return Err(RowsError::Torn(section)),
+            }
+        }
+        state.check_whole()?;
+        state.document.revision = head.revision;
+        Ok(state.document.sorted())
+    }
+
     fn add_row(&mut self, row: &TableRow) -> Result<(), RowsError> {
         if &*row.key == HEAD_ROW_KEY {
             self.head = decode(row)?;
--- a/rhubarbfall-document/src/lib.rs
+++ b/rhubarbfall-document/src/lib.rs
@@ -40,7 +40,7 @@
 mod team_section;
 mod team_spec;
 
-pub use accept::{Acceptance, NextRevision, accept, plan_initial};
+pub use accept::{Acceptance, NextRevision, accept, accept_first};
 pub use access_key::{AccessKey, MAX_KEY_BYTES, ParseAccessKeyError};
 pub use change::Change;
 pub use change_error::{ChangeError, SectionConflict};
@@ -67,6 +67,7 @@
 pub use service_spec::ServiceSpec;
 pub use table_plan::{
     HEAD_ROW_KEY, PlannedCondition, PlannedWrite, ROW_KEY_PREFIX, TablePlan, TableRow,
+    section_row_key,
 };
 pub use team_section::TeamSection;
 pub use team_spec::TeamSpec;
--- a/rhubarbfall-document/src/table_plan.rs
+++ b/rhubarbfall-document/src/table_plan.rs
@@ -3,6 +3,8 @@
 use rhubarbfall_core::RowVersion;
 use serde_json::Value;
 
+use crate::SectionId;
+
 /// The key of the row that every acceptance writes.
 pub const HEAD_ROW_KEY: &str = "document/head";
 
@@ -12,6 +14,20 @@
 /// What the keys of section rows start with.
 pub(crate) const SECTION_ROW_PREFIX: &str = "document/section/";
 
+/// Returns the key of a section's row.
+///
+/// # Examples
+///
+/// ```
+/// use rhubarbfall_document::{SectionId, section_row_key};
+///
+/// assert_eq!(&*section_row_key(&SectionId::Keys), "document/section/keys");
+/// ```
+#[must_use]
+pub fn section_row_key(section: &SectionId) -> Arc<str> {
+    Arc::from(format!("{SECTION_ROW_PREFIX}{section}"))
+}
+
 /// What the keys of history rows start with.
 pub(crate) const HISTORY_ROW_PREFIX: &str = "document/history/";
 
--- a/rhubarbfall-document/tests/accept.rs
+++ b/rhubarbfall-document/tests/accept.rs
@@ -10,8 +10,8 @@
 use proptest::test_runner::{Config, RngSeed};
 use rhubarbfall_core::{LiteMap, RowVersion, SectionVersion};
 use rhubarbfall_document::{
-    Acceptance, Change, ChangeError, Document, DocumentState, Draft, KeyOwner, NextRevision,
-    RowsError, SectionId, TablePlan, TableRow, accept, plan_initial,
+    Acceptance, Change, ChangeError, DocumentState, Draft, KeyOwner, NextRevision, RowsError,
+    SectionId, TablePlan, TableRow, accept, accept_first, section_row_key,
 };
 use serde_json::Value;
 
@@ -71,10 +71,14 @@
 }
 
 fn start() -> (Rows, DocumentState) {
-    let document = Document::parse(EXAMPLE).expect("the example is valid");
-    let next = plan_initial(document, 0).expect("the example is valid");
+    let first = change(operator(), "0", EXAMPLE);
+    let Ok(Acceptance::Next(next)) = accept_first(&DocumentState::default(), &first) else {
+        panic!("the example is valid");
+    };
     let mut rows = Rows::default();
     assert!(rows.take(&next.plan));
+    let repeat = accept_first(&next.state, &first);
+    assert!(matches!(repeat, Ok(Acceptance::AlreadyAccepted(_))));
     (rows, next.state)
 }
 
@@ -280,6 +284,19 @@
             prop_assert_eq!(next.state.version(&section), version);
             let repeat = accept(&next.state, &change);
             prop_assert!(matches!(repeat, Ok(Acceptance::AlreadyAccepted(_))));
+            let row = |id: SectionId| {
+                let key = section_row_key(&id);
+                let (version, value) = rows.0.get(&key).cloned().unwrap_or_default();
+                (id, value.map(|value| TableRow { key, version, value }))
+            };
+            let changed = next.state.head.changed_since(state.document.revision);
+            let changed = changed.expect("the head names the newest revision");
+            let caught_up = DocumentState::catch_up(
+                &state.document,
+                &next.state.head,
+                changed.into_iter().map(row),
+            );
+            prop_assert_eq!(caught_up.as_ref(), Ok(&next.state.document));
             stale = std::mem::replace(&mut state, next.state);
             let read = rows.state();
             prop_assert_eq!(read.as_ref(), Ok(&state));
--- a/rhubarbfall-entry/src/control/document_poll.rs
+++ b/rhubarbfall-entry/src/control/document_poll.rs
@@ -5,11 +5,9 @@
 use rhubarbfall_platform::PlatformError;
 use tokio::time::sleep;
 
+use crate::document::{read_head, read_newer};
 use crate::{Phase, Shared};
 
-/// The row that holds the document.
-pub(crate) const DOCUMENT_ROW: &str = "document/whole";
-
 /// Reads the document until the process ends, and puts a newer one in force.
 pub(super) async fn run(shared: Arc<Shared>) {
     let interval = Duration::from_millis(shared.settings.control.document_poll_ms);
@@ -23,10 +21,16 @@
 
 async fn poll(shared: &Arc<Shared>) -> Result<(), PlatformError> {
     let asked_at = shared.clock.now();
-    if let Some(row) = shared.table.read(DOCUMENT_ROW).await? {
-        put_in_force(shared, row.parse()?);
-        *shared.document_confirmed_at.lock() = Some(asked_at);
+    let Some(head) = read_head(&shared.table).await? else {
+        return Ok(());
+    };
+    let in_force = shared.document.load_full();
+    let known = in_force.as_ref().map(|document| document.revision);
+    if known < Some(head.revision) {
+        let document = read_newer(&shared.table, in_force.as_deref(), &head).await?;
+        put_in_force(shared, document);
     }
+    *shared.document_confirmed_at.lock() = Some(asked_at);
     Ok(())
 }
 
--- /dev/null
+++ b/rhubarbfall-entry/src/document/mod.rs
@@ -0,0 +1,7 @@
+//! The document in the platform's table: reading it, and recording accepted changes.
+
+mod acceptance;
+mod store;
+
+pub(crate) use acceptance::{ChangeRequest, accept_change, check_change, not_done};
+pub(crate) use store::{read_head, read_newer, read_state};
--- a/rhubarbfall-entry/src/lib.rs
+++ b/rhubarbfall-entry/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod control;
 pub mod dispatch;
+mod document;
 mod entry;
 mod lifecycle;
 pub mod operator;
--- /dev/null
+++ b/rhubarbfall-entry/src/operator/answer.rs
@@ -0,0 +1,29 @@
+use rhubarbfall_core::ResultCode;
+use rhubarbfall_document::api::ErrorAnswer;
+use serde::Serialize;
+use xitca_web::body::ResponseBody;
+use xitca_web::http::header::{CONTENT_TYPE, HeaderValue};
+use xitca_web::http::{StatusCode, WebResponse};
+
+/// Makes the answer of an endpoint: a value, or a numbered error.
+pub(super) fn answer<T: Serialize>(result: Result<T, ErrorAnswer>) -> WebResponse {
+    match result {
+        Ok(value) => json(ResultCode::Completed, &value),
+        Err(error) => {
+            log::info!("event=operator-refused code={}", error.code.number());
+            json(error.code, &error)
+        }
+    }
+}
+
+/// Makes an answer with a value as JSON.
+pub(super) fn json(code: ResultCode, value: &impl Serialize) -> WebResponse {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    let mut response = WebResponse::new(ResponseBody::bytes(body));
+    let status = StatusCode::from_u16(code.http_status());
+    *response.status_mut() = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    headers.insert("x-rhubarbfall-code", HeaderValue::from(code.number()));
+    response
+}
--- /dev/null
+++ b/rhubarbfall-entry/src/operator/fleet_endpoints.rs
@@ -0,0 +1,97 @@
+use rhubarbfall_core::ResultCode;
+use rhubarbfall_document::api::{
+    EntryStatus, ErrorAnswer, KeyDigestAnswer, StatusView, UpstreamView,
+};
+use rhubarbfall_document::{AccessKey, digest_key};
+use xitca_web::body::RequestBody;
+use xitca_web::handler::body::Body;
+use xitca_web::handler::state::StateRef;
+use xitca_web::http::{HeaderMap, WebResponse};
+
+use super::OperatorContext;
+use super::answer::answer;
+use super::document_endpoints::read_text;
+use super::operator_key::check_operator;
+use crate::Shared;
+use crate::document::read_head;
+
+/// Answers with the digest of the key in the body, so that an operator can grant it.
+pub(super) async fn key_digest(
+    StateRef(context): StateRef<'_, OperatorContext>,
+    headers: &HeaderMap,
+    Body(body): Body<RequestBody>,
+) -> WebResponse {
+    answer(digest_of_body(&context.shared, headers, body).await)
+}
+
+/// Answers with who has which revision in force.
+pub(super) async fn status(
+    StateRef(context): StateRef<'_, OperatorContext>,
+    headers: &HeaderMap,
+) -> WebResponse {
+    let shared = &context.shared;
+    answer(match check_operator(shared, headers) {
+        Ok(()) => Ok(status_of(shared).await),
+        Err(error) => Err(error),
+    })
+}
+
+/// Answers with the upstreams that this entry knows.
+pub(super) async fn upstreams(
+    StateRef(context): StateRef<'_, OperatorContext>,
+    headers: &HeaderMap,
+) -> WebResponse {
+    let shared = &context.shared;
+    answer(check_operator(shared, headers).map(|()| upstreams_of(shared)))
+}
+
+async fn digest_of_body(
+    shared: &Shared,
+    headers: &HeaderMap,
+    body: RequestBody,
+) -> Result<KeyDigestAnswer, ErrorAnswer> {
+    check_operator(shared, headers)?;
+    let text = read_text(shared, body).await?;
+    let text = String::from_utf8_lossy(&text);
+    let key: AccessKey =
+        text.parse()
+            .map_err(|error: rhubarbfall_document::ParseAccessKeyError| {
+                ErrorAnswer::new(ResultCode::BadRequest).message(error.to_string())
+            })?;
+    let digest = digest_key(&shared.settings.secrets.key_pepper, key.reveal());
+    Ok(KeyDigestAnswer { digest })
+}
+
+async fn status_of(shared: &Shared) -> StatusView {
+    let head = read_head(&shared.table).await;
+    let settings = &shared.settings.entry;
+    let document = shared.document.load_full();
+    let own = EntryStatus {
+        availability_zone: settings.availability_zone.clone(),
+        entry: settings.id.clone(),
+        revision: document.map(|document| document.revision),
+        age_ms: Some(0),
+    };
+    StatusView {
+        entry: settings.id.clone(),
+        newest: head.ok().flatten().map(|head| head.revision),
+        entries: vec![own],
+    }
+}
+
+fn upstreams_of(shared: &Shared) -> Vec<UpstreamView> {
+    let snapshot = shared.dispatcher.snapshot();
+    let view = |upstream: crate::dispatch::UpstreamSnapshot| UpstreamView {
+        id: upstream.upstream,
+        service: upstream.service,
+        availability_zone: shared.settings.entry.availability_zone.clone(),
+        state: if upstream.is_leaving {
+            "leaving"
+        } else {
+            "serving"
+        }
+        .into(),
+        running_slots: upstream.running_slots.get(),
+    };
+    snapshot.upstreams.into_iter().map(view).collect()
+}
--- a/rhubarbfall-entry/src/operator/health_endpoints.rs
+++ b/rhubarbfall-entry/src/operator/health_endpoints.rs
@@ -1,9 +1,9 @@
-use serde::Serialize;
+use rhubarbfall_core::ResultCode;
 use xitca_web::body::ResponseBody;
 use xitca_web::handler::state::StateRef;
-use xitca_web::http::header::{CONTENT_TYPE, HeaderValue};
 use xitca_web::http::{StatusCode, WebResponse};
 
+use super::answer::json;
 use super::{OperatorContext, StateDump};
 use crate::Phase;
 
@@ -36,14 +36,5 @@
 
 /// Answers with the whole state as JSON.
 pub(super) async fn state(StateRef(context): StateRef<'_, OperatorContext>) -> WebResponse {
-    json(&StateDump::of(&context.shared))
-}
-
-/// Makes an answer with a value as JSON.
-pub(super) fn json(value: &impl Serialize) -> WebResponse {
-    let body = serde_json::to_vec(value).unwrap_or_default();
-    let mut response = WebResponse::new(ResponseBody::bytes(body));
-    let content_type = HeaderValue::from_static("application/json");
-    response.headers_mut().insert(CONTENT_TYPE, content_type);
-    response
+    json(ResultCode::Completed, &StateDump::of(&context.shared))
 }
--- a/rhubarbfall-entry/src/operator/mod.rs
+++ b/rhubarbfall-entry/src/operator/mod.rs
@@ -1,7 +1,10 @@
 //! The operators' interface: the document, the state dump, metrics and health.
 
+mod answer;
 mod document_endpoints;
+mod fleet_endpoints;
 mod health_endpoints;
+mod operator_key;
 mod server;
 mod state_dump;
 
--- /dev/null
+++ b/rhubarbfall-entry/src/operator/operator_key.rs
@@ -0,0 +1,53 @@
+use rhubarbfall_core::ResultCode;
+use rhubarbfall_document::api::{ErrorAnswer, KEY_HEADER};
+use rhubarbfall_document::{AccessKey, Document, KeyDigest, KeyOwner, digest_key};
+use xitca_web::http::HeaderMap;
+
+use crate::Shared;
+
+/// Returns the digest of the key that came with a request.
+pub(super) fn key_digest(shared: &Shared, headers: &HeaderMap) -> Result<KeyDigest, ErrorAnswer> {
+    let refused = || ErrorAnswer::new(ResultCode::OperatorKeyRefused);
+    let key = text_header(headers, KEY_HEADER)?.ok_or_else(refused)?;
+    let key: AccessKey = key.parse().map_err(|_| refused())?;
+    let pepper = &shared.settings.secrets.key_pepper;
+    Ok(digest_key(pepper, key.reveal()))
+}
+
+/// Returns whose key it is.
+pub(super) fn owner(document: &Document, digest: &KeyDigest) -> Result<KeyOwner, ErrorAnswer> {
+    let granted = document.key(digest);
+    granted
+        .map(|key| key.owner.clone())
+        .ok_or_else(|| ErrorAnswer::new(ResultCode::OperatorKeyRefused))
+}
+
+/// Refuses a request whose key is not an operator's, by the document in force.
+pub(super) fn check_operator(shared: &Shared, headers: &HeaderMap) -> Result<(), ErrorAnswer> {
+    let digest = key_digest(shared, headers)?;
+    let document = shared.document.load_full();
+    let document = document.ok_or_else(|| ErrorAnswer::new(ResultCode::NotReady))?;
+    match owner(&document, &digest)? {
+        KeyOwner::Operator(_) => Ok(()),
+        KeyOwner::Team(_) => Err(ErrorAnswer::new(ResultCode::OperatorKeyRefused)),
+    }
+}
+
+/// Returns a header that may come once.
+pub(super) fn text_header<'a>(
+    headers: &'a HeaderMap,
+    name: &str,
+) -> Result<Option<&'a str>, ErrorAnswer> {
+    let bad = |fault: &str| {
+        ErrorAnswer::new(ResultCode::BadRequest).message(format!("header {name} {fault}"))
+    };
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        return Err(bad("came more than once"));
+    }
+    let text = value.to_str().map_err(|_| bad("is not visible ASCII"))?;
+    Ok(Some(text))
+}
--- a/rhubarbfall-entry/src/operator/server.rs
+++ b/rhubarbfall-entry/src/operator/server.rs
@@ -4,9 +4,9 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use xitca_web::App;
 use xitca_web::handler::handler_service;
-use xitca_web::route::get;
+use xitca_web::route::{get, post};
 
-use super::{document_endpoints, health_endpoints};
+use super::{document_endpoints, fleet_endpoints, health_endpoints};
 use crate::Shared;
 use crate::traffic::HttpListener;
 
@@ -33,7 +33,25 @@
         .at(
             "/v1/document",
             get(handler_service(document_endpoints::show))
-                .put(handler_service(document_endpoints::apply)),
+                .post(handler_service(document_endpoints::apply))
+                .put(handler_service(document_endpoints::put_first)),
+        )
+        .at(
+            "/v1/document/check",
+            post(handler_service(document_endpoints::check)),
+        )
+        .at(
+            "/v1/document/history",
+            get(handler_service(document_endpoints::history)),
+        )
+        .at(
+            "/v1/key-digest",
+            post(handler_service(fleet_endpoints::key_digest)),
+        )
+        .at("/v1/status", get(handler_service(fleet_endpoints::status)))
+        .at(
+            "/v1/upstreams",
+            get(handler_service(fleet_endpoints::upstreams)),
         )
         .with_state(context)
         .serve()
--- a/rhubarbfall-entry/src/traffic/handler.rs
+++ b/rhubarbfall-entry/src/traffic/handler.rs
@@ -1,15 +1,15 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
 use rhubarbfall_core::ResultCode;
-use xitca_web::body::{BodyExt, RequestBody, ResponseBody};
+use xitca_web::body::{RequestBody, ResponseBody};
 use xitca_web::handler::body::Body;
 use xitca_web::handler::state::StateRef;
 use xitca_web::http::{HeaderMap, HeaderValue, Uri, WebResponse};
 
 use super::authorize::authorize;
 use super::exchange::{Answer, exchange};
+use super::read_body::read_body;
 use super::upstream_body::{InProgress, UpstreamBody};
 use super::{CallerRequest, Refusal};
 use crate::dispatch::{Permit, Work};
@@ -79,7 +79,11 @@
     if shared.lifecycle.phase() == Phase::Stopping {
         return Err(refuse(ResultCode::EntryStopping));
     }
-    let body = read_body(shared, body).await.map_err(refuse)?;
+    let limits = &shared.settings.traffic;
+    let timeout = Duration::from_millis(limits.body_timeout_ms);
+    let body = read_body(body, limits.max_body_bytes, timeout)
+        .await
+        .map_err(refuse)?;
     let document = shared.document.load_full();
     let document = document.ok_or_else(|| refuse(ResultCode::NotReady))?;
     let pepper = &shared.settings.secrets.key_pepper;
@@ -117,25 +121,6 @@
     Ok(pass_on(shared, permit, answer))
 }
 
-async fn read_body(shared: &Shared, mut body: RequestBody) -> Result<Bytes, ResultCode> {
-    let max_bytes = shared.settings.traffic.max_body_bytes;
-    let timeout = Duration::from_millis(shared.settings.traffic.body_timeout_ms);
-    let read = async {
-        let mut buffer = BytesMut::new();
-        while let Some(data) = body.data().await {
-            let data = data.map_err(|_| ResultCode::BadRequest)?;
-            if buffer.len() + data.len() > max_bytes {
-                return Err(ResultCode::BodyTooLarge);
-            }
-            buffer.extend_from_slice(&data);
-        }
-        Ok(buffer.freeze())
-    };
-    tokio::time::timeout(timeout, read)
-        .await
-        .map_err(|_| ResultCode::BodyTooSlow)?
-}
-
 fn pass_on(shared: &Arc<Shared>, permit: Permit, answer: Answer) -> WebResponse {
     let Answer {
         response,
--- a/rhubarbfall-entry/src/traffic/mod.rs
+++ b/rhubarbfall-entry/src/traffic/mod.rs
@@ -4,12 +4,14 @@
 mod caller_request;
 mod exchange;
 mod handler;
+mod read_body;
 mod refusal;
 mod server;
 mod upstream_body;
 mod upstream_connections;
 
 pub use caller_request::CallerRequest;
+pub(crate) use read_body::read_body;
 pub use refusal::Refusal;
 pub use server::{HttpListener, serve};
 pub use upstream_connections::UpstreamConnections;
--- a/rhubarbfall-testing/src/rig/test_fleet.rs
+++ b/rhubarbfall-testing/src/rig/test_fleet.rs
@@ -296,6 +296,8 @@
 
     fn apply_first_document(&self) {
         let request = Request::new(Method::PUT, self.entries[0].operators(), "/v1/document")
+            .key("operator-key")
+            .header("x-transaction-id", "first-document")
             .body(Bytes::from(self.shape.document.clone()));
         let answer = self.send(request).expect("the entry answers");
         assert_eq!(answer.status, StatusCode::OK, "{:?}", answer.body);
--- /dev/null
+++ b/rhubarbfall/tests/document.rs
@@ -0,0 +1,194 @@
+//! Changes of the document over the operators' interface, with entries as separate processes.
+
+use std::time::Duration;
+
+use http::{Method, StatusCode};
+use rhubarbfall_testing::platform::{Fault, FaultMode, ServiceKind};
+use rhubarbfall_testing::rig::{Answer, EntryProcess, FleetShape, Request, TestFleet, wait_until};
+use serde_json::Value;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_rhubarbfall");
+
+/// The bound within which an accepted change is in force at every entry.
+const IN_FORCE_BOUND: Duration = Duration::from_secs(5);
+
+const TEAM_A: &str = "[versions]\n'team.house-a' = 0\n[team.house-a]\ncontact = 'a'\n";
+const TEAM_B: &str = "[versions]\n'team.house-b' = 0\n[team.house-b]\ncontact = 'b'\n";
+
+fn start() -> TestFleet {
+    TestFleet::start(PROGRAM, FleetShape::new()).expect("the fleet starts")
+}
+
+fn apply(entry: &EntryProcess, key: &str, id: &str, text: &str) -> Request {
+    Request::new(Method::POST, entry.operators(), "/v1/document")
+        .key(key)
+        .header("x-transaction-id", id)
+        .body(text.to_owned())
+}
+
+fn json(answer: &Answer) -> Value {
+    serde_json::from_slice(&answer.body).expect("the answer is JSON")
+}
+
+fn view(fleet: &TestFleet, key: &str) -> Value {
+    let request = Request::new(Method::GET, fleet.entries[0].operators(), "/v1/document").key(key);
+    json(&fleet.send(request).expect("an answer"))
+}
+
+fn codes(answers: &[Answer]) -> Vec<u64> {
+    let code = |answer| json(answer)["code"].as_u64().unwrap_or_default();
+    let mut codes: Vec<u64> = answers.iter().map(code).collect();
+    codes.sort_unstable();
+    codes
+}
+
+#[test]
+fn racing_edits_of_two_sections_are_both_accepted() {
+    let fleet = start();
+    let answers: Vec<Answer> = fleet
+        .send_all(vec![
+            apply(&fleet.entries[0], "house-a-key", "a", TEAM_A),
+            apply(&fleet.entries[1], "house-b-key", "b", TEAM_B),
+        ])
+        .into_iter()
+        .map(|answer| answer.expect("an answer"))
+        .collect();
+    assert_eq!(codes(&answers), [1001, 1001]);
+    let view = view(&fleet, "operator-key");
+    assert_eq!(view["revision"], 3);
+    assert_eq!(view["document"]["team"]["house-a"]["contact"], "a");
+    assert_eq!(view["document"]["team"]["house-b"]["contact"], "b");
+    for entry in &fleet.entries {
+        wait_until("the change is in force", IN_FORCE_BOUND, || {
+            fleet.state(entry)["revision"] == 3
+        });
+    }
+}
+
+#[test]
+fn of_racing_edits_of_one_section_one_is_accepted() {
+    let fleet = start();
+    let edit = |index: usize| {
+        let entry = &fleet.entries[index % fleet.entries.len()];
+        let text = TEAM_A.replace("'a'", &format!("'contact {index}'"));
+        apply(entry, "house-a-key", &format!("edit-{index}"), &text)
+    };
+    let answers: Vec<Answer> = fleet
+        .send_all((0..8).map(edit).collect())
+        .into_iter()
+        .map(|answer| answer.expect("an answer"))
+        .collect();
+    let mut expected = vec![1001];
+    expected.resize(8, 4003);
+    assert_eq!(codes(&answers), expected);
+    let refused = answers.iter().find(|a| a.status == StatusCode::CONFLICT);
+    let conflict = &json(refused.expect("seven are refused"))["detail"]["conflict"][0];
+    assert_eq!(conflict["current_version"], 2);
+    let change = &conflict["changed_since"][0]["changes"][0];
+    assert_eq!(change["differences"][0]["path"], "contact");
+    assert_eq!(view(&fleet, "operator-key")["revision"], 2);
+}
+
+#[test]
+fn lost_answer_and_repeat_are_one_acceptance() {
+    let fleet = start();
+    // The table loses every answer, so that the entry has to give up after the write took effect.
+    let fault = Fault::new(FaultMode::LoseAnswer)
+        .service(ServiceKind::Table)
+        .writes_only(true);
+    fleet.platform.add_fault(fault);
+    let lost = fleet.send(apply(&fleet.entries[0], "house-a-key", "once", TEAM_A));
+    let lost = lost.expect("an answer");
+    assert_eq!(json(&lost)["code"], 4008);
+    assert_eq!(json(&lost)["execution"], "unknown");
+    fleet.platform.clear_faults();
+    for entry in &fleet.entries {
+        let repeat = fleet.send(apply(entry, "house-a-key", "once", TEAM_A));
+        let repeat = json(&repeat.expect("an answer"));
+        assert_eq!(
+            (&repeat["code"], &repeat["revision"]),
+            (&1002.into(), &2.into())
+        );
+    }
+    assert_eq!(view(&fleet, "operator-key")["revision"], 2);
+}
+
+#[test]
+fn one_lost_answer_is_repeated_by_the_entry_itself() {
+    let fleet = start();
+    let fault = Fault::new(FaultMode::LoseAnswer)
+        .service(ServiceKind::Table)
+        .writes_only(true)
+        .remaining(1);
+    fleet.platform.add_fault(fault);
+    let answer = fleet.send(apply(&fleet.entries[0], "house-a-key", "once", TEAM_A));
+    assert_eq!(json(&answer.expect("an answer"))["code"], 1001);
+    assert_eq!(view(&fleet, "operator-key")["revision"], 2);
+}
+
+#[test]
+fn rejected_document_changes_nothing_and_names_line_and_column() {
+    let fleet = start();
+    let before = view(&fleet, "operator-key");
+    let text = "versions.fleet = 1\n[[fleet.pool]]\nid = 'p'\nmax_unavailable_vms = -1\n";
+    let syntax = "versions.fleet = 1\n[[fleet.pool]\n";
+    for (text, code, line) in [(text, 4002, 4), (syntax, 4001, 2)] {
+        let answer = fleet.send(apply(&fleet.entries[0], "operator-key", "bad", text));
+        let answer = json(&answer.expect("an answer"));
+        assert_eq!(answer["code"], code);
+        assert_eq!(answer["execution"], "not-run");
+        assert_eq!(
+            answer["detail"]["invalid"]["faults"][0]["position"]["line"],
+            line
+        );
+        let message = answer["message"].as_str().unwrap_or_default();
+        assert!(
+            message.starts_with(&format!("line {line}, column ")),
+            "{message}"
+        );
+    }
+    assert_eq!(view(&fleet, "operator-key"), before);
+}
+
+#[test]
+fn a_team_sees_and_edits_only_its_own_section() {
+    let fleet = start();
+    let entry = &fleet.entries[0];
+    let accepted = fleet.send(apply(entry, "house-b-key", "own", TEAM_B));
+    assert_eq!(json(&accepted.expect("an answer"))["code"], 1001);
+    let others = [
+        ("house-a-key", TEAM_B.replace("= 0", "= 2")),
+        ("operator-key", TEAM_B.replace("= 0", "= 2")),
+        ("house-a-key", "versions.fleet = 1\n[fleet]\n".to_owned()),
+        ("house-a-key", "versions.keys = 1\n[keys]\n".to_owned()),
+    ];
+    for (key, text) in others {
+        let answer = fleet.send(apply(entry, key, "other", &text));
+        assert_eq!(json(&answer.expect("an answer"))["code"], 4004, "{key}");
+    }
+    for key in ["wrong", ""] {
+        let request = Request::new(Method::GET, entry.operators(), "/v1/document").key(key);
+        let answer = fleet.send(request).expect("an answer");
+        assert_eq!(json(&answer)["code"], 4006, "{key:?}");
+    }
+    let seen = view(&fleet, "house-a-key");
+    assert_eq!(
+        seen["document"]["team"]
+            .as_object()
+            .map_or(0, serde_json::Map::len),
+        0
+    );
+    let keys = seen["document"]["keys"]["key"].as_array().map(Vec::len);
+    assert_eq!(keys, Some(1));
+}
+
+#[test]
+fn a_second_first_document_is_refused() {
+    let fleet = start();
+    let request = Request::new(Method::PUT, fleet.entries[0].operators(), "/v1/document")
+        .key("operator-key")
+        .header("x-transaction-id", "again")
+        .body(rhubarbfall_testing::rig::TEST_DOCUMENT);
+    let answer = fleet.send(request).expect("an answer");
+    assert_eq!(json(&answer)["code"], 4003);
+}
