feat(entry): prove the document newest by table reads, peers and intents

Replaces plain polling: entries register as rows, find each other, exchange heartbeats over the authenticated peer network, and take a peer's relayed read or words of the other zones as evidence where the table does not answer. A change that takes something away is announced before it is recorded, and holders enforce it at once. A document that is behind comes from the peer that has it.

--- a/rhubarbfall-document/src/pepper.rs
+++ b/rhubarbfall-document/src/pepper.rs
@@ -62,6 +62,14 @@
     }
 }
 
+impl Pepper {
+    /// Returns the secret, to derive keys from it.
+    #[must_use]
+    pub fn reveal(&self) -> &str {
+        &self.0
+    }
+}
+
 /// Returns the keyed digest of a key, the only form in which a key is kept.
 ///
 /// # Examples
--- a/rhubarbfall-entry/src/control/control_thread.rs
+++ b/rhubarbfall-entry/src/control/control_thread.rs
@@ -6,8 +6,8 @@
 use tokio::task::LocalSet;
 use tokio::time::sleep;
 
-use super::{document_poll, upstream_poll};
-use crate::{Phase, Shared};
+use super::upstream_poll;
+use crate::{Phase, Shared, membership};
 
 /// How often a stopping process looks whether its requests have ended.
 const STOP_POLL: Duration = Duration::from_millis(20);
@@ -17,12 +17,20 @@
 /// # Errors
 ///
 /// Any error of the system when the runtime or the signal handler cannot be set up.
-pub fn run(shared: &Arc<Shared>, handles_signals: bool) -> io::Result<()> {
+pub fn run(
+    shared: &Arc<Shared>,
+    peers: std::net::TcpListener,
+    handles_signals: bool,
+) -> io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
     let duties = LocalSet::new();
-    duties.spawn_local(document_poll::run(Arc::clone(shared)));
+    duties.spawn_local(membership::run(
+        Arc::clone(shared),
+        peers,
+        runtime.handle().clone(),
+    ));
     duties.spawn_local(upstream_poll::run(Arc::clone(shared)));
     duties.block_on(&runtime, async {
         if handles_signals {
--- a/rhubarbfall-entry/src/control/document_poll.rs
+++ b/rhubarbfall-entry/src/control/document_poll.rs
@@ -1,25 +1,13 @@
 use std::sync::Arc;
-use std::time::Duration;
 
 use rhubarbfall_document::Document;
 use rhubarbfall_platform::PlatformError;
-use tokio::time::sleep;
 
 use crate::document::{read_head, read_newer};
 use crate::{Phase, Shared};
 
-/// Reads the document until the process ends, and puts a newer one in force.
-pub(super) async fn run(shared: Arc<Shared>) {
-    let interval = Duration::from_millis(shared.settings.control.document_poll_ms);
-    loop {
-        if let Err(error) = poll(&shared).await {
-            log::warn!("event=document-poll error={error}");
-        }
-        sleep(interval).await;
-    }
-}
-
-async fn poll(shared: &Arc<Shared>) -> Result<(), PlatformError> {
+/// Reads the newest revision, and puts its document in force when it is newer.
+pub(crate) async fn poll(shared: &Arc<Shared>) -> Result<(), PlatformError> {
     let asked_at = shared.clock.now();
     let Some(head) = read_head(&shared.table).await? else {
         return Ok(());
@@ -30,7 +18,7 @@
         let document = read_newer(&shared.table, in_force.as_deref(), &head).await?;
         put_in_force(shared, document);
     }
-    *shared.document_confirmed_at.lock() = Some(asked_at);
+    shared.membership.observe_read(asked_at, head.revision);
     Ok(())
 }
 
@@ -43,6 +31,8 @@
     let document = Arc::new(document.sorted());
     log::info!("event=document-in-force revision={}", document.revision);
     shared.dispatcher.configure(&document);
+    let revision = document.revision;
     shared.document.store(Some(document));
+    shared.membership.put_in_force(revision);
     shared.lifecycle.advance(Phase::Ready);
 }
--- a/rhubarbfall-entry/src/control/mod.rs
+++ b/rhubarbfall-entry/src/control/mod.rs
@@ -5,4 +5,4 @@
 mod upstream_poll;
 
 pub use control_thread::run;
-pub(crate) use document_poll::put_in_force;
+pub(crate) use document_poll::{poll as poll_document, put_in_force};
--- a/rhubarbfall-entry/src/document/acceptance.rs
+++ b/rhubarbfall-entry/src/document/acceptance.rs
@@ -13,6 +13,7 @@
 use super::store::{read_state, to_transaction};
 use crate::Shared;
 use crate::control::put_in_force;
+use crate::membership::announce;
 
 /// How often a change is decided again after another one was recorded first.
 const MAX_HEAD_CONFLICTS: u32 = 10;
@@ -47,6 +48,9 @@
             Acceptance::Next(next) => *next,
             other => return Ok(unchanged(&other)),
         };
+        let revision = next.record.revision;
+        let announced = announce(shared, revision, &next.state.document).await;
+        let announced = announced.map_err(ErrorAnswer::new)?;
         match shared.table.commit(&to_transaction(&next.plan)).await {
             Ok(_) => {
                 put_in_force(shared, next.state.document.clone());
@@ -54,10 +58,16 @@
                 return Ok(answer_of(&next));
             }
             Err(PlatformError::ConditionFailed(..)) if head_conflicts < MAX_HEAD_CONFLICTS => {
+                announced.give_up();
                 head_conflicts += 1;
                 sleep(HEAD_CONFLICT_DELAY * head_conflicts).await;
             }
-            Err(error) => return Err(commit_error(&error)),
+            Err(error) => {
+                if !error.may_have_taken_effect() {
+                    announced.give_up();
+                }
+                return Err(commit_error(&error));
+            }
         }
     }
 }
--- a/rhubarbfall-entry/src/entry.rs
+++ b/rhubarbfall-entry/src/entry.rs
@@ -1,5 +1,5 @@
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
 
@@ -35,6 +35,8 @@
     pub callers: SocketAddr,
     /// For operators.
     pub operators: SocketAddr,
+    /// For other entries.
+    pub peers: SocketAddr,
 }
 
 /// A running entry.
@@ -61,9 +63,13 @@
     ) -> Result<Self, StartError> {
         let callers = open(settings.listen.callers)?;
         let operators = open(settings.listen.operators)?;
+        let peers_address = settings.listen.peers;
+        let peers = TcpListener::bind(peers_address)
+            .map_err(|error| StartError::Listen(peers_address, error))?;
         let addresses = Addresses {
             callers: callers.address,
             operators: operators.address,
+            peers: peers.local_addr()?,
         };
         let shared = Arc::new(Shared::new(settings, clock));
         let for_traffic = Arc::clone(&shared);
@@ -75,7 +81,7 @@
         spawn("operators", move || operator::serve(context, operators))?;
         let for_control = Arc::clone(&shared);
         let control = spawn("control", move || {
-            control::run(&for_control, handles_signals)
+            control::run(&for_control, peers, handles_signals)
         })?;
         Ok(Self {
             shared,
--- a/rhubarbfall-entry/src/lib.rs
+++ b/rhubarbfall-entry/src/lib.rs
@@ -8,6 +8,7 @@
 mod document;
 mod entry;
 mod lifecycle;
+pub mod membership;
 pub mod operator;
 pub mod settings;
 mod shared;
--- /dev/null
+++ b/rhubarbfall-entry/src/membership/duties.rs
@@ -0,0 +1,161 @@
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use parking_lot::Mutex;
+use prost::Message;
+use rhubarbfall_membership::{
+    Gossip, Member, MembershipConfig, TablePoll, ZoneLease, ZoneLeaseConfig,
+};
+use rhubarbfall_wire::messages::membership::{
+    HEARTBEAT_KIND, INTENT_REQUEST_KIND, IntentReference,
+};
+use rhubarbfall_wire::{FleetKey, Peer, PeerIdentity, PeerNetwork, PeerNetworkConfig};
+use tokio::runtime::Handle;
+use tokio::time::sleep;
+
+use super::handle::{Started, State};
+use super::{handlers, lease, registration};
+use crate::{Shared, control};
+
+/// How often the control thread looks for heartbeats and table reads that are due.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Keeps this entry known to the others and its document proved, until the process ends.
+pub async fn run(shared: Arc<Shared>, listener: TcpListener, runtime: Handle) {
+    let config = config_of(&shared);
+    if let Err(error) = start(&shared, config, listener, &runtime).await {
+        log::error!("event=peer-network error={error}");
+        return;
+    }
+    tokio::task::spawn_local(registration::run(Arc::clone(&shared)));
+    tokio::task::spawn_local(lease::run(Arc::clone(&shared)));
+    tokio::task::spawn_local(poll_table(Arc::clone(&shared), config));
+    loop {
+        beat(&shared);
+        sleep(TICK).await;
+    }
+}
+
+fn config_of(shared: &Shared) -> MembershipConfig {
+    let control = &shared.settings.control;
+    let mut config = MembershipConfig::new();
+    config.evidence_bound = Duration::from_millis(control.freshness_bound_ms);
+    config.poll_age = Duration::from_millis(control.document_poll_ms);
+    config
+}
+
+async fn start(
+    shared: &Arc<Shared>,
+    config: MembershipConfig,
+    listener: TcpListener,
+    runtime: &Handle,
+) -> std::io::Result<()> {
+    listener.set_nonblocking(true)?;
+    let address = listener.local_addr()?;
+    let listener = tokio::net::TcpListener::from_std(listener)?;
+    let settings = &shared.settings.entry;
+    let incarnation = registration::choose_incarnation(shared).await;
+    let identity = PeerIdentity {
+        entry: settings.id.clone(),
+        zone: settings.availability_zone.clone(),
+        incarnation,
+        address,
+    };
+    let own = Member {
+        zone: identity.zone.clone(),
+        incarnation,
+        address,
+    };
+    let now = shared.clock.now();
+    let entry = identity.entry.clone();
+    let key = FleetKey::new(shared.settings.secrets.fleet_key.reveal());
+    let network = PeerNetwork::start(PeerNetworkConfig::new(identity, key), listener, runtime);
+    handlers::register(shared, &network);
+    let state = State {
+        gossip: Gossip::new(config, entry.clone(), own, now),
+        lease: ZoneLease::new(ZoneLeaseConfig::new(), entry, incarnation, now),
+        announced: Vec::new(),
+        next_intent: 0,
+        is_superseded: false,
+    };
+    let started = Started {
+        network,
+        state: Mutex::new(state),
+    };
+    let _ = shared.membership.started.set(started);
+    if let Some(document) = shared.document.load_full() {
+        shared.membership.put_in_force(document.revision);
+    }
+    Ok(())
+}
+
+/// Sends the heartbeats that are due and asks for intents that others hold.
+fn beat(shared: &Shared) {
+    let now = shared.clock.now();
+    let due = shared.membership.update(now, |state| {
+        let outgoing = state.gossip.tick(now);
+        let missing = if outgoing.is_empty() {
+            Vec::new()
+        } else {
+            state.gossip.freshness().missing_intents()
+        };
+        (outgoing, missing, peers_of(&state.gossip, now))
+    });
+    let (Some(network), Some((outgoing, missing, peers))) = (shared.membership.network(), due)
+    else {
+        return;
+    };
+    if network.peers() != peers {
+        network.set_peers(peers);
+    }
+    for message in outgoing {
+        let _ = network.send(
+            &message.to,
+            HEARTBEAT_KIND,
+            message.heartbeat.encode_to_vec(),
+        );
+    }
+    for (holder, id) in missing {
+        let reference = IntentReference::from(&id);
+        let _ = network.send(&holder, INTENT_REQUEST_KIND, reference.encode_to_vec());
+    }
+}
+
+fn peers_of(gossip: &Gossip, now: Instant) -> Vec<Peer> {
+    let members = gossip.members();
+    let peers = members.map(|(entry, member)| Peer {
+        entry: entry.clone(),
+        zone: member.zone.clone(),
+        incarnation: member.incarnation,
+        address: member.address,
+        is_live: gossip.is_live(entry, now),
+    });
+    peers.collect()
+}
+
+/// Reads the newest revision whenever no entry of the fleet has done so recently.
+async fn poll_table(shared: Arc<Shared>, config: MembershipConfig) {
+    let seed = rand::random();
+    let mut poll = TablePoll::new(config, seed, shared.clock.now());
+    loop {
+        let now = shared.clock.now();
+        let newest = shared.membership.update(now, |state| {
+            let freshness = state.gossip.freshness();
+            let read = freshness.newest_read().map(|(began, _)| began);
+            // A newer revision than the one in force is fetched at once.
+            read.filter(|_| !freshness.is_behind())
+        });
+        if poll.is_due(now, newest.flatten()) {
+            poll.begin();
+            match control::poll_document(&shared).await {
+                Ok(()) => poll.succeed(),
+                Err(error) => {
+                    log::warn!("event=document-poll error={error}");
+                    poll.fail(shared.clock.now());
+                }
+            }
+        }
+        sleep(TICK).await;
+    }
+}
--- /dev/null
+++ b/rhubarbfall-entry/src/membership/lease.rs
@@ -0,0 +1,65 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use rhubarbfall_membership::LeaseRequest;
+use rhubarbfall_platform::PlatformError;
+use rhubarbfall_platform::table::{Transaction, TransactionId};
+use tokio::time::sleep;
+
+use super::handle::{State, parse_lease};
+use crate::Shared;
+
+/// How often the lease is asked for a request that is due.
+const TICK: Duration = Duration::from_millis(200);
+
+/// Takes, renews and watches the zone's lease.
+pub(super) async fn run(shared: Arc<Shared>) {
+    let key = format!("zone-lease/{}", shared.settings.entry.availability_zone);
+    loop {
+        let now = shared.clock.now();
+        let request = shared
+            .membership
+            .update(now, |state| state.lease.next_request(now));
+        match request.flatten() {
+            Some(LeaseRequest::Read) => read(&shared, &key).await,
+            Some(LeaseRequest::Write { expected, row }) => {
+                let id = TransactionId::new(&row.holder, row.incarnation.get(), row.renewal);
+                let id = TransactionId::new(format_args!("lease:{id}"), expected.get(), 0);
+                let value = serde_json::to_value(&row).unwrap_or_default();
+                let transaction = Transaction::new(id)
+                    .expect(key.as_str(), expected)
+                    .put(key.as_str(), value);
+                write(&shared, &transaction).await;
+            }
+            None => sleep(TICK).await,
+        }
+    }
+}
+
+async fn read(shared: &Shared, key: &str) {
+    let answer = shared.table.read(key).await;
+    report(shared, |state, now| match answer {
+        Ok(row) => {
+            let row = row.and_then(|row| Some((row.version, parse_lease(&row)?)));
+            state.lease.observe_row(now, row);
+        }
+        Err(_) => state.lease.observe_no_answer(now),
+    });
+}
+
+async fn write(shared: &Shared, transaction: &Transaction) {
+    let answer = shared.table.commit(transaction).await;
+    report(shared, |state, now| match answer {
+        Ok(committed) => {
+            let version = committed.versions.first().copied().unwrap_or_default();
+            state.lease.observe_written(now, version);
+        }
+        Err(PlatformError::ConditionFailed(..)) => state.lease.observe_conflict(now),
+        Err(_) => state.lease.observe_no_answer(now),
+    });
+}
+
+fn report(shared: &Shared, outcome: impl FnOnce(&mut State, std::time::Instant)) {
+    let now = shared.clock.now();
+    shared.membership.update(now, |state| outcome(state, now));
+}
--- a/rhubarbfall-entry/src/operator/state_dump.rs
+++ b/rhubarbfall-entry/src/operator/state_dump.rs
@@ -2,6 +2,7 @@
 use serde::Serialize;
 
 use crate::dispatch::DispatchSnapshot;
+use crate::membership::MembershipSnapshot;
 use crate::{Phase, Shared};
 
 /// The state of one process, for people and for tests.
@@ -19,6 +20,8 @@
     pub revision: Option<Revision>,
     /// Whether the document is known to be the newest.
     pub is_document_fresh: bool,
+    /// The other entries and the evidence.
+    pub membership: Option<MembershipSnapshot>,
     /// Waiting and running requests.
     pub dispatch: DispatchSnapshot,
 }
@@ -34,6 +37,7 @@
             in_flight: shared.lifecycle.in_flight(),
             revision: shared.document.load().as_ref().map(|doc| doc.revision),
             is_document_fresh: shared.is_document_fresh(),
+            membership: shared.membership.snapshot(shared.clock.now()),
             dispatch: shared.dispatcher.snapshot(),
         }
     }
--- a/rhubarbfall-entry/src/shared.rs
+++ b/rhubarbfall-entry/src/shared.rs
@@ -1,14 +1,14 @@
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
-use parking_lot::Mutex;
 use rhubarbfall_core::SharedClock;
 use rhubarbfall_document::Document;
 use rhubarbfall_platform::table::TableClient;
 use rhubarbfall_platform::vms::VmListClient;
 
 use crate::dispatch::Dispatcher;
+use crate::membership::Membership;
 use crate::traffic::UpstreamConnections;
 use crate::{Lifecycle, Settings};
 
@@ -21,8 +21,8 @@
     pub clock: SharedClock,
     /// The document in force.
     pub document: ArcSwapOption<Document>,
-    /// When it was last known that no newer document had been accepted.
-    pub document_confirmed_at: Mutex<Option<Instant>>,
+    /// The other entries, and until when the document in force is proved to be the newest.
+    pub membership: Membership,
     /// The phase of the process.
     pub lifecycle: Lifecycle,
     /// Waiting and running requests.
@@ -50,18 +50,16 @@
             )),
             dispatcher: Arc::new(Dispatcher::new()),
             document: ArcSwapOption::empty(),
-            document_confirmed_at: Mutex::new(None),
+            membership: Membership::new(),
             lifecycle: Lifecycle::new(),
             clock,
             settings,
         }
     }
 
-    /// Returns whether the document in force is known to have been the newest a moment ago.
+    /// Returns whether the document in force is proved to have been the newest a moment ago.
     #[must_use]
     pub fn is_document_fresh(&self) -> bool {
-        let bound = Duration::from_millis(self.settings.control.freshness_bound_ms);
-        let confirmed_at = *self.document_confirmed_at.lock();
-        confirmed_at.is_some_and(|at| self.clock.now().duration_since(at) < bound)
+        self.membership.is_fresh(self.clock.now())
     }
 }
--- a/rhubarbfall-entry/src/traffic/handler.rs
+++ b/rhubarbfall-entry/src/traffic/handler.rs
@@ -89,6 +89,13 @@
     let pepper = &shared.settings.secrets.key_pepper;
     let is_fresh = shared.is_document_fresh();
     let authorized = authorize(&document, pepper, is_fresh, &caller).map_err(refuse)?;
+    if let Some(key) = &caller.key
+        && shared
+            .membership
+            .forbids(pepper, key, &caller.queue, &authorized.team)
+    {
+        return Err(refuse(ResultCode::KeyRefused));
+    }
     let default_deadline = Duration::from_millis(shared.settings.traffic.default_deadline_ms);
     let work = Work {
         request: caller.request_id.clone(),
--- a/rhubarbfall-membership/src/config.rs
+++ b/rhubarbfall-membership/src/config.rs
@@ -40,7 +40,7 @@
             min_poll_backoff: Duration::from_millis(500),
             max_poll_backoff: Duration::from_secs(4),
             heartbeat_interval: Duration::from_millis(500),
-            intent_answer_timeout: Duration::from_secs(1),
+            intent_answer_timeout: Duration::from_millis(500),
             intent_lifetime: Duration::from_secs(10),
         }
     }
--- a/rhubarbfall-membership/src/freshness/evidence.rs
+++ b/rhubarbfall-membership/src/freshness/evidence.rs
@@ -11,6 +11,9 @@
 /// With two, a zone that is cut off would keep the other from accepting any change.
 pub(crate) const MIN_ZONES_FOR_EXCLUSION: usize = 3;
 
+/// How many concluded intents are remembered: more than a burst announces before it is known.
+const MAX_CONCLUDED_INTENTS: usize = 256;
+
 /// Decides whether keyed work may go on: whether the revision in force is proved newest.
 ///
 /// A moment is proved by a table read that began at it, by words of every member from it on, or by
@@ -45,6 +48,8 @@
     newest_read: Option<Read>,
     members: LiteMap<EntryId, MemberWord>,
     intents: LiteMap<IntentId, Intent>,
+    /// Intents whose outcome is known, oldest first; others may still hold them.
+    concluded: Vec<IntentId>,
 }
 
 /// A table read, own or relayed.
@@ -75,6 +80,7 @@
             newest_read: None,
             members: LiteMap::new(),
             intents: LiteMap::new(),
+            concluded: Vec::new(),
         }
     }
 
@@ -117,7 +123,7 @@
         }
         self.in_force = Some(revision);
         self.highest_seen = revision;
-        self.intents.retain(|_, intent| intent.revision > revision);
+        self.conclude(|intent| intent.revision <= revision);
         true
     }
 
@@ -133,6 +139,11 @@
         if is_newer {
             self.newest_read = Some(Read { began, revision });
         }
+        // The acceptor may no longer commit, and the table shows that it has not.
+        let settling_time = self.config.settling_time();
+        self.conclude(|intent| {
+            revision < intent.revision && began >= intent.held_since + settling_time
+        });
     }
 
     /// Returns when the newest table read, own or relayed, began.
@@ -183,19 +194,48 @@
 
     /// Holds an intent; the caller admits only what both revisions allow from now on.
     pub fn hold_intent(&mut self, intent: Intent) {
-        if Some(intent.revision) > self.in_force {
+        if self.is_concluded(&intent.id) {
+            return;
+        }
+        if Some(intent.revision) <= self.in_force {
+            self.record_concluded(intent.id);
+            return;
+        }
+        if !self.intents.contains_key(&intent.id) {
             self.intents.insert(intent.id.clone(), intent);
         }
     }
 
     /// Lets go of an intent that its acceptor has given up.
     pub fn release_intent(&mut self, id: &IntentId) {
-        self.intents.remove(id);
+        self.conclude(|intent| intent.id == *id);
+        if !self.is_concluded(id) {
+            self.record_concluded(id.clone());
+        }
+    }
+
+    fn conclude(&mut self, is_over: impl Fn(&Intent) -> bool) {
+        let over = self.intents.values().filter(|intent| is_over(intent));
+        let over: Vec<_> = over.map(|intent| intent.id.clone()).collect();
+        for id in over {
+            self.intents.remove(&id);
+            self.record_concluded(id);
+        }
+    }
+
+    fn record_concluded(&mut self, id: IntentId) {
+        if self.concluded.len() == MAX_CONCLUDED_INTENTS {
+            self.concluded.remove(0);
+        }
+        self.concluded.push(id);
+    }
+
+    fn is_concluded(&self, id: &IntentId) -> bool {
+        self.concluded.contains(id)
     }
 
-    /// Lets go of intents whose lifetime ended before a table read that does not show them.
-    pub fn release_overtaken(&mut self, is_overtaken: impl Fn(&Intent) -> bool) {
-        self.intents.retain(|_, intent| !is_overtaken(intent));
+    fn is_known(&self, id: &IntentId) -> bool {
+        self.intents.contains_key(id) || self.is_concluded(id)
     }
 
     /// Returns the intents that members hold and this process does not.
@@ -204,7 +244,7 @@
         let mut missing = Vec::new();
         for (entry, member) in &self.members {
             let held = member.word.iter().flat_map(|word| &word.intents);
-            let unknown = held.filter(|id| !self.intents.contains_key(*id));
+            let unknown = held.filter(|id| !self.is_known(id));
             missing.extend(unknown.map(|id| (entry.clone(), id.clone())));
         }
         missing
@@ -278,7 +318,7 @@
                 continue;
             }
             let word = member.word.as_ref()?;
-            let is_known = word.intents.iter().all(|id| self.intents.contains_key(id));
+            let is_known = word.intents.iter().all(|id| self.is_known(id));
             if !word.is_settled || !is_known || word.revision > in_force {
                 return None;
             }
--- a/rhubarbfall-membership/src/freshness/intent.rs
+++ b/rhubarbfall-membership/src/freshness/intent.rs
@@ -1,3 +1,5 @@
+use std::time::Instant;
+
 use bytes::Bytes;
 use rhubarbfall_core::{EntryId, Incarnation, Revision};
 
@@ -19,6 +21,8 @@
     pub id: IntentId,
     /// The revision that the change would have.
     pub revision: Revision,
+    /// When this process first held the intent.
+    pub held_since: Instant,
     /// The encoded change; who holds it admits only what both revisions allow.
     pub change: Bytes,
 }
--- a/rhubarbfall-membership/src/lib.rs
+++ b/rhubarbfall-membership/src/lib.rs
@@ -8,6 +8,7 @@
 mod freshness;
 mod gossip;
 mod member;
+mod narrowing;
 mod table_poll;
 mod zone_lease;
 
@@ -16,5 +17,6 @@
 pub use freshness::{Freshness, Intent, IntentId, Word};
 pub use gossip::{Gossip, Outgoing, Received};
 pub use member::Member;
+pub use narrowing::Narrowing;
 pub use table_poll::TablePoll;
 pub use zone_lease::{LeaseRequest, LeaseRow, ZoneLease, ZoneLeaseConfig};
--- a/rhubarbfall-membership/tests/freshness.rs
+++ b/rhubarbfall-membership/tests/freshness.rs
@@ -28,7 +28,7 @@
     }
 }
 
-fn intent(acceptor: &str) -> Intent {
+fn intent(acceptor: &str, now: Instant) -> Intent {
     Intent {
         id: IntentId {
             acceptor: id(acceptor),
@@ -36,6 +36,7 @@
             number: 1,
         },
         revision: Revision::new(8),
+        held_since: now,
         change: Bytes::from_static(b"key withdrawn"),
     }
 }
@@ -136,18 +137,43 @@
 fn held_intent_of_a_dead_acceptor_does_not_stop_keyed_work() {
     let mut fixture = Fixture::settled();
     let mut holder = word(fixture.at(10));
-    holder.intents.push(intent("b-1").id);
+    let announced = intent("b-1", fixture.at(10));
+    holder.intents.push(announced.id.clone());
     fixture.hear(&["a-2", "c-2", "b-2"], 10);
     fixture.freshness.observe_word(&id("c-1"), holder);
     assert!(!fixture.admits(10), "the intent is not known here");
     assert_eq!(
         fixture.freshness.missing_intents(),
-        [(id("c-1"), intent("b-1").id)]
+        [(id("c-1"), announced.id.clone())]
     );
-    fixture.freshness.hold_intent(intent("b-1"));
+    fixture.freshness.hold_intent(announced);
     assert!(fixture.admits(10), "both revisions are enforced");
 }
 
+#[test]
+fn intent_that_the_table_never_showed_is_let_go_for_good() {
+    let mut fixture = Fixture::settled();
+    let announced = intent("b-1", fixture.at(0));
+    fixture.freshness.hold_intent(announced.clone());
+    fixture
+        .freshness
+        .observe_read(fixture.at(14), Revision::new(7));
+    assert_eq!(
+        fixture.freshness.intents().len(),
+        1,
+        "it may still be recorded"
+    );
+    fixture
+        .freshness
+        .observe_read(fixture.at(15), Revision::new(7));
+    assert!(fixture.freshness.intents().is_empty());
+    fixture.freshness.hold_intent(announced);
+    assert!(
+        fixture.freshness.intents().is_empty(),
+        "a peer's older word does not bring it back"
+    );
+}
+
 #[test]
 fn restarted_entry_vouches_only_once_settled() {
     let mut fixture = Fixture::settled();
@@ -214,7 +240,10 @@
     let config = MembershipConfig::new();
     let members = OTHERS.map(|(entry, place)| (id(entry), zone(place)));
     let mut acceptance = Acceptance::new(config, zone("zone-a"), now, members);
-    assert_eq!(acceptance.step(now), AcceptanceStep::Wait(now + SECOND));
+    assert_eq!(
+        acceptance.step(now),
+        AcceptanceStep::Wait(now + config.intent_answer_timeout)
+    );
     acceptance.observe_answer(&id("a-2"));
     assert_eq!(acceptance.step(now + SECOND), AcceptanceStep::Refuse);
     acceptance.observe_answer(&id("c-1"));
--- a/rhubarbfall-wire/src/handshake.rs
+++ b/rhubarbfall-wire/src/handshake.rs
@@ -48,6 +48,7 @@
 ///     entry: name.parse().expect("an identifier"),
 ///     zone: "zone-a".parse().expect("an identifier"),
 ///     incarnation: Incarnation::new(1),
+///     address: ([127, 0, 0, 1], 7000).into(),
 /// };
 /// let key = FleetKey::new("secret");
 /// let caller = Handshake::new(HandshakeRole::Initiator, &identity("entry-1"), [1; 32], key.clone());
--- a/rhubarbfall-wire/src/hello.rs
+++ b/rhubarbfall-wire/src/hello.rs
@@ -18,6 +18,9 @@
     /// Random bytes that make both proofs good for this connection only.
     #[prost(bytes = "vec", tag = "5")]
     pub nonce: Vec<u8>,
+    /// Where the sender takes connections of its peers.
+    #[prost(string, tag = "6")]
+    pub address: String,
 }
 
 /// The second message of each side: proof that the sender holds the fleet key.
--- a/rhubarbfall-wire/src/messages/membership.rs
+++ b/rhubarbfall-wire/src/messages/membership.rs
@@ -110,6 +110,28 @@
     pub change: bytes::Bytes,
 }
 
+/// What a change takes away; it is enforced from the intent on.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct NarrowingMessage {
+    /// The digests of the keys that are withdrawn or belong to another owner.
+    #[prost(string, repeated, tag = "1")]
+    pub withdrawn_keys: Vec<String>,
+    /// The teams that lose a queue.
+    #[prost(message, repeated, tag = "2")]
+    pub closed_queues: Vec<ClosedQueue>,
+}
+
+/// A queue that a team may no longer use.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct ClosedQueue {
+    /// The queue.
+    #[prost(string, tag = "1")]
+    pub queue: String,
+    /// The team.
+    #[prost(string, tag = "2")]
+    pub team: String,
+}
+
 /// The members that an entry knows, for a peer with another list.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct Roster {
--- a/rhubarbfall-wire/src/network/config.rs
+++ b/rhubarbfall-wire/src/network/config.rs
@@ -14,6 +14,7 @@
 ///     entry: "entry-1".parse()?,
 ///     zone: "zone-a".parse()?,
 ///     incarnation: Incarnation::new(1),
+///     address: ([127, 0, 0, 1], 7000).into(),
 /// };
 /// let config = PeerNetworkConfig::new(identity, FleetKey::new("secret")).queue_messages(16);
 /// assert_eq!(config.queue_messages, 16);
--- a/rhubarbfall-wire/src/network/peer.rs
+++ b/rhubarbfall-wire/src/network/peer.rs
@@ -28,6 +28,8 @@
     pub zone: AvailabilityZoneId,
     /// The process that sent the message.
     pub incarnation: Incarnation,
+    /// Where the sender takes connections of its peers.
+    pub address: SocketAddr,
     /// The encoded message.
     pub payload: Bytes,
 }
--- a/rhubarbfall-wire/src/network/peer_network.rs
+++ b/rhubarbfall-wire/src/network/peer_network.rs
@@ -168,6 +168,7 @@
                 sender: peer.entry.clone(),
                 zone: peer.zone.clone(),
                 incarnation: peer.incarnation,
+                address: peer.address,
                 payload: envelope.payload,
             });
         }
--- a/rhubarbfall-wire/src/peer_identity.rs
+++ b/rhubarbfall-wire/src/peer_identity.rs
@@ -1,3 +1,5 @@
+use std::net::SocketAddr;
+
 use rhubarbfall_core::{AvailabilityZoneId, EntryId, Incarnation};
 
 use crate::WireError;
@@ -13,6 +15,8 @@
     pub zone: AvailabilityZoneId,
     /// The process on the entry's VM.
     pub incarnation: Incarnation,
+    /// Where the entry takes connections of its peers, so that one which knows nobody can answer.
+    pub address: SocketAddr,
 }
 
 impl PeerIdentity {
@@ -23,6 +27,7 @@
             zone: self.zone.to_string(),
             incarnation: self.incarnation.get(),
             nonce: nonce.to_vec(),
+            address: self.address.to_string(),
         }
     }
 
@@ -35,6 +40,7 @@
             entry: hello.entry.parse().map_err(malformed)?,
             zone: hello.zone.parse().map_err(malformed)?,
             incarnation: Incarnation::new(hello.incarnation),
+            address: hello.address.parse().map_err(|_| WireError::Malformed)?,
         })
     }
 }
--- a/rhubarbfall-wire/tests/codec.rs
+++ b/rhubarbfall-wire/tests/codec.rs
@@ -25,6 +25,7 @@
         entry: name.parse().expect("an identifier"),
         zone: "zone-a".parse().expect("an identifier"),
         incarnation: Incarnation::new(7),
+        address: ([127, 0, 0, 1], 7000).into(),
     }
 }
 
--- a/rhubarbfall-wire/tests/network.rs
+++ b/rhubarbfall-wire/tests/network.rs
@@ -35,6 +35,7 @@
         entry: id(name),
         zone: "zone-a".parse().expect("an identifier"),
         incarnation: Incarnation::new(incarnation),
+        address,
     };
     let config = PeerNetworkConfig::new(identity, FleetKey::new(key)).queue_messages(8);
     (
