feat(dev): run a whole fleet in one process and report on the promises

Cause: the promises need one run in which they are all checked by what callers and upstreams saw. Change: `rhubarbfall dev` with two examples, load by turns, a withdrawn key, a leaving upstream and a planned stop; a report by result, share, latency and promise. A part that is not built is reported as not checked. Also: answers waited 40 ms for the caller's delayed acknowledgement; TCP_NODELAY is set on the listening socket, from which accepted connections inherit it. Ruled out: the upstream's side, which had the option set already.

--- a/rhubarbfall-core/src/execution.rs
+++ b/rhubarbfall-core/src/execution.rs
@@ -13,9 +13,10 @@
 /// assert_eq!(Execution::NotRun.to_string(), "not run");
 /// ```
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
+#[serde(rename_all = "lowercase")]
 pub enum Execution {
     /// No upstream has started the request, and none will.
+    #[serde(rename = "not run")]
     NotRun,
     /// An upstream has run the request to its end.
     Ran,
--- a/rhubarbfall-entry/src/traffic/server.rs
+++ b/rhubarbfall-entry/src/traffic/server.rs
@@ -2,6 +2,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 
+use socket2::SockRef;
 use xitca_web::App;
 use xitca_web::handler::handler_service;
 use xitca_web::route::post;
@@ -27,6 +28,9 @@
     pub fn open(address: SocketAddr) -> io::Result<Self> {
         let socket = TcpListener::bind(address)?;
         socket.set_nonblocking(true)?;
+        // Accepted connections inherit the option; without it the end of an answer waits for the
+        // caller's delayed acknowledgement.
+        SockRef::from(&socket).set_tcp_nodelay(true)?;
         let address = socket.local_addr()?;
         Ok(Self { socket, address })
     }
--- a/rhubarbfall-testing/src/upstream/stand_in_upstream.rs
+++ b/rhubarbfall-testing/src/upstream/stand_in_upstream.rs
@@ -107,6 +107,7 @@
 /// A request that runs; it counts as running until this is dropped.
 struct Running {
     shared: Arc<Shared>,
+    queue: String,
     team: String,
     is_whole: bool,
 }
@@ -114,7 +115,9 @@
 impl Drop for Running {
     fn drop(&mut self) {
         let id = self.shared.id.as_str();
-        self.shared.log.finish(id, &self.team, self.is_whole);
+        self.shared
+            .log
+            .finish(id, &self.queue, &self.team, self.is_whole);
     }
 }
 
@@ -174,9 +177,12 @@
     let work = work_ms.map_or(shared.default_work, Duration::from_millis);
     let answer_bytes = header("x-answer-bytes").and_then(|text| text.parse().ok());
     let is_idempotent = header("x-rhubarbfall-idempotent").as_deref() == Some("true");
+    let path = request.uri().path();
+    let queue = path.rsplit('/').next().unwrap_or_default().to_owned();
     request.into_body().collect().await.map_err(|_| Dropped)?;
     shared.log.start(Start {
         upstream: shared.id.as_str(),
+        queue: &queue,
         team: &team,
         request: &request_id,
         is_idempotent,
@@ -184,6 +190,7 @@
     });
     let running = Running {
         shared,
+        queue,
         team,
         is_whole: false,
     };
--- a/rhubarbfall-testing/src/upstream/upstream_log.rs
+++ b/rhubarbfall-testing/src/upstream/upstream_log.rs
@@ -1,3 +1,4 @@
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use parking_lot::Mutex;
@@ -15,7 +16,8 @@
 #[derive(Debug, Default)]
 struct Inner {
     report: UpstreamReport,
-    starts_by_request: LiteMap<Arc<str>, u32>,
+    starts_by_request: HashMap<Arc<str>, u32>,
+    limit_by_team: LiteMap<Arc<str>, u32>,
 }
 
 /// Counts over all upstreams of a group.
@@ -31,6 +33,8 @@
     pub repeated_non_idempotent: u64,
     /// Requests running now, by team.
     pub running_by_team: LiteMap<Arc<str>, u32>,
+    /// Requests running now, by queue and team.
+    pub running_by_queue: LiteMap<Arc<str>, LiteMap<Arc<str>, u32>>,
     /// The most requests that ran at once, by team.
     pub peak_by_team: LiteMap<Arc<str>, u32>,
     /// Requests that were started, by team.
@@ -39,6 +43,8 @@
     pub peak_by_upstream: LiteMap<Arc<str>, u32>,
     /// Requests running now, by upstream.
     pub running_by_upstream: LiteMap<Arc<str>, u32>,
+    /// Requests that were started while their team had its whole limit running.
+    pub started_above_limit: u64,
     /// Requests that an upstream was handed more than its grace after it had said that it leaves.
     pub started_after_leaving: u64,
 }
@@ -47,6 +53,7 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Start<'a> {
     pub(super) upstream: &'a str,
+    pub(super) queue: &'a str,
     pub(super) team: &'a str,
     pub(super) request: &'a str,
     pub(super) is_idempotent: bool,
@@ -73,11 +80,18 @@
         inner.starts_by_request.get(request).copied().unwrap_or(0)
     }
 
+    /// Sets the most requests of a team that may run at once over all upstreams of the group.
+    pub fn set_limit(&self, team: impl Into<Arc<str>>, limit: u32) {
+        self.inner.lock().limit_by_team.insert(team.into(), limit);
+    }
+
     pub(super) fn start(&self, start: Start<'_>) {
         let mut inner = self.inner.lock();
-        let starts = entry(&mut inner.starts_by_request, start.request);
+        let request = Arc::from(start.request);
+        let starts = inner.starts_by_request.entry(request).or_default();
         *starts += 1;
         let is_repeat = *starts > 1;
+        let limit = inner.limit_by_team.get(start.team).copied();
         let report = &mut inner.report;
         report.started += 1;
         report.repeated += u64::from(is_repeat);
@@ -85,16 +99,19 @@
         report.started_after_leaving += u64::from(start.is_late);
         *entry(&mut report.started_by_team, start.team) += 1;
         let running = raise(&mut report.running_by_team, start.team);
+        report.started_above_limit += u64::from(limit.is_some_and(|limit| running > limit));
         let peak = entry(&mut report.peak_by_team, start.team);
         *peak = running.max(*peak);
+        raise(entry(&mut report.running_by_queue, start.queue), start.team);
         let running = raise(&mut report.running_by_upstream, start.upstream);
         let peak = entry(&mut report.peak_by_upstream, start.upstream);
         *peak = running.max(*peak);
     }
 
-    pub(super) fn finish(&self, upstream: &str, team: &str, is_whole: bool) {
+    pub(super) fn finish(&self, upstream: &str, queue: &str, team: &str, is_whole: bool) {
         let mut inner = self.inner.lock();
         inner.report.finished += u64::from(is_whole);
+        *entry(entry(&mut inner.report.running_by_queue, queue), team) -= 1;
         *entry(&mut inner.report.running_by_team, team) -= 1;
         *entry(&mut inner.report.running_by_upstream, upstream) -= 1;
     }
--- a/rhubarbfall/src/cli.rs
+++ b/rhubarbfall/src/cli.rs
@@ -1,10 +1,12 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use clap::builder::ValueParser;
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
 use crate::commands;
+use crate::dev::{self, DevOptions};
 
 /// Reads the command line and runs what it asks for.
 pub(crate) fn run() -> ExitCode {
@@ -12,6 +14,7 @@
         Some(("serve", arguments)) => commands::serve(&settings_path(arguments)),
         Some(("check-settings", arguments)) => commands::check_settings(&settings_path(arguments)),
         Some(("stand-in", arguments)) => commands::stand_in(arguments),
+        Some(("dev", arguments)) => dev::run(&dev_options(arguments)),
         _ => ExitCode::FAILURE,
     }
 }
@@ -32,6 +35,54 @@
                 .arg(settings_argument()),
         )
         .subcommand(stand_in_command())
+        .subcommand(dev_command())
+}
+
+fn dev_command() -> Command {
+    Command::new("dev")
+        .about("Runs a whole fleet with stand-ins in this process, on loopback")
+        .arg(
+            Arg::new("example")
+                .long("example")
+                .value_name("NAME")
+                .help("The fleet's shape: sorting or permits")
+                .default_value("sorting"),
+        )
+        .arg(
+            Arg::new("run-for")
+                .long("run-for")
+                .value_name("TIME")
+                .help("Adds load and faults for this long, such as 20s, then prints a report")
+                .value_parser(parse_time),
+        )
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .help("Prints the report as JSON")
+                .action(ArgAction::SetTrue),
+        )
+}
+
+fn dev_options(arguments: &ArgMatches) -> DevOptions {
+    let example = arguments.get_one::<String>("example").cloned();
+    DevOptions {
+        example: example.unwrap_or_default(),
+        run_for: arguments.get_one::<Duration>("run-for").copied(),
+        is_json: arguments.get_flag("json"),
+    }
+}
+
+/// Reads a time such as `20s` or `2m`.
+fn parse_time(text: &str) -> Result<Duration, String> {
+    let malformed = || format!("{text:?} is not a time such as 20s or 2m");
+    let unit = text.chars().last().ok_or_else(malformed)?;
+    let number = text.trim_end_matches(unit);
+    let number: u64 = number.parse().map_err(|_| malformed())?;
+    match unit {
+        's' => Ok(Duration::from_secs(number)),
+        'm' => Ok(Duration::from_mins(number)),
+        _ => Err(malformed()),
+    }
 }
 
 fn settings_argument() -> Arg {
--- /dev/null
+++ b/rhubarbfall/src/dev/dev_command.rs
@@ -0,0 +1,217 @@
+use std::io;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use metrics_exporter_prometheus::PrometheusBuilder;
+use rhubarbfall_testing::rig::Caller;
+use rhubarbfall_testing::upstream::UpstreamLog;
+
+use super::balancer::Balancer;
+use super::checks::{Checks, Promise};
+use super::dev_fleet::DevFleet;
+use super::example::{Example, OPERATOR_KEY, team_key};
+use super::load::{self, LoadContext};
+use super::operator_client::{apply_document, is_ready};
+use super::outcomes::{OutcomeReport, Outcomes};
+use super::report::DevReport;
+use super::{script, share_sampler};
+
+/// How long the fleet may take until every entry is ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// How long requests may still be answered after the load has ended.
+const DRAIN_TIME: Duration = Duration::from_secs(5);
+
+/// What a development run does.
+#[derive(Debug, Clone)]
+pub(crate) struct DevOptions {
+    pub(crate) example: String,
+    pub(crate) run_for: Option<Duration>,
+    pub(crate) is_json: bool,
+}
+
+/// Runs a whole fleet in this process.
+pub(crate) fn run(options: &DevOptions) -> ExitCode {
+    let Some(example) = Example::by_name(&options.example) else {
+        eprintln!("no example is named {:?}", options.example);
+        return ExitCode::from(2);
+    };
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build();
+    let result = runtime.and_then(|runtime| runtime.block_on(run_example(example, options)));
+    match result {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run_example(example: Example, options: &DevOptions) -> io::Result<bool> {
+    let metrics = PrometheusBuilder::new().install_recorder().ok();
+    let fleet = DevFleet::start(&example, metrics.as_ref()).await?;
+    let caller = Caller::new();
+    let first = fleet.entries[0].operators;
+    if !apply_document(&caller, first, example.document(None)).await {
+        return Err(io::Error::other("the first document was refused"));
+    }
+    wait_ready(&fleet, &caller).await?;
+    let Some(run_for) = options.run_for else {
+        print_addresses(&example, &fleet);
+        tokio::signal::ctrl_c().await?;
+        return Ok(true);
+    };
+    let report = run_load(example, fleet, caller, run_for).await;
+    if options.is_json {
+        println!("{}", serde_json::to_string_pretty(&report)?);
+    } else {
+        report.print_text();
+    }
+    Ok(report.is_clean())
+}
+
+async fn wait_ready(fleet: &DevFleet, caller: &Caller) -> io::Result<()> {
+    let deadline = Instant::now() + READY_TIMEOUT;
+    for entry in &fleet.entries {
+        while !is_ready(caller, entry.operators).await {
+            if Instant::now() > deadline {
+                let message = format!("{} is not ready in time", entry.name);
+                return Err(io::Error::other(message));
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+    // The list of VMs is read after the document, so that routing follows readiness.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    Ok(())
+}
+
+fn print_addresses(example: &Example, fleet: &DevFleet) {
+    println!("platform {}", fleet.platform.address());
+    for entry in &fleet.entries {
+        println!(
+            "{:<16} callers {}  operators {}",
+            entry.name, entry.callers, entry.operators
+        );
+    }
+    println!("operator key: {OPERATOR_KEY}");
+    for team in example.teams {
+        println!("key of {}: {}", team.name, team_key(team.name));
+    }
+    let entry = &fleet.entries[0];
+    let team = example.teams[0].name;
+    let service = example.services[0];
+    println!(
+        "\ntry:\n  curl -X POST -H 'x-request-id: r1' -H 'x-rhubarbfall-key: {}' http://{}/v1/queues/{service}\n  \
+         curl http://{}/state\n  curl http://{}/metrics\n\nCtrl-C ends the fleet.",
+        team_key(team),
+        entry.callers,
+        entry.operators,
+        entry.operators,
+    );
+}
+
+async fn run_load(
+    example: Example,
+    mut fleet: DevFleet,
+    caller: Caller,
+    run_for: Duration,
+) -> DevReport {
+    let checks = Checks::default();
+    let outcomes = Outcomes::new();
+    let balancer = Balancer::new(fleet.entries.iter().map(|entry| entry.callers));
+    let start = Instant::now();
+    let end = start + run_for;
+    let context = LoadContext {
+        example,
+        caller: caller.clone(),
+        balancer: balancer.clone(),
+        outcomes: outcomes.clone(),
+    };
+    let mut tasks = Vec::new();
+    for service_index in 0..example.services.len() {
+        let load = load::run(context.clone(), service_index, start, end);
+        tasks.push(tokio::spawn(load));
+    }
+    let stopping = fleet.entries.pop();
+    let staying: Vec<(SocketAddr, SocketAddr)> = fleet
+        .entries
+        .iter()
+        .map(|entry| (entry.callers, entry.operators))
+        .collect();
+    tasks.push(tokio::spawn(script::withdraw_key(
+        example,
+        caller.clone(),
+        staying,
+        checks.clone(),
+        start + run_for / 4,
+        end,
+    )));
+    if let Some(upstream) = fleet.upstreams.first() {
+        let leaving = script::leave(
+            upstream.clone(),
+            fleet.platform.clone(),
+            start + run_for / 8,
+        );
+        tokio::spawn(leaving);
+    }
+    if let Some(entry) = stopping {
+        tasks.push(tokio::spawn(script::stop_entry(
+            entry,
+            caller,
+            balancer,
+            outcomes.clone(),
+            checks.clone(),
+            start + run_for / 2,
+        )));
+    }
+    let shares = share_sampler::run(example, fleet.log.clone(), outcomes.clone(), end).await;
+    for task in tasks {
+        let _ = task.await;
+    }
+    tokio::time::sleep(DRAIN_TIME).await;
+    let requests = outcomes.report();
+    check_upstreams(&fleet.log, &requests, &checks);
+    DevReport {
+        example: example.name,
+        run_for_s: run_for.as_secs(),
+        requests,
+        shares,
+        promises: checks.report(),
+    }
+}
+
+/// Compares what callers saw with what the upstreams ran.
+fn check_upstreams(log: &UpstreamLog, requests: &OutcomeReport, checks: &Checks) {
+    let report = log.report();
+    checks.add(
+        Promise::UpperLimit,
+        report.started,
+        report.started_above_limit,
+    );
+    checks.add(
+        Promise::NonIdempotentAtMostOnce,
+        report.started,
+        report.repeated_non_idempotent,
+    );
+    checks.add(
+        Promise::LeavingUpstream,
+        report.started,
+        report.started_after_leaving,
+    );
+    checks.add(
+        Promise::WholeOwnAnswer,
+        requests.answers,
+        requests.wrong_answers,
+    );
+    for request in &requests.refused_as_not_run {
+        // A request that the balancer sent twice may have run through its other copy.
+        if !request.starts_with("twice-") {
+            checks.check(Promise::NotRunIsTrue, log.starts_of(request) == 0);
+        }
+    }
+}
--- /dev/null
+++ b/rhubarbfall/src/dev/dev_fleet.rs
@@ -0,0 +1,166 @@
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use metrics_exporter_prometheus::PrometheusHandle;
+use rhubarbfall_core::{SharedClock, SystemClock};
+use rhubarbfall_entry::{Entry, Settings};
+use rhubarbfall_platform::table::{TableClient, Transaction, TransactionId};
+use rhubarbfall_platform::vms::{VmKind, VmRecord, VmState};
+use rhubarbfall_testing::platform::StandInPlatform;
+use rhubarbfall_testing::upstream::{StandInUpstream, UpstreamLog};
+use serde_json::json;
+
+use super::example::{Example, FLEET_KEY, KEY_PEPPER};
+
+/// How many VMs of a pool share a rack.
+const VMS_PER_RACK: usize = 4;
+
+/// The entries, the upstreams and the platform of a development fleet.
+#[derive(Debug)]
+pub(super) struct DevFleet {
+    pub(super) platform: StandInPlatform,
+    pub(super) upstreams: Vec<DevUpstream>,
+    pub(super) log: UpstreamLog,
+    pub(super) entries: Vec<DevEntry>,
+}
+
+/// An upstream with its place in the fleet.
+#[derive(Debug, Clone)]
+pub(super) struct DevUpstream {
+    pub(super) stand_in: StandInUpstream,
+    pub(super) record: VmRecord,
+}
+
+/// An entry that runs in this process.
+#[derive(Debug)]
+pub(super) struct DevEntry {
+    pub(super) name: String,
+    pub(super) entry: Entry,
+    pub(super) callers: SocketAddr,
+    pub(super) operators: SocketAddr,
+}
+
+impl DevFleet {
+    /// Starts every part on the current runtime.
+    pub(super) async fn start(
+        example: &Example,
+        metrics: Option<&PrometheusHandle>,
+    ) -> io::Result<Self> {
+        let platform = StandInPlatform::start(loopback()).await?;
+        let log = UpstreamLog::new();
+        for team in example.teams {
+            log.set_limit(team.name, team.upper_limit_slots);
+        }
+        let mut fleet = Self {
+            platform,
+            upstreams: Vec::new(),
+            log,
+            entries: Vec::new(),
+        };
+        for service in example.services {
+            for index in 0..example.upstreams_per_service {
+                fleet.start_upstream(example, service, index).await?;
+            }
+        }
+        for zone in example.zones {
+            for index in 0..example.entries_per_zone {
+                fleet.start_entry(zone, index, metrics.cloned())?;
+            }
+        }
+        Ok(fleet)
+    }
+
+    async fn start_upstream(
+        &mut self,
+        example: &Example,
+        service: &str,
+        index: usize,
+    ) -> io::Result<()> {
+        let zone = example.zones[index % example.zones.len()];
+        let id = format!("{service}-{index}");
+        let upstream_id = id.parse().map_err(io::Error::other)?;
+        let log = self.log.clone();
+        let stand_in = StandInUpstream::start(upstream_id, loopback(), log, example.work).await?;
+        let rack = index / example.zones.len() / VMS_PER_RACK;
+        let record = VmRecord {
+            id: id.parse().map_err(io::Error::other)?,
+            kind: VmKind::Worker,
+            availability_zone: zone.parse().map_err(io::Error::other)?,
+            region: "west".parse().map_err(io::Error::other)?,
+            rack: format!("{zone}-{service}-rack-{rack}")
+                .parse()
+                .map_err(io::Error::other)?,
+            address: stand_in.address(),
+            state: VmState::Live,
+        };
+        self.platform.put_vm(record.clone());
+        self.seed_vm_row(service, &id).await?;
+        self.upstreams.push(DevUpstream { stand_in, record });
+        Ok(())
+    }
+
+    async fn seed_vm_row(&self, service: &str, vm: &str) -> io::Result<()> {
+        let zone = "development".parse().map_err(io::Error::other)?;
+        let table = TableClient::new(self.platform.address(), zone, Duration::from_secs(5));
+        let row = json!({
+            "pool": format!("{service}-pool"),
+            "state": "serving",
+            "generation": 1,
+        });
+        let id = TransactionId::new(format!("seed-{vm}"), 0, 0);
+        let transaction = Transaction::new(id).put(format!("vm/{vm}"), row);
+        table.commit(&transaction).await.map_err(io::Error::other)?;
+        Ok(())
+    }
+
+    fn start_entry(
+        &mut self,
+        zone: &str,
+        index: usize,
+        metrics: Option<PrometheusHandle>,
+    ) -> io::Result<()> {
+        let name = format!("{zone}-entry-{index}");
+        let settings = entry_settings(&name, zone, self.platform.address());
+        let settings = Settings::parse(&settings).map_err(io::Error::other)?;
+        let clock: SharedClock = Arc::new(SystemClock::new());
+        let entry = Entry::start(settings, clock, metrics, false).map_err(io::Error::other)?;
+        let addresses = entry.addresses();
+        self.platform.put_vm(VmRecord {
+            id: name.parse().map_err(io::Error::other)?,
+            kind: VmKind::Entry,
+            availability_zone: zone.parse().map_err(io::Error::other)?,
+            region: "west".parse().map_err(io::Error::other)?,
+            rack: format!("{zone}-entries")
+                .parse()
+                .map_err(io::Error::other)?,
+            address: addresses.callers,
+            state: VmState::Live,
+        });
+        self.entries.push(DevEntry {
+            name,
+            entry,
+            callers: addresses.callers,
+            operators: addresses.operators,
+        });
+        Ok(())
+    }
+}
+
+fn entry_settings(name: &str, zone: &str, platform: SocketAddr) -> String {
+    let any = loopback();
+    format!(
+        "entry = {{ id = \"{name}\", availability_zone = \"{zone}\", region = \"west\", \
+         rack = \"{zone}-entries\" }}\n\
+         listen = {{ callers = \"{any}\", operators = \"{any}\", peers = \"{any}\" }}\n\
+         platform = {{ table = \"{platform}\", objects = \"{platform}\", vms = \"{platform}\" }}\n\
+         secrets = {{ fleet_key = \"{FLEET_KEY}\", key_pepper = \"{KEY_PEPPER}\" }}\n\
+         traffic = {{ threads = 1 }}\n",
+    )
+}
+
+/// Returns a loopback address with a port that the system chooses.
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
--- /dev/null
+++ b/rhubarbfall/src/dev/mod.rs
@@ -0,0 +1,15 @@
+//! A whole fleet in one process on loopback, with load and a report on the promises.
+
+mod balancer;
+mod checks;
+mod dev_command;
+mod dev_fleet;
+mod example;
+mod load;
+mod operator_client;
+mod outcomes;
+mod report;
+mod script;
+mod share_sampler;
+
+pub(crate) use dev_command::{DevOptions, run};
--- /dev/null
+++ b/rhubarbfall/src/dev/report.rs
@@ -0,0 +1,77 @@
+use serde::Serialize;
+
+use super::checks::{Promise, PromiseReport, Verdict};
+use super::outcomes::OutcomeReport;
+use super::share_sampler::ShareReport;
+
+/// What a run of a development fleet showed.
+#[derive(Debug, Serialize)]
+pub(super) struct DevReport {
+    pub(super) example: &'static str,
+    pub(super) run_for_s: u64,
+    pub(super) requests: OutcomeReport,
+    pub(super) shares: Vec<ShareReport>,
+    pub(super) promises: Vec<PromiseReport>,
+}
+
+impl DevReport {
+    /// Returns whether no promise was broken.
+    pub(super) fn is_clean(&self) -> bool {
+        self.promises
+            .iter()
+            .all(|promise| promise.verdict != Verdict::Broken)
+    }
+
+    /// Prints the report for people.
+    pub(super) fn print_text(&self) {
+        println!("example {}, {} s of load", self.example, self.run_for_s);
+        println!("\nrequests by result code:");
+        for (result, count) in &self.requests.by_result {
+            println!("  {result:<16} {count:>9}");
+        }
+        println!(
+            "latency: p50 {:.1} ms, p99 {:.1} ms",
+            self.requests.p50_ms, self.requests.p99_ms
+        );
+        println!("\nslots against fair portion, while a service was saturated:");
+        for share in &self.shares {
+            println!(
+                "  {:<12} running {:>6.2}  fair {:>6.2}  ratio {:.3}",
+                share.team, share.mean_running_slots, share.mean_fair_slots, share.ratio
+            );
+        }
+        println!("\npromises, as callers and upstreams saw them:");
+        for promise in &self.promises {
+            println!(
+                "  {:<26} {:<12} checked {:>8}  broken {:>6}",
+                name(promise.promise),
+                verdict(promise.verdict),
+                promise.checked,
+                promise.broken
+            );
+        }
+    }
+}
+
+const fn name(promise: Promise) -> &'static str {
+    match promise {
+        Promise::AvailabilityBudget => "availability budget",
+        Promise::OnePoolPerVm => "one pool per VM",
+        Promise::WorkOnlyForItsKey => "work only for its key",
+        Promise::UpperLimit => "upper limit",
+        Promise::WholeOwnAnswer => "whole own answer",
+        Promise::NotRunIsTrue => "not run is true",
+        Promise::NonIdempotentAtMostOnce => "non-idempotent once",
+        Promise::LeavingUpstream => "leaving upstream",
+        Promise::GracefulStop => "graceful stop",
+        Promise::ConfigurationInForce => "configuration in force",
+    }
+}
+
+const fn verdict(verdict: Verdict) -> &'static str {
+    match verdict {
+        Verdict::Held => "held",
+        Verdict::Broken => "BROKEN",
+        Verdict::NotChecked => "not checked",
+    }
+}
--- /dev/null
+++ b/rhubarbfall/src/dev/script.rs
@@ -0,0 +1,145 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rhubarbfall_platform::vms::VmState;
+use rhubarbfall_testing::platform::StandInPlatform;
+use rhubarbfall_testing::rig::{Caller, Request};
+use rhubarbfall_testing::upstream::UpstreamMode;
+
+use super::balancer::Balancer;
+use super::checks::{Checks, Promise};
+use super::dev_fleet::{DevEntry, DevUpstream};
+use super::example::{Example, second_key};
+use super::operator_client::{apply_document, is_ready};
+use super::outcomes::Outcomes;
+
+/// How long a withdrawn key may still be taken.
+const WITHDRAWAL_BOUND: Duration = Duration::from_secs(5);
+
+/// How long an accepted configuration may take to be in force everywhere.
+const IN_FORCE_BOUND: Duration = Duration::from_secs(10);
+
+/// How often each entry is asked with the withdrawn key.
+const PROBE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// How often readiness is looked at, as a balancer does.
+const READINESS_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Withdraws a key while load runs, and asks every entry with it until `end`.
+pub(super) async fn withdraw_key(
+    example: Example,
+    caller: Caller,
+    entries: Vec<(SocketAddr, SocketAddr)>,
+    checks: Checks,
+    at: Instant,
+    end: Instant,
+) {
+    tokio::time::sleep_until(at.into()).await;
+    let team = example.teams[0].name;
+    let key = second_key(team);
+    let document = example.document(Some(&key));
+    let Some((_, operators)) = entries.first().copied() else {
+        return;
+    };
+    if !apply_document(&caller, operators, document).await {
+        log::error!("event=withdraw-key error=refused");
+        return;
+    }
+    let accepted_at = Instant::now();
+    let mut probes = Vec::new();
+    for (index, (callers, _)) in entries.into_iter().enumerate() {
+        let probe = Probe {
+            service: example.services[0],
+            key: Arc::from(key.as_str()),
+            callers,
+            index,
+        };
+        let caller = caller.clone();
+        let checks = checks.clone();
+        probes.push(tokio::spawn(async move {
+            probe.run(&caller, &checks, accepted_at, end).await;
+        }));
+    }
+    for probe in probes {
+        let _ = probe.await;
+    }
+}
+
+/// Asks one entry with a withdrawn key.
+struct Probe {
+    service: &'static str,
+    key: Arc<str>,
+    callers: SocketAddr,
+    index: usize,
+}
+
+impl Probe {
+    async fn run(&self, caller: &Caller, checks: &Checks, accepted_at: Instant, end: Instant) {
+        let mut number = 0;
+        let mut was_refused = false;
+        while Instant::now() < end {
+            number += 1;
+            let sent_after = accepted_at.elapsed();
+            let id = format!("probe-{}-{number}", self.index);
+            let request = Request::to_queue(self.callers, self.service, &id)
+                .key(Arc::clone(&self.key))
+                .header("x-work-ms", "1");
+            let Ok(answer) = caller.send(request).await else {
+                return;
+            };
+            let is_refused = answer.code() == Some(2003);
+            let is_taken = answer.code() == Some(1000);
+            if is_refused || is_taken {
+                checks.check(
+                    Promise::WorkOnlyForItsKey,
+                    is_refused || sent_after < WITHDRAWAL_BOUND,
+                );
+                let is_reverted = was_refused && is_taken;
+                let is_late = is_taken && sent_after > IN_FORCE_BOUND;
+                checks.check(Promise::ConfigurationInForce, !is_reverted && !is_late);
+            }
+            was_refused |= is_refused;
+            tokio::time::sleep(PROBE_INTERVAL).await;
+        }
+    }
+}
+
+/// Makes an upstream say that it leaves; the platform's list says so only much later.
+pub(super) async fn leave(upstream: DevUpstream, platform: StandInPlatform, at: Instant) {
+    tokio::time::sleep_until(at.into()).await;
+    upstream.stand_in.set_mode(UpstreamMode::Leaving);
+    tokio::time::sleep(Duration::from_secs(30)).await;
+    let mut record = upstream.record;
+    record.state = VmState::Leaving;
+    platform.put_vm(record);
+}
+
+/// Stops an entry while load runs; the balancer follows its readiness.
+pub(super) async fn stop_entry(
+    entry: DevEntry,
+    caller: Caller,
+    balancer: Balancer,
+    outcomes: Outcomes,
+    checks: Checks,
+    at: Instant,
+) {
+    tokio::time::sleep_until(at.into()).await;
+    let (answered_before, broken_before) = outcomes.of_entry(entry.callers);
+    let callers = entry.callers;
+    log::info!("event=planned-stop entry={}", entry.name);
+    entry.entry.stop();
+    while is_ready(&caller, entry.operators).await {
+        tokio::time::sleep(READINESS_INTERVAL).await;
+    }
+    balancer.set_ready(callers, false);
+    let ended = tokio::task::spawn_blocking(move || entry.entry.wait()).await;
+    let (answered, broken) = outcomes.of_entry(callers);
+    let broken = broken - broken_before;
+    checks.add(
+        Promise::GracefulStop,
+        answered - answered_before + broken,
+        broken,
+    );
+    checks.check(Promise::GracefulStop, matches!(ended, Ok(Ok(()))));
+}
--- a/rhubarbfall/src/main.rs
+++ b/rhubarbfall/src/main.rs
@@ -2,6 +2,7 @@
 
 mod cli;
 mod commands;
+mod dev;
 mod logging;
 
 use std::process::ExitCode;
