feat(document): drain upstreams by a list in the fleet section

An operator's drain is part of the document, so that it reaches every entry the way other changes do, lasts, and needs no row and no poll of its own.

--- a/rhubarbctl/src/arguments.rs
+++ b/rhubarbctl/src/arguments.rs
@@ -2,7 +2,9 @@
 use std::path::PathBuf;
 
 use clap::{Arg, ArgAction, ArgGroup, Command, value_parser};
-use rhubarbfall_core::{PoolId, Revision, SectionVersion, ShareWeight, Slots, TeamId, VmCount};
+use rhubarbfall_core::{
+    PoolId, Revision, SectionVersion, ShareWeight, Slots, TeamId, UpstreamId, VmCount,
+};
 use rhubarbfall_document::{AccessKey, SectionId};
 
 /// Builds the command line.
@@ -222,7 +224,12 @@
         .subcommand(
             Command::new("drain")
                 .about("Sends no new work to an upstream")
-                .arg(id::<rhubarbfall_core::UpstreamId>()),
+                .arg(id::<UpstreamId>()),
+        )
+        .subcommand(
+            Command::new("resume")
+                .about("Sends work to a drained upstream again")
+                .arg(id::<UpstreamId>()),
         )
 }
 
--- a/rhubarbctl/src/client.rs
+++ b/rhubarbctl/src/client.rs
@@ -64,12 +64,6 @@
         self.get("/v1/upstreams").await
     }
 
-    /// Asks that no new work goes to an upstream.
-    pub(crate) async fn drain_upstream(&self, id: &str) -> Result<Value, CtlError> {
-        let path = format!("/v1/upstreams/{id}/drain");
-        self.request(Method::POST, &path, Bytes::new(), None).await
-    }
-
     /// Reads the process's whole state.
     pub(crate) async fn state(&self) -> Result<Value, CtlError> {
         self.get("/state").await
--- a/rhubarbctl/src/commands/document.rs
+++ b/rhubarbctl/src/commands/document.rs
@@ -9,6 +9,7 @@
     Document, Draft, HistoryRecord, SectionChange, SectionDifference, SectionId, diff,
 };
 
+use super::fleet_edit::table_unavailable;
 use super::transaction_id;
 use crate::client::Client;
 use crate::ctl_error::CtlError;
@@ -91,9 +92,7 @@
     }
     let view = client.document().await?;
     if view.source == ViewSource::InForce {
-        return Err(usage(
-            "the table does not answer, so that the versions are not known",
-        ));
+        return Err(table_unavailable());
     }
     let sections = selected(matches, &view);
     let text = text_of(&part_of(&view, &sections), &sections);
--- a/rhubarbctl/src/commands/fleet_edit.rs
+++ b/rhubarbctl/src/commands/fleet_edit.rs
@@ -2,13 +2,12 @@
 
 use clap::ArgMatches;
 use rhubarbfall_core::ResultCode;
-use rhubarbfall_document::api::{ChangeAnswer, ViewSource};
+use rhubarbfall_document::api::{ChangeAnswer, ErrorAnswer, ViewSource};
 use rhubarbfall_document::{Document, SectionId};
 
 use super::transaction_id;
 use crate::client::Client;
 use crate::ctl_error::CtlError;
-use crate::settings::usage;
 
 /// How often a change is tried again on a newer version of its section.
 const MAX_CONFLICTS: u32 = 5;
@@ -25,9 +24,7 @@
     loop {
         let view = client.document().await?;
         if view.source == ViewSource::InForce {
-            return Err(usage(
-                "the table does not answer, so that nothing can be changed",
-            ));
+            return Err(table_unavailable());
         }
         let mut document = view.document;
         change(&mut document)?;
@@ -43,3 +40,8 @@
         conflicts += 1;
     }
 }
+
+/// Without the table the versions are not known, and nothing can be changed.
+pub(super) fn table_unavailable() -> CtlError {
+    CtlError::Refused(Box::new(ErrorAnswer::new(ResultCode::PlatformUnavailable)))
+}
--- a/rhubarbctl/src/commands/mod.rs
+++ b/rhubarbctl/src/commands/mod.rs
@@ -6,6 +6,7 @@
 mod observe;
 mod pool;
 mod team;
+mod upstream;
 
 use clap::ArgMatches;
 
@@ -28,7 +29,7 @@
         "team" => team::run(&client, matches, report).await,
         "pool" => pool::run(&client, matches, report).await,
         "entry" | "status" => observe::status(&client, group, report).await,
-        "upstream" => observe::upstream(&client, matches, report).await,
+        "upstream" => upstream::run(&client, matches, report).await,
         _ => observe::state(&client, report).await,
     }
 }
--- a/rhubarbctl/src/commands/observe.rs
+++ b/rhubarbctl/src/commands/observe.rs
@@ -1,7 +1,5 @@
-//! Commands that look at one process and change nothing but an upstream's drain.
+//! Commands that look at one process and change nothing.
 
-use clap::ArgMatches;
-use rhubarbfall_core::UpstreamId;
 use rhubarbfall_document::api::{EntryStatus, StatusView};
 
 use crate::client::Client;
@@ -20,40 +18,6 @@
     })
 }
 
-pub(super) async fn upstream(
-    client: &Client,
-    matches: &ArgMatches,
-    report: Report,
-) -> Result<(), CtlError> {
-    let (name, matches) = matches.subcommand().expect("a subcommand is required");
-    if name == "drain" {
-        let id: &UpstreamId = matches.get_one("id").expect("the identifier is required");
-        let answer = client.drain_upstream(id.as_str()).await?;
-        return report.print(&answer, |_| format!("{id} receives no new work\n"));
-    }
-    let upstreams = client.upstreams().await?;
-    report.print(&upstreams, |upstreams| {
-        let headings = [
-            "upstream",
-            "service",
-            "availability zone",
-            "state",
-            "running",
-        ];
-        let mut table = TextTable::new(&headings);
-        for upstream in upstreams {
-            table = table.row([
-                upstream.id.to_string(),
-                upstream.service.to_string(),
-                upstream.availability_zone.to_string(),
-                upstream.state.to_string(),
-                upstream.running_slots.to_string(),
-            ]);
-        }
-        table.to_string()
-    })
-}
-
 /// Prints the whole state of the process; it is JSON either way.
 pub(super) async fn state(client: &Client, report: Report) -> Result<(), CtlError> {
     let state = client.state().await?;
--- /dev/null
+++ b/rhubarbctl/src/commands/upstream.rs
@@ -0,0 +1,66 @@
+use clap::ArgMatches;
+use rhubarbfall_core::UpstreamId;
+use rhubarbfall_document::{Document, SectionId};
+
+use super::document::change_text;
+use super::fleet_edit::edit_section;
+use crate::client::Client;
+use crate::ctl_error::CtlError;
+use crate::report::Report;
+use crate::text_table::TextTable;
+
+pub(super) async fn run(
+    client: &Client,
+    matches: &ArgMatches,
+    report: Report,
+) -> Result<(), CtlError> {
+    let (name, matches) = matches.subcommand().expect("a subcommand is required");
+    match name {
+        "drain" => set_drained(client, matches, true, report).await,
+        "resume" => set_drained(client, matches, false, report).await,
+        _ => list(client, report).await,
+    }
+}
+
+async fn set_drained(
+    client: &Client,
+    matches: &ArgMatches,
+    is_drained: bool,
+    report: Report,
+) -> Result<(), CtlError> {
+    let id: &UpstreamId = matches.get_one("id").expect("the identifier is required");
+    let change = |document: &mut Document| {
+        let drained = &mut document.fleet.drained_upstreams;
+        drained.retain(|drained| drained != id);
+        if is_drained {
+            drained.push(id.clone());
+        }
+        Ok(())
+    };
+    let answer = edit_section(client, matches, &SectionId::Fleet, change).await?;
+    report.print(&answer, change_text)
+}
+
+async fn list(client: &Client, report: Report) -> Result<(), CtlError> {
+    let upstreams = client.upstreams().await?;
+    report.print(&upstreams, |upstreams| {
+        let headings = [
+            "upstream",
+            "service",
+            "availability zone",
+            "state",
+            "running",
+        ];
+        let mut table = TextTable::new(&headings);
+        for upstream in upstreams {
+            table = table.row([
+                upstream.id.to_string(),
+                upstream.service.to_string(),
+                upstream.availability_zone.to_string(),
+                upstream.state.to_string(),
+                upstream.running_slots.to_string(),
+            ]);
+        }
+        table.to_string()
+    })
+}
--- a/rhubarbfall-document/src/check.rs
+++ b/rhubarbfall-document/src/check.rs
@@ -4,7 +4,7 @@
 use std::ops::RangeInclusive;
 use std::sync::Arc;
 
-use rhubarbfall_core::TeamId;
+use rhubarbfall_core::{TeamId, UpstreamId};
 
 use crate::limits::{
     ANSWER_TIMEOUT_MS, MAX_LABEL_BYTES, MAX_LIST_ITEMS, POOL_VMS, SHARE_WEIGHTS, UPPER_LIMIT_SLOTS,
@@ -22,6 +22,7 @@
 /// Returns every broken rule; lists need not be sorted.
 pub(crate) fn check(document: &Document) -> Vec<Violation> {
     let mut checker = Checker::new(document);
+    checker.drained_upstreams();
     checker.pools();
     checker.services();
     checker.queues();
@@ -53,6 +54,19 @@
         }
     }
 
+    fn drained_upstreams(&mut self) {
+        let drained = &self.document.fleet.drained_upstreams;
+        let path = "fleet.drained_upstreams";
+        if drained.len() > MAX_LIST_ITEMS {
+            let message = format!("at most {MAX_LIST_ITEMS} items are allowed");
+            self.add(path.to_owned(), message);
+        }
+        let ids = sorted(drained.iter().map(UpstreamId::as_str));
+        for pair in ids.windows(2).filter(|pair| pair[0] == pair[1]) {
+            self.add(path.to_owned(), format!("{} is used twice", pair[0]));
+        }
+    }
+
     fn pools(&mut self) {
         let pools = &self.document.fleet.pools;
         self.unique(
--- a/rhubarbfall-document/src/document.rs
+++ b/rhubarbfall-document/src/document.rs
@@ -1,4 +1,4 @@
-use rhubarbfall_core::{LiteMap, PoolId, QueueId, Revision, ServiceId, TeamId};
+use rhubarbfall_core::{LiteMap, PoolId, QueueId, Revision, ServiceId, TeamId, UpstreamId};
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -31,6 +31,7 @@
     /// Sorts every list by identifier, which the look-ups rely on.
     #[must_use]
     pub fn sorted(mut self) -> Self {
+        self.fleet.drained_upstreams.sort();
         self.fleet.pools.sort_by(|a, b| a.id.cmp(&b.id));
         self.fleet.services.sort_by(|a, b| a.id.cmp(&b.id));
         self.fleet.queues.sort_by(|a, b| a.id.cmp(&b.id));
@@ -59,6 +60,11 @@
         find(&self.fleet.teams, id, |team| &team.id)
     }
 
+    /// Returns whether operators have drained this upstream.
+    pub fn is_drained(&self, id: &UpstreamId) -> bool {
+        self.fleet.drained_upstreams.binary_search(id).is_ok()
+    }
+
     /// Returns the granted key with this digest.
     ///
     /// The search compares keyed digests, whose order nobody without the pepper can predict; the
--- a/rhubarbfall-document/src/fleet_section.rs
+++ b/rhubarbfall-document/src/fleet_section.rs
@@ -1,3 +1,4 @@
+use rhubarbfall_core::UpstreamId;
 use serde::{Deserialize, Serialize};
 
 use crate::{PoolSpec, QueueSpec, ServiceSpec, TeamSpec};
@@ -6,6 +7,9 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct FleetSection {
+    /// Upstreams that operators have drained; they receive no new work.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub drained_upstreams: Vec<UpstreamId>,
     /// The pools of VMs.
     #[serde(default, rename = "pool", skip_serializing_if = "Vec::is_empty")]
     pub pools: Vec<PoolSpec>,
--- a/rhubarbfall-document/src/read.rs
+++ b/rhubarbfall-document/src/read.rs
@@ -49,7 +49,9 @@
 }
 
 fn read_fleet(mut table: TableReader<'_>, findings: &mut Findings) -> FleetSection {
+    let drained_upstreams = table.optional("drained_upstreams", findings);
     let fleet = FleetSection {
+        drained_upstreams: drained_upstreams.unwrap_or_default(),
         pools: table.tables("pool", findings, read_pool),
         services: table.tables("service", findings, read_service),
         queues: table.tables("queue", findings, read_queue),
--- a/rhubarbfall-document/tests/parse.rs
+++ b/rhubarbfall-document/tests/parse.rs
@@ -35,6 +35,9 @@
     expect![[r#"
         revision = 0
 
+        [fleet]
+        drained_upstreams = ["zone-a-labels-1", "zone-b-labels-2"]
+
         [[fleet.pool]]
         id = "labels-pool"
         max_unavailable_vms = 2
--- a/rhubarbfall-entry/src/control/upstream_poll.rs
+++ b/rhubarbfall-entry/src/control/upstream_poll.rs
@@ -44,6 +44,7 @@
             .iter()
             .filter(|vm| is_routable(shared, vm) && pools.get(&vm.id) == Some(&service.pool))
             .filter_map(|vm| Some((vm.id.as_str().parse().ok()?, vm.address)))
+            .filter(|(id, _)| !document.is_drained(id))
             .collect();
         let slots = service.slots_per_upstream;
         shared
--- a/rhubarbfall/tests/document.rs
+++ b/rhubarbfall/tests/document.rs
@@ -4,7 +4,9 @@
 
 use http::{Method, StatusCode};
 use rhubarbfall_testing::platform::{Fault, FaultMode, ServiceKind};
-use rhubarbfall_testing::rig::{Answer, EntryProcess, FleetShape, Request, TestFleet, wait_until};
+use rhubarbfall_testing::rig::{
+    Answer, EntryProcess, FleetShape, Request, TEST_DOCUMENT, TestFleet, wait_until,
+};
 use serde_json::Value;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_rhubarbfall");
@@ -182,13 +184,46 @@
     assert_eq!(keys, Some(1));
 }
 
+#[test]
+fn a_drained_upstream_receives_no_new_work() {
+    let fleet = TestFleet::start(PROGRAM, FleetShape::new().zones(["zone-a"])).expect("starts");
+    let head = "versions.fleet = 1\n[fleet]\ndrained_upstreams = ['zone-a-labels-0']\n";
+    let body = TEST_DOCUMENT
+        .split("[[keys.key]]")
+        .next()
+        .unwrap_or_default();
+    let drain = apply(
+        &fleet.entries[0],
+        "operator-key",
+        "drain",
+        &format!("{head}{body}"),
+    );
+    let answer = json(&fleet.send(drain).expect("an answer"));
+    assert_eq!(answer["code"], 1001, "{answer}");
+    for entry in &fleet.entries {
+        wait_until("only one upstream is left", IN_FORCE_BOUND, || {
+            let upstreams = fleet.state(entry)["dispatch"]["upstreams"].clone();
+            upstreams.as_array().map(Vec::len) == Some(1)
+        });
+    }
+    for index in 0..20 {
+        let entry = &fleet.entries[index % fleet.entries.len()];
+        let request = Request::to_queue(entry.callers(), "labels-urgent", &format!("r{index}"));
+        let answer = fleet.send(request.key("house-a-key")).expect("an answer");
+        assert_eq!(answer.code(), Some(1000));
+    }
+    let report = fleet.log.report();
+    assert_eq!(report.started, 20);
+    assert!(!report.peak_by_upstream.contains_key("zone-a-labels-0"));
+}
+
 #[test]
 fn a_second_first_document_is_refused() {
     let fleet = start();
     let request = Request::new(Method::PUT, fleet.entries[0].operators(), "/v1/document")
         .key("operator-key")
         .header("x-transaction-id", "again")
-        .body(rhubarbfall_testing::rig::TEST_DOCUMENT);
+        .body(TEST_DOCUMENT);
     let answer = fleet.send(request).expect("an answer");
     assert_eq!(json(&answer)["code"], 4003);
 }
