--- a/rhubarbfall-entry/src/membership/duties.rs
+++ b/rhubarbfall-entry/src/membership/duties.rs
@@ -52,7 +52,9 @@
     runtime: &Handle,
 ) -> std::io::Result<()> {
     listener.set_nonblocking(true)?;
-    let address = listener.local_addr()?;
+    let listening = listener.local_addr()?;
+    let advertised = shared.settings.listen.peers_advertised;
+    let address = advertised.unwrap_or(listening);
     let listener = tokio::net::TcpListener::from_std(listener)?;
     let settings = &shared.settings.entry;
     let incarnation = registration::choose_incarnation(shared).await;
--- a/rhubarbfall-entry/src/settings/sections.rs
+++ b/rhubarbfall-entry/src/settings/sections.rs
@@ -30,6 +30,9 @@
     pub operators: SocketAddr,
     /// For other entries.
     pub peers: SocketAddr,
+    /// Where other entries connect, when that is not where this process listens.
+    #[serde(default)]
+    pub peers_advertised: Option<SocketAddr>,
 }
 
 /// Where the platform's services are.
--- a/rhubarbfall-testing/src/rig/test_fleet.rs
+++ b/rhubarbfall-testing/src/rig/test_fleet.rs
@@ -135,6 +135,8 @@
     pub platform: StandInPlatform,
     /// The relay between each zone and the platform.
     pub platform_relays: LiteMap<String, Relay>,
+    /// The relay in front of each entry's address for its peers.
+    pub peer_relays: LiteMap<String, Relay>,
     /// The upstreams.
     pub upstreams: Vec<StandInUpstream>,
     /// What all upstreams together have run.
@@ -167,6 +169,7 @@
         let mut fleet = Self {
             platform,
             platform_relays: LiteMap::new(),
+            peer_relays: LiteMap::new(),
             upstreams: Vec::new(),
             log: UpstreamLog::new(),
             entries: Vec::new(),
@@ -242,6 +245,11 @@
             let relay = self.runtime.block_on(relay)?;
             self.platform_relays.insert(zone.to_owned(), relay);
             for index in 0..self.shape.entries_per_zone {
+                let peers = self
+                    .runtime
+                    .block_on(Relay::start(self.platform.address()))?;
+                self.peer_relays
+                    .insert(format!("{zone}-entry-{index}"), peers);
                 let entry = self.start_entry(zone, index)?;
                 self.entries.push(entry);
             }
@@ -260,6 +268,9 @@
         fs::write(&path, self.settings(&id, zone))?;
         let arguments = ["serve".into(), "--settings".into(), path.into_os_string()];
         let process = Process::start(&self.program, arguments)?;
+        if let Some(relay) = self.peer_relays.get(&id) {
+            relay.set_target(process.address("peers"));
+        }
         self.platform.put_vm(VmRecord {
             id: id.parse().map_err(io::Error::other)?,
             kind: VmKind::Entry,
@@ -283,10 +294,14 @@
             .platform_relays
             .get(zone)
             .map_or(self.platform.address(), Relay::address);
+        let peers = self.peer_relays.get(id).map(Relay::address);
+        let advertised = peers.map_or_else(String::new, |address| {
+            format!(", peers_advertised = \"{address}\"")
+        });
         let mut text = format!(
             "entry = {{ id = \"{id}\", availability_zone = \"{zone}\", region = \"west\", \
              rack = \"{zone}-entries\" }}\n\
-             listen = {{ callers = \"{ANY_PORT}\", operators = \"{ANY_PORT}\", peers = \"{ANY_PORT}\" }}\n\
+             listen = {{ callers = \"{ANY_PORT}\", operators = \"{ANY_PORT}\", peers = \"{ANY_PORT}\"{advertised} }}\n\
              platform = {{ table = \"{platform}\", objects = \"{platform}\", vms = \"{platform}\" }}\n\
              secrets = {{ fleet_key = \"{FLEET_KEY}\", key_pepper = \"{KEY_PEPPER}\" }}\n",
         );
--- /dev/null
+++ b/rhubarbfall/tests/membership.rs
@@ -0,0 +1,211 @@
+//! Fresh evidence with entries as separate processes: outages, cuts, pauses and replacements.
+
+use std::time::{Duration, Instant};
+
+use http::Method;
+use rhubarbfall_testing::RelayMode;
+use rhubarbfall_testing::platform::{Fault, FaultMode, ServiceKind};
+use rhubarbfall_testing::rig::{EntryProcess, FleetShape, Request, TestFleet, wait_until};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_rhubarbfall");
+
+/// How long a withdrawn key may go on working.
+const WITHDRAWAL_BOUND: Duration = Duration::from_secs(5);
+
+/// How long an accepted change may take to be in force everywhere.
+const IN_FORCE_BOUND: Duration = Duration::from_secs(10);
+
+/// How long entries may take to know each other and to vouch for what they know.
+const SETTLING_TIMEOUT: Duration = Duration::from_secs(60);
+
+const COMPLETED: Option<u16> = Some(1000);
+const CONFIGURATION_STALE: Option<u16> = Some(2005);
+
+fn start(entries_per_zone: usize) -> TestFleet {
+    let shape = FleetShape::new()
+        .zones(["zone-a", "zone-b", "zone-c"])
+        .entries_per_zone(entries_per_zone)
+        .upstreams_per_zone(1);
+    let fleet = TestFleet::start(PROGRAM, shape).expect("the fleet starts");
+    for entry in &fleet.entries {
+        wait_until(
+            "the entry is admitted and settled",
+            SETTLING_TIMEOUT,
+            || {
+                let membership = &fleet.state(entry)["membership"];
+                membership["is_admitted"] == true && membership["is_settled"] == true
+            },
+        );
+    }
+    fleet
+}
+
+fn keyed(fleet: &TestFleet, entry: &EntryProcess, key: &str) -> Option<u16> {
+    let request = Request::to_queue(entry.callers(), "labels-urgent", &unique_id()).key(key);
+    fleet.send(request).ok()?.code()
+}
+
+fn open(fleet: &TestFleet, entry: &EntryProcess) -> Option<u16> {
+    let request = Request::to_queue(entry.callers(), "labels-open", &unique_id());
+    fleet.send(request).ok()?.code()
+}
+
+fn unique_id() -> String {
+    use std::sync::atomic::{AtomicU64, Ordering};
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    format!("request-{}", NEXT.fetch_add(1, Ordering::Relaxed))
+}
+
+/// Withdraws the key of house-a and returns when the answer came.
+fn withdraw(fleet: &TestFleet, entry: &EntryProcess) -> Instant {
+    let document = rhubarbfall_testing::rig::TEST_DOCUMENT;
+    let keys = document
+        .split_once("[[keys.key]]")
+        .expect("the document has keys")
+        .1;
+    let kept = keys
+        .split("[[keys.key]]")
+        .filter(|key| !key.contains("house-a-key"));
+    let kept: String = kept.map(|key| format!("[[keys.key]]{key}")).collect();
+    let text = format!("[versions]\nkeys = 1\n{kept}");
+    let request = Request::new(Method::POST, entry.operators(), "/v1/document")
+        .key("operator-key")
+        .header("x-transaction-id", "withdrawal")
+        .body(text);
+    let answer = fleet.send(request).expect("an answer");
+    let body = String::from_utf8_lossy(&answer.body).into_owned();
+    assert_eq!(answer.status, http::StatusCode::OK, "{body}");
+    Instant::now()
+}
+
+fn table_down() -> Fault {
+    Fault::new(FaultMode::Down).service(ServiceKind::Table)
+}
+
+/// Cuts a zone off from the platform and from what its peers send.
+fn cut_off(fleet: &TestFleet, zone: &str) {
+    fleet
+        .platform_relays
+        .get(zone)
+        .expect("a zone")
+        .set_mode(RelayMode::Cut);
+    for entry in fleet.entries.iter().filter(|entry| entry.zone == zone) {
+        fleet
+            .peer_relays
+            .get(&entry.id)
+            .expect("a relay")
+            .set_mode(RelayMode::Silent);
+    }
+}
+
+#[test]
+fn withdrawn_key_stops_within_the_bound_also_in_a_zone_cut_off_from_all() {
+    let fleet = start(1);
+    cut_off(&fleet, "zone-c");
+    let withdrawn = withdraw(&fleet, &fleet.entries[0]);
+    let mut last_completed = None;
+    while withdrawn.elapsed() < WITHDRAWAL_BOUND + Duration::from_secs(2) {
+        for entry in &fleet.entries {
+            let asked = Instant::now();
+            if keyed(&fleet, entry, "house-a-key") == COMPLETED {
+                last_completed = Some(asked);
+            }
+        }
+    }
+    let worked_for = last_completed.map(|last| last.duration_since(withdrawn));
+    assert!(worked_for < Some(WITHDRAWAL_BOUND), "{worked_for:?}");
+    for entry in &fleet.entries[..2] {
+        assert_eq!(keyed(&fleet, entry, "house-b-key"), COMPLETED);
+    }
+    let cut = &fleet.entries[2];
+    assert_eq!(keyed(&fleet, cut, "house-b-key"), CONFIGURATION_STALE);
+    assert_eq!(open(&fleet, cut), COMPLETED);
+}
+
+#[test]
+fn outage_of_the_table_alone_stops_no_keyed_work() {
+    let fleet = start(2);
+    fleet.platform.add_fault(table_down());
+    let began = Instant::now();
+    let mut refusals = Vec::new();
+    while began.elapsed() < Duration::from_secs(20) {
+        for entry in &fleet.entries {
+            let code = keyed(&fleet, entry, "house-a-key");
+            if code != COMPLETED {
+                refusals.push((began.elapsed(), code));
+            }
+        }
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    assert_eq!(refusals, []);
+}
+
+#[test]
+fn accepted_change_reaches_a_zone_that_the_platform_does_not_answer() {
+    let fleet = start(1);
+    let relay = fleet.platform_relays.get("zone-c").expect("a zone");
+    relay.set_mode(RelayMode::Cut);
+    let accepted = withdraw(&fleet, &fleet.entries[0]);
+    for entry in &fleet.entries {
+        wait_until("the change is in force", IN_FORCE_BOUND, || {
+            fleet.state(entry)["revision"] == 2
+        });
+    }
+    assert!(accepted.elapsed() < IN_FORCE_BOUND);
+    std::thread::sleep(WITHDRAWAL_BOUND);
+    assert_eq!(keyed(&fleet, &fleet.entries[2], "house-b-key"), COMPLETED);
+}
+
+#[test]
+fn frozen_entry_refuses_keyed_work_until_it_has_new_evidence() {
+    let fleet = start(1);
+    let frozen = &fleet.entries[2];
+    frozen.process.freeze();
+    withdraw(&fleet, &fleet.entries[0]);
+    std::thread::sleep(WITHDRAWAL_BOUND + Duration::from_secs(1));
+    cut_off(&fleet, "zone-c");
+    frozen.process.resume();
+    for _ in 0..20 {
+        let code = keyed(&fleet, frozen, "house-a-key");
+        assert_eq!(code, CONFIGURATION_STALE);
+    }
+    assert_eq!(open(&fleet, frozen), COMPLETED);
+}
+
+#[test]
+fn replacement_takes_keyed_work_during_an_outage_of_the_table() {
+    let mut fleet = start(2);
+    fleet.platform.add_fault(table_down());
+    fleet.entries[1].process.kill();
+    let replacement = fleet.start_entry("zone-a", 1).expect("the entry starts");
+    wait_until(
+        "the replacement takes keyed work",
+        Duration::from_secs(30),
+        || {
+            let code = keyed(&fleet, &replacement, "house-b-key");
+            // Its upstreams stand in the table, so that it may have none yet.
+            code == COMPLETED || code == Some(2010)
+        },
+    );
+    for entry in &fleet.entries[2..] {
+        assert_eq!(keyed(&fleet, entry, "house-b-key"), COMPLETED);
+    }
+}
+
+#[test]
+fn one_entry_of_each_zone_holds_the_lease_and_another_follows_it() {
+    let mut fleet = start(2);
+    let holder_of = |fleet: &TestFleet, entry: &EntryProcess| {
+        fleet.state(entry)["membership"]["lease_holder"].clone()
+    };
+    let first = holder_of(&fleet, &fleet.entries[0]);
+    assert_eq!(first, holder_of(&fleet, &fleet.entries[1]));
+    let index = usize::from(first == fleet.entries[1].id.as_str());
+    fleet.entries[index].process.kill();
+    let other = &fleet.entries[1 - index];
+    wait_until(
+        "the other entry holds the lease",
+        Duration::from_secs(40),
+        || fleet.state(other)["membership"]["fencing"] == 2,
+    );
+}
