--- /dev/null
+++ b/rhubarbfall-membership/examples/capacity.rs
@@ -0,0 +1,164 @@
+//! Prints the slopes of `docs/CAPACITY.md`: `cargo run --release -p rhubarbfall-membership --example capacity`.
+
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use std::time::{Duration, Instant};
+
+use prost::Message;
+use rhubarbfall_core::{Revision, ShareWeight, Slots, VmCount};
+use rhubarbfall_document::{
+    Document, KeyDigest, KeyOwner, KeySpec, PoolSpec, QueueAccess, QueueSpec, TeamSpec,
+};
+use rhubarbfall_membership::Narrowing;
+use support::{Fleet, Table};
+
+/// An eighth, a quarter, a half and the whole: zones and entries in each.
+const SIZES: [(usize, usize); 4] = [(3, 4), (5, 5), (8, 6), (11, 9)];
+
+const TEAMS: usize = 560;
+const POOLS: usize = 68;
+const KEYS_PER_TEAM: usize = 3;
+const CHANGES_PER_DAY: usize = 8_400;
+const SECONDS_PER_DAY: usize = 86_400;
+const WARM_UP: Duration = Duration::from_secs(30);
+const WINDOW: Duration = Duration::from_mins(1);
+
+fn main() {
+    println!("## Heartbeats, both directions, bytes per second and node");
+    println!(
+        "| entries | zones | table | ordinary B/s | speaker B/s | speaker B/s with TCP/IP | messages/s speaker | table reads/s mean | most in 1 s | processor us/s and node |"
+    );
+    println!("|---|---|---|---|---|---|---|---|---|---|");
+    for (zones, entries) in SIZES {
+        for table in [Table::Up, Table::Down] {
+            gossip_row(zones, entries, table);
+        }
+    }
+    println!("\n## Document");
+    println!(
+        "| teams | keys | JSON bytes | decode us | intent bytes of one withdrawal | whole document a change, B/s and node |"
+    );
+    println!("|---|---|---|---|---|---|");
+    for share in [8, 4, 2, 1] {
+        document_row(TEAMS / share, POOLS / share);
+    }
+}
+
+fn gossip_row(zones: usize, entries: usize, table: Table) {
+    let mut fleet = Fleet::new(zones, entries);
+    fleet.run(WARM_UP);
+    fleet.table = table;
+    fleet.run(WARM_UP);
+    fleet.clear_counts();
+    let began = Instant::now();
+    fleet.run(WINDOW);
+    let elapsed = began.elapsed();
+    let seconds = WINDOW.as_secs() as usize;
+    let (mut speakers, mut others) = (Vec::new(), Vec::new());
+    for node in &fleet.nodes {
+        let group = if node.gossip.is_speaker(fleet.now) {
+            &mut speakers
+        } else {
+            &mut others
+        };
+        group.push((
+            node.frame_bytes / seconds,
+            node.wire_bytes / seconds,
+            node.messages / seconds,
+        ));
+    }
+    let ordinary = others
+        .iter()
+        .map(|counts| counts.0)
+        .max()
+        .unwrap_or_default();
+    let frames = speakers
+        .iter()
+        .map(|counts| counts.0)
+        .max()
+        .unwrap_or_default();
+    let wire = speakers
+        .iter()
+        .map(|counts| counts.1)
+        .max()
+        .unwrap_or_default();
+    let messages = speakers
+        .iter()
+        .map(|counts| counts.2)
+        .max()
+        .unwrap_or_default();
+    let reads = fleet.table_reads as f64 / seconds as f64;
+    let most = fleet
+        .reads_by_second
+        .iter()
+        .max()
+        .copied()
+        .unwrap_or_default();
+    let processor = elapsed.as_micros() as usize / seconds / fleet.nodes.len();
+    println!(
+        "| {} | {zones} | {table:?} | {ordinary} | {frames} | {wire} | {messages} | {reads:.1} | {most} | {processor} |",
+        fleet.nodes.len(),
+    );
+}
+
+fn document_row(teams: usize, pools: usize) {
+    let document = document(teams, pools);
+    let json = serde_json::to_vec(&document).expect("a document is JSON");
+    let began = Instant::now();
+    let decoded: Document = serde_json::from_slice(&json).expect("it reads back");
+    let decode_us = began.elapsed().as_micros();
+    let mut after = decoded.clone();
+    after.keys.keys.remove(0);
+    let intent = Narrowing::between(&decoded, &after).encode();
+    let message = rhubarbfall_wire::messages::membership::IntentMessage {
+        reference: None,
+        revision: 1_000_000,
+        change: intent.into(),
+    };
+    println!(
+        "| {teams} | {} | {} | {decode_us} | {} | {} |",
+        document.keys.keys.len(),
+        json.len(),
+        message.encoded_len(),
+        json.len() * CHANGES_PER_DAY / SECONDS_PER_DAY,
+    );
+}
+
+fn document(teams: usize, pools: usize) -> Document {
+    let team = |index: usize| format!("team-{index:04}").parse().expect("an identifier");
+    let mut document = Document {
+        revision: Revision::new(1_000_000),
+        ..Document::default()
+    };
+    for index in 0..pools {
+        document.fleet.pools.push(PoolSpec {
+            id: format!("pool-{index:03}").parse().expect("an identifier"),
+            max_unavailable_vms: VmCount::new(1),
+            min_vms: VmCount::new(8),
+        });
+    }
+    for index in 0..teams {
+        document.fleet.teams.push(TeamSpec {
+            id: team(index),
+            upper_limit_slots: Slots::new(64),
+            share_weight: ShareWeight::new(10),
+        });
+        document.fleet.queues.push(QueueSpec {
+            id: format!("queue-{index:04}").parse().expect("an identifier"),
+            access: QueueAccess::Teams(vec![team(index)]),
+            service: "labels".parse().expect("an identifier"),
+            max_waiting_per_team: 1000,
+        });
+        for number in 0..KEYS_PER_TEAM {
+            let mut digest = [0; 32];
+            digest[..8].copy_from_slice(&((index * KEYS_PER_TEAM + number) as u64).to_be_bytes());
+            document.keys.keys.push(KeySpec {
+                digest: KeyDigest::new(digest),
+                owner: KeyOwner::Team(team(index)),
+                label: format!("key {number} of team {index}").into(),
+            });
+        }
+    }
+    document.sorted()
+}
--- a/rhubarbfall-membership/tests/fleet.rs
+++ b/rhubarbfall-membership/tests/fleet.rs
@@ -10,6 +10,9 @@
 const ENTRIES: usize = 9;
 const SETTLING: Duration = Duration::from_secs(30);
 
+/// What a node may spend on control, in both directions.
+const MAX_BYTES_PER_SECOND: usize = 8 * 1024;
+
 /// A tenth of the reads that the table gives.
 const MAX_READS_PER_SECOND: usize = 200;
 
@@ -41,6 +44,19 @@
     assert!(most <= MAX_READS_PER_SECOND, "{most} reads in one second");
 }
 
+#[test]
+fn bytes_of_heartbeats_stay_within_the_budget_of_a_node() {
+    let mut fleet = settled();
+    for table in [Table::Up, Table::Down] {
+        fleet.table = table;
+        fleet.run(Duration::from_secs(10));
+        fleet.clear_counts();
+        fleet.run(Duration::from_secs(20));
+        let most = fleet.nodes.iter().map(|node| node.frame_bytes / 20).max();
+        assert!(most <= Some(MAX_BYTES_PER_SECOND), "{table:?}: {most:?}");
+    }
+}
+
 #[test]
 fn a_slow_table_stops_no_keyed_work() {
     let mut fleet = settled();
