feat(membership): send peers only what changed of the document

Entries now keep the latest steps as patches; a peer that is behind gets the steps from its revision, the whole document only when they are not all known, and reads the table only after 3 s without an answer. A change brings the next heartbeats forward.

Putting a document in force is serialised: two threads could let the older one win.

--- a/rhubarbfall-entry/src/control/document_poll.rs
+++ b/rhubarbfall-entry/src/control/document_poll.rs
@@ -14,7 +14,8 @@
     };
     let in_force = shared.document.load_full();
     let known = in_force.as_ref().map(|document| document.revision);
-    if known < Some(head.revision) {
+    let is_behind = known < Some(head.revision);
+    if is_behind && !(known.is_some() && shared.membership.may_wait_for_peers(asked_at)) {
         let document = read_newer(&shared.table, in_force.as_deref(), &head).await?;
         put_in_force(shared, document);
     }
@@ -24,15 +25,20 @@
 
 /// Puts a document in force unless a newer one is.
 pub(crate) fn put_in_force(shared: &Arc<Shared>, document: Document) {
-    let current = shared.document.load_full();
-    if current.is_some_and(|current| current.revision >= document.revision) {
+    // Two threads that race here must not let the older document win.
+    let _guard = shared.document_guard.lock();
+    let before = shared.document.load_full();
+    let current = before.as_ref().map(|before| before.revision);
+    if current >= Some(document.revision) {
         return;
     }
     let document = Arc::new(document.sorted());
     log::info!("event=document-in-force revision={}", document.revision);
     shared.dispatcher.configure(&document);
-    let revision = document.revision;
-    shared.document.store(Some(document));
-    shared.membership.put_in_force(revision);
+    shared.document.store(Some(Arc::clone(&document)));
+    let now = shared.clock.now();
+    shared
+        .membership
+        .put_in_force(now, before.as_deref(), &document);
     shared.lifecycle.advance(Phase::Ready);
 }
--- a/rhubarbfall-entry/src/membership/duties.rs
+++ b/rhubarbfall-entry/src/membership/duties.rs
@@ -5,7 +5,7 @@
 use parking_lot::Mutex;
 use prost::Message;
 use rhubarbfall_membership::{
-    Gossip, Member, MembershipConfig, TablePoll, ZoneLease, ZoneLeaseConfig,
+    DeltaLog, Gossip, Member, MembershipConfig, TablePoll, ZoneLease, ZoneLeaseConfig,
 };
 use rhubarbfall_wire::messages::membership::{
     HEARTBEAT_KIND, INTENT_REQUEST_KIND, IntentReference,
@@ -79,6 +79,8 @@
         lease: ZoneLease::new(ZoneLeaseConfig::new(), entry, incarnation, now),
         announced: Vec::new(),
         next_intent: 0,
+        behind_since: None,
+        deltas: DeltaLog::default(),
         is_superseded: false,
     };
     let started = Started {
@@ -87,7 +89,7 @@
     };
     let _ = shared.membership.started.set(started);
     if let Some(document) = shared.document.load_full() {
-        shared.membership.put_in_force(document.revision);
+        shared.membership.put_in_force(now, None, &document);
     }
     Ok(())
 }
@@ -143,10 +145,8 @@
     loop {
         let now = shared.clock.now();
         let newest = shared.membership.update(now, |state| {
-            let freshness = state.gossip.freshness();
-            let read = freshness.newest_read().map(|(began, _)| began);
-            // A newer revision than the one in force is fetched at once.
-            read.filter(|_| !freshness.is_behind())
+            let read = state.gossip.freshness().newest_read();
+            read.map(|(began, _)| began)
         });
         if poll.is_due(now, newest.flatten()) {
             poll.begin();
--- a/rhubarbfall-entry/src/membership/handle.rs
+++ b/rhubarbfall-entry/src/membership/handle.rs
@@ -1,14 +1,19 @@
 use std::sync::{Arc, OnceLock};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwapOption;
 use parking_lot::Mutex;
 use rhubarbfall_core::{EntryId, FencingNumber, QueueId, Revision, TeamId};
-use rhubarbfall_document::{Pepper, digest_key};
-use rhubarbfall_membership::{Acceptance, Gossip, IntentId, LeaseRow, Narrowing, ZoneLease};
+use rhubarbfall_document::{Document, Pepper, digest_key};
+use rhubarbfall_membership::{
+    Acceptance, DeltaLog, Gossip, IntentId, LeaseRow, Narrowing, ZoneLease,
+};
 use rhubarbfall_wire::PeerNetwork;
 use serde::Serialize;
 
+/// How long a newer document may take to come from a peer before it is read from the table.
+const PEER_PATIENCE: Duration = Duration::from_secs(3);
+
 /// What this process knows of the others, shared by its threads.
 ///
 /// Nothing is known before the control thread has started the peer network.
@@ -32,6 +37,10 @@
     /// The changes that this process has announced and not yet decided on.
     pub(super) announced: Vec<(IntentId, Acceptance)>,
     pub(super) next_intent: u64,
+    /// Since when a newer document is known than the one in force.
+    pub(super) behind_since: Option<Instant>,
+    /// The latest steps of the document, for peers that are behind.
+    pub(super) deltas: DeltaLog,
     /// Whether a later process runs on this VM.
     pub(super) is_superseded: bool,
 }
@@ -104,9 +113,27 @@
         self.with(|state| state.gossip.freshness_mut().observe_read(began, revision));
     }
 
-    /// Takes in that a document is in force.
-    pub fn put_in_force(&self, revision: Revision) {
-        self.with(|state| state.gossip.freshness_mut().put_in_force(revision));
+    /// Takes in that a document is in force in place of an earlier one, and tells the others.
+    pub fn put_in_force(&self, now: Instant, before: Option<&Document>, after: &Document) {
+        self.update(now, |state| {
+            state.gossip.freshness_mut().put_in_force(after.revision);
+            state.gossip.hasten(now);
+            state.behind_since = None;
+            if let Some(before) = before {
+                state.deltas.record(before, after);
+            }
+        });
+    }
+
+    /// Returns whether a document that is behind should still come from a peer, which sends only
+    /// what changed.
+    #[must_use]
+    pub fn may_wait_for_peers(&self, now: Instant) -> bool {
+        let may_wait = self.with(|state| {
+            let since = *state.behind_since.get_or_insert(now);
+            state.gossip.members().next().is_some() && now < since + PEER_PATIENCE
+        });
+        may_wait.unwrap_or(false)
     }
 
     /// Copies the state for people and for tests.
--- a/rhubarbfall-entry/src/membership/handlers.rs
+++ b/rhubarbfall-entry/src/membership/handlers.rs
@@ -3,7 +3,7 @@
 use prost::Message;
 use rhubarbfall_core::Revision;
 use rhubarbfall_document::Document;
-use rhubarbfall_membership::{Intent, IntentId, Member};
+use rhubarbfall_membership::{DeltaLog, DocumentDelta, Intent, IntentId, Member};
 use rhubarbfall_wire::messages::membership::{
     DOCUMENT_KIND, DOCUMENT_REQUEST_KIND, DocumentMessage, DocumentRequest, HEARTBEAT_KIND,
     Heartbeat, INTENT_ANSWER_KIND, INTENT_KIND, INTENT_RELEASE_KIND, INTENT_REQUEST_KIND,
@@ -171,27 +171,59 @@
     if document.revision.get() <= request.revision {
         return;
     }
-    let Ok(content) = serde_json::to_vec(&*document) else {
-        return;
+    let base = Revision::new(request.revision);
+    let now = shared.clock.now();
+    let steps = shared
+        .membership
+        .update(now, |state| state.deltas.since(base));
+    let steps = steps.flatten();
+    let content = match &steps {
+        Some(steps) => serde_json::to_vec(steps),
+        None => serde_json::to_vec(&*document),
     };
+    let Ok(content) = content else { return };
     let message = DocumentMessage {
-        base_revision: None,
+        base_revision: steps.map(|_| base.get()),
         revision: document.revision.get(),
         content: content.into(),
     };
     let _ = network.send(&received.sender, DOCUMENT_KIND, message.encode_to_vec());
 }
 
-fn document(shared: &Arc<Shared>, _: &PeerNetwork, received: &Received) {
+fn document(shared: &Arc<Shared>, network: &PeerNetwork, received: &Received) {
     let Ok(message) = DocumentMessage::decode(received.payload.as_ref()) else {
         return;
     };
-    match serde_json::from_slice::<Document>(&message.content) {
-        Ok(document) => control::put_in_force(shared, document),
-        Err(error) => log::warn!("event=peer-document error={error}"),
+    let documents = match message.base_revision {
+        Some(_) => catch_up(shared, &message.content),
+        None => serde_json::from_slice(&message.content)
+            .ok()
+            .map(|document| vec![document]),
+    };
+    let Some(documents) = documents else {
+        log::warn!(
+            "event=peer-document sender={} error=malformed",
+            received.sender
+        );
+        let whole = DocumentRequest { revision: 0 };
+        let _ = network.send(
+            &received.sender,
+            DOCUMENT_REQUEST_KIND,
+            whole.encode_to_vec(),
+        );
+        return;
+    };
+    for document in documents {
+        control::put_in_force(shared, document);
     }
 }
 
+fn catch_up(shared: &Shared, content: &[u8]) -> Option<Vec<Document>> {
+    let steps: Vec<DocumentDelta> = serde_json::from_slice(content).ok()?;
+    let document = shared.document.load_full()?;
+    DeltaLog::catch_up(&document, &steps)
+}
+
 fn reference(received: &Received) -> Option<IntentId> {
     let reference = IntentReference::decode(received.payload.as_ref()).ok()?;
     IntentId::from_reference(&reference)
--- a/rhubarbfall-entry/src/shared.rs
+++ b/rhubarbfall-entry/src/shared.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
+use parking_lot::Mutex;
 use rhubarbfall_core::SharedClock;
 use rhubarbfall_document::Document;
 use rhubarbfall_platform::table::TableClient;
@@ -19,6 +20,8 @@
     pub settings: Settings,
     /// The clock.
     pub clock: SharedClock,
+    /// Held while a document is put in force.
+    pub(crate) document_guard: Mutex<()>,
     /// The document in force.
     pub document: ArcSwapOption<Document>,
     /// The other entries, and until when the document in force is proved to be the newest.
@@ -49,6 +52,7 @@
                 settings.traffic.connect_timeout_ms,
             )),
             dispatcher: Arc::new(Dispatcher::new()),
+            document_guard: Mutex::new(()),
             document: ArcSwapOption::empty(),
             membership: Membership::new(),
             lifecycle: Lifecycle::new(),
--- /dev/null
+++ b/rhubarbfall-membership/src/document_delta/delta_log.rs
@@ -0,0 +1,100 @@
+use std::collections::VecDeque;
+
+use rhubarbfall_core::Revision;
+use rhubarbfall_document::Document;
+use serde::{Deserialize, Serialize};
+
+use super::Patch;
+
+/// How many deltas are kept: a burst of 20 changes a second for 12 s.
+const MAX_DELTAS: usize = 256;
+
+/// One step from a revision to a later one.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct DocumentDelta {
+    /// The revision that the step starts from.
+    pub base: Revision,
+    /// The revision that results.
+    pub revision: Revision,
+    /// What changes.
+    pub patch: Patch,
+}
+
+/// The latest steps that this process has seen, oldest first.
+///
+/// # Examples
+///
+/// ```
+/// use rhubarbfall_core::Revision;
+/// use rhubarbfall_document::Document;
+/// use rhubarbfall_membership::DeltaLog;
+///
+/// let before = Document::default();
+/// let after = Document { revision: Revision::new(1), ..Document::default() };
+/// let mut log = DeltaLog::default();
+/// log.record(&before, &after);
+/// let steps = log.since(Revision::new(0)).expect("the step is known");
+/// assert_eq!(DeltaLog::catch_up(&before, &steps), Some(vec![after]));
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct DeltaLog {
+    deltas: VecDeque<DocumentDelta>,
+}
+
+impl DeltaLog {
+    /// Records the step between two documents that were in force one after the other.
+    pub fn record(&mut self, before: &Document, after: &Document) {
+        let values = (serde_json::to_value(before), serde_json::to_value(after));
+        let (Ok(before_value), Ok(after_value)) = values else {
+            return;
+        };
+        let Some(patch) = Patch::between(&before_value, &after_value) else {
+            return;
+        };
+        if self.deltas.len() == MAX_DELTAS {
+            self.deltas.pop_front();
+        }
+        self.deltas.push_back(DocumentDelta {
+            base: before.revision,
+            revision: after.revision,
+            patch,
+        });
+    }
+
+    /// Returns the steps from a revision to the newest; nothing when they are not all known.
+    #[must_use]
+    pub fn since(&self, revision: Revision) -> Option<Vec<DocumentDelta>> {
+        let first = self
+            .deltas
+            .iter()
+            .position(|delta| delta.base == revision)?;
+        let steps: Vec<_> = self.deltas.iter().skip(first).cloned().collect();
+        let is_chain = steps
+            .windows(2)
+            .all(|pair| pair[0].revision == pair[1].base);
+        is_chain.then_some(steps)
+    }
+
+    /// Applies steps and returns each document that results; nothing when they do not fit.
+    #[must_use]
+    pub fn catch_up(document: &Document, steps: &[DocumentDelta]) -> Option<Vec<Document>> {
+        let mut value = serde_json::to_value(document).ok()?;
+        let mut revision = document.revision;
+        let mut documents = Vec::new();
+        for step in steps
+            .iter()
+            .skip_while(|step| step.base < document.revision)
+        {
+            if step.base != revision || !step.patch.apply(&mut value) {
+                return None;
+            }
+            let document = Document::deserialize(&value).ok()?;
+            if document.revision != step.revision {
+                return None;
+            }
+            revision = step.revision;
+            documents.push(document);
+        }
+        Some(documents)
+    }
+}
--- a/rhubarbfall-membership/src/gossip/state.rs
+++ b/rhubarbfall-membership/src/gossip/state.rs
@@ -135,6 +135,15 @@
         self.next_tick
     }
 
+    /// Brings the next heartbeats forward, so that a change spreads at once; a burst of changes
+    /// makes them at most four times as frequent.
+    pub fn hasten(&mut self, now: Instant) {
+        let interval = self.interval(now);
+        let last = self.next_tick.checked_sub(interval).unwrap_or(now);
+        let earliest = now.max(last + interval / 4);
+        self.next_tick = self.next_tick.min(earliest);
+    }
+
     /// Returns the heartbeats that are due.
     pub fn tick(&mut self, now: Instant) -> Vec<Outgoing> {
         if now < self.next_tick {
--- a/rhubarbfall-membership/src/lib.rs
+++ b/rhubarbfall-membership/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod acceptance;
 mod config;
+mod document_delta;
 mod freshness;
 mod gossip;
 mod member;
@@ -14,6 +15,7 @@
 
 pub use acceptance::{Acceptance, AcceptanceStep};
 pub use config::MembershipConfig;
+pub use document_delta::{DeltaLog, DocumentDelta, Patch};
 pub use freshness::{Freshness, Intent, IntentId, Word};
 pub use gossip::{Gossip, Outgoing, Received};
 pub use member::Member;
--- a/rhubarbfall-membership/tests/fleet.rs
+++ b/rhubarbfall-membership/tests/fleet.rs
@@ -44,6 +44,27 @@
     assert!(most <= MAX_READS_PER_SECOND, "{most} reads in one second");
 }
 
+#[test]
+fn accepted_revision_is_in_force_everywhere_within_the_bound_without_the_table() {
+    let mut fleet = settled();
+    fleet.table = Table::Down;
+    fleet.run(Duration::from_secs(10));
+    // A burst of 20 changes a second for 5 s, at entries of different zones.
+    for change in 0..100 {
+        fleet.accept(change % (ZONES * ENTRIES));
+        fleet.run(Duration::from_millis(50));
+    }
+    let accepted = fleet.now;
+    while fleet
+        .nodes
+        .iter()
+        .any(|node| node.gossip.freshness().in_force() < Some(fleet.revision))
+    {
+        fleet.run(Duration::from_millis(100));
+        assert!(fleet.now < accepted + Duration::from_secs(10));
+    }
+}
+
 #[test]
 fn bytes_of_heartbeats_stay_within_the_budget_of_a_node() {
     let mut fleet = settled();
--- a/rhubarbfall-membership/tests/support/mod.rs
+++ b/rhubarbfall-membership/tests/support/mod.rs
@@ -114,6 +114,14 @@
         }
     }
 
+    /// Accepts the next revision at an entry.
+    pub fn accept(&mut self, number: usize) {
+        self.revision = self.revision.next();
+        let gossip = &mut self.nodes[number].gossip;
+        gossip.freshness_mut().put_in_force(self.revision);
+        gossip.hasten(self.now);
+    }
+
     /// Replaces an entry by a new process that knows only the roster and the document of a peer.
     pub fn restart(&mut self, number: usize, incarnation: u64) {
         let now = self.now;
@@ -185,6 +193,7 @@
             if asked.has_newer_document {
                 let newest = node.gossip.freshness().highest_seen();
                 node.gossip.freshness_mut().put_in_force(newest);
+                node.gossip.hasten(now);
             }
             if asked.needs_roster {
                 let roster = self.nodes[from].gossip.roster();
