feat(dev): withdraw a key by an edit of its section

Cause: the operators' interface takes edits by section with base versions, and the report's withdrawal was refused, since the thin interface stored the document unsorted and then did not find the operator's key. Change: dev sends the keys section alone. The word for work that did not run is 'not run' in the body as in the header; one test held the old spelling and now holds the new one, as strictly.

--- a/rhubarbfall/src/dev/dev_command.rs
+++ b/rhubarbfall/src/dev/dev_command.rs
@@ -12,7 +12,7 @@
 use super::dev_fleet::DevFleet;
 use super::example::{Example, OPERATOR_KEY, team_key};
 use super::load::{self, LoadContext};
-use super::operator_client::{apply_document, is_ready};
+use super::operator_client::{apply_first_document, is_ready};
 use super::outcomes::{OutcomeReport, Outcomes};
 use super::report::DevReport;
 use super::{script, share_sampler};
@@ -56,7 +56,7 @@
     let fleet = DevFleet::start(&example, metrics.as_ref()).await?;
     let caller = Caller::new();
     let first = fleet.entries[0].operators;
-    if !apply_document(&caller, first, example.document(None)).await {
+    if !apply_first_document(&caller, first, example.document()).await {
         return Err(io::Error::other("the first document was refused"));
     }
     wait_ready(&fleet, &caller).await?;
--- a/rhubarbfall/src/dev/example.rs
+++ b/rhubarbfall/src/dev/example.rs
@@ -100,8 +100,8 @@
         self.upstreams_per_service as u32 * SLOTS_PER_UPSTREAM
     }
 
-    /// Returns the document with the teams' keys, but for one that is withdrawn.
-    pub(super) fn document(&self, withdrawn: Option<&str>) -> String {
+    /// Returns the first document.
+    pub(super) fn document(&self) -> String {
         let mut text = String::new();
         for service in self.services {
             let _ = write!(
@@ -122,6 +122,13 @@
                 team.name, team.upper_limit_slots, team.share_weight,
             );
         }
+        text.push_str(&self.keys(None));
+        text
+    }
+
+    /// Returns the section of keys, but for one that is withdrawn.
+    pub(super) fn keys(&self, withdrawn: Option<&str>) -> String {
+        let mut text = String::new();
         write_key(&mut text, OPERATOR_KEY, "operator = \"duty\"");
         for team in self.teams {
             let owner = format!("team = \"{}\"", team.name);
--- a/rhubarbfall/src/dev/operator_client.rs
+++ b/rhubarbfall/src/dev/operator_client.rs
@@ -5,13 +5,39 @@
 
 use super::example::OPERATOR_KEY;
 
-/// Applies a whole document as the operator; returns whether it was accepted.
-pub(super) async fn apply_document(caller: &Caller, operators: SocketAddr, text: String) -> bool {
-    let request = Request::new(Method::PUT, operators, "/v1/document")
+/// Applies the first document of the fleet; returns whether it was accepted.
+pub(super) async fn apply_first_document(
+    caller: &Caller,
+    operators: SocketAddr,
+    text: String,
+) -> bool {
+    let request = Request::new(Method::PUT, operators, "/v1/document");
+    send(caller, request, "first-document", text).await
+}
+
+/// Applies a change of sections; returns whether it was accepted.
+pub(super) async fn apply_change(
+    caller: &Caller,
+    operators: SocketAddr,
+    id: &str,
+    text: String,
+) -> bool {
+    let request = Request::new(Method::POST, operators, "/v1/document");
+    send(caller, request, id, text).await
+}
+
+async fn send(caller: &Caller, request: Request, id: &str, text: String) -> bool {
+    let request = request
         .key(OPERATOR_KEY)
+        .header("x-transaction-id", id)
         .body(text);
-    let answer = caller.send(request).await;
-    answer.is_ok_and(|answer| answer.status == StatusCode::OK)
+    match caller.send(request).await {
+        Ok(answer) if answer.status == StatusCode::OK => true,
+        other => {
+            eprintln!("change {id} was not accepted: {other:?}");
+            false
+        }
+    }
 }
 
 /// Returns whether an entry says that it is ready.
--- a/rhubarbfall/src/dev/script.rs
+++ b/rhubarbfall/src/dev/script.rs
@@ -11,7 +11,7 @@
 use super::checks::{Checks, Promise};
 use super::dev_fleet::{DevEntry, DevUpstream};
 use super::example::{Example, second_key};
-use super::operator_client::{apply_document, is_ready};
+use super::operator_client::{apply_change, is_ready};
 use super::outcomes::Outcomes;
 
 /// How long a withdrawn key may still be taken.
@@ -38,12 +38,11 @@
     tokio::time::sleep_until(at.into()).await;
     let team = example.teams[0].name;
     let key = second_key(team);
-    let document = example.document(Some(&key));
+    let change = format!("versions.keys = 1\n{}", example.keys(Some(&key)));
     let Some((_, operators)) = entries.first().copied() else {
         return;
     };
-    if !apply_document(&caller, operators, document).await {
-        log::error!("event=withdraw-key error=refused");
+    if !apply_change(&caller, operators, "withdraw-key", change).await {
         return;
     }
     let accepted_at = Instant::now();
--- a/rhubarbfall/tests/document.rs
+++ b/rhubarbfall/tests/document.rs
@@ -138,7 +138,7 @@
         let answer = fleet.send(apply(&fleet.entries[0], "operator-key", "bad", text));
         let answer = json(&answer.expect("an answer"));
         assert_eq!(answer["code"], code);
-        assert_eq!(answer["execution"], "not-run");
+        assert_eq!(answer["execution"], "not run");
         assert_eq!(
             answer["detail"]["invalid"]["faults"][0]["position"]["line"],
             line
