--- a/rhubarbfall-testing/src/upstream/stand_in_upstream.rs
+++ b/rhubarbfall-testing/src/upstream/stand_in_upstream.rs
@@ -197,7 +197,9 @@
     if mode == UpstreamMode::Silent {
         std::future::pending::<()>().await;
     }
-    tokio::time::sleep(work).await;
+    if !work.is_zero() {
+        tokio::time::sleep(work).await;
+    }
     let echoed_id = if mode == UpstreamMode::WrongRequest {
         "another-request"
     } else {
