feat(entry): list every fault of the settings with line and key

serde stops at the first fault. A section with one is read again with the bad field taken out, or with something in its place where it is required, until it reads; only the faults of the file itself are reported.

--- a/rhubarbfall-entry/src/settings/mod.rs
+++ b/rhubarbfall-entry/src/settings/mod.rs
@@ -1,5 +1,6 @@
 //! The settings of one process, read from TOML and checked as a whole.
 
+mod section_reader;
 mod sections;
 #[expect(
     clippy::module_inception,
--- a/rhubarbfall-entry/src/settings/settings.rs
+++ b/rhubarbfall-entry/src/settings/settings.rs
@@ -1,15 +1,14 @@
-use std::sync::Arc;
-
-use serde::Deserialize;
-
+use super::section_reader::SectionReader;
 use super::{
     ControlSettings, EntrySettings, ListenSettings, LogSettings, PlatformSettings, SecretSettings,
     SettingsError, StopSettings, TrafficSettings,
 };
 
+/// The rule of numbers that must not be zero.
+const AT_LEAST_ONE: &str = "must be at least 1";
+
 /// The settings of one process.
-#[derive(Debug, Clone, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Debug, Clone)]
 pub struct Settings {
     /// Who the process is and where it runs.
     pub entry: EntrySettings,
@@ -20,16 +19,12 @@
     /// The secrets that all processes of the fleet share.
     pub secrets: SecretSettings,
     /// Limits of the traffic side.
-    #[serde(default)]
     pub traffic: TrafficSettings,
     /// Intervals of the control thread.
-    #[serde(default)]
     pub control: ControlSettings,
     /// How a planned stop goes.
-    #[serde(default)]
     pub stop: StopSettings,
     /// What is logged and how.
-    #[serde(default)]
     pub log: LogSettings,
 }
 
@@ -38,43 +33,73 @@
     ///
     /// # Errors
     ///
-    /// [`SettingsError::Syntax`] with line and column, or [`SettingsError::Invalid`] with every
-    /// rule that is broken.
+    /// [`SettingsError::Syntax`] when the text is not TOML, [`SettingsError::Invalid`] when it is;
+    /// each with every fault, its line, its column and its key.
     pub fn parse(text: &str) -> Result<Self, SettingsError> {
-        let settings: Self = toml::from_str(text)
-            .map_err(|error| SettingsError::Syntax(Arc::from(error.to_string())))?;
-        settings.check()?;
-        Ok(settings)
+        let mut reader = SectionReader::new(text).map_err(SettingsError::Syntax)?;
+        let entry = reader.required("entry");
+        let listen = reader.required("listen");
+        let platform = reader.required("platform");
+        let secrets = reader.required("secrets");
+        let traffic = reader.optional("traffic");
+        let control = reader.optional("control");
+        let stop = reader.optional("stop");
+        let log = reader.optional("log");
+        check_platform(platform.as_ref(), &mut reader);
+        check_traffic(&traffic, &mut reader);
+        check_control(&control, &mut reader);
+        check_log(&log, &mut reader);
+        let faults = reader.finish();
+        match (entry, listen, platform, secrets) {
+            (Some(entry), Some(listen), Some(platform), Some(secrets)) if faults.is_empty() => {
+                Ok(Self {
+                    entry,
+                    listen,
+                    platform,
+                    secrets,
+                    traffic,
+                    control,
+                    stop,
+                    log,
+                })
+            }
+            _ => Err(SettingsError::Invalid(faults)),
+        }
     }
+}
 
-    fn check(&self) -> Result<(), SettingsError> {
-        let rules = [
-            (
-                self.traffic.threads > 0,
-                "traffic.threads must be at least 1",
-            ),
-            (
-                self.platform.timeout_ms > 0,
-                "platform.timeout_ms must be at least 1",
-            ),
-            (
-                self.control.document_poll_ms < self.control.freshness_bound_ms,
-                "control.document_poll_ms must be below control.freshness_bound_ms",
-            ),
-            (
-                self.log.level.parse::<log::LevelFilter>().is_ok(),
-                "log.level must be off, error, warn, info, debug or trace",
-            ),
-        ];
-        let faults: Vec<Arc<str>> = rules
-            .iter()
-            .filter(|(holds, _)| !holds)
-            .map(|(_, rule)| Arc::from(*rule))
-            .collect();
-        if faults.is_empty() {
-            Ok(())
-        } else {
-            Err(SettingsError::Invalid(faults))
-        }
+fn check_platform(platform: Option<&PlatformSettings>, reader: &mut SectionReader<'_>) {
+    let timeout_ms = platform.map_or(1, |platform| platform.timeout_ms);
+    reader.rule("platform.timeout_ms", timeout_ms > 0, AT_LEAST_ONE);
+}
+
+fn check_traffic(traffic: &TrafficSettings, reader: &mut SectionReader<'_>) {
+    let numbers = [
+        ("traffic.threads", traffic.threads as u64),
+        ("traffic.max_body_bytes", traffic.max_body_bytes as u64),
+        ("traffic.body_timeout_ms", traffic.body_timeout_ms),
+        ("traffic.connect_timeout_ms", traffic.connect_timeout_ms),
+        ("traffic.default_deadline_ms", traffic.default_deadline_ms),
+    ];
+    for (path, number) in numbers {
+        reader.rule(path, number > 0, AT_LEAST_ONE);
+    }
+}
+
+fn check_control(control: &ControlSettings, reader: &mut SectionReader<'_>) {
+    let bound_ms = control.freshness_bound_ms;
+    for (path, poll_ms) in [
+        ("control.document_poll_ms", control.document_poll_ms),
+        ("control.vm_list_poll_ms", control.vm_list_poll_ms),
+    ] {
+        reader.rule(path, poll_ms > 0, AT_LEAST_ONE);
+        let rule = "must be below control.freshness_bound_ms";
+        reader.rule(path, poll_ms < bound_ms, rule);
     }
 }
+
+fn check_log(log: &LogSettings, reader: &mut SectionReader<'_>) {
+    let is_level = log.level.parse::<log::LevelFilter>().is_ok();
+    let rule = "must be off, error, warn, info, debug or trace";
+    reader.rule("log.level", is_level, rule);
+}
--- a/rhubarbfall-entry/src/settings/settings_error.rs
+++ b/rhubarbfall-entry/src/settings/settings_error.rs
@@ -1,23 +1,27 @@
-use std::sync::Arc;
-
 use quick_error::quick_error;
 use rhubarbfall_core::ResultCode;
+use rhubarbfall_document::Fault;
 
 quick_error! {
     /// Why settings cannot be used.
     #[derive(Debug, Clone, PartialEq, Eq)]
     pub enum SettingsError {
-        /// The text is not valid TOML, or has a key of the wrong name or type.
-        Syntax(message: Arc<str>) {
-            display("{message}")
+        /// The text is not valid TOML.
+        Syntax(faults: Vec<Fault>) {
+            display("{}", lines(faults))
         }
-        /// Values break rules; each fault is one line.
-        Invalid(faults: Vec<Arc<str>>) {
-            display("{}", faults.join("\n"))
+        /// Keys are missing, unknown or of the wrong type, or values break rules.
+        Invalid(faults: Vec<Fault>) {
+            display("{}", lines(faults))
         }
     }
 }
 
+fn lines(faults: &[Fault]) -> String {
+    let lines: Vec<String> = faults.iter().map(Fault::to_string).collect();
+    lines.join("\n")
+}
+
 impl SettingsError {
     /// Returns the numbered result code.
     #[must_use]
