feat(entry): bound the memory of bad input and number its refusals

A caller without a key could fill memory: the body was read before the key was looked at, each up to its own limit with no limit on all of them, and a head could take 1 MiB a connection. Now the key is looked at first (and again after the body has come), all bodies share one budget (traffic.max_buffered_bytes, beyond it 2021 Overloaded), and a head takes at most 64 KiB. What is left of a refused body is thrown away, so that the sender sees the refusal. Every path and method is answered with a number; a head that is no HTTP is answered by the library with status 400, 408 or 431 and no body.

--- a/rhubarbfall-entry/src/operator/document_endpoints.rs
+++ b/rhubarbfall-entry/src/operator/document_endpoints.rs
@@ -1,7 +1,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use rhubarbfall_core::{LiteMap, ResultCode, Revision};
 use rhubarbfall_document::api::{DocumentView, ErrorAnswer, TRANSACTION_HEADER, ViewSource};
 use rhubarbfall_document::{
@@ -17,7 +16,7 @@
 use super::operator_key::{key_digest, owner, text_header};
 use crate::Shared;
 use crate::document::{ChangeRequest, accept_change, check_change, not_done, read_state};
-use crate::traffic::read_body;
+use crate::traffic::{BufferedBody, discard_body, read_body};
 
 /// The longest identifier of a change, in bytes; it is kept in the table.
 const MAX_TRANSACTION_ID_BYTES: usize = 128;
@@ -79,28 +78,45 @@
 }
 
 /// Reads the body of a request to the operators' interface.
-pub(super) async fn read_text(shared: &Shared, body: RequestBody) -> Result<Bytes, ErrorAnswer> {
+pub(super) async fn read_text(
+    shared: &Shared,
+    body: &mut RequestBody,
+) -> Result<BufferedBody, ErrorAnswer> {
     let timeout = Duration::from_millis(shared.settings.traffic.body_timeout_ms);
-    let read = read_body(body, MAX_DOCUMENT_BYTES, timeout).await;
-    read.map_err(ErrorAnswer::new)
+    let read = read_body(body, &shared.body_budget, MAX_DOCUMENT_BYTES, timeout);
+    read.await.map_err(ErrorAnswer::new)
 }
 
 async fn change_request(
     shared: &Shared,
     headers: &HeaderMap,
-    body: RequestBody,
+    mut body: RequestBody,
+    is_first: bool,
+) -> Result<ChangeRequest, ErrorAnswer> {
+    let request = read_change(shared, headers, &mut body, is_first).await;
+    if request.is_err() {
+        discard_body(&mut body).await;
+    }
+    request
+}
+
+async fn read_change(
+    shared: &Shared,
+    headers: &HeaderMap,
+    body: &mut RequestBody,
     is_first: bool,
 ) -> Result<ChangeRequest, ErrorAnswer> {
     let digest = key_digest(shared, headers)?;
     let transaction_id = transaction_id(headers)?;
-    let text = read_text(shared, body).await?;
-    let text = std::str::from_utf8(&text)
+    let body = read_text(shared, body).await?;
+    let text = std::str::from_utf8(&body.bytes);
+    let text = text
         .map_err(|error| ErrorAnswer::new(ResultCode::DocumentSyntax).message(error.to_string()))?;
-    let draft = Draft::parse(text).map_err(|error| ChangeError::Invalid(error).into());
+    let draft = Draft::parse(text).map_err(|error| ErrorAnswer::from(ChangeError::Invalid(error)));
     Ok(ChangeRequest {
         digest,
         transaction_id,
-        draft: draft.map_err(|error: ErrorAnswer| error)?,
+        draft: draft?,
         is_first,
     })
 }
--- a/rhubarbfall-entry/src/operator/fleet_endpoints.rs
+++ b/rhubarbfall-entry/src/operator/fleet_endpoints.rs
@@ -2,7 +2,7 @@
 use rhubarbfall_document::api::{
     EntryStatus, ErrorAnswer, KeyDigestAnswer, StatusView, UpstreamView,
 };
-use rhubarbfall_document::{AccessKey, digest_key};
+use rhubarbfall_document::{AccessKey, ParseAccessKeyError, digest_key};
 use xitca_web::body::RequestBody;
 use xitca_web::handler::body::Body;
 use xitca_web::handler::state::StateRef;
@@ -14,6 +14,7 @@
 use super::operator_key::check_operator;
 use crate::Shared;
 use crate::document::read_head;
+use crate::traffic::discard_body;
 
 /// Answers with the digest of the key in the body, so that an operator can grant it.
 pub(super) async fn key_digest(
@@ -48,16 +49,20 @@
 async fn digest_of_body(
     shared: &Shared,
     headers: &HeaderMap,
-    body: RequestBody,
+    mut body: RequestBody,
 ) -> Result<KeyDigestAnswer, ErrorAnswer> {
-    check_operator(shared, headers)?;
-    let text = read_text(shared, body).await?;
-    let text = String::from_utf8_lossy(&text);
-    let key: AccessKey =
-        text.parse()
-            .map_err(|error: rhubarbfall_document::ParseAccessKeyError| {
-                ErrorAnswer::new(ResultCode::BadRequest).message(error.to_string())
-            })?;
+    let text = match check_operator(shared, headers) {
+        Ok(()) => read_text(shared, &mut body).await,
+        Err(error) => Err(error),
+    };
+    if text.is_err() {
+        discard_body(&mut body).await;
+    }
+    let text = text?;
+    let text = String::from_utf8_lossy(&text.bytes);
+    let key: Result<AccessKey, ParseAccessKeyError> = text.parse();
+    let key =
+        key.map_err(|error| ErrorAnswer::new(ResultCode::BadRequest).message(error.to_string()))?;
     let digest = digest_key(&shared.settings.secrets.key_pepper, key.reveal());
     Ok(KeyDigestAnswer { digest })
 }
--- a/rhubarbfall-entry/src/operator/server.rs
+++ b/rhubarbfall-entry/src/operator/server.rs
@@ -2,13 +2,17 @@
 use std::sync::Arc;
 
 use metrics_exporter_prometheus::PrometheusHandle;
+use rhubarbfall_core::ResultCode;
+use rhubarbfall_document::api::ErrorAnswer;
 use xitca_web::App;
 use xitca_web::handler::handler_service;
+use xitca_web::http::WebResponse;
 use xitca_web::route::{get, post};
 
+use super::answer::answer;
 use super::{document_endpoints, fleet_endpoints, health_endpoints};
 use crate::Shared;
-use crate::traffic::HttpListener;
+use crate::traffic::{HttpListener, MAX_HEAD_BYTES};
 
 /// What the operators' handlers use.
 #[derive(Debug, Clone)]
@@ -53,11 +57,19 @@
             "/v1/upstreams",
             get(handler_service(fleet_endpoints::upstreams)),
         )
+        .at("/", handler_service(not_found))
+        .at("/{*path}", handler_service(not_found))
         .with_state(context)
         .serve()
+        .max_read_buf_size::<MAX_HEAD_BYTES>()
         .disable_signal()
         .worker_threads(1)
         .listen(listener.socket)?
         .run()
         .wait()
 }
+
+/// Answers that there is nothing at this path.
+async fn not_found() -> WebResponse {
+    answer::<()>(Err(ErrorAnswer::new(ResultCode::NotFound)))
+}
--- a/rhubarbfall-entry/src/settings/sections.rs
+++ b/rhubarbfall-entry/src/settings/sections.rs
@@ -77,6 +77,8 @@
     pub threads: usize,
     /// The largest body of a request.
     pub max_body_bytes: usize,
+    /// The memory that the bodies of all requests may take together.
+    pub max_buffered_bytes: usize,
     /// How long a body may take to arrive.
     pub body_timeout_ms: u64,
     /// How long a connection to an upstream may take to open.
@@ -90,6 +92,7 @@
         Self {
             threads: 2,
             max_body_bytes: 1024 * 1024,
+            max_buffered_bytes: 64 * 1024 * 1024,
             body_timeout_ms: 10_000,
             connect_timeout_ms: 500,
             default_deadline_ms: 30_000,
--- a/rhubarbfall-entry/src/settings/settings.rs
+++ b/rhubarbfall-entry/src/settings/settings.rs
@@ -77,6 +77,10 @@
     let numbers = [
         ("traffic.threads", traffic.threads as u64),
         ("traffic.max_body_bytes", traffic.max_body_bytes as u64),
+        (
+            "traffic.max_buffered_bytes",
+            traffic.max_buffered_bytes as u64,
+        ),
         ("traffic.body_timeout_ms", traffic.body_timeout_ms),
         ("traffic.connect_timeout_ms", traffic.connect_timeout_ms),
         ("traffic.default_deadline_ms", traffic.default_deadline_ms),
--- a/rhubarbfall-entry/src/shared.rs
+++ b/rhubarbfall-entry/src/shared.rs
@@ -9,7 +9,7 @@
 use rhubarbfall_platform::vms::VmListClient;
 
 use crate::dispatch::Dispatcher;
-use crate::traffic::UpstreamConnections;
+use crate::traffic::{BodyBudget, UpstreamConnections};
 use crate::{Lifecycle, Settings};
 
 /// State that traffic threads, the control thread and the operators' interface share.
@@ -29,6 +29,8 @@
     pub dispatcher: Arc<Dispatcher>,
     /// Connections to upstreams.
     pub connections: UpstreamConnections,
+    /// The memory for the bodies of requests.
+    pub body_budget: Arc<BodyBudget>,
     /// The platform's table.
     pub table: TableClient,
     /// The platform's list of VMs.
@@ -48,6 +50,7 @@
             connections: UpstreamConnections::new(Duration::from_millis(
                 settings.traffic.connect_timeout_ms,
             )),
+            body_budget: Arc::new(BodyBudget::new(settings.traffic.max_buffered_bytes)),
             dispatcher: Arc::new(Dispatcher::new()),
             document: ArcSwapOption::empty(),
             document_confirmed_at: Mutex::new(None),
--- /dev/null
+++ b/rhubarbfall-entry/src/traffic/body_budget.rs
@@ -0,0 +1,70 @@
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+/// The memory that the bodies of all requests at this entry may take together.
+#[derive(Debug)]
+pub struct BodyBudget {
+    max_bytes: usize,
+    taken_bytes: AtomicUsize,
+}
+
+impl BodyBudget {
+    /// Creates a budget of which nothing is taken.
+    #[must_use]
+    pub const fn new(max_bytes: usize) -> Self {
+        Self {
+            max_bytes,
+            taken_bytes: AtomicUsize::new(0),
+        }
+    }
+
+    /// Returns how much is taken.
+    #[must_use]
+    pub fn taken_bytes(&self) -> usize {
+        self.taken_bytes.load(Ordering::Relaxed)
+    }
+
+    fn try_take(&self, bytes: usize) -> bool {
+        let add = |taken: usize| {
+            let taken = taken.checked_add(bytes)?;
+            (taken <= self.max_bytes).then_some(taken)
+        };
+        let updated = self
+            .taken_bytes
+            .fetch_update(Ordering::AcqRel, Ordering::Relaxed, add);
+        updated.is_ok()
+    }
+}
+
+/// A part of the budget that one body takes, until this is dropped.
+#[derive(Debug)]
+pub(crate) struct BodyReservation {
+    budget: Arc<BodyBudget>,
+    bytes: usize,
+}
+
+impl BodyReservation {
+    pub(crate) fn new(budget: &Arc<BodyBudget>) -> Self {
+        Self {
+            budget: Arc::clone(budget),
+            bytes: 0,
+        }
+    }
+
+    /// Takes more; returns whether there was room.
+    pub(crate) fn try_grow(&mut self, bytes: usize) -> bool {
+        let has_room = self.budget.try_take(bytes);
+        if has_room {
+            self.bytes += bytes;
+        }
+        has_room
+    }
+}
+
+impl Drop for BodyReservation {
+    fn drop(&mut self) {
+        self.budget
+            .taken_bytes
+            .fetch_sub(self.bytes, Ordering::AcqRel);
+    }
+}
--- a/rhubarbfall-entry/src/traffic/handler.rs
+++ b/rhubarbfall-entry/src/traffic/handler.rs
@@ -2,14 +2,15 @@
 use std::time::{Duration, Instant};
 
 use rhubarbfall_core::ResultCode;
+use rhubarbfall_document::Document;
 use xitca_web::body::{RequestBody, ResponseBody};
 use xitca_web::handler::body::Body;
 use xitca_web::handler::state::StateRef;
-use xitca_web::http::{HeaderMap, HeaderValue, Uri, WebResponse};
+use xitca_web::http::{HeaderMap, HeaderValue, Method, Uri, WebResponse};
 
-use super::authorize::authorize;
+use super::authorize::{Authorized, authorize};
 use super::exchange::{Answer, exchange};
-use super::read_body::read_body;
+use super::read_body::{discard_body, read_body};
 use super::upstream_body::{InProgress, UpstreamBody};
 use super::{CallerRequest, Refusal};
 use crate::dispatch::{Permit, Work};
@@ -20,11 +21,18 @@
     StateRef(shared): StateRef<'_, Arc<Shared>>,
     uri: &Uri,
     headers: &HeaderMap,
-    Body(body): Body<RequestBody>,
+    method: &Method,
+    Body(mut body): Body<RequestBody>,
 ) -> WebResponse {
     let started = shared.clock.now();
     let _in_flight = InFlight::new(shared);
-    let result = answer(shared, uri, headers, body, started).await;
+    let result = match check_method(method) {
+        Ok(()) => answer(shared, uri, headers, &mut body, started).await,
+        Err(refusal) => Err(refusal),
+    };
+    if result.is_err() {
+        discard_body(&mut body).await;
+    }
     let elapsed = shared.clock.now().duration_since(started);
     metrics::histogram!("rhubarbfall_request_seconds").record(elapsed);
     match result {
@@ -67,11 +75,29 @@
     }
 }
 
+fn check_method(method: &Method) -> Result<(), Refusal> {
+    if *method == Method::POST {
+        return Ok(());
+    }
+    Err(Refusal::new(ResultCode::BadRequest).message("queues take the method POST"))
+}
+
+/// Decides by the document in force at this moment.
+fn authorize_now(
+    shared: &Shared,
+    caller: &CallerRequest,
+) -> Result<(Arc<Document>, Authorized), ResultCode> {
+    let document = shared.document.load_full().ok_or(ResultCode::NotReady)?;
+    let pepper = &shared.settings.secrets.key_pepper;
+    let authorized = authorize(&document, pepper, shared.is_document_fresh(), caller)?;
+    Ok((document, authorized))
+}
+
 async fn answer(
     shared: &Arc<Shared>,
     uri: &Uri,
     headers: &HeaderMap,
-    body: RequestBody,
+    body: &mut RequestBody,
     started: Instant,
 ) -> Result<WebResponse, Refusal> {
     let caller = CallerRequest::parse(uri.path(), headers)?;
@@ -79,16 +105,13 @@
     if shared.lifecycle.phase() == Phase::Stopping {
         return Err(refuse(ResultCode::EntryStopping));
     }
+    // Before the body takes memory, and again after it has arrived, which may take long.
+    authorize_now(shared, &caller).map_err(refuse)?;
     let limits = &shared.settings.traffic;
     let timeout = Duration::from_millis(limits.body_timeout_ms);
-    let body = read_body(body, limits.max_body_bytes, timeout)
-        .await
-        .map_err(refuse)?;
-    let document = shared.document.load_full();
-    let document = document.ok_or_else(|| refuse(ResultCode::NotReady))?;
-    let pepper = &shared.settings.secrets.key_pepper;
-    let is_fresh = shared.is_document_fresh();
-    let authorized = authorize(&document, pepper, is_fresh, &caller).map_err(refuse)?;
+    let body = read_body(body, &shared.body_budget, limits.max_body_bytes, timeout);
+    let body = body.await.map_err(refuse)?;
+    let (document, authorized) = authorize_now(shared, &caller).map_err(refuse)?;
     let default_deadline = Duration::from_millis(shared.settings.traffic.default_deadline_ms);
     let work = Work {
         request: caller.request_id.clone(),
@@ -113,7 +136,7 @@
         &authorized,
         &permit,
         headers,
-        body,
+        body.bytes.clone(),
         timeout,
     )
     .await
--- a/rhubarbfall-entry/src/traffic/mod.rs
+++ b/rhubarbfall-entry/src/traffic/mod.rs
@@ -1,6 +1,7 @@
 //! The callers' side: requests in, answers out.
 
 mod authorize;
+mod body_budget;
 mod caller_request;
 mod exchange;
 mod handler;
@@ -10,8 +11,10 @@
 mod upstream_body;
 mod upstream_connections;
 
+pub use body_budget::BodyBudget;
 pub use caller_request::CallerRequest;
-pub(crate) use read_body::read_body;
+pub(crate) use read_body::{BufferedBody, discard_body, read_body};
 pub use refusal::Refusal;
+pub(crate) use server::MAX_HEAD_BYTES;
 pub use server::{HttpListener, serve};
 pub use upstream_connections::UpstreamConnections;
--- a/rhubarbfall-entry/src/traffic/read_body.rs
+++ b/rhubarbfall-entry/src/traffic/read_body.rs
@@ -1,15 +1,37 @@
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use rhubarbfall_core::ResultCode;
+use tokio::time::timeout;
 use xitca_web::body::{BodyExt, RequestBody};
 
+use super::body_budget::{BodyBudget, BodyReservation};
+
+/// How much of a body is thrown away after a refusal; a sender that is cut off earlier may never
+/// see the answer.
+const MAX_DISCARDED_BYTES: usize = 8 * 1024 * 1024;
+
+/// How long a refused sender may go on sending.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A body that has arrived whole.
+#[derive(Debug)]
+pub(crate) struct BufferedBody {
+    /// The body.
+    pub(crate) bytes: Bytes,
+    /// Keeps its part of the memory taken.
+    pub(crate) _reservation: BodyReservation,
+}
+
 /// Reads a body of bounded size that has to arrive in time.
 pub(crate) async fn read_body(
-    mut body: RequestBody,
+    body: &mut RequestBody,
+    budget: &Arc<BodyBudget>,
     max_bytes: usize,
-    timeout: Duration,
-) -> Result<Bytes, ResultCode> {
+    body_timeout: Duration,
+) -> Result<BufferedBody, ResultCode> {
+    let mut reservation = BodyReservation::new(budget);
     let read = async {
         let mut buffer = BytesMut::new();
         while let Some(data) = body.data().await {
@@ -17,11 +39,31 @@
             if buffer.len() + data.len() > max_bytes {
                 return Err(ResultCode::BodyTooLarge);
             }
+            if !reservation.try_grow(data.len()) {
+                return Err(ResultCode::Overloaded);
+            }
             buffer.extend_from_slice(&data);
         }
         Ok(buffer.freeze())
     };
-    tokio::time::timeout(timeout, read)
-        .await
-        .map_err(|_| ResultCode::BodyTooSlow)?
+    let bytes = timeout(body_timeout, read).await;
+    let bytes = bytes.map_err(|_| ResultCode::BodyTooSlow)??;
+    Ok(BufferedBody {
+        bytes,
+        _reservation: reservation,
+    })
+}
+
+/// Throws away what is left of a refused request's body, so that its sender sees the answer.
+pub(crate) async fn discard_body(body: &mut RequestBody) {
+    let mut discarded_bytes = 0;
+    let discard = async {
+        while let Some(Ok(data)) = body.data().await {
+            discarded_bytes += data.len();
+            if discarded_bytes > MAX_DISCARDED_BYTES {
+                return;
+            }
+        }
+    };
+    let _ = timeout(DISCARD_TIMEOUT, discard).await;
 }
--- a/rhubarbfall-entry/src/traffic/server.rs
+++ b/rhubarbfall-entry/src/traffic/server.rs
@@ -5,7 +5,6 @@
 use socket2::SockRef;
 use xitca_web::App;
 use xitca_web::handler::handler_service;
-use xitca_web::route::post;
 
 use super::handler::handle;
 use crate::Shared;
@@ -36,6 +35,9 @@
     }
 }
 
+/// The largest head of a request; each connection may hold that much before it is refused.
+pub(crate) const MAX_HEAD_BYTES: usize = 64 * 1024;
+
 /// Serves callers until the process ends.
 ///
 /// # Errors
@@ -44,9 +46,11 @@
 pub fn serve(shared: Arc<Shared>, listener: HttpListener) -> io::Result<()> {
     let threads = shared.settings.traffic.threads;
     App::new()
-        .at("/{*path}", post(handler_service(handle)))
+        .at("/", handler_service(handle))
+        .at("/{*path}", handler_service(handle))
         .with_state(shared)
         .serve()
+        .max_read_buf_size::<MAX_HEAD_BYTES>()
         .disable_signal()
         .worker_threads(threads)
         .listen(listener.socket)?
