--- a/rhubarbfall-membership/examples/capacity.rs
+++ b/rhubarbfall-membership/examples/capacity.rs
@@ -10,7 +10,7 @@
 use rhubarbfall_document::{
     Document, KeyDigest, KeyOwner, KeySpec, PoolSpec, QueueAccess, QueueSpec, TeamSpec,
 };
-use rhubarbfall_membership::Narrowing;
+use rhubarbfall_membership::{DeltaLog, Narrowing};
 use support::{Fleet, Table};
 
 /// An eighth, a quarter, a half and the whole: zones and entries in each.
@@ -37,9 +37,11 @@
     }
     println!("\n## Document");
     println!(
-        "| teams | keys | JSON bytes | decode us | intent bytes of one withdrawal | whole document a change, B/s and node |"
+        "| teams | keys | JSON bytes | decode us | bytes of one change as a step \
+         | whole document a change, B/s and node | steps, B/s and node \
+         | intent bytes of one withdrawal |"
     );
-    println!("|---|---|---|---|---|---|");
+    println!("|---|---|---|---|---|---|---|---|");
     for share in [8, 4, 2, 1] {
         document_row(TEAMS / share, POOLS / share);
     }
@@ -116,12 +118,19 @@
         revision: 1_000_000,
         change: intent.into(),
     };
+    after.revision = decoded.revision.next();
+    let mut log = DeltaLog::default();
+    log.record(&decoded, &after);
+    let steps = log.since(decoded.revision).expect("the step is known");
+    let step_bytes = serde_json::to_vec(&steps).expect("steps are JSON").len();
+    let a_second = |bytes: usize| bytes * CHANGES_PER_DAY / SECONDS_PER_DAY;
     println!(
-        "| {teams} | {} | {} | {decode_us} | {} | {} |",
+        "| {teams} | {} | {} | {decode_us} | {step_bytes} | {} | {} | {} |",
         document.keys.keys.len(),
         json.len(),
+        a_second(json.len()),
+        a_second(step_bytes),
         message.encoded_len(),
-        json.len() * CHANGES_PER_DAY / SECONDS_PER_DAY,
     );
 }
 
