--- a/rhubarbfall-entry/src/settings/sections.rs
+++ b/rhubarbfall-entry/src/settings/sections.rs
@@ -107,7 +107,7 @@
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct ControlSettings {
-    /// How often the document's head row is read.
+    /// The age of the newest known read of the head row at which an entry reads it itself.
     pub document_poll_ms: u64,
     /// How often the list of VMs is read.
     pub vm_list_poll_ms: u64,
@@ -118,7 +118,7 @@
 impl Default for ControlSettings {
     fn default() -> Self {
         Self {
-            document_poll_ms: 500,
+            document_poll_ms: 1_500,
             vm_list_poll_ms: 500,
             freshness_bound_ms: 5_000,
         }
--- a/rhubarbfall-membership/tests/support/mod.rs
+++ b/rhubarbfall-membership/tests/support/mod.rs
@@ -49,6 +49,10 @@
     pub revision: Revision,
     /// Zones that exchange nothing with other zones, nor with the table.
     pub cut_zones: Vec<usize>,
+    /// Zones that the table does not answer.
+    pub table_cut_zones: Vec<usize>,
+    /// Pairs of zones of which the first no longer reaches the second.
+    pub cut_links: Vec<(usize, usize)>,
     pub table_reads: usize,
     /// The table reads of each whole second.
     pub reads_by_second: Vec<usize>,
@@ -107,6 +111,8 @@
             table: Table::Up,
             revision: Revision::new(1),
             cut_zones: Vec::new(),
+            table_cut_zones: Vec::new(),
+            cut_links: Vec::new(),
             table_reads: 0,
             reads_by_second: Vec::new(),
             mail: Vec::new(),
@@ -207,15 +213,18 @@
     pub fn is_connected(&self, from: usize, to: usize) -> bool {
         let (near, far) = (&self.nodes[from], &self.nodes[to]);
         let is_cut = |zone| self.cut_zones.contains(&zone);
+        let is_link_cut = self.cut_links.contains(&(near.zone_index, far.zone_index));
         let is_same = near.zone_index == far.zone_index;
         near.is_alive
             && far.is_alive
+            && !is_link_cut
             && (is_same || !(is_cut(near.zone_index) || is_cut(far.zone_index)))
     }
 
     fn poll_table(&mut self, number: usize) {
         let now = self.now;
-        let is_cut = self.cut_zones.contains(&self.nodes[number].zone_index);
+        let zone = self.nodes[number].zone_index;
+        let is_cut = self.cut_zones.contains(&zone) || self.table_cut_zones.contains(&zone);
         let node = &mut self.nodes[number];
         if let Some(began) = node.reading_since {
             let timeout = Duration::from_secs(1);
@@ -308,6 +317,16 @@
         }
     }
 
+    /// Returns how many entries of each zone admit keyed work.
+    pub fn admitting_by_zone(&self) -> Vec<usize> {
+        let mut zones = vec![0; self.zones()];
+        for node in &self.nodes {
+            let valid = node.gossip.freshness().valid_until(self.now);
+            zones[node.zone_index] += usize::from(node.is_alive && valid.is_some());
+        }
+        zones
+    }
+
     pub fn admitting(&self) -> usize {
         let nodes = self.nodes.iter().filter(|node| node.is_alive);
         nodes
