--- a/rhubarbfall-core/src/result_code.rs
+++ b/rhubarbfall-core/src/result_code.rs
@@ -107,6 +107,7 @@
     DuplicateRequest = 3004, Unknown, 409, "A request with this identifier was taken before.";
     ForwardLost = 3005, Unknown, 502, "The connection to the other entry broke after the request was sent.";
     AnswerMismatch = 3006, Unknown, 502, "The upstream's answer belongs to another request.";
+    ClaimUnchecked = 3007, Unknown, 503, "It could not be checked whether a request with this identifier was taken before.";
     DocumentSyntax = 4001, NotRun, 400, "The document is not valid TOML.";
     DocumentInvalid = 4002, NotRun, 422, "The document breaks a rule.";
     SectionVersionConflict = 4003, NotRun, 409, "The section has changed since the version that was edited.";
--- a/rhubarbfall-routing/src/lib.rs
+++ b/rhubarbfall-routing/src/lib.rs
@@ -1,1 +1,5 @@
 //! Upstream choice, health, retries and connections.
+
+mod claims;
+
+pub use claims::*;
--- /dev/null
+++ b/rhubarbfall-routing/tests/claims.rs
@@ -0,0 +1,274 @@
+//! Claims under duplicates, lost answers, late writes, killed and paused processes.
+
+mod claim_log;
+
+use std::time::{Duration, Instant};
+
+use claim_log::{FakeTable, Fault};
+use expect_test::expect;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rhubarbfall_core::LiteMap;
+use rhubarbfall_routing::{ClaimAction, ClaimKey, ClaimLedger, ClaimSettings, ClaimVerdict};
+
+const ENTRIES: usize = 3;
+const WINDOW: Duration = Duration::from_secs(60);
+
+fn key(number: usize) -> ClaimKey {
+    let request = format!("request-{number}").parse().expect("a valid id");
+    ClaimKey::new("house-a", &request)
+}
+
+fn settings() -> ClaimSettings {
+    ClaimSettings::default().window_ms(WINDOW.as_millis() as u64)
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Begin { entry: usize, key: usize },
+    Act { entry: usize, fault: Fault },
+    Advance { ms: u64 },
+    Replace { entry: usize },
+    Release { entry: usize, key: usize },
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let fault = prop_oneof![
+        6 => Just(Fault::None),
+        1 => Just(Fault::AnswerLost),
+        1 => Just(Fault::CallLost),
+        1 => Just(Fault::Late),
+    ];
+    let step = prop_oneof![
+        6 => (0..ENTRIES, 0..4_usize).prop_map(|(entry, key)| Step::Begin { entry, key }),
+        12 => (0..ENTRIES, fault).prop_map(|(entry, fault)| Step::Act { entry, fault }),
+        3 => (1..900_u64).prop_map(|ms| Step::Advance { ms }),
+        1 => (1_000..90_000_u64).prop_map(|ms| Step::Advance { ms }),
+        1 => (0..ENTRIES).prop_map(|entry| Step::Replace { entry }),
+        2 => (0..ENTRIES, 0..4_usize).prop_map(|(entry, key)| Step::Release { entry, key }),
+    ];
+    prop::collection::vec(step, 1..250)
+}
+
+/// Three entries, their table, and the requests that they ran.
+struct Fleet {
+    now: Instant,
+    table: FakeTable,
+    ledgers: Vec<ClaimLedger>,
+    incarnations: usize,
+    /// Granted requests that have not been sent yet.
+    granted: Vec<(usize, ClaimKey)>,
+    runs: Vec<(ClaimKey, Instant)>,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        let now = Instant::now();
+        let ledger = |entry| ClaimLedger::new(now, format!("entry-{entry}/0"), settings());
+        Self {
+            now,
+            table: FakeTable::default(),
+            ledgers: (0..ENTRIES).map(ledger).collect(),
+            incarnations: 0,
+            granted: Vec::new(),
+            runs: Vec::new(),
+        }
+    }
+
+    fn apply(&mut self, step: &Step) {
+        match step {
+            Step::Begin { entry, key: number } => self.begin(*entry, key(*number)),
+            Step::Act { entry, fault } => self.act(*entry, *fault),
+            Step::Advance { ms } => self.now += Duration::from_millis(*ms),
+            Step::Replace { entry } => self.replace(*entry),
+            Step::Release { entry, key: number } => self.release(*entry, key(*number)),
+        }
+    }
+
+    fn begin(&mut self, entry: usize, key: ClaimKey) {
+        if self.ledgers[entry].begin(self.now, key) == Some(ClaimVerdict::Granted) {
+            self.granted.push((entry, key));
+        }
+    }
+
+    fn act(&mut self, entry: usize, fault: Fault) {
+        self.send_granted(entry);
+        let ledger = &mut self.ledgers[entry];
+        ledger.expire(self.now);
+        self.table.step(self.now, ledger, fault);
+        for (key, verdict) in ledger.take_verdicts() {
+            if verdict == ClaimVerdict::Granted {
+                self.granted.push((entry, key));
+            }
+        }
+    }
+
+    fn send_granted(&mut self, entry: usize) {
+        let (mine, others) = self.granted.drain(..).partition(|(at, _)| *at == entry);
+        self.granted = others;
+        for (_, key) in mine {
+            if self.ledgers[entry].may_start(self.now, key) {
+                self.runs.push((key, self.now));
+            }
+        }
+    }
+
+    fn release(&mut self, entry: usize, key: ClaimKey) {
+        let position = self.granted.iter().position(|held| *held == (entry, key));
+        if let Some(position) = position {
+            self.granted.remove(position);
+            self.ledgers[entry].release(key);
+        }
+    }
+
+    fn replace(&mut self, entry: usize) {
+        self.incarnations += 1;
+        let appender = format!("entry-{entry}/{}", self.incarnations);
+        self.ledgers[entry] = ClaimLedger::new(self.now, appender, settings());
+        self.granted.retain(|(at, _)| *at != entry);
+    }
+
+    fn settle(&mut self) {
+        for _ in 0..200 {
+            self.now += Duration::from_millis(50);
+            for entry in 0..ENTRIES {
+                self.act(entry, Fault::None);
+            }
+        }
+    }
+
+    fn check(&self) -> Result<(), TestCaseError> {
+        for (index, (key, at)) in self.runs.iter().enumerate() {
+            for (other, later) in &self.runs[index + 1..] {
+                let is_repeat = key == other && *later - *at < WINDOW / 2;
+                prop_assert!(!is_repeat, "{key} ran twice within half a window");
+            }
+        }
+        Ok(())
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 400,
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn a_request_runs_at_most_once_and_claims_resume(steps in steps()) {
+        let mut fleet = Fleet::new();
+        for step in &steps {
+            fleet.apply(step);
+        }
+        fleet.settle();
+        fleet.check()?;
+        let before = fleet.runs.len();
+        fleet.begin(0, key(99));
+        fleet.begin(1, key(99));
+        fleet.settle();
+        prop_assert_eq!(fleet.runs.len(), before + 1);
+        fleet.check()?;
+    }
+}
+
+#[test]
+fn a_released_request_may_run_at_another_entry() {
+    let mut fleet = Fleet::new();
+    fleet.settle();
+    fleet.begin(0, key(1));
+    while fleet.granted.is_empty() {
+        fleet.act(0, Fault::None);
+        fleet.now += Duration::from_millis(1);
+    }
+    fleet.release(0, key(1));
+    fleet.settle();
+    fleet.begin(1, key(1));
+    fleet.settle();
+    assert_eq!(fleet.runs.len(), 1);
+}
+
+#[test]
+fn claims_are_refused_as_unchecked_while_the_table_is_down() {
+    let mut fleet = Fleet::new();
+    fleet.settle();
+    assert_eq!(fleet.ledgers[0].begin(fleet.now, key(1)), None);
+    for _ in 0..30 {
+        fleet.now += Duration::from_millis(100);
+        let ledger = &mut fleet.ledgers[0];
+        ledger.expire(fleet.now);
+        fleet.table.step(fleet.now, ledger, Fault::CallLost);
+    }
+    let verdicts = fleet.ledgers[0].take_verdicts();
+    assert_eq!(verdicts, [(key(1), ClaimVerdict::Unchecked)]);
+    let answer = fleet.ledgers[0].begin(fleet.now, key(2));
+    assert_eq!(answer, Some(ClaimVerdict::Unchecked));
+    fleet.settle();
+    fleet.begin(0, key(1));
+    fleet.settle();
+    assert_eq!(fleet.runs.len(), 1);
+}
+
+/// The table's calls with the given number of entries and non-idempotent requests a second.
+fn cost(entries: usize, requests_per_second: usize) -> String {
+    const SECONDS: usize = 30;
+    const TABLE_LATENCY_MS: u64 = 4;
+    let start = Instant::now();
+    let mut now = start;
+    let mut table = FakeTable::default();
+    let mut ledgers: Vec<ClaimLedger> = (0..entries)
+        .map(|entry| ClaimLedger::new(now, format!("entry-{entry}/0"), settings()))
+        .collect();
+    let mut in_flight: Vec<Option<(Instant, ClaimAction)>> = vec![None; entries];
+    let mut began: LiteMap<ClaimKey, Instant> = LiteMap::new();
+    let mut waits_ms = Vec::new();
+    let mut requests = 0;
+    for ms in 0..SECONDS * 1000 {
+        now += Duration::from_millis(1);
+        while requests * 1000 < ms * requests_per_second {
+            let claimed = key(requests);
+            ledgers[requests % entries].begin(now, claimed);
+            began.insert(claimed, now);
+            requests += 1;
+        }
+        for (entry, ledger) in ledgers.iter_mut().enumerate() {
+            match in_flight[entry].take() {
+                Some((at, action)) if at <= now => {
+                    table.perform(now, ledger, &action, Fault::None);
+                }
+                Some(pending) => in_flight[entry] = Some(pending),
+                None => {
+                    let due = now + Duration::from_millis(TABLE_LATENCY_MS);
+                    in_flight[entry] = ledger.action(now).map(|action| (due, action));
+                }
+            }
+            for (granted, _) in ledger.take_verdicts() {
+                let since = began.remove(&granted).expect("a request that began");
+                waits_ms.push((now - since).as_millis() as u64);
+            }
+        }
+    }
+    waits_ms.sort_unstable();
+    let at = |percent: usize| waits_ms.get(waits_ms.len() * percent / 100).copied();
+    format!(
+        "{entries} entries, {requests_per_second}/s: {} transactions/s, {} rows/s, {} reads/s, \
+         wait p50 {:?} ms, p99 {:?} ms, granted {} of {requests}\n",
+        table.transactions / SECONDS,
+        table.rows_written / SECONDS,
+        table.reads / SECONDS,
+        at(50).unwrap_or(0),
+        at(99).unwrap_or(0),
+        waits_ms.len(),
+    )
+}
+
+#[test]
+fn claims_stay_within_their_part_of_the_table() {
+    let report = [cost(9, 2), cost(9, 20), cost(9, 200)].concat();
+    expect![[r#"
+        9 entries, 2/s: 2 transactions/s, 2 rows/s, 2 reads/s, wait p50 9 ms, p99 18 ms, granted 60 of 60
+        9 entries, 20/s: 16 transactions/s, 16 rows/s, 16 reads/s, wait p50 165 ms, p99 474 ms, granted 594 of 600
+        9 entries, 200/s: 18 transactions/s, 16 rows/s, 18 reads/s, wait p50 299 ms, p99 599 ms, granted 5900 of 6000
+    "#]].assert_eq(&report);
+}
