--- a/rhubarbfall-entry/src/traffic/mod.rs
+++ b/rhubarbfall-entry/src/traffic/mod.rs
@@ -6,6 +6,7 @@
 mod exchange;
 mod handler;
 mod in_flight;
+mod read_body;
 mod refusal;
 mod server;
 mod upstream_body;
@@ -13,6 +14,7 @@
 
 pub use caller_request::CallerRequest;
 pub(crate) use in_flight::InFlight;
+pub(crate) use read_body::read_body;
 pub use refusal::Refusal;
 pub use server::{HttpListener, serve};
 pub use upstream_connections::UpstreamConnections;
