--- a/rhubarbfall-entry/src/traffic/attempts.rs
+++ b/rhubarbfall-entry/src/traffic/attempts.rs
@@ -1,8 +1,9 @@
 use std::sync::Arc;
+use std::time::Instant;
 
 use rhubarbfall_core::{Execution, ResultCode};
 use rhubarbfall_routing::{Attempt, RetryDecision};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::exchange::{Answer, Outgoing, exchange};
 use crate::Shared;
@@ -20,7 +21,7 @@
     outgoing: &Outgoing<'_>,
     mut work: Work,
 ) -> Result<(Permit, Answer), ResultCode> {
-    let mut claim = claim(shared, outgoing).await?;
+    let mut claim = claim(shared, outgoing, work.deadline).await?;
     let mut attempts = 0;
     loop {
         let permit = usable_permit(shared, &work).await?;
@@ -64,17 +65,16 @@
 async fn claim(
     shared: &Arc<Shared>,
     outgoing: &Outgoing<'_>,
+    deadline: Instant,
 ) -> Result<Option<ClaimGuard>, ResultCode> {
     let caller = outgoing.caller;
     if caller.is_idempotent {
         return Ok(None);
     }
     let team = &outgoing.authorized.team;
-    shared
-        .claims
-        .claim(team, &caller.request_id)
-        .await
-        .map(Some)
+    let remaining = deadline.saturating_duration_since(shared.clock.now());
+    let claimed = timeout(remaining, shared.claims.claim(team, &caller.request_id)).await;
+    claimed.unwrap_or(Err(ResultCode::ClaimUnchecked)).map(Some)
 }
 
 /// Waits for a permit whose upstream is usable at this instant, since this process may have been
