feat(routing): choose the upstream whose next answer is expected first

Cause: the least running upstream is the one that fails fastest, so fast errors drew the work. Figures: part of the requests at one of ten that fails in 1 ms: 1.000 before, 0.005 after.

--- a/rhubarbfall-entry/src/dispatch/dispatch_state.rs
+++ b/rhubarbfall-entry/src/dispatch/dispatch_state.rs
@@ -1,8 +1,10 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use rhubarbfall_core::{LiteMap, ServiceId, Slots, TeamId, UpstreamId};
 use rhubarbfall_document::Document;
+use rhubarbfall_routing::{UpstreamLoad, least_wait};
 use serde::Serialize;
 use tokio::sync::oneshot;
 
@@ -42,8 +44,7 @@
 #[derive(Debug)]
 struct UpstreamState {
     address: SocketAddr,
-    slots: Slots,
-    running: Slots,
+    load: UpstreamLoad,
     is_leaving: bool,
 }
 
@@ -109,18 +110,19 @@
             upstream.is_leaving = !listed.iter().any(|(listed_id, _)| listed_id == id);
         }
         for (id, address) in listed {
-            let running = state.upstreams.get(id).map_or(Slots::ZERO, |up| up.running);
+            let known = state.upstreams.get(id).map(|up| up.load);
+            let mut load = known.unwrap_or_else(|| UpstreamLoad::new(slots));
+            load.set_slots(slots);
             let upstream = UpstreamState {
                 address: *address,
-                slots,
-                running,
+                load,
                 is_leaving: false,
             };
             state.upstreams.insert(id.clone(), upstream);
         }
         state
             .upstreams
-            .retain(|_, up| !up.is_leaving || up.running > Slots::ZERO);
+            .retain(|_, up| !up.is_leaving || up.load.running_slots() > Slots::ZERO);
     }
 
     /// Puts a request at the end of its service's queue; gives it back when there is no room.
@@ -160,7 +162,21 @@
         }
         let state = self.services.get_mut(service);
         if let Some(upstream) = state.and_then(|state| state.upstreams.get_mut(upstream)) {
-            upstream.running = upstream.running.saturating_sub(Slots::new(1));
+            upstream.load.end();
+        }
+    }
+
+    /// Takes how long an upstream took for an answer, or that there was none.
+    pub(super) fn observe(
+        &mut self,
+        service: &ServiceId,
+        upstream: &UpstreamId,
+        latency: Duration,
+        is_success: bool,
+    ) {
+        let state = self.services.get_mut(service);
+        if let Some(upstream) = state.and_then(|state| state.upstreams.get_mut(upstream)) {
+            upstream.load.observe(latency, is_success);
         }
     }
 
@@ -171,8 +187,8 @@
                 service: service.clone(),
                 upstream: id.clone(),
                 address: up.address,
-                slots: up.slots,
-                running_slots: up.running,
+                slots: up.load.slots(),
+                running_slots: up.load.running_slots(),
                 is_leaving: up.is_leaving,
             })
         });
@@ -199,7 +215,7 @@
 ) {
     let mut index = 0;
     while let Some(waiting) = state.waiting.get(index) {
-        let Some(id) = least_loaded(&state.upstreams, &waiting.work.avoided) else {
+        let Some(id) = choose(&mut state.upstreams, &waiting.work.avoided) else {
             return;
         };
         let team = teams.get_mut(&waiting.work.team);
@@ -213,7 +229,7 @@
         let Some(Waiting { work, reply }) = state.waiting.remove(index) else {
             return;
         };
-        upstream.running = upstream.running.saturating_add(Slots::new(1));
+        upstream.load.start();
         team.running = team.running.saturating_add(Slots::new(1));
         starts.push(Start {
             work,
@@ -224,13 +240,17 @@
     }
 }
 
-fn least_loaded(
-    upstreams: &LiteMap<UpstreamId, UpstreamState>,
+fn choose(
+    upstreams: &mut LiteMap<UpstreamId, UpstreamState>,
     avoided: &[UpstreamId],
 ) -> Option<UpstreamId> {
-    upstreams
-        .iter()
-        .filter(|(_, up)| !up.is_leaving && up.running < up.slots)
-        .min_by_key(|(id, up)| (avoided.contains(id), up.running))
-        .map(|(id, _)| id.clone())
+    let mut staying: Vec<(&UpstreamId, &mut UpstreamState)> = upstreams
+        .iter_mut()
+        .filter(|(_, up)| !up.is_leaving)
+        .collect();
+    let loads = staying
+        .iter_mut()
+        .map(|(id, up)| (&mut up.load, avoided.contains(id)));
+    let chosen = least_wait(loads)?;
+    staying.get(chosen).map(|(id, _)| (*id).clone())
 }
--- a/rhubarbfall-entry/src/dispatch/dispatcher.rs
+++ b/rhubarbfall-entry/src/dispatch/dispatcher.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
 use rhubarbfall_core::{ResultCode, ServiceId, Slots, TeamId, UpstreamId};
@@ -59,6 +59,18 @@
             .map_err(|_| ResultCode::EntryStopping)
     }
 
+    /// Takes how long an upstream took for an answer, or that there was none.
+    pub fn observe(
+        &self,
+        service: &ServiceId,
+        upstream: &UpstreamId,
+        latency: Duration,
+        is_success: bool,
+    ) {
+        let mut state = self.state.lock();
+        state.observe(service, upstream, latency, is_success);
+    }
+
     pub(super) fn release(
         self: &Arc<Self>,
         team: &TeamId,
--- a/rhubarbfall-entry/src/traffic/attempts.rs
+++ b/rhubarbfall-entry/src/traffic/attempts.rs
@@ -33,6 +33,10 @@
         let result = exchange(shared, outgoing, &permit).await;
         let is_success = result.as_ref().is_ok_and(Answer::is_success);
         let upstream = permit.upstream();
+        let latency = shared.clock.now().duration_since(sent_at);
+        shared
+            .dispatcher
+            .observe(&work.service, upstream, latency, is_success);
         shared
             .upstreams
             .on_attempt(&work.service, upstream, sent_at, is_success);
--- /dev/null
+++ b/rhubarbfall-routing/src/choice/least_wait.rs
@@ -0,0 +1,37 @@
+use super::UpstreamLoad;
+
+/// Chooses the upstream with room whose next answer is expected first, and returns its index.
+///
+/// Upstreams that are to be avoided are taken only if no other has room. The ones that are passed
+/// over have their estimates lowered a little, so that each gets a request now and then.
+///
+/// # Examples
+///
+/// ```
+/// use rhubarbfall_core::Slots;
+/// use rhubarbfall_routing::{UpstreamLoad, least_wait};
+///
+/// let mut loads = [UpstreamLoad::new(Slots::new(8)); 2];
+/// loads[0].start();
+/// let chosen = least_wait(loads.iter_mut().map(|load| (load, false)));
+/// assert_eq!(chosen, Some(1));
+/// ```
+pub fn least_wait<'a>(
+    upstreams: impl Iterator<Item = (&'a mut UpstreamLoad, bool)>,
+) -> Option<usize> {
+    let mut best: Option<(bool, f64, usize)> = None;
+    for (index, (load, is_avoided)) in upstreams.enumerate() {
+        if !load.has_room() {
+            continue;
+        }
+        let wait_ms = load.expected_wait_ms();
+        let is_better = best.is_none_or(|(best_avoided, best_ms, _)| {
+            (is_avoided, wait_ms) < (best_avoided, best_ms)
+        });
+        if is_better {
+            best = Some((is_avoided, wait_ms, index));
+        }
+        load.pass_over();
+    }
+    best.map(|(_, _, index)| index)
+}
--- /dev/null
+++ b/rhubarbfall-routing/src/choice/mod.rs
@@ -0,0 +1,7 @@
+//! Choice among the upstreams that have room.
+
+mod least_wait;
+mod upstream_load;
+
+pub use least_wait::least_wait;
+pub use upstream_load::UpstreamLoad;
--- a/rhubarbfall-routing/src/lib.rs
+++ b/rhubarbfall-routing/src/lib.rs
@@ -1,10 +1,12 @@
 //! Upstream choice, health, retries and connections.
 
+mod choice;
 mod claims;
 mod connections;
 mod retries;
 mod upstreams;
 
+pub use choice::*;
 pub use claims::*;
 pub use connections::*;
 pub use retries::*;
--- /dev/null
+++ b/rhubarbfall-routing/tests/choice.rs
@@ -0,0 +1,82 @@
+//! Where requests go when upstreams are slow or fail fast, in virtual time.
+
+use std::fmt::Write as _;
+use std::time::Duration;
+
+use expect_test::expect;
+use rhubarbfall_core::Slots;
+use rhubarbfall_routing::{UpstreamLoad, least_wait};
+
+const UPSTREAMS: usize = 10;
+/// About a quarter of what the upstreams that work quickly can take.
+const REQUESTS_PER_SECOND: u64 = 1_000;
+const SECONDS: u64 = 20;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Way {
+    LeastRunning,
+    LeastWait,
+}
+
+/// The first upstream fails in 1 ms, the second takes 200 ms, the others take 20 ms.
+const fn behaviour(index: usize) -> (u64, bool) {
+    match index {
+        0 => (1, false),
+        1 => (200, true),
+        _ => (20, true),
+    }
+}
+
+fn choose(way: Way, loads: &mut [UpstreamLoad]) -> Option<usize> {
+    match way {
+        Way::LeastWait => least_wait(loads.iter_mut().map(|load| (load, false))),
+        Way::LeastRunning => (0..loads.len())
+            .filter(|index| loads[*index].has_room())
+            .min_by_key(|index| loads[*index].running_slots()),
+    }
+}
+
+/// Returns the parts of the requests at the failing and at the slow upstream.
+fn run(way: Way) -> (f64, f64) {
+    let mut loads = [UpstreamLoad::new(Slots::new(8)); UPSTREAMS];
+    let mut running: Vec<(u64, usize)> = Vec::new();
+    let mut taken = [0_u64; UPSTREAMS];
+    for ms in 0..SECONDS * 1_000 {
+        running.retain(|(end_ms, index)| {
+            if *end_ms > ms {
+                return true;
+            }
+            let (work_ms, is_success) = behaviour(*index);
+            loads[*index].end();
+            loads[*index].observe(Duration::from_millis(work_ms), is_success);
+            false
+        });
+        for _ in 0..REQUESTS_PER_SECOND / 1_000 {
+            let index = choose(way, &mut loads).expect("an upstream has room");
+            loads[index].start();
+            taken[index] += 1;
+            running.push((ms + behaviour(index).0, index));
+        }
+    }
+    let total = taken.iter().sum::<u64>() as f64;
+    (taken[0] as f64 / total, taken[1] as f64 / total)
+}
+
+/// The part of the requests that an upstream would get if all were alike.
+const EVEN_PART: f64 = 1.0 / UPSTREAMS as f64;
+
+#[test]
+fn fast_errors_attract_no_work() {
+    let mut report = String::new();
+    for way in [Way::LeastRunning, Way::LeastWait] {
+        let (failing, slow) = run(way);
+        let _ = writeln!(report, "{way:?}: failing {failing:.3}, slow {slow:.3}");
+        if way == Way::LeastWait {
+            assert!(failing < EVEN_PART && slow < EVEN_PART);
+        }
+    }
+    expect![[r"
+        LeastRunning: failing 1.000, slow 0.000
+        LeastWait: failing 0.005, slow 0.020
+    "]].assert_eq(&report);
+}
