--- a/rhubarbfall-entry/src/lib.rs
+++ b/rhubarbfall-entry/src/lib.rs
@@ -10,6 +10,7 @@
 mod lifecycle;
 pub mod membership;
 pub mod operator;
+pub mod routing;
 pub mod settings;
 mod shared;
 pub mod traffic;
--- a/rhubarbfall-entry/src/shared.rs
+++ b/rhubarbfall-entry/src/shared.rs
@@ -9,6 +9,7 @@
 
 use crate::dispatch::Dispatcher;
 use crate::membership::Membership;
+use crate::routing::{ClaimService, Upstreams};
 use crate::traffic::{BodyBudget, UpstreamConnections};
 use crate::{Lifecycle, Settings};
 
@@ -27,10 +28,14 @@
     pub lifecycle: Lifecycle,
     /// Waiting and running requests.
     pub dispatcher: Arc<Dispatcher>,
+    /// The health of upstreams, and repeats of failed attempts.
+    pub upstreams: Upstreams,
     /// Connections to upstreams.
     pub connections: UpstreamConnections,
     /// The memory for the bodies of requests.
     pub body_budget: Arc<BodyBudget>,
+    /// Claims of non-idempotent requests.
+    pub claims: Arc<ClaimService>,
     /// The platform's table.
     pub table: TableClient,
     /// The platform's list of VMs.
@@ -47,11 +52,18 @@
         Self {
             table: TableClient::new(platform.table, zone.clone(), timeout),
             vm_list: VmListClient::new(platform.vms, zone.clone(), timeout),
-            connections: UpstreamConnections::new(Duration::from_millis(
-                settings.traffic.connect_timeout_ms,
-            )),
+            connections: UpstreamConnections::new(
+                Arc::clone(&clock),
+                Duration::from_millis(settings.traffic.connect_timeout_ms),
+            ),
+            upstreams: Upstreams::new(Arc::clone(&clock)),
             body_budget: Arc::new(BodyBudget::new(settings.traffic.max_buffered_bytes)),
             dispatcher: Arc::new(Dispatcher::new()),
+            claims: Arc::new(ClaimService::new(
+                &clock,
+                &settings.entry.id,
+                settings.claims,
+            )),
             document: ArcSwapOption::empty(),
             membership: Membership::new(),
             lifecycle: Lifecycle::new(),
--- a/rhubarbfall-entry/src/traffic/handler.rs
+++ b/rhubarbfall-entry/src/traffic/handler.rs
@@ -8,11 +8,12 @@
 use xitca_web::handler::state::StateRef;
 use xitca_web::http::{HeaderMap, HeaderValue, Method, Uri, WebResponse};
 
+use super::attempts::attempt;
 use super::authorize::{Authorized, authorize};
-use super::exchange::{Answer, exchange};
+use super::exchange::{Answer, Outgoing};
 use super::read_body::{discard_body, read_body};
 use super::upstream_body::{InProgress, UpstreamBody};
-use super::{CallerRequest, Refusal};
+use super::{CallerRequest, InFlight, Refusal};
 use crate::dispatch::{Permit, Work};
 use crate::{Phase, Shared};
 
@@ -25,9 +26,9 @@
     Body(mut body): Body<RequestBody>,
 ) -> WebResponse {
     let started = shared.clock.now();
-    let _in_flight = InFlight::new(shared);
+    let in_flight = InFlight::new(Arc::clone(shared));
     let result = match check_method(method) {
-        Ok(()) => answer(shared, uri, headers, &mut body, started).await,
+        Ok(()) => answer(in_flight, uri, headers, &mut body, started).await,
         Err(refusal) => Err(refusal),
     };
     if result.is_err() {
@@ -59,22 +60,6 @@
         .increment(1);
 }
 
-/// Counts a request as in flight until this is dropped.
-struct InFlight<'a>(&'a Shared);
-
-impl<'a> InFlight<'a> {
-    fn new(shared: &'a Shared) -> Self {
-        shared.lifecycle.begin_request();
-        Self(shared)
-    }
-}
-
-impl Drop for InFlight<'_> {
-    fn drop(&mut self) {
-        self.0.lifecycle.end_request();
-    }
-}
-
 fn check_method(method: &Method) -> Result<(), Refusal> {
     if *method == Method::POST {
         return Ok(());
@@ -100,12 +85,13 @@
 }
 
 async fn answer(
-    shared: &Arc<Shared>,
+    in_flight: InFlight,
     uri: &Uri,
     headers: &HeaderMap,
     body: &mut RequestBody,
     started: Instant,
 ) -> Result<WebResponse, Refusal> {
+    let shared = &Arc::clone(in_flight.shared());
     let caller = CallerRequest::parse(uri.path(), headers)?;
     let refuse = |code| Refusal::new(code).request_id(caller.request_id.clone());
     if shared.lifecycle.phase() == Phase::Stopping {
@@ -126,31 +112,24 @@
         service: authorized.service.clone(),
         class: caller.class,
         deadline: started + caller.deadline.unwrap_or(default_deadline),
+        avoided: Vec::new(),
     };
-    let permit = shared
-        .dispatcher
-        .acquire(work, shared.clock.now())
-        .await
-        .map_err(refuse)?;
     let service = document.service(&authorized.service);
     let timeout = service.map_or(default_deadline, |service| {
         Duration::from_millis(service.answer_timeout_ms)
     });
-    let answer = exchange(
-        shared,
-        &caller,
-        &authorized,
-        &permit,
+    let outgoing = Outgoing {
+        caller: &caller,
+        authorized: &authorized,
         headers,
-        body.bytes.clone(),
+        body: body.bytes.clone(),
         timeout,
-    )
-    .await
-    .map_err(refuse)?;
-    Ok(pass_on(shared, permit, answer))
+    };
+    let (permit, answer) = attempt(shared, &outgoing, work).await.map_err(refuse)?;
+    Ok(pass_on(in_flight, permit, answer))
 }
 
-fn pass_on(shared: &Arc<Shared>, permit: Permit, answer: Answer) -> WebResponse {
+fn pass_on(in_flight: InFlight, permit: Permit, answer: Answer) -> WebResponse {
     let Answer {
         response,
         connection,
@@ -171,7 +150,7 @@
     let body = UpstreamBody {
         incoming,
         in_progress: Some(InProgress {
-            shared: Arc::clone(shared),
+            in_flight,
             permit,
             connection,
         }),
