--- /dev/null
+++ b/rhubarbfall-admission/src/admission.rs
@@ -0,0 +1,386 @@
+use std::time::{Duration, Instant};
+
+use rhubarbfall_core::{LiteMap, QueueId, ResultCode, ServiceId, ShareWeight, TeamId};
+use rhubarbfall_document::Document;
+
+use crate::AdmissionSettings;
+use crate::admission_state::AdmissionState;
+use crate::queue::{Rejection, SubmitOutcome, Ticket, WorkClass, WorkRequest, WorkSlab, WorkState};
+use crate::rights::Rights;
+use crate::service_queues::ServiceQueues;
+use crate::shares::{ServiceDemand, ServiceView, TeamShare, entry_portions};
+
+/// How long a caller should stay away when nothing is known of the service's speed.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// What is known of a request's end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WorkEnd {
+    /// No upstream works on it any longer.
+    Certain,
+    /// An upstream may still work on it.
+    Unknown,
+}
+
+/// Queues, shares and rights of one entry: what waits, and what starts next.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::{Duration, Instant};
+///
+/// use rhubarbfall_admission::{
+///     Admission, AdmissionSettings, Rights, RightsSettings, SubmitOutcome, WorkClass, WorkRequest,
+/// };
+/// use rhubarbfall_core::Incarnation;
+///
+/// let now = Instant::now();
+/// let rights = Rights::new("entry-1".parse()?, Incarnation::new(1), RightsSettings::default());
+/// let mut admission = Admission::new(AdmissionSettings::default(), rights);
+/// let outcome = admission.submit(now, &WorkRequest {
+///     team: "house-a".parse()?,
+///     queue: "labels-urgent".parse()?,
+///     service: "labels".parse()?,
+///     class: WorkClass::Urgent,
+///     deadline: now + Duration::from_secs(5),
+/// });
+/// assert!(matches!(outcome, SubmitOutcome::Queued { .. }));
+/// // The team has no right to run yet, so nothing starts.
+/// assert!(admission.next(now, &"labels".parse()?, 8).is_empty());
+/// # Ok::<(), rhubarbfall_core::ParseIdError>(())
+/// ```
+#[derive(Debug, Clone)]
+pub struct Admission {
+    settings: AdmissionSettings,
+    rights: Rights,
+    work: WorkSlab,
+    services: LiteMap<ServiceId, ServiceQueues>,
+    weights: LiteMap<TeamId, TeamWeights>,
+    limits: LiteMap<TeamId, u32>,
+    max_waiting: LiteMap<QueueId, u32>,
+    waiting: u32,
+    expired: Vec<Ticket>,
+}
+
+#[derive(Debug, Clone)]
+struct TeamWeights {
+    share: ShareWeight,
+    queues: LiteMap<QueueId, ShareWeight>,
+}
+
+impl Admission {
+    /// Creates empty queues.
+    #[must_use]
+    pub fn new(settings: AdmissionSettings, rights: Rights) -> Self {
+        Self {
+            settings,
+            rights,
+            work: WorkSlab::default(),
+            services: LiteMap::new(),
+            weights: LiteMap::new(),
+            limits: LiteMap::new(),
+            max_waiting: LiteMap::new(),
+            waiting: 0,
+            expired: Vec::new(),
+        }
+    }
+
+    /// Returns the rights under upper limits.
+    #[must_use]
+    pub const fn rights(&self) -> &Rights {
+        &self.rights
+    }
+
+    /// Returns the rights under upper limits, to lend, borrow and write the ledger.
+    pub const fn rights_mut(&mut self) -> &mut Rights {
+        &mut self.rights
+    }
+
+    /// Takes over the limits, weights and queues of a document.
+    pub fn set_document(&mut self, document: &Document) {
+        let teams = &document.fleet.teams;
+        let limits = teams
+            .iter()
+            .map(|team| (team.id.clone(), team.upper_limit_slots));
+        self.rights.set_limits(limits, document.revision);
+        let services = document.fleet.services.iter();
+        let longest_ms = services.map(|service| service.answer_timeout_ms).max();
+        self.rights
+            .set_longest_request(Duration::from_millis(longest_ms.unwrap_or_default()));
+        self.limits = teams
+            .iter()
+            .map(|team| (team.id.clone(), team.upper_limit_slots.get()))
+            .collect();
+        let weights = teams.iter().map(|team| {
+            let section = document.teams.get(&team.id);
+            let weights = TeamWeights {
+                share: team.share_weight,
+                queues: section.map_or_else(LiteMap::new, |section| section.queue_weights.clone()),
+            };
+            (team.id.clone(), weights)
+        });
+        self.weights = weights.collect();
+        let queues = document.fleet.queues.iter();
+        self.max_waiting = queues
+            .map(|queue| (queue.id.clone(), queue.max_waiting_per_team))
+            .collect();
+    }
+
+    /// Takes a request into its team's queue, or refuses it before anything has run.
+    pub fn submit(&mut self, now: Instant, request: &WorkRequest) -> SubmitOutcome {
+        if self.limits.get(&request.team) == Some(&0) {
+            return refuse(ResultCode::UpperLimitReached, DEFAULT_RETRY_AFTER);
+        }
+        if self.services.get(&request.service).is_none() {
+            self.services
+                .insert(request.service.clone(), ServiceQueues::default());
+        }
+        if let Some(rejection) = self.check(now, request) {
+            return SubmitOutcome::Refused(rejection);
+        }
+        let shed = if self.waiting >= self.settings.max_waiting {
+            match self.shed(request) {
+                Some(shed) => Some(shed),
+                None => return refuse(ResultCode::Overloaded, DEFAULT_RETRY_AFTER),
+            }
+        } else {
+            None
+        };
+        SubmitOutcome::Queued {
+            ticket: self.enqueue(request),
+            shed,
+        }
+    }
+
+    /// Returns why a request must not wait.
+    fn check(&mut self, now: Instant, request: &WorkRequest) -> Option<Rejection> {
+        let service = self.services.get_mut(&request.service)?;
+        let index = service.find_or_insert(&request.team);
+        let queue = &service.queues[index];
+        let urgent = queue.waiting(WorkClass::Urgent);
+        let ahead = match request.class {
+            WorkClass::Urgent => urgent,
+            WorkClass::Batch => urgent + queue.waiting(WorkClass::Batch),
+        };
+        let wait = service.expected_wait(index, ahead);
+        let of_queue = self.max_waiting.get(&request.queue).copied();
+        let is_full = service.loads[index].waiting >= self.settings.max_waiting_per_team
+            || queue.waiting_in(&request.queue) as u32 >= of_queue.unwrap_or(u32::MAX);
+        if is_full {
+            let retry_after = wait.max(DEFAULT_RETRY_AFTER);
+            return Some(Rejection {
+                code: ResultCode::QueueFull,
+                retry_after,
+            });
+        }
+        let left = request.deadline.saturating_duration_since(now);
+        (wait > left).then(|| Rejection {
+            code: ResultCode::DeadlineUnreachable,
+            retry_after: wait.saturating_sub(left),
+        })
+    }
+
+    /// Makes room for an urgent request by giving up the newest batch request of the service's team
+    /// with the longest queue.
+    fn shed(&mut self, request: &WorkRequest) -> Option<Ticket> {
+        if request.class == WorkClass::Batch {
+            return None;
+        }
+        let work = &self.work;
+        let teams = self.services.values().flat_map(|service| &service.queues);
+        let longest = teams.max_by_key(|queue| queue.waiting(WorkClass::Batch))?;
+        let ticket = longest.newest_batch(|ticket| work.is_waiting(ticket))?;
+        self.cancel(ticket).then_some(ticket)
+    }
+
+    fn enqueue(&mut self, request: &WorkRequest) -> Ticket {
+        let weight = self.queue_weight(&request.team, &request.queue);
+        let ticket = self.work.insert(request.clone());
+        let service = self.services.get_mut(&request.service);
+        let service = service.expect("the service was inserted");
+        let index = service.find_or_insert(&request.team);
+        service.queues[index].push(&request.queue, weight, request.class, ticket);
+        service.loads[index].waiting += 1;
+        self.waiting += 1;
+        self.note_waiting(&request.team, 1);
+        ticket
+    }
+
+    fn queue_weight(&self, team: &TeamId, queue: &QueueId) -> f64 {
+        let weights = self.weights.get(team);
+        let weight = weights.and_then(|weights| weights.queues.get(queue));
+        weight.map_or(1.0, |weight| f64::from(weight.get()))
+    }
+
+    fn note_waiting(&mut self, team: &TeamId, change: i32) {
+        self.rights.change_waiting(team, change);
+    }
+
+    /// Returns the requests that start now on at most `free_slots` slots of the service.
+    ///
+    /// Each holds a right from now on; call [`Admission::finish`] when it has ended.
+    pub fn next(&mut self, now: Instant, service: &ServiceId, free_slots: u32) -> Vec<Ticket> {
+        let mut starts = Vec::new();
+        let Some(queues) = self.services.get_mut(service) else {
+            return starts;
+        };
+        let mut blocked = Vec::new();
+        while (starts.len() as u32) < free_slots {
+            let Some(index) = queues.neediest(&blocked) else {
+                break;
+            };
+            if !self.rights.try_take(now, queues.team(index)) {
+                blocked.push(index);
+                continue;
+            }
+            let work = &mut self.work;
+            let ticket = queues.queues[index].pop(|ticket| work.is_waiting(ticket));
+            queues.loads[index].waiting -= 1;
+            self.waiting -= 1;
+            self.rights.change_waiting(queues.team(index), -1);
+            let entry = ticket.and_then(|ticket| Some((ticket, work.get_mut(ticket)?)));
+            match entry {
+                Some((ticket, entry)) if entry.request.deadline > now => {
+                    entry.state = WorkState::Running { started_at: now };
+                    queues.loads[index].running += 1;
+                    starts.push(ticket);
+                }
+                Some((ticket, _)) => {
+                    self.rights.release(now, queues.team(index));
+                    self.work.remove(ticket);
+                    self.expired.push(ticket);
+                }
+                None => self.rights.release(now, queues.team(index)),
+            }
+        }
+        starts
+    }
+
+    /// Returns the requests whose deadline passed while they waited; they have not run.
+    pub fn take_expired(&mut self) -> Vec<Ticket> {
+        std::mem::take(&mut self.expired)
+    }
+
+    /// Ends a request that was started.
+    pub fn finish(&mut self, now: Instant, ticket: Ticket, end: WorkEnd) {
+        let Some(entry) = self.work.get(ticket) else {
+            return;
+        };
+        let WorkState::Running { started_at } = entry.state else {
+            return;
+        };
+        let Some(entry) = self.work.remove(ticket) else {
+            return;
+        };
+        let request = entry.request;
+        if let Some(service) = self.services.get_mut(&request.service) {
+            if let Some(index) = service.find(&request.team) {
+                service.loads[index].running -= 1;
+            }
+            service.record_service_time(now.saturating_duration_since(started_at));
+        }
+        match end {
+            WorkEnd::Certain => self.rights.release(now, &request.team),
+            WorkEnd::Unknown => self.rights.release_later(started_at, &request.team),
+        }
+    }
+
+    /// Frees the place of a request that waits; false when it does not wait.
+    pub fn cancel(&mut self, ticket: Ticket) -> bool {
+        if !self.work.is_waiting(ticket) {
+            return false;
+        }
+        let Some(entry) = self.work.remove(ticket) else {
+            return false;
+        };
+        let request = entry.request;
+        let work = &self.work;
+        if let Some(service) = self.services.get_mut(&request.service)
+            && let Some(index) = service.find(&request.team)
+        {
+            let is_waiting = |ticket| work.is_waiting(ticket);
+            service.queues[index].remove(&request.queue, request.class, is_waiting);
+            service.loads[index].waiting -= 1;
+        }
+        self.waiting -= 1;
+        self.note_waiting(&request.team, -1);
+        true
+    }
+
+    /// Divides the slots of a service anew.
+    ///
+    /// `zone` and `other_zones` are the work at the other entries, as far as it is known and recent;
+    /// the capacities are those of the upstreams that take work.
+    pub fn divide(
+        &mut self,
+        now: Instant,
+        service: &ServiceId,
+        zone: &ServiceDemand,
+        other_zones: &ServiceDemand,
+    ) {
+        let limits = &self.limits;
+        let weights = &self.weights;
+        let Some(queues) = self.services.get_mut(service) else {
+            return;
+        };
+        let entry = queues.demand();
+        let mut zone = zone.clone();
+        zone.add_all(&entry);
+        let mut fleet = zone.clone();
+        fleet.add_all(other_zones);
+        let view = ServiceView { entry, zone, fleet };
+        let share = |team: &TeamId| TeamShare {
+            weight: weights
+                .get(team)
+                .map_or(1.0, |weights| f64::from(weights.share.get())),
+            limit_slots: limits.get(team).copied().unwrap_or_default(),
+        };
+        queues.divide(now, &entry_portions(&view, share));
+        queues.remove_idle();
+    }
+
+    /// Returns the slots of a service that the portions at this entry add up to.
+    #[must_use]
+    pub fn wanted_slots(&self, service: &ServiceId) -> f64 {
+        self.services
+            .get(service)
+            .map_or(0.0, ServiceQueues::wanted_slots)
+    }
+
+    /// Returns the slots that a team should hold in other zones for work that waits here.
+    #[must_use]
+    pub fn overflow_slots(&self, service: &ServiceId, team: &TeamId) -> f64 {
+        let queues = self.services.get(service);
+        let overflow = queues.and_then(|queues| queues.overflow_slots.get(team));
+        overflow.copied().unwrap_or_default()
+    }
+
+    /// Returns the work at this entry, by service, for the exchange with other entries.
+    #[must_use]
+    pub fn summary(&self) -> LiteMap<ServiceId, ServiceDemand> {
+        self.services
+            .iter()
+            .map(|(id, queues)| (id.clone(), queues.demand()))
+            .collect()
+    }
+
+    /// Returns how many requests wait for a service.
+    #[must_use]
+    pub fn waiting(&self, service: &ServiceId) -> u32 {
+        self.services.get(service).map_or(0, ServiceQueues::waiting)
+    }
+
+    /// Returns the state for the process's dump.
+    #[must_use]
+    pub fn state(&self, now: Instant) -> AdmissionState {
+        AdmissionState {
+            waiting_requests: self.waiting,
+            services: self.summary(),
+            rights: self.rights.state(now),
+        }
+    }
+}
+
+const fn refuse(code: ResultCode, retry_after: Duration) -> SubmitOutcome {
+    SubmitOutcome::Refused(Rejection { code, retry_after })
+}
--- a/rhubarbfall-admission/src/lib.rs
+++ b/rhubarbfall-admission/src/lib.rs
@@ -3,11 +3,23 @@
 //! Decisions are plain functions over the time, an event and their own state. They open no socket
 //! and start no task, so that the entry process, the tests and the benchmarks run the same code.
 
+mod admission;
+mod admission_settings;
+mod admission_state;
+mod queue;
 mod rights;
+mod service_queues;
 mod shares;
 
+pub use admission::{Admission, WorkEnd};
+pub use admission_settings::AdmissionSettings;
+pub use admission_state::AdmissionState;
+pub use queue::{Rejection, SubmitOutcome, Ticket, WorkClass, WorkRequest};
 pub use rights::{
     Grant, LedgerRow, LoanReply, LoanRequest, OutgoingLoanRequest, ReclaimWatch, Rights,
     RightsSettings, RightsState, TeamRightsState,
 };
-pub use shares::{Claim, fair_portions};
+pub use shares::{
+    Claim, EntryPortion, ServiceDemand, ServiceView, TeamDemand, TeamShare, divide_slots,
+    entry_portions, fair_portions,
+};
--- /dev/null
+++ b/rhubarbfall-admission/src/queue/mod.rs
@@ -0,0 +1,13 @@
+//! Bounded queues of requests that wait for a slot.
+
+mod lane;
+mod submit_outcome;
+mod team_queue;
+mod work_request;
+mod work_slab;
+
+pub(crate) use lane::Lane;
+pub use submit_outcome::{Rejection, SubmitOutcome};
+pub(crate) use team_queue::TeamQueue;
+pub use work_request::{Ticket, WorkClass, WorkRequest};
+pub(crate) use work_slab::{WorkSlab, WorkState};
--- a/rhubarbfall-admission/src/rights/rights.rs
+++ b/rhubarbfall-admission/src/rights/rights.rs
@@ -107,6 +107,12 @@
         }
     }
 
+    /// Counts requests of a team that begin or cease to wait here.
+    pub fn change_waiting(&mut self, team: &TeamId, change: i32) {
+        let team = self.team_mut(team);
+        team.waiting = team.waiting.saturating_add_signed(change);
+    }
+
     /// Returns how many requests of the team may start now.
     #[must_use]
     pub fn free_slots(&self, now: Instant, team: &TeamId) -> u32 {
--- /dev/null
+++ b/rhubarbfall-admission/src/service_queues.rs
@@ -0,0 +1,162 @@
+use std::time::{Duration, Instant};
+
+use rhubarbfall_core::{LiteMap, TeamId};
+
+use crate::queue::TeamQueue;
+use crate::shares::{EntryPortion, ServiceDemand, TeamDemand};
+
+/// The weight of the newest sample in the mean service time.
+const SERVICE_TIME_GAIN: f64 = 1.0 / 16.0;
+/// How fast a team that got less than its portion makes up for it.
+const CREDIT_TIME_S: f64 = 1.0;
+/// The most slots by which a team's claim is moved for what it got before.
+const MAX_CREDIT_SLOTS: f64 = 1.0;
+/// What a team may hold before the first division that knows of it.
+const FIRST_PORTION_SLOTS: f64 = 1.0;
+
+/// What the choice of the next team looks at, apart from the queues to stay within few cache lines.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct TeamLoad {
+    pub(crate) waiting: u32,
+    pub(crate) running: u32,
+    portion: f64,
+    /// Grows while the team holds less than its portion.
+    credit: f64,
+}
+
+/// The queues of one service at one entry.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct ServiceQueues {
+    /// Sorted; `loads` and `queues` have the same order.
+    teams: Vec<TeamId>,
+    pub(crate) loads: Vec<TeamLoad>,
+    pub(crate) queues: Vec<TeamQueue>,
+    pub(crate) overflow_slots: LiteMap<TeamId, f64>,
+    mean_service_s: Option<f64>,
+    divided_at: Option<Instant>,
+}
+
+impl ServiceQueues {
+    pub(crate) fn find(&self, team: &TeamId) -> Option<usize> {
+        self.teams.binary_search(team).ok()
+    }
+
+    pub(crate) fn find_or_insert(&mut self, team: &TeamId) -> usize {
+        self.teams.binary_search(team).unwrap_or_else(|index| {
+            let load = TeamLoad {
+                waiting: 0,
+                running: 0,
+                portion: FIRST_PORTION_SLOTS,
+                credit: 0.0,
+            };
+            self.teams.insert(index, team.clone());
+            self.loads.insert(index, load);
+            self.queues.insert(index, TeamQueue::default());
+            index
+        })
+    }
+
+    pub(crate) fn team(&self, index: usize) -> &TeamId {
+        &self.teams[index]
+    }
+
+    pub(crate) fn waiting(&self) -> u32 {
+        self.loads.iter().map(|load| load.waiting).sum()
+    }
+
+    /// Returns the waiting team that is furthest below its portion, `blocked` teams apart.
+    pub(crate) fn neediest(&self, blocked: &[usize]) -> Option<usize> {
+        let mut best = None;
+        let mut best_score = f64::INFINITY;
+        for (index, load) in self.loads.iter().enumerate() {
+            if load.waiting == 0 {
+                continue;
+            }
+            let held = f64::from(load.running) + 1.0 - load.credit;
+            let score = held / load.portion.max(f64::MIN_POSITIVE);
+            if score < best_score && !blocked.contains(&index) {
+                best = Some(index);
+                best_score = score;
+            }
+        }
+        best
+    }
+
+    /// Takes over the portions of a new division.
+    pub(crate) fn divide(&mut self, now: Instant, portions: &LiteMap<TeamId, EntryPortion>) {
+        let elapsed = self
+            .divided_at
+            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        let gain = (elapsed.as_secs_f64() / CREDIT_TIME_S).min(1.0);
+        self.divided_at = Some(now);
+        self.overflow_slots = LiteMap::new();
+        for (team, load) in self.teams.iter().zip(&mut self.loads) {
+            let portion = portions.get(team);
+            let missing = load.portion - f64::from(load.running);
+            load.credit = if load.waiting == 0 {
+                0.0
+            } else {
+                (load.credit + missing * gain).clamp(-MAX_CREDIT_SLOTS, MAX_CREDIT_SLOTS)
+            };
+            load.portion = portion.map_or(0.0, |portion| portion.slots);
+            let overflow = portion.map_or(0.0, |portion| portion.overflow_slots);
+            if overflow > 0.0 {
+                self.overflow_slots.insert(team.clone(), overflow);
+            }
+        }
+    }
+
+    /// Returns the slots that the portions at this entry add up to.
+    pub(crate) fn wanted_slots(&self) -> f64 {
+        self.loads.iter().map(|load| load.portion).sum()
+    }
+
+    /// Forgets teams that have had no work for a whole division.
+    pub(crate) fn remove_idle(&mut self) {
+        let is_idle =
+            |load: &TeamLoad| load.waiting == 0 && load.running == 0 && load.portion == 0.0;
+        if self.loads.iter().any(is_idle) {
+            let keep: Vec<bool> = self.loads.iter().map(|load| !is_idle(load)).collect();
+            retain(&mut self.teams, &keep);
+            retain(&mut self.loads, &keep);
+            retain(&mut self.queues, &keep);
+        }
+    }
+
+    pub(crate) fn demand(&self) -> ServiceDemand {
+        let mut demand = ServiceDemand::default();
+        for (team, load) in self.teams.iter().zip(&self.loads) {
+            if load.waiting + load.running > 0 {
+                let team_demand = TeamDemand {
+                    running_slots: load.running,
+                    waiting_requests: load.waiting,
+                };
+                demand.teams.insert(team.clone(), team_demand);
+            }
+        }
+        demand
+    }
+
+    pub(crate) fn record_service_time(&mut self, elapsed: Duration) {
+        let sample = elapsed.as_secs_f64();
+        let mean = self.mean_service_s.unwrap_or(sample);
+        self.mean_service_s = Some(mean + (sample - mean) * SERVICE_TIME_GAIN);
+    }
+
+    /// Returns how long the team's next request would wait behind `ahead` others.
+    ///
+    /// Zero while nothing is known of the service's speed, so that nothing is refused by guess.
+    pub(crate) fn expected_wait(&self, index: usize, ahead: usize) -> Duration {
+        let load = &self.loads[index];
+        let Some(mean_service_s) = self.mean_service_s.filter(|_| ahead > 0) else {
+            return Duration::ZERO;
+        };
+        let slots = load.portion.max(f64::from(load.running)).max(1.0);
+        Duration::from_secs_f64(mean_service_s * ahead as f64 / slots)
+    }
+}
+
+fn retain<T>(list: &mut Vec<T>, keep: &[bool]) {
+    let mut kept = keep.iter();
+    list.retain(|_| *kept.next().unwrap_or(&true));
+}
--- /dev/null
+++ b/rhubarbfall-admission/tests/shares.rs
@@ -0,0 +1,107 @@
+//! Nearness to the fair portions in virtual time, against two baselines.
+
+mod shares_model;
+
+use shares_model::{Baseline, FLEET_RATE_PER_S, Scenario, run_shares};
+
+/// Two queues at a time ask for five times their mean, the others for a twentieth.
+fn by_turns(team: usize, seconds: f64) -> f64 {
+    const TURN_S: f64 = 20.0;
+    let mean = FLEET_RATE_PER_S / 6.0;
+    let first = (seconds / TURN_S) as usize % 6;
+    if team == first || team == (first + 1) % 6 {
+        mean * 5.0
+    } else {
+        mean / 20.0
+    }
+}
+
+/// Every team asks for more than its portion.
+fn all_saturated(team: usize, _seconds: f64) -> f64 {
+    FLEET_RATE_PER_S / 6.0 * (1.2 + 0.2 * team as f64)
+}
+
+/// One team asks for ten times what each of the others asks for.
+fn one_large(team: usize, _seconds: f64) -> f64 {
+    FLEET_RATE_PER_S / 6.0 * if team == 0 { 12.0 } else { 1.2 }
+}
+
+fn scenarios() -> Vec<(&'static str, Scenario)> {
+    let new = |rate| Scenario {
+        rate,
+        ..Scenario::default()
+    };
+    vec![
+        (
+            "demand by turns",
+            Scenario {
+                seconds: 120,
+                ..new(by_turns)
+            },
+        ),
+        (
+            "demand by turns, skewed arrival",
+            Scenario {
+                seconds: 120,
+                skew: 0.8,
+                ..new(by_turns)
+            },
+        ),
+        (
+            "skewed arrival",
+            Scenario {
+                skew: 0.8,
+                ..new(all_saturated)
+            },
+        ),
+        ("one large team, five small", new(one_large)),
+        (
+            "one zone cut off",
+            Scenario {
+                is_last_zone_cut_off: true,
+                ..new(all_saturated)
+            },
+        ),
+        (
+            "summaries 2 s old",
+            Scenario {
+                summary_age_steps: 8,
+                ..new(all_saturated)
+            },
+        ),
+        (
+            "summaries 2 s old, skewed arrival",
+            Scenario {
+                summary_age_steps: 8,
+                skew: 0.8,
+                ..new(all_saturated)
+            },
+        ),
+    ]
+}
+
+#[test]
+fn waiting_teams_hold_their_fair_portions() {
+    let mut failures = Vec::new();
+    for (name, scenario) in scenarios() {
+        let report = run_shares(&scenario);
+        let deviation = report.deviation();
+        println!(
+            "{name}: {deviation}, utilisation {:.3}",
+            report.utilisation()
+        );
+        for baseline in [Baseline::FirstComeFirstServed, Baseline::StaticSplit] {
+            let report = shares_model::run_baseline(&scenario, baseline);
+            let utilisation = report.utilisation();
+            println!(
+                "  {baseline:?}: {}, utilisation {utilisation:.3}",
+                report.deviation()
+            );
+        }
+        assert!(deviation.windows > 0, "{name}: no saturated window");
+        if deviation.worst_ratio > 1.0 {
+            failures.push(format!("{name}: {deviation}"));
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
--- /dev/null
+++ b/rhubarbfall-admission/tests/shares_model/report.rs
@@ -0,0 +1,125 @@
+use std::fmt;
+
+use rhubarbfall_admission::{Claim, fair_portions};
+
+use super::{SAMPLE_STEPS, STEP_MS, Scenario, TEAMS, ZONE_SLOTS, ZONES};
+
+const WINDOW_STEPS: usize = (10_000 / STEP_MS / SAMPLE_STEPS) as usize;
+const WINDOW_STRIDE_STEPS: usize = 20;
+
+/// How far running slots were from the fair portions.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub(crate) struct Deviation {
+    pub(crate) windows: usize,
+    /// The largest distance over the allowed one, which is 5% or one slot.
+    pub(crate) worst_ratio: f64,
+    pub(crate) worst_slots: f64,
+    pub(crate) mean_slots: f64,
+}
+
+impl fmt::Display for Deviation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "windows {}, mean {:.2} slots, worst {:.2} slots, {:.2} of the bound",
+            self.windows, self.mean_slots, self.worst_slots, self.worst_ratio
+        )
+    }
+}
+
+/// Running slots and fair portions of every step.
+pub(crate) struct Report {
+    parts: Vec<Vec<usize>>,
+    /// For each part of the fleet and team: running slots, fair portion, whether work waits.
+    steps: Vec<Vec<[(f64, f64, bool); TEAMS]>>,
+    saturated: Vec<Vec<bool>>,
+}
+
+impl Report {
+    pub(crate) fn new(scenario: &Scenario) -> Self {
+        let parts = if scenario.is_last_zone_cut_off {
+            vec![(0..ZONES - 1).collect(), vec![ZONES - 1]]
+        } else {
+            vec![(0..ZONES).collect()]
+        };
+        Self {
+            parts,
+            steps: Vec::new(),
+            saturated: Vec::new(),
+        }
+    }
+
+    pub(crate) fn record(&mut self, counts: &[Vec<(u32, u32)>]) {
+        let mut step = Vec::new();
+        let mut saturated = Vec::new();
+        for part in &self.parts {
+            let mut of_part = [(0.0, 0.0, false); TEAMS];
+            let sum = |team: usize| {
+                let zones = part.iter().map(|zone| counts[*zone][team]);
+                zones.fold((0, 0), |a, b| (a.0 + b.0, a.1 + b.1))
+            };
+            let capacity = f64::from(ZONE_SLOTS) * part.len() as f64;
+            let claims: Vec<Claim> = (0..TEAMS)
+                .map(|team| Claim {
+                    weight: 1.0,
+                    demand_slots: f64::from(sum(team).0 + sum(team).1),
+                })
+                .collect();
+            let portions = fair_portions(capacity, &claims);
+            for (team, slot) in of_part.iter_mut().enumerate() {
+                *slot = (f64::from(sum(team).0), portions[team], sum(team).1 > 0);
+            }
+            step.push(of_part);
+            saturated.push(claims.iter().map(|claim| claim.demand_slots).sum::<f64>() > capacity);
+        }
+        self.steps.push(step);
+        self.saturated.push(saturated);
+    }
+
+    /// Compares every saturated window in which the team waited all along.
+    pub(crate) fn deviation(&self) -> Deviation {
+        let mut result = Deviation::default();
+        let mut sum = 0.0;
+        let starts =
+            (0..self.steps.len().saturating_sub(WINDOW_STEPS)).step_by(WINDOW_STRIDE_STEPS);
+        for start in starts {
+            let window = start..start + WINDOW_STEPS;
+            for part in 0..self.parts.len() {
+                if !window.clone().all(|step| self.saturated[step][part]) {
+                    continue;
+                }
+                for team in 0..TEAMS {
+                    let steps = || window.clone().map(|step| self.steps[step][part][team]);
+                    if !steps().all(|(_, _, waits)| waits) {
+                        continue;
+                    }
+                    let mean = |value: fn((f64, f64, bool)) -> f64| {
+                        steps().map(value).sum::<f64>() / WINDOW_STEPS as f64
+                    };
+                    let fair = mean(|step| step.1);
+                    let distance = (mean(|step| step.0) - fair).abs();
+                    result.windows += 1;
+                    sum += distance;
+                    result.worst_slots = result.worst_slots.max(distance);
+                    result.worst_ratio = result.worst_ratio.max(distance / (fair * 0.05).max(1.0));
+                }
+            }
+        }
+        result.mean_slots = sum / result.windows.max(1) as f64;
+        result
+    }
+
+    /// Returns the part of the slots that work held while the fleet was saturated.
+    pub(crate) fn utilisation(&self) -> f64 {
+        let (mut held, mut slots) = (0.0, 0.0);
+        for (step, saturated) in self.steps.iter().zip(&self.saturated) {
+            for (part, teams) in step.iter().enumerate() {
+                if saturated[part] {
+                    held += teams.iter().map(|team| team.0).sum::<f64>();
+                    slots += f64::from(ZONE_SLOTS) * self.parts[part].len() as f64;
+                }
+            }
+        }
+        if slots > 0.0 { held / slots } else { 1.0 }
+    }
+}
