--- a/rhubarbfall-entry/src/lib.rs
+++ b/rhubarbfall-entry/src/lib.rs
@@ -5,8 +5,10 @@
 
 pub mod control;
 pub mod dispatch;
+mod document;
 mod entry;
 mod lifecycle;
+pub mod membership;
 pub mod operator;
 pub mod settings;
 mod shared;
--- /dev/null
+++ b/rhubarbfall-membership/src/gossip/compose.rs
@@ -0,0 +1,174 @@
+use std::time::{Duration, Instant};
+
+use rhubarbfall_core::EntryId;
+use rhubarbfall_wire::messages::membership::{Heartbeat, IntentReference, RelayedRead, ZoneWord};
+
+use super::messages::age_ms;
+use super::peer_state::PeerState;
+use super::state::{Gossip, Outgoing};
+
+impl Gossip {
+    /// Returns the heartbeats to the entries of the own zone.
+    pub(super) fn zone_heartbeats(&self, now: Instant) -> Vec<Outgoing> {
+        let zones = if self.is_speaker(now) {
+            self.other_zone_words(now)
+        } else {
+            Vec::new()
+        };
+        let near = self.zones.get(&self.own.zone).into_iter().flatten();
+        let near = near.filter_map(|entry| self.peers.get(entry).map(|peer| (entry, peer)));
+        near.map(|(entry, peer)| self.outgoing(now, entry, peer, zones.clone()))
+            .collect()
+    }
+
+    /// Returns the heartbeats to one entry of each other zone.
+    pub(super) fn speaker_heartbeats(&self, now: Instant) -> Vec<Outgoing> {
+        let own_zone = self.zones.iter().enumerate();
+        let own_zone = own_zone.filter(|(_, (zone, _))| **zone == self.own.zone);
+        let own: Vec<_> = own_zone
+            .filter_map(|(index, (_, entries))| self.zone_word(now, index, entries))
+            .collect();
+        let others = self
+            .zones
+            .iter()
+            .filter(|(zone, _)| **zone != self.own.zone);
+        let targets = others.filter_map(|(_, entries)| self.speaker_of(now, entries));
+        targets
+            .map(|(entry, peer)| self.outgoing(now, entry, peer, own.clone()))
+            .collect()
+    }
+
+    fn outgoing(
+        &self,
+        now: Instant,
+        to: &EntryId,
+        peer: &PeerState,
+        zones: Vec<ZoneWord>,
+    ) -> Outgoing {
+        let read = self.freshness.newest_read();
+        let heartbeat = Heartbeat {
+            stamp_ms: now.saturating_duration_since(self.started).as_millis() as u32,
+            echo_ms: peer.last_stamp_ms,
+            is_speaker: self.is_speaker(now),
+            roster_digest: self.roster_digest,
+            word: Some(self.own_word()),
+            read: read.map(|(began, revision)| RelayedRead {
+                age_ms: age_ms(now, began),
+                revision: revision.get(),
+            }),
+            zones,
+        };
+        Outgoing {
+            to: to.clone(),
+            heartbeat,
+        }
+    }
+
+    fn own_word(&self) -> ZoneWord {
+        ZoneWord {
+            revision: self.freshness.highest_seen().get(),
+            is_unsettled: !self.freshness.is_settled(),
+            intents: self.own_intents(),
+            ..ZoneWord::default()
+        }
+    }
+
+    fn own_intents(&self) -> Vec<IntentReference> {
+        let ids = self.freshness.intents().keys();
+        ids.map(IntentReference::from).collect()
+    }
+
+    /// Returns the entry of another zone to talk to: its speaker, its first live entry, or each in
+    /// turn until one answers.
+    fn speaker_of<'a>(
+        &'a self,
+        now: Instant,
+        entries: &'a [EntryId],
+    ) -> Option<(&'a EntryId, &'a PeerState)> {
+        let limit = self.silence_limit(now);
+        let has_spoken = |entry: &&EntryId| {
+            let speaker = self.peers.get(entry).filter(|peer| peer.is_speaker);
+            let heard = speaker.and_then(|peer| peer.last_heard);
+            heard.is_some_and(|heard| now < heard + limit)
+        };
+        let has_word = |entry: &&EntryId| {
+            self.word_age(now, entry)
+                .is_some_and(|age| age < self.config.evidence_bound)
+        };
+        let turn =
+            now.saturating_duration_since(self.started).as_millis() / limit.as_millis().max(1);
+        let in_turn = entries.get(turn as usize % entries.len().max(1));
+        let spoken = entries.iter().find(has_spoken);
+        let entry = spoken
+            .or_else(|| entries.iter().find(has_word))
+            .or(in_turn)?;
+        Some((entry, self.peers.get(entry)?))
+    }
+
+    fn word_age(&self, now: Instant, entry: &EntryId) -> Option<Duration> {
+        let word = self.freshness.word(entry)?;
+        Some(now.saturating_duration_since(word.time))
+    }
+
+    fn other_zone_words(&self, now: Instant) -> Vec<ZoneWord> {
+        let zones = self.zones.iter().enumerate();
+        let others = zones.filter(|(_, (zone, _))| **zone != self.own.zone);
+        others
+            .filter_map(|(index, (_, entries))| self.zone_word(now, index, entries))
+            .collect()
+    }
+
+    /// Returns one word for a whole zone; it covers the members with a recent and settled word.
+    fn zone_word(&self, now: Instant, zone_index: usize, entries: &[EntryId]) -> Option<ZoneWord> {
+        let mut summary = ZoneWord {
+            zone_index: zone_index as u32,
+            ..ZoneWord::default()
+        };
+        let mut covered = 0;
+        for (index, entry) in entries.iter().enumerate() {
+            if self.cover(now, entry, &mut summary) {
+                covered += 1;
+            } else {
+                summary.uncovered.push(index as u32);
+            }
+        }
+        (covered > 0).then_some(summary)
+    }
+
+    /// Adds the word of one member to a summary; returns false when there is none to add.
+    fn cover(&self, now: Instant, entry: &EntryId, summary: &mut ZoneWord) -> bool {
+        if *entry == self.entry {
+            if !self.freshness.is_settled() {
+                return false;
+            }
+            summary.revision = summary.revision.max(self.freshness.highest_seen().get());
+            add_intents(summary, self.own_intents());
+            return true;
+        }
+        // A word learned under another roster does not show that its speaker knows every member.
+        let digest = self.peers.get(entry).map(|peer| peer.roster_digest);
+        let is_aware = digest == Some(self.roster_digest);
+        let word = self
+            .freshness
+            .word(entry)
+            .filter(|word| word.is_settled && is_aware);
+        let Some(word) = word else { return false };
+        let age_ms = age_ms(now, word.time);
+        if u128::from(age_ms) > self.config.evidence_bound.as_millis() {
+            return false;
+        }
+        summary.age_ms = summary.age_ms.max(age_ms);
+        summary.revision = summary.revision.max(word.revision.get());
+        let intents = word.intents.iter().map(IntentReference::from);
+        add_intents(summary, intents.collect());
+        true
+    }
+}
+
+fn add_intents(summary: &mut ZoneWord, intents: Vec<IntentReference>) {
+    for intent in intents {
+        if !summary.intents.contains(&intent) {
+            summary.intents.push(intent);
+        }
+    }
+}
