--- /dev/null
+++ b/rhubarbfall/tests/upper_limits.rs
@@ -0,0 +1,137 @@
+//! The upper limit with entries as separate processes: kills, freezes, replacement and outages.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::thread::sleep;
+use std::time::Duration;
+
+use rhubarbfall_testing::platform::{Fault, FaultMode, ServiceKind};
+use rhubarbfall_testing::rig::{Caller, FleetShape, Request, TEST_DOCUMENT, TestFleet, wait_until};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_rhubarbfall");
+
+/// The upper limit of the team that the open queue counts for.
+const LIMIT: u32 = 4;
+
+/// Short leases, so that the test sees them lapse.
+const SETTINGS: &str = "[limits]\nloan_lease_ms = 1500\nmin_reclaim_delay_ms = 3000\n";
+
+const CALLERS_PER_ENTRY: usize = 6;
+
+/// Callers that send work to one entry until they are told to stop.
+struct Load {
+    is_over: Arc<AtomicBool>,
+}
+
+impl Load {
+    fn start(fleet: &TestFleet, entry: SocketAddr) -> Self {
+        static NEXT: AtomicU64 = AtomicU64::new(0);
+        let is_over = Arc::new(AtomicBool::new(false));
+        for _ in 0..CALLERS_PER_ENTRY {
+            let is_over = Arc::clone(&is_over);
+            fleet.spawn(async move {
+                let caller = Caller::new();
+                while !is_over.load(Ordering::Relaxed) {
+                    let id = format!("work-{}", NEXT.fetch_add(1, Ordering::Relaxed));
+                    let request = Request::to_queue(entry, "labels-open", &id);
+                    if caller.send(request).await.is_err() {
+                        tokio::time::sleep(Duration::from_millis(50)).await;
+                    }
+                }
+            });
+        }
+        Self { is_over }
+    }
+}
+
+impl Drop for Load {
+    fn drop(&mut self) {
+        self.is_over.store(true, Ordering::Relaxed);
+    }
+}
+
+fn running(fleet: &TestFleet) -> u32 {
+    let report = fleet.log.report();
+    report.running_by_team.get("public").copied().unwrap_or(0)
+}
+
+fn start() -> TestFleet {
+    let document = TEST_DOCUMENT.replace("answer_timeout_ms = 10000", "answer_timeout_ms = 1000");
+    let shape = FleetShape::new()
+        .document(document)
+        .extra_settings(SETTINGS)
+        .work(Duration::from_millis(150));
+    let fleet = TestFleet::start(PROGRAM, shape).expect("the fleet starts");
+    fleet.log.set_limit("public", LIMIT);
+    fleet
+}
+
+fn assert_within_limit(fleet: &TestFleet) {
+    let report = fleet.log.report();
+    assert_eq!(report.started_above_limit, 0, "{:?}", report.peak_by_team);
+}
+
+#[test]
+fn team_stays_within_its_limit_while_entries_die_freeze_and_lose_the_table() {
+    let mut fleet = start();
+    let loads: Vec<Load> = fleet
+        .entries
+        .iter()
+        .map(|entry| Load::start(&fleet, entry.callers()))
+        .collect();
+    sleep(Duration::from_secs(3));
+    fleet.entries[1].process.freeze();
+    sleep(Duration::from_secs(4));
+    fleet
+        .platform
+        .add_fault(Fault::new(FaultMode::Down).service(ServiceKind::Table));
+    fleet.entries[1].process.resume();
+    sleep(Duration::from_secs(2));
+    fleet.entries[0].process.kill();
+    sleep(Duration::from_secs(2));
+    assert!(running(&fleet) > 0, "work goes on without the table");
+    fleet.platform.clear_faults();
+    fleet.platform.add_fault(
+        Fault::new(FaultMode::LoseAnswer)
+            .service(ServiceKind::Table)
+            .writes_only(true)
+            .remaining(4),
+    );
+    fleet.entries[0] = fleet
+        .start_entry("zone-a", 0)
+        .expect("a replacement starts");
+    fleet.wait_ready();
+    sleep(Duration::from_secs(2));
+    assert_within_limit(&fleet);
+    drop(loads);
+    let _load = Load::start(&fleet, fleet.entries[3].callers());
+    wait_until(
+        "one entry uses the whole limit again",
+        Duration::from_secs(20),
+        || running(&fleet) == LIMIT,
+    );
+    assert_within_limit(&fleet);
+}
+
+#[test]
+fn one_entry_uses_the_whole_limit_and_gives_it_up_to_others() {
+    let fleet = start();
+    let first = Load::start(&fleet, fleet.entries[0].callers());
+    let whole = || running(&fleet) == LIMIT;
+    wait_until(
+        "the first entry uses the whole limit",
+        Duration::from_secs(10),
+        whole,
+    );
+    drop(first);
+    let _second = Load::start(&fleet, fleet.entries[2].callers());
+    let is_used = || running(&fleet) == LIMIT;
+    sleep(Duration::from_secs(1));
+    wait_until(
+        "another entry uses the whole limit",
+        Duration::from_secs(10),
+        is_used,
+    );
+    assert_within_limit(&fleet);
+}
