feat(admission): run work only against rights, in the serving process

Merges routing and wires rights, queues and shares into the dispatcher; the ledger through the table client, loans and summaries over the peer network (kinds 20 to 22). A right comes back only when the upstream surely no longer works on the request, and a request is not sent when the right was taken more than a second ago.

--- a/rhubarbfall-admission/src/admission.rs
+++ b/rhubarbfall-admission/src/admission.rs
@@ -281,7 +281,7 @@
         }
         match end {
             WorkEnd::Certain => self.rights.release(now, &request.team),
-            WorkEnd::Unknown => self.rights.release_later(started_at, &request.team),
+            WorkEnd::Unknown => self.rights.release_later(now, &request.team),
         }
     }
 
--- a/rhubarbfall-admission/src/lib.rs
+++ b/rhubarbfall-admission/src/lib.rs
@@ -16,8 +16,8 @@
 pub use admission_state::AdmissionState;
 pub use queue::{Rejection, SubmitOutcome, Ticket, WorkClass, WorkRequest};
 pub use rights::{
-    Grant, LedgerRow, LoanReply, LoanRequest, OutgoingLoanRequest, ReclaimWatch, Rights,
-    RightsSettings, RightsState, TeamRightsState,
+    Grant, LedgerRow, LoanReply, LoanRequest, MAX_START_DELAY, OutgoingLoanRequest, ReclaimWatch,
+    Rights, RightsSettings, RightsState, TeamRightsState,
 };
 pub use shares::{
     Claim, EntryPortion, ServiceDemand, ServiceView, TeamDemand, TeamShare, divide_slots,
--- a/rhubarbfall-admission/src/queue/work_request.rs
+++ b/rhubarbfall-admission/src/queue/work_request.rs
@@ -21,6 +21,14 @@
     pub(crate) serial: u32,
 }
 
+impl Ticket {
+    /// Returns a small number that no other request at the entry has at the same time.
+    #[must_use]
+    pub const fn index(self) -> usize {
+        self.index as usize
+    }
+}
+
 impl fmt::Display for Ticket {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}.{}", self.index, self.serial)
--- a/rhubarbfall-admission/src/rights/mod.rs
+++ b/rhubarbfall-admission/src/rights/mod.rs
@@ -17,5 +17,5 @@
 pub use loan::{LoanReply, LoanRequest};
 pub use reclaim_watch::ReclaimWatch;
 pub use rights::{OutgoingLoanRequest, Rights};
-pub use rights_settings::RightsSettings;
+pub use rights_settings::{MAX_START_DELAY, RightsSettings};
 pub use rights_state::{RightsState, TeamRightsState};
--- a/rhubarbfall-entry/src/dispatch/dispatch_state.rs
+++ b/rhubarbfall-entry/src/dispatch/dispatch_state.rs
@@ -1,42 +1,55 @@
-use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::time::Instant;
 
-use rhubarbfall_core::{LiteMap, ServiceId, Slots, TeamId, UpstreamId};
+use rhubarbfall_admission::{
+    Admission, AdmissionState, Rejection, SubmitOutcome, Ticket, WorkEnd, WorkRequest,
+};
+use rhubarbfall_core::{LiteMap, ResultCode, ServiceId, Slots, TeamId, UpstreamId};
 use rhubarbfall_document::Document;
 use serde::Serialize;
 use tokio::sync::oneshot;
 
 use super::{Permit, Work};
 
-/// The most requests that wait at one entry for one service.
-const MAX_WAITING: usize = 10_000;
+/// Tells a waiter that it may start, or why it will not.
+pub(super) type Reply = oneshot::Sender<Result<Permit, ResultCode>>;
 
 /// A request that starts, and where its waiter is told so.
 #[derive(Debug)]
 pub(super) struct Start {
-    pub(super) work: Work,
+    pub(super) ticket: Ticket,
+    pub(super) service: ServiceId,
     pub(super) upstream: UpstreamId,
     pub(super) address: SocketAddr,
-    pub(super) reply: oneshot::Sender<Permit>,
+    pub(super) reply: Reply,
 }
 
-/// Waiting and running requests of one entry.
+/// What the waiters are told after a change.
 #[derive(Debug, Default)]
-pub(super) struct DispatchState {
-    teams: LiteMap<TeamId, TeamState>,
-    services: LiteMap<ServiceId, ServiceState>,
+pub(super) struct Decisions {
+    pub(super) starts: Vec<Start>,
+    pub(super) refusals: Vec<(Reply, ResultCode)>,
 }
 
-#[derive(Debug, Default)]
-struct TeamState {
-    limit: Slots,
-    running: Slots,
+/// Waiting and running requests of one entry.
+#[derive(Debug)]
+pub(super) struct DispatchState {
+    pub(super) admission: Admission,
+    services: LiteMap<ServiceId, ServiceState>,
+    /// By the index of the ticket.
+    waiters: Vec<Option<Waiter>>,
+    refusals: Vec<(Reply, ResultCode)>,
 }
 
 #[derive(Debug, Default)]
 struct ServiceState {
     upstreams: LiteMap<UpstreamId, UpstreamState>,
-    waiting: VecDeque<Waiting>,
+}
+
+#[derive(Debug)]
+struct Waiter {
+    avoided: Vec<UpstreamId>,
+    reply: Reply,
 }
 
 #[derive(Debug)]
@@ -47,12 +60,6 @@
     is_leaving: bool,
 }
 
-#[derive(Debug)]
-struct Waiting {
-    work: Work,
-    reply: oneshot::Sender<Permit>,
-}
-
 /// One upstream as the state dump shows it.
 #[derive(Debug, Clone, Serialize)]
 pub struct UpstreamSnapshot {
@@ -75,6 +82,8 @@
 pub struct DispatchSnapshot {
     /// Requests running, by team.
     pub running_slots_by_team: LiteMap<TeamId, Slots>,
+    /// Queues and rights.
+    pub admission: AdmissionState,
     /// Requests waiting, by service.
     pub waiting_by_service: LiteMap<ServiceId, usize>,
     /// The upstreams.
@@ -82,16 +91,18 @@
 }
 
 impl DispatchState {
+    pub(super) const fn new(admission: Admission) -> Self {
+        Self {
+            admission,
+            services: LiteMap::new(),
+            waiters: Vec::new(),
+            refusals: Vec::new(),
+        }
+    }
+
     /// Takes the limits and services of a document.
     pub(super) fn configure(&mut self, document: &Document) {
-        for team in &document.fleet.teams {
-            self.teams.entry(team.id.clone()).or_default().limit = team.upper_limit_slots;
-        }
-        for (id, team) in &mut self.teams {
-            if document.team(id).is_none() {
-                team.limit = Slots::ZERO;
-            }
-        }
+        self.admission.set_document(document);
         for service in &document.fleet.services {
             self.services.entry(service.id.clone()).or_default();
         }
@@ -123,14 +134,46 @@
             .retain(|_, up| !up.is_leaving || up.running > Slots::ZERO);
     }
 
-    /// Puts a request at the end of its service's queue; gives it back when there is no room.
-    pub(super) fn push(&mut self, work: Work, reply: oneshot::Sender<Permit>) -> Result<(), Work> {
-        let state = self.services.entry(work.service.clone()).or_default();
-        if state.waiting.len() >= MAX_WAITING {
-            return Err(work);
+    /// Takes a request into its queue, or gives the reason why not.
+    pub(super) fn push(
+        &mut self,
+        now: Instant,
+        work: Work,
+        reply: Reply,
+    ) -> Result<Ticket, Rejection> {
+        let request = WorkRequest {
+            team: work.team,
+            queue: work.queue,
+            service: work.service,
+            class: work.class,
+            deadline: work.deadline,
+        };
+        let (ticket, shed) = match self.admission.submit(now, &request) {
+            SubmitOutcome::Queued { ticket, shed } => (ticket, shed),
+            SubmitOutcome::Refused(rejection) => return Err(rejection),
+        };
+        if let Some(waiter) = shed.and_then(|shed| self.take_waiter(shed)) {
+            self.refusals.push((waiter.reply, ResultCode::Overloaded));
         }
-        state.waiting.push_back(Waiting { work, reply });
-        Ok(())
+        if self.waiters.len() <= ticket.index() {
+            self.waiters.resize_with(ticket.index() + 1, || None);
+        }
+        self.waiters[ticket.index()] = Some(Waiter {
+            avoided: work.avoided,
+            reply,
+        });
+        Ok(ticket)
+    }
+
+    /// Frees the place of a waiter that has given up.
+    pub(super) fn cancel(&mut self, ticket: Ticket) {
+        if self.admission.cancel(ticket) {
+            self.take_waiter(ticket);
+        }
+    }
+
+    fn take_waiter(&mut self, ticket: Ticket) -> Option<Waiter> {
+        self.waiters.get_mut(ticket.index())?.take()
     }
 
     /// Returns whether a service has an upstream that takes work.
@@ -141,23 +184,80 @@
 
     /// Starts every waiting request that can start now.
     ///
-    /// The caller delivers the starts after it has let go of its lock, since a waiter that has
+    /// The caller delivers the decisions after it has let go of its lock, since a waiter that has
     /// given up returns its permit.
     #[must_use]
-    pub(super) fn pump(&mut self) -> Vec<Start> {
+    pub(super) fn pump(&mut self, now: Instant) -> Decisions {
         let mut starts = Vec::new();
-        for (_, state) in &mut self.services {
-            state.waiting.retain(|waiting| !waiting.reply.is_closed());
-            start_waiting(state, &mut self.teams, &mut starts);
+        let services: Vec<ServiceId> = self.services.keys().cloned().collect();
+        for service in services {
+            let free = self.free_slots(&service);
+            for ticket in self.admission.next(now, &service, free) {
+                if let Some(start) = self.place(&service, ticket) {
+                    starts.push(start);
+                } else {
+                    self.admission.finish(now, ticket, WorkEnd::Certain);
+                }
+            }
+        }
+        for ticket in self.admission.take_expired() {
+            if let Some(waiter) = self.take_waiter(ticket) {
+                self.refusals
+                    .push((waiter.reply, ResultCode::DeadlinePassed));
+            }
+        }
+        Decisions {
+            starts,
+            refusals: std::mem::take(&mut self.refusals),
         }
-        starts
+    }
+
+    pub(super) fn free_slots(&self, service: &ServiceId) -> u32 {
+        let state = self.services.get(service);
+        let upstreams = state.into_iter().flat_map(|state| state.upstreams.values());
+        upstreams
+            .filter(|up| !up.is_leaving)
+            .map(|up| up.slots.saturating_sub(up.running).get())
+            .sum()
+    }
+
+    /// Returns the slots of a service's upstreams that take work, by service.
+    pub(super) fn capacity_slots(&self) -> LiteMap<ServiceId, u32> {
+        let capacity = |state: &ServiceState| {
+            let upstreams = state.upstreams.values().filter(|up| !up.is_leaving);
+            upstreams.map(|up| up.slots.get()).sum()
+        };
+        let services = self.services.iter();
+        services
+            .map(|(id, state)| (id.clone(), capacity(state)))
+            .collect()
+    }
+
+    fn place(&mut self, service: &ServiceId, ticket: Ticket) -> Option<Start> {
+        let waiter = self.take_waiter(ticket)?;
+        let state = self.services.get_mut(service)?;
+        let upstream = least_loaded(&state.upstreams, &waiter.avoided)?;
+        let chosen = state.upstreams.get_mut(&upstream)?;
+        chosen.running = chosen.running.saturating_add(Slots::new(1));
+        Some(Start {
+            ticket,
+            service: service.clone(),
+            address: chosen.address,
+            upstream,
+            reply: waiter.reply,
+        })
     }
 
     /// Ends a request.
-    pub(super) fn release(&mut self, team: &TeamId, service: &ServiceId, upstream: &UpstreamId) {
-        if let Some(team) = self.teams.get_mut(team) {
-            team.running = team.running.saturating_sub(Slots::new(1));
-        }
+    pub(super) fn release(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        service: &ServiceId,
+        upstream: &UpstreamId,
+        end: WorkEnd,
+    ) {
+        self.admission.finish(now, ticket, end);
         let state = self.services.get_mut(service);
         if let Some(upstream) = state.and_then(|state| state.upstreams.get_mut(upstream)) {
             upstream.running = upstream.running.saturating_sub(Slots::new(1));
@@ -165,7 +265,7 @@
     }
 
     /// Copies the state for the dump.
-    pub(super) fn snapshot(&self) -> DispatchSnapshot {
+    pub(super) fn snapshot(&self, now: Instant) -> DispatchSnapshot {
         let upstreams = self.services.iter().flat_map(|(service, state)| {
             state.upstreams.iter().map(|(id, up)| UpstreamSnapshot {
                 service: service.clone(),
@@ -176,58 +276,30 @@
                 is_leaving: up.is_leaving,
             })
         });
+        let admission = self.admission.state(now);
+        let rights = admission.rights.teams.iter();
         DispatchSnapshot {
-            running_slots_by_team: self
-                .teams
-                .iter()
-                .map(|(id, team)| (id.clone(), team.running))
+            running_slots_by_team: rights
+                .map(|(id, team)| (id.clone(), Slots::new(team.running_slots)))
                 .collect(),
             waiting_by_service: self
                 .services
-                .iter()
-                .map(|(id, state)| (id.clone(), state.waiting.len()))
+                .keys()
+                .map(|id| (id.clone(), self.admission.waiting(id) as usize))
                 .collect(),
             upstreams: upstreams.collect(),
+            admission,
         }
     }
 }
 
-fn start_waiting(
-    state: &mut ServiceState,
-    teams: &mut LiteMap<TeamId, TeamState>,
-    starts: &mut Vec<Start>,
-) {
-    let mut index = 0;
-    while let Some(waiting) = state.waiting.get(index) {
-        let Some(id) = least_loaded(&state.upstreams) else {
-            return;
-        };
-        let team = teams.get_mut(&waiting.work.team);
-        let Some(team) = team.filter(|team| team.running < team.limit) else {
-            index += 1;
-            continue;
-        };
-        let Some(upstream) = state.upstreams.get_mut(&id) else {
-            return;
-        };
-        let Some(Waiting { work, reply }) = state.waiting.remove(index) else {
-            return;
-        };
-        upstream.running = upstream.running.saturating_add(Slots::new(1));
-        team.running = team.running.saturating_add(Slots::new(1));
-        starts.push(Start {
-            work,
-            address: upstream.address,
-            upstream: id,
-            reply,
-        });
-    }
-}
-
-fn least_loaded(upstreams: &LiteMap<UpstreamId, UpstreamState>) -> Option<UpstreamId> {
+fn least_loaded(
+    upstreams: &LiteMap<UpstreamId, UpstreamState>,
+    avoided: &[UpstreamId],
+) -> Option<UpstreamId> {
     upstreams
         .iter()
         .filter(|(_, up)| !up.is_leaving && up.running < up.slots)
-        .min_by_key(|(_, up)| up.running)
+        .min_by_key(|(id, up)| (avoided.contains(id), up.running))
         .map(|(id, _)| id.clone())
 }
--- a/rhubarbfall-entry/src/lib.rs
+++ b/rhubarbfall-entry/src/lib.rs
@@ -3,6 +3,7 @@
 //! Traffic threads serve callers. One control thread polls the platform and keeps the state in
 //! [`Shared`] up to date. Operators use an HTTP interface of their own.
 
+mod admission;
 pub mod control;
 pub mod dispatch;
 mod document;
@@ -10,6 +11,7 @@
 mod lifecycle;
 pub mod membership;
 pub mod operator;
+pub mod routing;
 pub mod settings;
 mod shared;
 pub mod traffic;
--- a/rhubarbfall-entry/src/operator/state_dump.rs
+++ b/rhubarbfall-entry/src/operator/state_dump.rs
@@ -1,4 +1,5 @@
 use rhubarbfall_core::{AvailabilityZoneId, EntryId, Revision};
+use rhubarbfall_routing::{ClaimLedgerState, UpstreamView};
 use serde::Serialize;
 
 use crate::dispatch::DispatchSnapshot;
@@ -24,6 +25,10 @@
     pub membership: Option<MembershipSnapshot>,
     /// Waiting and running requests.
     pub dispatch: DispatchSnapshot,
+    /// The health of upstreams.
+    pub upstreams: Vec<UpstreamView>,
+    /// Claims of non-idempotent requests.
+    pub claims: ClaimLedgerState,
 }
 
 impl StateDump {
@@ -39,6 +44,8 @@
             is_document_fresh: shared.is_document_fresh(),
             membership: shared.membership.snapshot(shared.clock.now()),
             dispatch: shared.dispatcher.snapshot(),
+            upstreams: shared.upstreams.snapshot(),
+            claims: shared.claims.state(),
         }
     }
 }
--- a/rhubarbfall-entry/src/settings/mod.rs
+++ b/rhubarbfall-entry/src/settings/mod.rs
@@ -1,5 +1,7 @@
 //! The settings of one process, read from TOML and checked as a whole.
 
+mod limit_settings;
+mod queue_settings;
 mod sections;
 #[expect(
     clippy::module_inception,
@@ -8,6 +10,8 @@
 mod settings;
 mod settings_error;
 
+pub use limit_settings::LimitSettings;
+pub use queue_settings::QueueSettings;
 pub use sections::{
     ControlSettings, EntrySettings, ListenSettings, LogFormat, LogSettings, PlatformSettings,
     SecretSettings, StopSettings, TrafficSettings,
--- a/rhubarbfall-entry/src/settings/settings.rs
+++ b/rhubarbfall-entry/src/settings/settings.rs
@@ -1,10 +1,11 @@
 use std::sync::Arc;
 
+use rhubarbfall_routing::ClaimSettings;
 use serde::Deserialize;
 
 use super::{
-    ControlSettings, EntrySettings, ListenSettings, LogSettings, PlatformSettings, SecretSettings,
-    SettingsError, StopSettings, TrafficSettings,
+    ControlSettings, EntrySettings, LimitSettings, ListenSettings, LogSettings, PlatformSettings,
+    QueueSettings, SecretSettings, SettingsError, StopSettings, TrafficSettings,
 };
 
 /// The settings of one process.
@@ -28,6 +29,15 @@
     /// How a planned stop goes.
     #[serde(default)]
     pub stop: StopSettings,
+    /// How non-idempotent requests are recorded.
+    #[serde(default)]
+    pub claims: ClaimSettings,
+    /// How rights under upper limits are lent and taken back.
+    #[serde(default)]
+    pub limits: LimitSettings,
+    /// The bounds of the queues.
+    #[serde(default)]
+    pub queues: QueueSettings,
     /// What is logged and how.
     #[serde(default)]
     pub log: LogSettings,
@@ -49,6 +59,14 @@
 
     fn check(&self) -> Result<(), SettingsError> {
         let rules = [
+            (
+                self.limits.loan_lease_ms > 0,
+                "limits.loan_lease_ms must be at least 1",
+            ),
+            (
+                self.limits.reserve_percent <= 100,
+                "limits.reserve_percent must be at most 100",
+            ),
             (
                 self.traffic.threads > 0,
                 "traffic.threads must be at least 1",
--- a/rhubarbfall-entry/src/traffic/mod.rs
+++ b/rhubarbfall-entry/src/traffic/mod.rs
@@ -1,9 +1,11 @@
 //! The callers' side: requests in, answers out.
 
+mod attempts;
 mod authorize;
 mod caller_request;
 mod exchange;
 mod handler;
+mod in_flight;
 mod read_body;
 mod refusal;
 mod server;
@@ -11,7 +13,9 @@
 mod upstream_connections;
 
 pub use caller_request::CallerRequest;
+pub(crate) use in_flight::InFlight;
 pub(crate) use read_body::read_body;
 pub use refusal::Refusal;
 pub use server::{HttpListener, serve};
 pub use upstream_connections::UpstreamConnections;
+pub(crate) use upstream_connections::{Connection, ask_health};
