--- a/rhubarbfall-entry/src/settings/mod.rs
+++ b/rhubarbfall-entry/src/settings/mod.rs
@@ -2,6 +2,7 @@
 
 mod limit_settings;
 mod queue_settings;
+mod section_reader;
 mod sections;
 #[expect(
     clippy::module_inception,
--- a/rhubarbfall-entry/src/shared.rs
+++ b/rhubarbfall-entry/src/shared.rs
@@ -10,7 +10,7 @@
 use crate::dispatch::Dispatcher;
 use crate::membership::Membership;
 use crate::routing::{ClaimService, Upstreams};
-use crate::traffic::UpstreamConnections;
+use crate::traffic::{BodyBudget, UpstreamConnections};
 use crate::{Lifecycle, Settings};
 
 /// State that traffic threads, the control thread and the operators' interface share.
@@ -34,6 +34,8 @@
     pub connections: UpstreamConnections,
     /// Claims of non-idempotent requests.
     pub claims: Arc<ClaimService>,
+    /// The memory for the bodies of requests.
+    pub body_budget: Arc<BodyBudget>,
     /// The platform's table.
     pub table: TableClient,
     /// The platform's list of VMs.
@@ -61,6 +63,7 @@
                 &settings.entry.id,
                 settings.claims,
             )),
+            body_budget: Arc::new(BodyBudget::new(settings.traffic.max_buffered_bytes)),
             document: ArcSwapOption::empty(),
             membership: Membership::new(),
             lifecycle: Lifecycle::new(),
