--- a/rhubarbfall-routing/tests/choice.rs
+++ b/rhubarbfall-routing/tests/choice.rs
@@ -78,5 +78,6 @@
     expect![[r"
         LeastRunning: failing 1.000, slow 0.000
         LeastWait: failing 0.005, slow 0.020
-    "]].assert_eq(&report);
+    "]]
+    .assert_eq(&report);
 }
