--- a/rhubarbfall-entry/src/dispatch/dispatch_state.rs
+++ b/rhubarbfall-entry/src/dispatch/dispatch_state.rs
@@ -1,11 +1,12 @@
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use rhubarbfall_admission::{
     Admission, AdmissionState, Rejection, SubmitOutcome, Ticket, WorkEnd, WorkRequest,
 };
 use rhubarbfall_core::{LiteMap, ResultCode, ServiceId, Slots, TeamId, UpstreamId};
 use rhubarbfall_document::Document;
+use rhubarbfall_routing::{UpstreamLoad, least_wait};
 use serde::Serialize;
 use tokio::sync::oneshot;
 
@@ -55,8 +56,7 @@
 #[derive(Debug)]
 struct UpstreamState {
     address: SocketAddr,
-    slots: Slots,
-    running: Slots,
+    load: UpstreamLoad,
     is_leaving: bool,
 }
 
@@ -120,18 +120,19 @@
             upstream.is_leaving = !listed.iter().any(|(listed_id, _)| listed_id == id);
         }
         for (id, address) in listed {
-            let running = state.upstreams.get(id).map_or(Slots::ZERO, |up| up.running);
+            let known = state.upstreams.get(id).map(|up| up.load);
+            let mut load = known.unwrap_or_else(|| UpstreamLoad::new(slots));
+            load.set_slots(slots);
             let upstream = UpstreamState {
                 address: *address,
-                slots,
-                running,
+                load,
                 is_leaving: false,
             };
             state.upstreams.insert(id.clone(), upstream);
         }
         state
             .upstreams
-            .retain(|_, up| !up.is_leaving || up.running > Slots::ZERO);
+            .retain(|_, up| !up.is_leaving || up.load.running_slots() > Slots::ZERO);
     }
 
     /// Takes a request into its queue, or gives the reason why not.
@@ -217,7 +218,12 @@
         let upstreams = state.into_iter().flat_map(|state| state.upstreams.values());
         upstreams
             .filter(|up| !up.is_leaving)
-            .map(|up| up.slots.saturating_sub(up.running).get())
+            .map(|up| {
+                up.load
+                    .slots()
+                    .saturating_sub(up.load.running_slots())
+                    .get()
+            })
             .sum()
     }
 
@@ -225,7 +231,7 @@
     pub(super) fn capacity_slots(&self) -> LiteMap<ServiceId, u32> {
         let capacity = |state: &ServiceState| {
             let upstreams = state.upstreams.values().filter(|up| !up.is_leaving);
-            upstreams.map(|up| up.slots.get()).sum()
+            upstreams.map(|up| up.load.slots().get()).sum()
         };
         let services = self.services.iter();
         services
@@ -236,9 +242,9 @@
     fn place(&mut self, service: &ServiceId, ticket: Ticket) -> Option<Start> {
         let waiter = self.take_waiter(ticket)?;
         let state = self.services.get_mut(service)?;
-        let upstream = least_loaded(&state.upstreams, &waiter.avoided)?;
+        let upstream = choose(&mut state.upstreams, &waiter.avoided)?;
         let chosen = state.upstreams.get_mut(&upstream)?;
-        chosen.running = chosen.running.saturating_add(Slots::new(1));
+        chosen.load.start();
         Some(Start {
             ticket,
             service: service.clone(),
@@ -260,7 +266,21 @@
         self.admission.finish(now, ticket, end);
         let state = self.services.get_mut(service);
         if let Some(upstream) = state.and_then(|state| state.upstreams.get_mut(upstream)) {
-            upstream.running = upstream.running.saturating_sub(Slots::new(1));
+            upstream.load.end();
+        }
+    }
+
+    /// Takes how long an upstream took for an answer, or that there was none.
+    pub(super) fn observe(
+        &mut self,
+        service: &ServiceId,
+        upstream: &UpstreamId,
+        latency: Duration,
+        is_success: bool,
+    ) {
+        let state = self.services.get_mut(service);
+        if let Some(upstream) = state.and_then(|state| state.upstreams.get_mut(upstream)) {
+            upstream.load.observe(latency, is_success);
         }
     }
 
@@ -271,8 +291,8 @@
                 service: service.clone(),
                 upstream: id.clone(),
                 address: up.address,
-                slots: up.slots,
-                running_slots: up.running,
+                slots: up.load.slots(),
+                running_slots: up.load.running_slots(),
                 is_leaving: up.is_leaving,
             })
         });
@@ -293,13 +313,17 @@
     }
 }
 
-fn least_loaded(
-    upstreams: &LiteMap<UpstreamId, UpstreamState>,
+fn choose(
+    upstreams: &mut LiteMap<UpstreamId, UpstreamState>,
     avoided: &[UpstreamId],
 ) -> Option<UpstreamId> {
-    upstreams
-        .iter()
-        .filter(|(_, up)| !up.is_leaving && up.running < up.slots)
-        .min_by_key(|(id, up)| (avoided.contains(id), up.running))
-        .map(|(id, _)| id.clone())
+    let mut staying: Vec<(&UpstreamId, &mut UpstreamState)> = upstreams
+        .iter_mut()
+        .filter(|(_, up)| !up.is_leaving)
+        .collect();
+    let loads = staying
+        .iter_mut()
+        .map(|(id, up)| (&mut up.load, avoided.contains(id)));
+    let chosen = least_wait(loads)?;
+    staying.get(chosen).map(|(id, _)| (*id).clone())
 }
--- a/rhubarbfall-entry/src/traffic/attempts.rs
+++ b/rhubarbfall-entry/src/traffic/attempts.rs
@@ -1,8 +1,9 @@
 use std::sync::Arc;
+use std::time::Instant;
 
 use rhubarbfall_core::{Execution, ResultCode};
 use rhubarbfall_routing::{Attempt, RetryDecision};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::exchange::{Answer, Outgoing, exchange};
 use crate::Shared;
@@ -20,7 +21,7 @@
     outgoing: &Outgoing<'_>,
     mut work: Work,
 ) -> Result<(Permit, Answer), ResultCode> {
-    let mut claim = claim(shared, outgoing).await?;
+    let mut claim = claim(shared, outgoing, work.deadline).await?;
     let mut attempts = 0;
     loop {
         let permit = usable_permit(shared, &work).await?;
@@ -32,6 +33,10 @@
         let result = exchange(shared, outgoing, &permit).await;
         let is_success = result.as_ref().is_ok_and(Answer::is_success);
         let upstream = permit.upstream();
+        let latency = shared.clock.now().duration_since(sent_at);
+        shared
+            .dispatcher
+            .observe(&work.service, upstream, latency, is_success);
         shared
             .upstreams
             .on_attempt(&work.service, upstream, sent_at, is_success);
@@ -64,17 +69,16 @@
 async fn claim(
     shared: &Arc<Shared>,
     outgoing: &Outgoing<'_>,
+    deadline: Instant,
 ) -> Result<Option<ClaimGuard>, ResultCode> {
     let caller = outgoing.caller;
     if caller.is_idempotent {
         return Ok(None);
     }
     let team = &outgoing.authorized.team;
-    shared
-        .claims
-        .claim(team, &caller.request_id)
-        .await
-        .map(Some)
+    let remaining = deadline.saturating_duration_since(shared.clock.now());
+    let claimed = timeout(remaining, shared.claims.claim(team, &caller.request_id)).await;
+    claimed.unwrap_or(Err(ResultCode::ClaimUnchecked)).map(Some)
 }
 
 /// Waits for a permit whose upstream is usable at this instant, since this process may have been
