--- a/rhubarbfall-document/benches/parse.rs
+++ b/rhubarbfall-document/benches/parse.rs
@@ -5,7 +5,10 @@
 
 use divan::Bencher;
 use divan::counter::BytesCount;
-use rhubarbfall_document::{Document, Pepper, digest_key};
+use rhubarbfall_document::{
+    Acceptance, Change, Document, DocumentState, Draft, KeyOwner, Pepper, accept, accept_first,
+    digest_key,
+};
 
 const TEAMS: &[usize] = &[6, 70, 140, 280, 560];
 
@@ -65,3 +68,30 @@
         document.key(&digest).is_some()
     });
 }
+
+#[divan::bench(args = TEAMS)]
+fn accept_one_section(bencher: Bencher<'_, '_>, teams: usize) {
+    let change = |owner: KeyOwner, text: &str| Change {
+        owner,
+        transaction_id: "t".into(),
+        draft: Draft::parse(text).expect("the text is readable"),
+        now_unix_ms: 0,
+    };
+    let first = change(KeyOwner::Operator("duty".into()), &text(teams));
+    let Ok(Acceptance::Next(first)) = accept_first(&DocumentState::default(), &first) else {
+        panic!("the text is valid");
+    };
+    let edit = "[versions]\n'team.house-3' = 1\n[team.house-3]\ncontact = 'y'";
+    let owner = KeyOwner::Team("house-3".parse().expect("the name is an identifier"));
+    let edit = change(owner, edit);
+    bencher.bench(|| accept(black_box(&first.state), black_box(&edit)).is_ok());
+}
+
+#[divan::bench(args = TEAMS)]
+fn canonical_text(bencher: Bencher<'_, '_>, teams: usize) {
+    let document = Document::parse(&text(teams)).expect("the text is valid");
+    let length = document.to_toml().len();
+    bencher
+        .counter(BytesCount::new(length))
+        .bench(|| black_box(&document).to_toml());
+}
--- a/rhubarbfall-document/src/accept.rs
+++ b/rhubarbfall-document/src/accept.rs
@@ -11,7 +11,7 @@
 use crate::difference::diff_sections;
 use crate::document_error::DocumentError;
 use crate::document_state::SectionRow;
-use crate::head::MAX_RECENT_CHANGES;
+use crate::head::{MAX_RECENT_CHANGES, MAX_RECENT_SECTIONS};
 use crate::parse::with_violations;
 use crate::table_plan::{
     HEAD_ROW_KEY, HISTORY_ROW_PREFIX, PlannedCondition, PlannedWrite, TablePlan, section_row_key,
@@ -125,16 +125,9 @@
 }
 
 fn revision_of(state: &DocumentState, transaction_id: &str) -> Option<Revision> {
-    let mut recent = state.head.recent.iter();
     let mut history = state.history.iter();
-    recent
-        .find(|change| &*change.transaction_id == transaction_id)
-        .map(|change| change.revision)
-        .or_else(|| {
-            history
-                .find(|record| &*record.transaction_id == transaction_id)
-                .map(|record| record.revision)
-        })
+    let record = history.find(|record| &*record.transaction_id == transaction_id)?;
+    Some(record.revision)
 }
 
 fn check_permission(change: &Change) -> Result<(), ChangeError> {
@@ -266,26 +259,25 @@
     sections.dedup();
     let changed = |section: SectionId| {
         let (old, new) = (before.section(&section), after.section(&section));
-        let differences = diff_sections(&old, &new);
-        (old != new).then(|| SectionChange::new(section, version, differences))
+        let differences = || diff_sections(&old, &new);
+        (old != new).then(|| SectionChange::new(section, version, differences()))
     };
     sections.into_iter().filter_map(changed).collect()
 }
 
 fn next_head(head: &Head, record: &HistoryRecord) -> Head {
+    let revision = record.revision;
     let sections = record.changes.iter().map(|change| change.section.clone());
-    let newest = RecentChange {
-        revision: record.revision,
-        transaction_id: Arc::clone(&record.transaction_id),
-        sections: sections.collect(),
-    };
+    let sections: Vec<SectionId> = sections.collect();
+    if sections.len() > MAX_RECENT_SECTIONS {
+        // A reader that misses a revision here reads the whole document.
+        let recent = Vec::new();
+        return Head { revision, recent };
+    }
     let kept = head.recent.len().min(MAX_RECENT_CHANGES - 1);
     let mut recent = head.recent[head.recent.len() - kept..].to_vec();
-    recent.push(newest);
-    Head {
-        revision: record.revision,
-        recent,
-    }
+    recent.push(RecentChange { revision, sections });
+    Head { revision, recent }
 }
 
 fn plan(
--- a/rhubarbfall-document/src/head.rs
+++ b/rhubarbfall-document/src/head.rs
@@ -1,12 +1,13 @@
-use std::sync::Arc;
-
 use rhubarbfall_core::Revision;
 use serde::{Deserialize, Serialize};
 
 use crate::SectionId;
 
 /// How many revisions the head row names, so that a reader that polls it stays cheap.
-pub(crate) const MAX_RECENT_CHANGES: usize = 16;
+pub(crate) const MAX_RECENT_CHANGES: usize = 8;
+
+/// How many sections of one revision the head row names; a reader of more is faster with a scan.
+pub(crate) const MAX_RECENT_SECTIONS: usize = 8;
 
 /// The one row that every acceptance writes and every entry polls.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -31,7 +32,6 @@
     ///     revision: Revision::new(8),
     ///     recent: vec![RecentChange {
     ///         revision: Revision::new(8),
-    ///         transaction_id: "t-8".into(),
     ///         sections: vec![SectionId::Keys],
     ///     }],
     /// };
@@ -63,8 +63,6 @@
 pub struct RecentChange {
     /// The revision.
     pub revision: Revision,
-    /// The identifier that the author gave the change.
-    pub transaction_id: Arc<str>,
     /// The sections that changed.
     pub sections: Vec<SectionId>,
 }
--- a/rhubarbfall-document/tests/accept.rs
+++ b/rhubarbfall-document/tests/accept.rs
@@ -227,6 +227,23 @@
     }
 }
 
+#[test]
+fn the_polled_row_stays_small() {
+    let (mut rows, mut state) = start();
+    for index in 0..40_u64 {
+        let base = state.version(&"team.house-a".parse().expect("a section"));
+        let text =
+            format!("[versions]\n'team.house-a' = {base}\n[team.house-a]\ncontact = '{index}'");
+        let next = next(&state, &change(team("house-a"), &index.to_string(), &text));
+        assert!(rows.take(&next.plan));
+        state = next.state;
+    }
+    let (_, head) = rows.0.get("document/head").expect("the row exists");
+    // Two polls a second, with their heads, are to take a quarter of a node's 8 KB/s at most.
+    assert!(head.as_ref().map_or(0, |head| head.to_string().len()) <= 700);
+    assert_eq!(state.history.len(), 41);
+}
+
 #[derive(Debug, Clone)]
 struct Step {
     team: usize,
