--- a/rhubarbctl/src/arguments.rs
+++ b/rhubarbctl/src/arguments.rs
@@ -159,6 +159,18 @@
                 .arg(Arg::new("label").required(true).help("The key's name")),
         )
         .subcommand(Command::new("list").about("Lists the granted keys"))
+        .subcommand(
+            Command::new("new")
+                .about("Makes a key for the first document, without an entry")
+                .arg(
+                    Arg::new("settings")
+                        .long("settings")
+                        .value_name("FILE")
+                        .help("An entry's settings, which hold the fleet's pepper")
+                        .value_parser(value_parser!(PathBuf))
+                        .required(true),
+                ),
+        )
 }
 
 fn team() -> Command {
--- a/rhubarbctl/src/commands/key.rs
+++ b/rhubarbctl/src/commands/key.rs
@@ -1,9 +1,13 @@
+use std::fs;
+use std::path::PathBuf;
 use std::sync::Arc;
 
 use clap::ArgMatches;
 use rhubarbfall_core::{Revision, TeamId};
-use rhubarbfall_document::{AccessKey, Document, KeyDigest, KeyOwner, KeySpec, SectionId};
-use serde::Serialize;
+use rhubarbfall_document::{
+    AccessKey, Document, KeyDigest, KeyOwner, KeySpec, Pepper, SectionId, digest_key,
+};
+use serde::{Deserialize, Serialize};
 
 use super::document::change_text;
 use super::fleet_edit::edit_section;
@@ -22,6 +26,48 @@
     revision: Revision,
 }
 
+/// A key that nobody has granted yet.
+#[derive(Debug, Serialize)]
+struct NewKey {
+    key: String,
+    digest: KeyDigest,
+}
+
+/// The part of an entry's settings that the digest needs.
+#[derive(Debug, Deserialize)]
+struct EntrySettings {
+    secrets: Secrets,
+}
+
+#[derive(Debug, Deserialize)]
+struct Secrets {
+    key_pepper: Pepper,
+}
+
+/// Returns whether the command works without an entry.
+pub(super) fn needs_no_entry(matches: &ArgMatches) -> bool {
+    matches!(matches.subcommand(), Some(("new", _)))
+}
+
+/// Makes a key and its digest for the first document, which no entry can grant.
+pub(super) fn make_key(matches: &ArgMatches, report: Report) -> Result<(), CtlError> {
+    let (_, matches) = matches.subcommand().expect("a subcommand is required");
+    let path: &PathBuf = matches
+        .get_one("settings")
+        .expect("the settings are required");
+    let text = fs::read_to_string(path).map_err(|error| CtlError::File(path.clone(), error))?;
+    let settings: EntrySettings = toml::from_str(&text)
+        .map_err(|error| usage(format!("{}: {}", path.display(), error.message())))?;
+    let key = AccessKey::generate(&mut rand::rng());
+    let new_key = NewKey {
+        digest: digest_key(&settings.secrets.key_pepper, key.reveal()),
+        key: key.reveal().to_owned(),
+    };
+    report.print(&new_key, |new_key| {
+        format!("{}\ndigest = \"{}\"\n", new_key.key, new_key.digest)
+    })
+}
+
 pub(super) async fn run(
     client: &Client,
     matches: &ArgMatches,
--- a/rhubarbctl/src/commands/mod.rs
+++ b/rhubarbctl/src/commands/mod.rs
@@ -22,6 +22,9 @@
     if group == "document" && document::needs_no_entry(matches) {
         return document::check_whole(matches, report);
     }
+    if group == "key" && key::needs_no_entry(matches) {
+        return key::make_key(matches, report);
+    }
     let client = Client::new(Settings::from_matches(matches)?);
     match group {
         "document" => document::run(&client, matches, report).await,
--- a/rhubarbctl/tests/operate.rs
+++ b/rhubarbctl/tests/operate.rs
@@ -231,6 +231,18 @@
         fixture.run(key, &["document", "show"]).status.code(),
         Some(4)
     );
+    let pepper = fixture.write(
+        "entry.toml",
+        &format!("secrets.key_pepper = '{KEY_PEPPER}'\n"),
+    );
+    let new_key = fixture.json("", &["key", "new", "--settings", &pepper]);
+    let digest = new_key["digest"].as_str().expect("the digest is printed");
+    let key = new_key["key"].as_str().expect("the key is printed");
+    let pepper = KEY_PEPPER.parse().expect("the pepper is valid");
+    assert_eq!(
+        digest,
+        rhubarbfall_document::digest_key(&pepper, key).to_string()
+    );
     let by_team = fixture.run("house-a-key", &grant);
     assert_eq!(by_team.status.code(), Some(4));
     expect![[r#"
