--- a/rhubarbfall-entry/src/traffic/handler.rs
+++ b/rhubarbfall-entry/src/traffic/handler.rs
@@ -90,6 +90,12 @@
     let document = shared.document.load_full().ok_or(ResultCode::NotReady)?;
     let pepper = &shared.settings.secrets.key_pepper;
     let authorized = authorize(&document, pepper, shared.is_document_fresh(), caller)?;
+    let membership = &shared.membership;
+    if let Some(key) = &caller.key
+        && membership.forbids(pepper, key, &caller.queue, &authorized.team)
+    {
+        return Err(ResultCode::KeyRefused);
+    }
     Ok((document, authorized))
 }
 
--- a/rhubarbfall-wire/src/network/config.rs
+++ b/rhubarbfall-wire/src/network/config.rs
@@ -14,6 +14,7 @@
 ///     entry: "entry-1".parse()?,
 ///     zone: "zone-a".parse()?,
 ///     incarnation: Incarnation::new(1),
+///     address: ([127, 0, 0, 1], 7000).into(),
 /// };
 /// let config = PeerNetworkConfig::new(identity, FleetKey::new("secret")).queue_messages(16);
 /// assert_eq!(config.queue_messages, 16);
@@ -56,8 +57,8 @@
             queue_messages: 256,
             max_inbound_connections: 1024,
             connect_timeout: Duration::from_secs(1),
-            silence_timeout: Duration::from_millis(1500),
-            acknowledgement_delay: Duration::from_millis(500),
+            silence_timeout: Duration::from_millis(2500),
+            acknowledgement_delay: Duration::from_millis(1200),
             min_backoff: Duration::from_millis(100),
             max_backoff: Duration::from_secs(2),
             idle_timeout: Duration::from_mins(1),
