feat(entry): ask every entry which revision it has in force

Heartbeats carry the highest revision of a whole zone, and what an entry has seen rather than what it has in force, so that a status made of them would overstate. The entry that is asked asks the others on demand over the peer network, waits a second at most, and gives each answer the age of its question.

status_names_the_revision_of_every_entry_and_the_age_of_a_silent_one (4 processes, one frozen): fails on the version before, which names only the entry itself (1 entry of 4); passes now. garbage_from_peers_ends_the_connection_only passes on the peer network as it is.

--- a/rhubarbfall-entry/src/membership/duties.rs
+++ b/rhubarbfall-entry/src/membership/duties.rs
@@ -16,7 +16,7 @@
 
 use super::handle::{Started, State};
 use super::{handlers, lease, registration};
-use crate::{Shared, control};
+use crate::{Shared, control, operator};
 
 /// How often the control thread looks for heartbeats and table reads that are due.
 const TICK: Duration = Duration::from_millis(50);
@@ -74,6 +74,7 @@
     let key = FleetKey::new(shared.settings.secrets.fleet_key.reveal());
     let network = PeerNetwork::start(PeerNetworkConfig::new(identity, key), listener, runtime);
     handlers::register(shared, &network);
+    operator::register_status(shared, &network);
     let state = State {
         gossip: Gossip::new(config, entry.clone(), own, now),
         lease: ZoneLease::new(ZoneLeaseConfig::new(), entry, incarnation, now),
--- a/rhubarbfall-entry/src/operator/fleet_endpoints.rs
+++ b/rhubarbfall-entry/src/operator/fleet_endpoints.rs
@@ -11,6 +11,7 @@
 use super::OperatorContext;
 use super::answer::answer;
 use super::document_endpoints::read_text;
+use super::fleet_status::ask_all;
 use super::operator_key::check_operator;
 use crate::Shared;
 use crate::document::read_head;
@@ -77,10 +78,16 @@
         revision: document.map(|document| document.revision),
         age_ms: Some(0),
     };
+    let mut entries = ask_all(shared).await;
+    entries.push(own);
+    entries.sort_by(|a, b| {
+        let by_zone = a.availability_zone.cmp(&b.availability_zone);
+        by_zone.then_with(|| a.entry.cmp(&b.entry))
+    });
     StatusView {
         entry: settings.id.clone(),
         newest: head.ok().flatten().map(|head| head.revision),
-        entries: vec![own],
+        entries,
     }
 }
 
--- a/rhubarbfall-entry/src/operator/mod.rs
+++ b/rhubarbfall-entry/src/operator/mod.rs
@@ -3,10 +3,13 @@
 mod answer;
 mod document_endpoints;
 mod fleet_endpoints;
+mod fleet_status;
 mod health_endpoints;
 mod operator_key;
 mod server;
 mod state_dump;
 
+pub use fleet_status::FleetStatus;
+pub(crate) use fleet_status::register as register_status;
 pub use server::{OperatorContext, serve};
 pub use state_dump::StateDump;
--- a/rhubarbfall-entry/src/shared.rs
+++ b/rhubarbfall-entry/src/shared.rs
@@ -9,6 +9,7 @@
 
 use crate::dispatch::Dispatcher;
 use crate::membership::Membership;
+use crate::operator::FleetStatus;
 use crate::traffic::{BodyBudget, UpstreamConnections};
 use crate::{Lifecycle, Settings};
 
@@ -29,6 +30,8 @@
     pub dispatcher: Arc<Dispatcher>,
     /// Connections to upstreams.
     pub connections: UpstreamConnections,
+    /// Which revisions the other entries have in force.
+    pub fleet_status: FleetStatus,
     /// The memory for the bodies of requests.
     pub body_budget: Arc<BodyBudget>,
     /// The platform's table.
@@ -50,6 +53,7 @@
             connections: UpstreamConnections::new(Duration::from_millis(
                 settings.traffic.connect_timeout_ms,
             )),
+            fleet_status: FleetStatus::default(),
             body_budget: Arc::new(BodyBudget::new(settings.traffic.max_buffered_bytes)),
             dispatcher: Arc::new(Dispatcher::new()),
             document: ArcSwapOption::empty(),
--- a/rhubarbfall-wire/src/messages/mod.rs
+++ b/rhubarbfall-wire/src/messages/mod.rs
@@ -4,3 +4,4 @@
 //! routing and 40 to 49 to fleet.
 
 pub mod membership;
+pub mod status;
--- a/rhubarbfall/tests/bad_input.rs
+++ b/rhubarbfall/tests/bad_input.rs
@@ -216,6 +216,27 @@
     assert_goes_on(&fleet);
 }
 
+#[test]
+fn garbage_from_peers_ends_the_connection_only() {
+    let fleet = start();
+    let before_kb = resident_kb(&fleet);
+    let address = fleet.entries[0].process.address("peers");
+    let garbage: Vec<u8> = (0..1_000_000_u32).map(|n| (n * 31 % 251) as u8).collect();
+    let huge_frame = [&u32::MAX.to_be_bytes()[..], &vec![b'x'; 1_000_000]].concat();
+    let empty_frames = vec![0; 100_000];
+    for bytes in [&garbage, &huge_frame, &empty_frames] {
+        // Whatever comes back is no more than a greeting.
+        assert!(raw(address, bytes).len() < 1_000);
+    }
+    let silent: Vec<TcpStream> = (0..200)
+        .map(|_| TcpStream::connect(address).expect("the port is open"))
+        .collect();
+    assert_goes_on(&fleet);
+    drop(silent);
+    assert!(resident_kb(&fleet) < before_kb + MAX_GROWTH_KB);
+    assert_goes_on(&fleet);
+}
+
 #[test]
 fn bad_settings_end_with_exit_code_two_and_every_fault() {
     let directory = TempDir::new().expect("a directory");
--- a/rhubarbfall/tests/document.rs
+++ b/rhubarbfall/tests/document.rs
@@ -184,6 +184,40 @@
     assert_eq!(keys, Some(1));
 }
 
+#[test]
+fn status_names_the_revision_of_every_entry_and_the_age_of_a_silent_one() {
+    let fleet = start();
+    let edit = fleet.send(apply(&fleet.entries[0], "house-a-key", "a", TEAM_A));
+    assert_eq!(json(&edit.expect("an answer"))["code"], 1001);
+    let status = || {
+        let address = fleet.entries[0].operators();
+        let request = Request::new(Method::GET, address, "/v1/status").key("operator-key");
+        json(&fleet.send(request).expect("an answer"))
+    };
+    let revisions = |status: &Value| -> Vec<Option<u64>> {
+        let entries = status["entries"].as_array().cloned().unwrap_or_default();
+        entries
+            .iter()
+            .map(|entry| entry["revision"].as_u64())
+            .collect()
+    };
+    wait_until("every entry has the revision", IN_FORCE_BOUND, || {
+        revisions(&status()) == [Some(2); 4]
+    });
+    let silent = &fleet.entries[3];
+    silent.process.freeze();
+    let edit = fleet.send(apply(&fleet.entries[0], "house-b-key", "b", TEAM_B));
+    assert_eq!(json(&edit.expect("an answer"))["code"], 1001);
+    wait_until("only the frozen entry is behind", IN_FORCE_BOUND, || {
+        let status = status();
+        status["newest"] == 3 && revisions(&status) == [Some(3), Some(3), Some(3), Some(2)]
+    });
+    let last = &status()["entries"][3];
+    assert_eq!(last["entry"], silent.id.as_str());
+    assert!(last["age_ms"].as_u64() >= Some(1_000), "{last}");
+    silent.process.resume();
+}
+
 #[test]
 fn a_drained_upstream_receives_no_new_work() {
     let fleet = TestFleet::start(PROGRAM, FleetShape::new().zones(["zone-a"])).expect("starts");
