--- a/rhubarbfall-entry/src/shared.rs
+++ b/rhubarbfall-entry/src/shared.rs
@@ -9,6 +9,7 @@
 
 use crate::dispatch::Dispatcher;
 use crate::membership::Membership;
+use crate::operator::FleetStatus;
 use crate::routing::{ClaimService, Upstreams};
 use crate::traffic::{BodyBudget, UpstreamConnections};
 use crate::{Lifecycle, Settings};
@@ -32,6 +33,8 @@
     pub upstreams: Upstreams,
     /// Connections to upstreams.
     pub connections: UpstreamConnections,
+    /// Which revisions the other entries have in force.
+    pub fleet_status: FleetStatus,
     /// The memory for the bodies of requests.
     pub body_budget: Arc<BodyBudget>,
     /// Claims of non-idempotent requests.
@@ -57,13 +60,13 @@
                 Duration::from_millis(settings.traffic.connect_timeout_ms),
             ),
             upstreams: Upstreams::new(Arc::clone(&clock)),
-            body_budget: Arc::new(BodyBudget::new(settings.traffic.max_buffered_bytes)),
             dispatcher: Arc::new(Dispatcher::new(Arc::clone(&clock), &settings)),
             claims: Arc::new(ClaimService::new(
                 &clock,
                 &settings.entry.id,
                 settings.claims,
             )),
+            fleet_status: FleetStatus::default(),
             body_budget: Arc::new(BodyBudget::new(settings.traffic.max_buffered_bytes)),
             document: ArcSwapOption::empty(),
             membership: Membership::new(),
