--- a/rhubarbfall-entry/src/shared.rs
+++ b/rhubarbfall-entry/src/shared.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
+use parking_lot::Mutex;
 use rhubarbfall_core::SharedClock;
 use rhubarbfall_document::Document;
 use rhubarbfall_platform::table::TableClient;
@@ -21,6 +22,8 @@
     pub settings: Settings,
     /// The clock.
     pub clock: SharedClock,
+    /// Held while a document is put in force.
+    pub(crate) document_guard: Mutex<()>,
     /// The document in force.
     pub document: ArcSwapOption<Document>,
     /// The other entries, and until when the document in force is proved to be the newest.
@@ -68,6 +71,7 @@
             )),
             fleet_status: FleetStatus::default(),
             body_budget: Arc::new(BodyBudget::new(settings.traffic.max_buffered_bytes)),
+            document_guard: Mutex::new(()),
             document: ArcSwapOption::empty(),
             membership: Membership::new(),
             lifecycle: Lifecycle::new(),
