feat(fleet): carry waves and moves in the entry process

Cause: the decisions of rhubarbfall-fleet ran nowhere. Change: the holder of the zone's lease runs rounds on rows, announcements, health and the rows of its entries; each entry writes a row of its own before it routes, confirms drains there once nothing of its own runs on the VM, and routes only to VMs in service. Operators list, plan, pause, resume and stop waves, request moves and read explanations at any entry. The platform's stand-in announces maintenance and reboots on permits, with fates and a hook for tests. Ruled out: messages between entries for drains (the table's rows need no second protocol, survive the death of either side, and cost one write for each entry and drain); views that expire (a table outage longer than the view would then stop routing, so that a drain waits for every entry that may route until the platform lists it as gone).

--- a/rhubarbfall-entry/src/control/control_thread.rs
+++ b/rhubarbfall-entry/src/control/control_thread.rs
@@ -7,6 +7,7 @@
 use tokio::time::sleep;
 
 use super::{document_poll, upstream_poll};
+use crate::fleet::{run_duty, run_registration, withdraw};
 use crate::{Phase, Shared};
 
 /// How often a stopping process looks whether its requests have ended.
@@ -24,6 +25,8 @@
     let duties = LocalSet::new();
     duties.spawn_local(document_poll::run(Arc::clone(shared)));
     duties.spawn_local(upstream_poll::run(Arc::clone(shared)));
+    duties.spawn_local(run_registration(Arc::clone(shared)));
+    duties.spawn_local(run_duty(Arc::clone(shared)));
     duties.block_on(&runtime, async {
         if handles_signals {
             let mut terminate = signal(SignalKind::terminate())?;
@@ -57,5 +60,6 @@
         sleep(STOP_POLL).await;
     }
     let in_flight = shared.lifecycle.in_flight();
+    withdraw(shared).await;
     log::info!("event=stop phase=stopped in_flight={in_flight}");
 }
--- a/rhubarbfall-entry/src/control/upstream_poll.rs
+++ b/rhubarbfall-entry/src/control/upstream_poll.rs
@@ -2,19 +2,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rhubarbfall_core::{LiteMap, PoolId, UpstreamId, VmId};
+use rhubarbfall_core::UpstreamId;
 use rhubarbfall_platform::PlatformError;
 use rhubarbfall_platform::vms::{VmKind, VmRecord, VmState};
-use serde::Deserialize;
 use tokio::time::sleep;
 
 use crate::Shared;
-
-/// What the table says of one VM.
-#[derive(Debug, Deserialize)]
-struct VmRow {
-    pool: PoolId,
-}
+use crate::fleet::FleetState;
 
 /// Reads the list of VMs until the process ends, and routes to the live ones of its zone.
 pub(super) async fn run(shared: Arc<Shared>) {
@@ -31,14 +25,12 @@
     let Some(document) = shared.document.load_full() else {
         return Ok(());
     };
-    let vms = shared.vm_list.list().await?;
-    let mut pools: LiteMap<VmId, PoolId> = LiteMap::new();
-    for row in shared.table.scan("vm/").await? {
-        let id: Option<VmId> = row.key.strip_prefix("vm/").and_then(|id| id.parse().ok());
-        if let Some(id) = id {
-            pools.insert(id, row.parse::<VmRow>()?.pool);
-        }
+    if !shared.fleet.is_registered() {
+        return Ok(());
     }
+    let vms = shared.vm_list.list().await?;
+    let rows = FleetState::parse_vms(&shared.table.scan("vm/").await?);
+    let pools = shared.fleet.routable_pools(&rows);
     for service in &document.fleet.services {
         let upstreams: Vec<(UpstreamId, SocketAddr)> = vms
             .iter()
@@ -51,6 +43,7 @@
             .dispatcher
             .set_upstreams(&service.id, slots, &upstreams);
     }
+    shared.fleet.set_applied(rows);
     Ok(())
 }
 
--- /dev/null
+++ b/rhubarbfall-entry/src/fleet/duty.rs
@@ -0,0 +1,253 @@
+//! The rounds of the zone's fleet duty, while this process holds the zone's lease.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant, UNIX_EPOCH};
+
+use rhubarbfall_core::{EntryId, LiteMap, PoolId};
+use rhubarbfall_document::Document;
+use rhubarbfall_fleet::{
+    Budget, DrainConfirmation, FleetTransaction, Observation, Order, Rows, VmRow, ZoneFleet,
+};
+use rhubarbfall_platform::PlatformError;
+use rhubarbfall_platform::maintenance::MaintenancePermit;
+use rhubarbfall_platform::table::{Transaction, TransactionId};
+use rhubarbfall_platform::vms::{VmKind, VmRecord, VmState};
+use tokio::time::sleep;
+
+use super::health_probe::HealthProbe;
+use super::lease_keeper::LeaseKeeper;
+use super::read_rows::{read_announcements, read_entries, read_rows};
+use super::registration::add_demand;
+use super::{EntryFleetRow, FleetDump};
+use crate::Shared;
+
+/// The duty with what it keeps between rounds.
+struct Duty {
+    shared: Arc<Shared>,
+    lease: LeaseKeeper,
+    probe: HealthProbe,
+    fleet: ZoneFleet,
+    /// When entries were first seen as gone.
+    gone: LiteMap<EntryId, Instant>,
+}
+
+/// Carries the duty until the process ends.
+pub(crate) async fn run(shared: Arc<Shared>) {
+    let interval = Duration::from_millis(shared.settings.fleet.round_ms);
+    let mut duty = Duty::new(shared);
+    loop {
+        duty.lease.step().await;
+        if let Err(error) = duty.round().await {
+            log::warn!("event=fleet-round error={error}");
+        }
+        sleep(interval).await;
+    }
+}
+
+impl Duty {
+    fn new(shared: Arc<Shared>) -> Self {
+        let settings = &shared.settings;
+        let zone = settings.entry.availability_zone.clone();
+        let started = shared.clock.wall_time().duration_since(UNIX_EPOCH);
+        let started_ms = started.map_or(0, |since| since.as_millis());
+        let fleet = ZoneFleet::new(
+            format!("{}-{started_ms}", settings.entry.id),
+            zone.clone(),
+            settings.fleet.timings(),
+            settings.fleet.wave_policy(),
+            settings.fleet.sizer_policy(),
+        );
+        Self {
+            lease: LeaseKeeper::new(Arc::clone(&shared)),
+            probe: HealthProbe::new(zone),
+            fleet,
+            gone: LiteMap::new(),
+            shared,
+        }
+    }
+
+    async fn round(&mut self) -> Result<(), PlatformError> {
+        let Some(document) = self.shared.document.load_full() else {
+            return Ok(());
+        };
+        if self.lease.fencing().is_none() {
+            self.fleet.forget();
+            self.shared.fleet.set_dump(FleetDump::default());
+            return Ok(());
+        }
+        let observation = self.observe(&document).await?;
+        let now = self.shared.clock.now();
+        let round = self.fleet.round(&observation, now);
+        self.publish(&observation, now);
+        // The lease may have lapsed since the rows were read.
+        if self.lease.fencing() != observation.fence {
+            return Ok(());
+        }
+        self.obey(&round.orders).await;
+        match round.transaction {
+            Some(transaction) => self.commit(&transaction).await,
+            None => Ok(()),
+        }
+    }
+
+    async fn observe(&mut self, document: &Document) -> Result<Observation, PlatformError> {
+        let fence = self.lease.fencing();
+        let rows = read_rows(&self.shared).await?;
+        let entries = read_entries(&self.shared).await?;
+        let announcements = read_announcements(&self.shared).await;
+        let vms = self.shared.vm_list.list().await?;
+        let now = self.shared.clock.now();
+        self.probe.check(&vms, now).await;
+        self.update_gone(&vms, now);
+        let minimums = document.fleet.pools.iter();
+        let minimums = minimums.map(|pool| (pool.id.clone(), pool.min_vms));
+        self.fleet.set_minimums(minimums.collect());
+        let own: Vec<&EntryFleetRow> = entries
+            .iter()
+            .filter(|row| row.zone == self.shared.settings.entry.availability_zone)
+            .collect();
+        let mut observation = Observation {
+            fence,
+            announcements: announcements.ok(),
+            health: self.probe.health().clone(),
+            entries: self.waited_for(&own, now),
+            confirmations: own.iter().flat_map(|row| confirmations(row)).collect(),
+            budgets: budgets(document),
+            new_vms: self.new_vms(&vms, &rows),
+            now_unix_ms: self.now_unix_ms(),
+            rows,
+            ..Observation::default()
+        };
+        for row in &entries {
+            add_demand(&mut observation.demand, &row.demand);
+        }
+        for row in own {
+            add_demand(&mut observation.zone_demand, &row.demand);
+        }
+        Ok(observation)
+    }
+
+    fn update_gone(&mut self, vms: &[VmRecord], now: Instant) {
+        let is_gone = |vm: &&VmRecord| vm.kind == VmKind::Entry && vm.state == VmState::Gone;
+        let gone = vms.iter().filter(is_gone);
+        let gone = gone.filter_map(|vm| vm.id.as_str().parse::<EntryId>().ok());
+        let known = std::mem::take(&mut self.gone);
+        self.gone = gone
+            .map(|entry| {
+                let since = known.get(&entry).copied().unwrap_or(now);
+                (entry, since)
+            })
+            .collect();
+    }
+
+    /// Returns the entries whose confirmation a drain needs.
+    ///
+    /// An entry whose VM is gone counts no more once its requests must have ended.
+    fn waited_for(&self, own: &[&EntryFleetRow], now: Instant) -> Vec<EntryId> {
+        let longest = Duration::from_millis(self.shared.settings.stop.longest_request_ms);
+        let is_over = |entry: &EntryId| {
+            let since = self.gone.get(entry);
+            since.is_some_and(|since| now.saturating_duration_since(*since) >= longest)
+        };
+        let entries = own.iter().map(|row| row.entry.clone());
+        let mut entries: Vec<EntryId> = entries.filter(|entry| !is_over(entry)).collect();
+        entries.sort();
+        entries
+    }
+
+    /// Returns rows for listed workers of the zone that have none, in the spare pool.
+    fn new_vms(&self, vms: &[VmRecord], rows: &Rows) -> Vec<VmRow> {
+        let settings = &self.shared.settings;
+        let Some(pool) = &settings.fleet.spare_pool else {
+            return Vec::new();
+        };
+        let zone = &settings.entry.availability_zone;
+        vms.iter()
+            .filter(|vm| vm.kind == VmKind::Worker && vm.state == VmState::Live)
+            .filter(|vm| vm.availability_zone == *zone && !rows.vms.contains_key(&vm.id))
+            .map(|vm| VmRow::new(vm.id.clone(), zone.clone(), vm.rack.clone(), pool.clone()))
+            .collect()
+    }
+
+    async fn commit(&self, transaction: &FleetTransaction) -> Result<(), PlatformError> {
+        let result = self.shared.table.commit(&to_platform(transaction)?).await;
+        match result {
+            Ok(_) => Ok(()),
+            // Another zone's holder was first; the next round decides on what it wrote.
+            Err(PlatformError::ConditionFailed(key, _)) => {
+                log::debug!("event=fleet-conflict row={key}");
+                Ok(())
+            }
+            Err(error) => Err(error),
+        }
+    }
+
+    async fn obey(&self, orders: &[Order]) {
+        for order in orders {
+            // Entries read drains from the rows themselves.
+            let Order::PermitReboot { wave, vm } = order else {
+                continue;
+            };
+            if self.lease.fencing().is_none() {
+                return;
+            }
+            let permit = MaintenancePermit {
+                wave: wave.clone(),
+                vm: vm.clone(),
+            };
+            if let Err(error) = self.shared.fleet.maintenance.permit(&permit).await {
+                log::warn!("event=reboot-permit vm={vm} error={error}");
+            }
+        }
+    }
+
+    fn publish(&self, observation: &Observation, now: Instant) {
+        let decisions = self.fleet.reasons().iter();
+        self.shared.fleet.set_dump(FleetDump {
+            fence: observation.fence,
+            plan: self.fleet.plan().to_vec(),
+            decisions: decisions
+                .map(|(subject, list)| (subject.clone(), list.iter().cloned().collect()))
+                .collect(),
+            decided_at: Some(now),
+        });
+    }
+
+    fn now_unix_ms(&self) -> u64 {
+        let since = self.shared.clock.wall_time().duration_since(UNIX_EPOCH);
+        since.map_or(0, |since| u64::try_from(since.as_millis()).unwrap_or(0))
+    }
+}
+
+fn confirmations(row: &EntryFleetRow) -> impl Iterator<Item = DrainConfirmation> {
+    let confirmed = row.confirmed.iter();
+    confirmed.map(|(vm, generation)| DrainConfirmation {
+        entry: row.entry.clone(),
+        vm: vm.clone(),
+        generation: *generation,
+    })
+}
+
+fn budgets(document: &Document) -> LiteMap<PoolId, Budget> {
+    let budget = |pool: &rhubarbfall_document::PoolSpec| Budget {
+        max_unavailable_vms: pool.max_unavailable_vms,
+        revision: document.revision,
+    };
+    let pools = document.fleet.pools.iter();
+    pools.map(|pool| (pool.id.clone(), budget(pool))).collect()
+}
+
+/// Translates a transaction to the table's wire format.
+pub(super) fn to_platform(transaction: &FleetTransaction) -> Result<Transaction, PlatformError> {
+    let id = TransactionId::new(&transaction.id, 0, 0);
+    let mut platform = Transaction::new(id);
+    for (key, version) in &transaction.conditions {
+        platform = platform.expect(key.to_string(), *version);
+    }
+    for (key, value) in &transaction.writes {
+        let value = serde_json::to_value(value)
+            .map_err(|error| PlatformError::Malformed(error.to_string().into()))?;
+        platform = platform.put(key.to_string(), value);
+    }
+    Ok(platform)
+}
--- /dev/null
+++ b/rhubarbfall-entry/src/fleet/endpoints.rs
@@ -0,0 +1,105 @@
+//! The operators' HTTP interface to waves, moves and explanations.
+
+use std::sync::Arc;
+
+use rhubarbfall_core::ResultCode;
+use rhubarbfall_document::api::ErrorAnswer;
+use xitca_web::body::RequestBody;
+use xitca_web::handler::body::Body;
+use xitca_web::handler::state::StateRef;
+use xitca_web::http::{HeaderMap, Uri, WebResponse};
+
+use super::operations;
+use crate::Shared;
+use crate::operator::{OperatorContext, answer, check_operator, read_text};
+
+/// Answers with the waves.
+pub(crate) async fn waves(
+    StateRef(context): StateRef<'_, OperatorContext>,
+    headers: &HeaderMap,
+) -> WebResponse {
+    let shared = &context.shared;
+    answer(match check_operator(shared, headers) {
+        Ok(()) => operations::list_waves(shared).await,
+        Err(error) => Err(error),
+    })
+}
+
+/// Answers with when each VM of a wave is taken, or what it waits for.
+pub(crate) async fn wave_plan(
+    StateRef(context): StateRef<'_, OperatorContext>,
+    headers: &HeaderMap,
+    uri: &Uri,
+) -> WebResponse {
+    let shared = &context.shared;
+    answer(match checked_query(shared, headers, uri, "wave") {
+        Ok(wave) => operations::plan(shared, &wave).await,
+        Err(error) => Err(error),
+    })
+}
+
+/// Pauses, resumes or stops a wave.
+pub(crate) async fn set_wave_status(
+    StateRef(context): StateRef<'_, OperatorContext>,
+    headers: &HeaderMap,
+    Body(body): Body<RequestBody>,
+) -> WebResponse {
+    let shared = &context.shared;
+    answer(match checked_body(shared, headers, body).await {
+        Ok(body) => operations::change_status(shared, &body).await,
+        Err(error) => Err(error),
+    })
+}
+
+/// Asks for a VM to be moved to a pool.
+pub(crate) async fn move_vm(
+    StateRef(context): StateRef<'_, OperatorContext>,
+    headers: &HeaderMap,
+    Body(body): Body<RequestBody>,
+) -> WebResponse {
+    let shared = &context.shared;
+    answer(match checked_body(shared, headers, body).await {
+        Ok(body) => operations::request_move(shared, &body).await,
+        Err(error) => Err(error),
+    })
+}
+
+/// Explains a VM, a pool, a team or a wave.
+pub(crate) async fn explain(
+    StateRef(context): StateRef<'_, OperatorContext>,
+    headers: &HeaderMap,
+    uri: &Uri,
+) -> WebResponse {
+    let shared = &context.shared;
+    let kind = checked_query(shared, headers, uri, "kind");
+    let id = checked_query(shared, headers, uri, "id");
+    answer(match (kind, id) {
+        (Ok(kind), Ok(id)) => operations::explanation(shared, &kind, &id).await,
+        (Err(error), _) | (_, Err(error)) => Err(error),
+    })
+}
+
+async fn checked_body(
+    shared: &Arc<Shared>,
+    headers: &HeaderMap,
+    body: RequestBody,
+) -> Result<bytes::Bytes, ErrorAnswer> {
+    check_operator(shared, headers)?;
+    read_text(shared, body).await
+}
+
+fn checked_query(
+    shared: &Shared,
+    headers: &HeaderMap,
+    uri: &Uri,
+    name: &str,
+) -> Result<String, ErrorAnswer> {
+    check_operator(shared, headers)?;
+    let pairs = uri.query().unwrap_or_default().split('&');
+    let value = pairs
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .map(|(_, value)| value.to_owned());
+    let missing = || ErrorAnswer::new(ResultCode::BadRequest).message(format!("{name} is missing"));
+    value.ok_or_else(missing)
+}
--- a/rhubarbfall-entry/src/lib.rs
+++ b/rhubarbfall-entry/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod dispatch;
 mod document;
 mod entry;
+pub mod fleet;
 mod lifecycle;
 pub mod operator;
 pub mod settings;
--- a/rhubarbfall-entry/src/operator/answer.rs
+++ b/rhubarbfall-entry/src/operator/answer.rs
@@ -6,7 +6,7 @@
 use xitca_web::http::{StatusCode, WebResponse};
 
 /// Makes the answer of an endpoint: a value, or a numbered error.
-pub(super) fn answer<T: Serialize>(result: Result<T, ErrorAnswer>) -> WebResponse {
+pub(crate) fn answer<T: Serialize>(result: Result<T, ErrorAnswer>) -> WebResponse {
     match result {
         Ok(value) => json(ResultCode::Completed, &value),
         Err(error) => {
--- a/rhubarbfall-entry/src/operator/document_endpoints.rs
+++ b/rhubarbfall-entry/src/operator/document_endpoints.rs
@@ -79,7 +79,7 @@
 }
 
 /// Reads the body of a request to the operators' interface.
-pub(super) async fn read_text(shared: &Shared, body: RequestBody) -> Result<Bytes, ErrorAnswer> {
+pub(crate) async fn read_text(shared: &Shared, body: RequestBody) -> Result<Bytes, ErrorAnswer> {
     let timeout = Duration::from_millis(shared.settings.traffic.body_timeout_ms);
     let read = read_body(body, MAX_DOCUMENT_BYTES, timeout).await;
     read.map_err(ErrorAnswer::new)
--- a/rhubarbfall-entry/src/operator/mod.rs
+++ b/rhubarbfall-entry/src/operator/mod.rs
@@ -8,5 +8,8 @@
 mod server;
 mod state_dump;
 
+pub(crate) use answer::answer;
+pub(crate) use document_endpoints::read_text;
+pub(crate) use operator_key::check_operator;
 pub use server::{OperatorContext, serve};
 pub use state_dump::StateDump;
--- a/rhubarbfall-entry/src/operator/operator_key.rs
+++ b/rhubarbfall-entry/src/operator/operator_key.rs
@@ -23,7 +23,7 @@
 }
 
 /// Refuses a request whose key is not an operator's, by the document in force.
-pub(super) fn check_operator(shared: &Shared, headers: &HeaderMap) -> Result<(), ErrorAnswer> {
+pub(crate) fn check_operator(shared: &Shared, headers: &HeaderMap) -> Result<(), ErrorAnswer> {
     let digest = key_digest(shared, headers)?;
     let document = shared.document.load_full();
     let document = document.ok_or_else(|| ErrorAnswer::new(ResultCode::NotReady))?;
--- a/rhubarbfall-entry/src/operator/server.rs
+++ b/rhubarbfall-entry/src/operator/server.rs
@@ -7,8 +7,8 @@
 use xitca_web::route::{get, post};
 
 use super::{document_endpoints, fleet_endpoints, health_endpoints};
-use crate::Shared;
 use crate::traffic::HttpListener;
+use crate::{Shared, fleet};
 
 /// What the operators' handlers use.
 #[derive(Debug, Clone)]
@@ -53,6 +53,14 @@
             "/v1/upstreams",
             get(handler_service(fleet_endpoints::upstreams)),
         )
+        .at("/v1/waves", get(handler_service(fleet::waves)))
+        .at("/v1/waves/plan", get(handler_service(fleet::wave_plan)))
+        .at(
+            "/v1/waves/status",
+            post(handler_service(fleet::set_wave_status)),
+        )
+        .at("/v1/vms/pool", post(handler_service(fleet::move_vm)))
+        .at("/v1/explain", get(handler_service(fleet::explain)))
         .with_state(context)
         .serve()
         .disable_signal()
--- a/rhubarbfall-entry/src/operator/state_dump.rs
+++ b/rhubarbfall-entry/src/operator/state_dump.rs
@@ -2,6 +2,7 @@
 use serde::Serialize;
 
 use crate::dispatch::DispatchSnapshot;
+use crate::fleet::FleetDump;
 use crate::{Phase, Shared};
 
 /// The state of one process, for people and for tests.
@@ -21,6 +22,8 @@
     pub is_document_fresh: bool,
     /// Waiting and running requests.
     pub dispatch: DispatchSnapshot,
+    /// Waves and moves, while this process holds the zone's lease.
+    pub fleet: FleetDump,
 }
 
 impl StateDump {
@@ -35,6 +38,7 @@
             revision: shared.document.load().as_ref().map(|doc| doc.revision),
             is_document_fresh: shared.is_document_fresh(),
             dispatch: shared.dispatcher.snapshot(),
+            fleet: shared.fleet.dump(),
         }
     }
 }
--- a/rhubarbfall-entry/src/settings/settings.rs
+++ b/rhubarbfall-entry/src/settings/settings.rs
@@ -2,6 +2,8 @@
 
 use serde::Deserialize;
 
+use crate::fleet::FleetSettings;
+
 use super::{
     ControlSettings, EntrySettings, ListenSettings, LogSettings, PlatformSettings, SecretSettings,
     SettingsError, StopSettings, TrafficSettings,
@@ -28,6 +30,9 @@
     /// How a planned stop goes.
     #[serde(default)]
     pub stop: StopSettings,
+    /// How maintenance waves and moves go.
+    #[serde(default)]
+    pub fleet: FleetSettings,
     /// What is logged and how.
     #[serde(default)]
     pub log: LogSettings,
--- a/rhubarbfall-entry/src/shared.rs
+++ b/rhubarbfall-entry/src/shared.rs
@@ -9,6 +9,7 @@
 use rhubarbfall_platform::vms::VmListClient;
 
 use crate::dispatch::Dispatcher;
+use crate::fleet::FleetState;
 use crate::traffic::UpstreamConnections;
 use crate::{Lifecycle, Settings};
 
@@ -29,6 +30,8 @@
     pub dispatcher: Arc<Dispatcher>,
     /// Connections to upstreams.
     pub connections: UpstreamConnections,
+    /// Waves, moves and drains.
+    pub fleet: FleetState,
     /// The platform's table.
     pub table: TableClient,
     /// The platform's list of VMs.
@@ -43,6 +46,7 @@
         let zone = &settings.entry.availability_zone;
         let timeout = platform.timeout();
         Self {
+            fleet: FleetState::new(&settings),
             table: TableClient::new(platform.table, zone.clone(), timeout),
             vm_list: VmListClient::new(platform.vms, zone.clone(), timeout),
             connections: UpstreamConnections::new(Duration::from_millis(
--- a/rhubarbfall-fleet/src/drain.rs
+++ b/rhubarbfall-fleet/src/drain.rs
@@ -55,7 +55,8 @@
             && entries
                 .iter()
                 .all(|entry| self.confirmed.binary_search(entry).is_ok());
-        all_confirmed || now >= self.since + timings.drain_limit()
+        let limit = timings.drain_limit();
+        all_confirmed || limit.is_some_and(|limit| now >= self.since + limit)
     }
 
     /// Returns how many entries have not confirmed.
--- a/rhubarbfall-fleet/src/lib.rs
+++ b/rhubarbfall-fleet/src/lib.rs
@@ -5,6 +5,7 @@
 //! matters, so a successor continues where its predecessor stopped.
 
 mod announcement;
+pub mod api;
 mod apply;
 mod budget;
 mod demand;
--- a/rhubarbfall-fleet/src/timings.rs
+++ b/rhubarbfall-fleet/src/timings.rs
@@ -14,8 +14,9 @@
 /// ```
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct FleetTimings {
-    /// How long an entry may route on what it has read of a VM's row.
-    pub view_lifetime: Duration,
+    /// How long an entry may route on what it has read of a VM's row; without it views do not
+    /// expire, and a drain ends by the confirmation of every entry only.
+    pub view_lifetime: Option<Duration>,
     /// How long the longest request may run on an upstream.
     pub longest_request: Duration,
     /// What is added to waits that rely on another process's clock.
@@ -33,15 +34,17 @@
 }
 
 impl FleetTimings {
-    /// Returns the time after which nothing can run on a VM whose drain was committed.
+    /// Returns the time after which nothing can run on a VM whose drain was committed, if views
+    /// expire.
     #[must_use]
-    pub fn drain_limit(&self) -> Duration {
-        self.view_lifetime + self.longest_request + self.drift_margin
+    pub fn drain_limit(&self) -> Option<Duration> {
+        let lifetime = self.view_lifetime?;
+        Some(lifetime + self.longest_request + self.drift_margin)
     }
 
     /// Sets how long an entry may route on what it has read.
     #[must_use]
-    pub const fn view_lifetime(mut self, lifetime: Duration) -> Self {
+    pub const fn view_lifetime(mut self, lifetime: Option<Duration>) -> Self {
         self.view_lifetime = lifetime;
         self
     }
@@ -92,7 +95,7 @@
 impl Default for FleetTimings {
     fn default() -> Self {
         Self {
-            view_lifetime: Duration::from_secs(3),
+            view_lifetime: Some(Duration::from_secs(3)),
             longest_request: Duration::from_secs(30),
             drift_margin: Duration::from_secs(2),
             reboot_limit: Duration::from_mins(15),
--- a/rhubarbfall-fleet/src/vm_row.rs
+++ b/rhubarbfall-fleet/src/vm_row.rs
@@ -3,7 +3,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::Purpose;
+use crate::{Decision, Purpose};
 
 /// Where a VM stands between serving, maintenance and a move.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -60,6 +60,9 @@
     /// The newest wave that has rebooted the VM.
     #[serde(default)]
     pub last_wave: Option<WaveId>,
+    /// Why the row was last written, so that every entry can explain it.
+    #[serde(default)]
+    pub decision: Option<Decision>,
 }
 
 impl VmRow {
@@ -76,6 +79,7 @@
             fence: FencingNumber::new(0),
             wanted_pool: None,
             last_wave: None,
+            decision: None,
         }
     }
 
--- a/rhubarbfall-fleet/src/zone_fleet.rs
+++ b/rhubarbfall-fleet/src/zone_fleet.rs
@@ -11,9 +11,9 @@
 use crate::take_out::{count_unpermitted, grant, start_move};
 use crate::vm_step::{StepInput, next_step};
 use crate::{
-    DrainProgress, FleetTimings, MaintenanceState, MoveRequest, Observation, Order, PlanInput,
-    PlannedVm, PoolSizer, Reason, ReasonLog, Round, SizeInput, SizerPolicy, Subject, VmRow,
-    VmState, WavePlanner, WavePolicy, WaveStatus,
+    Decision, DrainProgress, FleetTimings, MaintenanceState, MoveRequest, Observation, Order,
+    PlanInput, PlannedVm, PoolSizer, Reason, ReasonLog, Round, SizeInput, SizerPolicy, Subject,
+    VmRow, VmState, WavePlanner, WavePolicy, WaveStatus,
 };
 
 /// The fleet duty of one availability zone, carried by the holder of the zone's lease.
@@ -209,8 +209,9 @@
                 policy: self.planner.policy(),
                 after_s: in_state_for.as_secs(),
             };
-            let reason = applier.apply(draft, &row.vm, step);
-            if let Some(reason) = reason.or_else(|| self.drain_reason(observation, row)) {
+            if let Some(reason) = applier.apply(draft, &row.vm, step) {
+                self.record_step(draft, &row.vm, reason, observation);
+            } else if let Some(reason) = self.drain_reason(observation, row) {
                 self.record_vm(&row.vm, reason, observation);
             }
         }
@@ -298,6 +299,8 @@
                 .record(&subject, planned.reason.clone(), observation.now_unix_ms);
             if planned.is_granted() {
                 grant(draft, planned, fence);
+                let reason = planned.reason.clone();
+                self.record_step(draft, &planned.vm, reason, observation);
             }
         }
         self.record_waves(observation, draft);
@@ -337,7 +340,7 @@
         for request in requests {
             let reason = start_move(draft, &request, fence);
             if let Some(reason) = reason {
-                self.record_vm(&request.vm, reason, observation);
+                self.record_step(draft, &request.vm, reason, observation);
             }
         }
     }
@@ -387,6 +390,24 @@
         orders
     }
 
+    /// Records a decision with the row that it changes, so that every entry can explain it.
+    fn record_step(
+        &mut self,
+        draft: &mut Draft,
+        vm: &VmId,
+        reason: Reason,
+        observation: &Observation,
+    ) {
+        if let Some(row) = draft.vm_mut(vm) {
+            row.decision = Some(Decision {
+                first_unix_ms: observation.now_unix_ms,
+                last_unix_ms: observation.now_unix_ms,
+                reason: reason.clone(),
+            });
+        }
+        self.record_vm(vm, reason, observation);
+    }
+
     fn record_vm(&mut self, vm: &VmId, reason: Reason, observation: &Observation) {
         let subject = Subject::Vm(vm.clone());
         self.reasons
--- a/rhubarbfall-fleet/tests/harness/fleet.rs
+++ b/rhubarbfall-fleet/tests/harness/fleet.rs
@@ -143,7 +143,7 @@
                 .filter(|row| row.zone == zone)
                 .map(|row| row.vm.clone());
             let entry = |index| id(&format!("{zone}-entry-{index}"));
-            let lifetime = self.timings.view_lifetime;
+            let lifetime = self.timings.view_lifetime.expect("views expire");
             self.zones.push(Zone {
                 fence: 1,
                 holders: Vec::new(),
--- a/rhubarbfall-fleet/tests/moves.rs
+++ b/rhubarbfall-fleet/tests/moves.rs
@@ -75,7 +75,7 @@
     fleet.run(TICK, Duration::from_secs(5), |_| false);
     fleet.pause_entry(0, 0, Duration::from_mins(5));
     want(&mut fleet, &vm(0), "service-4");
-    let limit = fleet.timings.drain_limit();
+    let limit = fleet.timings.drain_limit().expect("views expire");
     let taken = fleet.run(TICK, Duration::from_secs(200), |fleet| {
         fleet.row(&vm(0)).pool == pool("service-4")
     });
--- a/rhubarbfall-platform/src/lib.rs
+++ b/rhubarbfall-platform/src/lib.rs
@@ -4,6 +4,7 @@
 //! this package and nothing else.
 
 mod http_client;
+pub mod maintenance;
 pub mod objects;
 mod platform_error;
 pub mod table;
--- /dev/null
+++ b/rhubarbfall-testing/src/platform/maintenance.rs
@@ -0,0 +1,116 @@
+use std::fmt;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rhubarbfall_core::{LiteMap, VmId, WaveId};
+use rhubarbfall_platform::maintenance::{MaintenanceRecord, MaintenanceState};
+
+/// What becomes of a VM when it is rebooted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RebootFate {
+    /// It comes back.
+    ComesBack,
+    /// It stays down, and the platform never reports it done.
+    StaysDown,
+}
+
+/// What the stand-in tells a test about a reboot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RebootEvent {
+    /// The VM goes down.
+    Down,
+    /// The VM is up again.
+    Up,
+}
+
+type Hook = Arc<dyn Fn(&VmId, RebootEvent) + Send + Sync>;
+
+/// The announced maintenance of the stand-in.
+#[derive(Default)]
+pub(super) struct Maintenance {
+    records: LiteMap<(WaveId, VmId), MaintenanceRecord>,
+    fates: LiteMap<VmId, RebootFate>,
+    ends: Vec<(Instant, WaveId, VmId)>,
+    reboot_time: Duration,
+    hook: Option<Hook>,
+    permits: u64,
+}
+
+impl fmt::Debug for Maintenance {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Maintenance")
+            .field("records", &self.records)
+            .field("permits", &self.permits)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Maintenance {
+    pub(super) fn set_hook(&mut self, hook: impl Fn(&VmId, RebootEvent) + Send + Sync + 'static) {
+        self.hook = Some(Arc::new(hook));
+    }
+
+    pub(super) const fn set_reboot_time(&mut self, time: Duration) {
+        self.reboot_time = time;
+    }
+
+    pub(super) fn set_fate(&mut self, vm: VmId, fate: RebootFate) {
+        self.fates.insert(vm, fate);
+    }
+
+    pub(super) fn announce(&mut self, record: MaintenanceRecord) {
+        let key = (record.wave.clone(), record.vm.clone());
+        self.records.insert(key, record);
+    }
+
+    pub(super) const fn permits(&self) -> u64 {
+        self.permits
+    }
+
+    /// Returns the records, once reboots that are over have ended.
+    pub(super) fn list(&mut self, now: Instant) -> Vec<MaintenanceRecord> {
+        self.advance(now);
+        self.records.values().cloned().collect()
+    }
+
+    /// Begins the reboot of an announced VM; any other permit changes nothing.
+    pub(super) fn permit(&mut self, wave: &WaveId, vm: &VmId, now: Instant) {
+        self.permits += 1;
+        self.reboot(wave, vm, now);
+    }
+
+    /// Begins a reboot, with or without a permit.
+    pub(super) fn reboot(&mut self, wave: &WaveId, vm: &VmId, now: Instant) {
+        self.advance(now);
+        let key = (wave.clone(), vm.clone());
+        let Some(record) = self.records.get_mut(&key) else {
+            return;
+        };
+        if record.state != MaintenanceState::Announced {
+            return;
+        }
+        record.state = MaintenanceState::Rebooting;
+        self.ends
+            .push((now + self.reboot_time, wave.clone(), vm.clone()));
+        if let Some(hook) = &self.hook {
+            hook(vm, RebootEvent::Down);
+        }
+    }
+
+    pub(super) fn advance(&mut self, now: Instant) {
+        let ends = std::mem::take(&mut self.ends);
+        let (over, open) = ends.into_iter().partition(|(end, _, _)| *end <= now);
+        self.ends = open;
+        for (_, wave, vm) in over {
+            if self.fates.get(&vm) == Some(&RebootFate::StaysDown) {
+                continue;
+            }
+            if let Some(record) = self.records.get_mut(&(wave, vm.clone())) {
+                record.state = MaintenanceState::Done;
+            }
+            if let Some(hook) = &self.hook {
+                hook(&vm, RebootEvent::Up);
+            }
+        }
+    }
+}
--- a/rhubarbfall-testing/src/platform/mod.rs
+++ b/rhubarbfall-testing/src/platform/mod.rs
@@ -1,9 +1,11 @@
 //! A stand-in for the platform's table, object store and VM list, with scripted faults.
 
 mod fault;
+mod maintenance;
 mod stand_in_platform;
 mod table_state;
 mod vm_history;
 
 pub use fault::{Fault, FaultMode, ServiceKind};
+pub use maintenance::{RebootEvent, RebootFate};
 pub use stand_in_platform::{PlatformCounters, StandInPlatform};
--- a/rhubarbfall-testing/src/platform/stand_in_platform.rs
+++ b/rhubarbfall-testing/src/platform/stand_in_platform.rs
@@ -8,14 +8,17 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use parking_lot::Mutex;
-use rhubarbfall_core::LiteMap;
+use rhubarbfall_core::{LiteMap, VmId, WaveId};
+use rhubarbfall_platform::maintenance::{MaintenancePermit, MaintenanceRecord};
+use rhubarbfall_platform::table::Row;
 use rhubarbfall_platform::vms::VmRecord;
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
 
+use super::maintenance::Maintenance;
 use super::table_state::TableState;
 use super::vm_history::VmHistory;
-use super::{Fault, FaultMode, ServiceKind};
+use super::{Fault, FaultMode, RebootEvent, RebootFate, ServiceKind};
 use crate::{Body, Dropped, json_response, serve_http, text_response};
 
 /// How many requests the stand-in has taken.
@@ -43,6 +46,7 @@
     table: TableState,
     objects: LiteMap<Arc<str>, Bytes>,
     vms: VmHistory,
+    maintenance: Maintenance,
     faults: Vec<Fault>,
     counters: PlatformCounters,
 }
@@ -60,6 +64,7 @@
             table: TableState::default(),
             objects: LiteMap::new(),
             vms: VmHistory::new(Instant::now()),
+            maintenance: Maintenance::default(),
             faults: Vec::new(),
             counters: PlatformCounters::default(),
         }));
@@ -95,6 +100,50 @@
         self.state.lock().faults.clear();
     }
 
+    /// Announces the reboot of a VM.
+    pub fn announce(&self, record: MaintenanceRecord) {
+        self.state.lock().maintenance.announce(record);
+    }
+
+    /// Reboots an announced VM without a permit.
+    pub fn reboot_without_permit(&self, wave: &WaveId, vm: &VmId) {
+        let now = Instant::now();
+        self.state.lock().maintenance.reboot(wave, vm, now);
+    }
+
+    /// Sets how long a reboot takes.
+    pub fn set_reboot_time(&self, time: Duration) {
+        self.state.lock().maintenance.set_reboot_time(time);
+    }
+
+    /// Sets what becomes of a VM when it is rebooted.
+    pub fn set_reboot_fate(&self, vm: VmId, fate: RebootFate) {
+        self.state.lock().maintenance.set_fate(vm, fate);
+    }
+
+    /// Calls `hook` when a VM goes down and when it is up again; it must not call the stand-in.
+    pub fn on_reboot(&self, hook: impl Fn(&VmId, RebootEvent) + Send + Sync + 'static) {
+        self.state.lock().maintenance.set_hook(hook);
+    }
+
+    /// Returns the announced maintenance as it stands.
+    #[must_use]
+    pub fn maintenance(&self) -> Vec<MaintenanceRecord> {
+        self.state.lock().maintenance.list(Instant::now())
+    }
+
+    /// Returns how many reboot permits have come, repeated ones included.
+    #[must_use]
+    pub fn reboot_permits(&self) -> u64 {
+        self.state.lock().maintenance.permits()
+    }
+
+    /// Returns the rows whose keys have a prefix.
+    #[must_use]
+    pub fn rows(&self, prefix: &str) -> Vec<Row> {
+        self.state.lock().table.scan(prefix)
+    }
+
     /// Returns how many requests were taken.
     #[must_use]
     pub fn counters(&self) -> PlatformCounters {
@@ -136,7 +185,7 @@
         .and_then(|value| value.to_str().ok())
         .unwrap_or_default();
     let service = match path.as_str() {
-        "/v1/vms" => ServiceKind::Vms,
+        "/v1/vms" | "/v1/maintenance" | "/v1/maintenance/permits" => ServiceKind::Vms,
         other if other.starts_with("/v1/objects/") => ServiceKind::Objects,
         _ => ServiceKind::Table,
     };
@@ -164,6 +213,13 @@
         state.counters.vm_list_reads += 1;
         return json_response(StatusCode::OK, &state.vms.list(Instant::now()));
     }
+    if path == "/v1/maintenance" {
+        let list = state.maintenance.list(Instant::now());
+        return json_response(StatusCode::OK, &list);
+    }
+    if path == "/v1/maintenance/permits" {
+        return answer_permit(&mut state, body);
+    }
     if let Some(key) = path.strip_prefix("/v1/objects/") {
         return answer_object(&mut state, &parts.method, key, body);
     }
@@ -183,6 +239,17 @@
     }
 }
 
+fn answer_permit(state: &mut State, body: &Bytes) -> Response<Body> {
+    match serde_json::from_slice::<MaintenancePermit>(body) {
+        Ok(permit) => {
+            let now = Instant::now();
+            state.maintenance.permit(&permit.wave, &permit.vm, now);
+            text_response(StatusCode::OK, "")
+        }
+        Err(error) => text_response(StatusCode::BAD_REQUEST, error.to_string()),
+    }
+}
+
 fn answer_transaction(state: &mut State, body: &Bytes) -> Response<Body> {
     state.counters.table_transactions += 1;
     match serde_json::from_slice(body) {
@@ -212,6 +279,12 @@
         ("vm-list-lag-ms", "PUT") => {
             serde_json::from_slice(body).map(|lag_ms| state.vms.lag = Duration::from_millis(lag_ms))
         }
+        ("maintenance", "POST") => {
+            serde_json::from_slice(body).map(|record| state.maintenance.announce(record))
+        }
+        ("reboot-time-ms", "PUT") => serde_json::from_slice(body)
+            .map(Duration::from_millis)
+            .map(|time| state.maintenance.set_reboot_time(time)),
         ("faults", "POST") => serde_json::from_slice(body).map(|fault| state.faults.push(fault)),
         ("faults", "DELETE") => {
             state.faults.clear();
--- a/rhubarbfall-testing/src/rig/test_fleet.rs
+++ b/rhubarbfall-testing/src/rig/test_fleet.rs
@@ -214,7 +214,15 @@
         });
         self.seed_row(
             &format!("vm/{id}"),
-            json!({ "pool": "labels-pool", "state": "serving", "generation": 1 }),
+            json!({
+                "vm": id,
+                "zone": zone,
+                "rack": format!("{zone}-rack-{}", index / 4),
+                "pool": "labels-pool",
+                "state": { "step": "in-service" },
+                "generation": 1,
+                "fence": 0,
+            }),
         );
         self.upstreams.push(upstream);
         Ok(())
--- a/rhubarbfall/src/dev/dev_fleet.rs
+++ b/rhubarbfall/src/dev/dev_fleet.rs
@@ -96,19 +96,24 @@
             state: VmState::Live,
         };
         self.platform.put_vm(record.clone());
-        self.seed_vm_row(service, &id).await?;
+        self.seed_vm_row(service, &record).await?;
         self.upstreams.push(DevUpstream { stand_in, record });
         Ok(())
     }
 
-    async fn seed_vm_row(&self, service: &str, vm: &str) -> io::Result<()> {
+    async fn seed_vm_row(&self, service: &str, record: &VmRecord) -> io::Result<()> {
         let zone = "development".parse().map_err(io::Error::other)?;
         let table = TableClient::new(self.platform.address(), zone, Duration::from_secs(5));
         let row = json!({
+            "vm": record.id,
+            "zone": record.availability_zone,
+            "rack": record.rack,
             "pool": format!("{service}-pool"),
-            "state": "serving",
+            "state": { "step": "in-service" },
             "generation": 1,
+            "fence": 0,
         });
+        let vm = &record.id;
         let id = TransactionId::new(format!("seed-{vm}"), 0, 0);
         let transaction = Transaction::new(id).put(format!("vm/{vm}"), row);
         table.commit(&transaction).await.map_err(io::Error::other)?;
