--- a/rhubarbctl/src/commands/mod.rs
+++ b/rhubarbctl/src/commands/mod.rs
@@ -7,6 +7,7 @@
 mod pool;
 mod team;
 mod upstream;
+mod wave;
 
 use clap::ArgMatches;
 
@@ -29,6 +30,9 @@
         "team" => team::run(&client, matches, report).await,
         "pool" => pool::run(&client, matches, report).await,
         "entry" | "status" => observe::status(&client, group, report).await,
+        "wave" => wave::run(&client, matches, report).await,
+        "move" => wave::move_vm(&client, matches, report).await,
+        "explain" => wave::explain(&client, matches, report).await,
         "upstream" => upstream::run(&client, matches, report).await,
         _ => observe::state(&client, report).await,
     }
--- a/rhubarbfall-entry/src/fleet/endpoints.rs
+++ b/rhubarbfall-entry/src/fleet/endpoints.rs
@@ -12,6 +12,7 @@
 use super::operations;
 use crate::Shared;
 use crate::operator::{OperatorContext, answer, check_operator, read_text};
+use crate::traffic::{BufferedBody, discard_body};
 
 /// Answers with the waves.
 pub(crate) async fn waves(
@@ -46,7 +47,7 @@
 ) -> WebResponse {
     let shared = &context.shared;
     answer(match checked_body(shared, headers, body).await {
-        Ok(body) => operations::change_status(shared, &body).await,
+        Ok(body) => operations::change_status(shared, &body.bytes).await,
         Err(error) => Err(error),
     })
 }
@@ -59,7 +60,7 @@
 ) -> WebResponse {
     let shared = &context.shared;
     answer(match checked_body(shared, headers, body).await {
-        Ok(body) => operations::request_move(shared, &body).await,
+        Ok(body) => operations::request_move(shared, &body.bytes).await,
         Err(error) => Err(error),
     })
 }
@@ -82,10 +83,16 @@
 async fn checked_body(
     shared: &Arc<Shared>,
     headers: &HeaderMap,
-    body: RequestBody,
-) -> Result<bytes::Bytes, ErrorAnswer> {
-    check_operator(shared, headers)?;
-    read_text(shared, body).await
+    mut body: RequestBody,
+) -> Result<BufferedBody, ErrorAnswer> {
+    let read = match check_operator(shared, headers) {
+        Ok(()) => read_text(shared, &mut body).await,
+        Err(error) => Err(error),
+    };
+    if read.is_err() {
+        discard_body(&mut body).await;
+    }
+    read
 }
 
 fn checked_query(
--- a/rhubarbfall/tests/waves.rs
+++ b/rhubarbfall/tests/waves.rs
@@ -16,7 +16,7 @@
 const PROGRAM: &str = env!("CARGO_BIN_EXE_rhubarbfall");
 const WAVE: &str = "wave-1";
 /// Longer than a round and a confirmation together, so that a drain has something to wait for.
-const WORK: Duration = Duration::from_millis(1000);
+const WORK: Duration = Duration::from_secs(1);
 const ROLL_OUT_LIMIT: Duration = Duration::from_secs(90);
 
 const SETTINGS: &str = "\
