--- a/rhubarbfall-fleet/src/reason.rs
+++ b/rhubarbfall-fleet/src/reason.rs
@@ -80,17 +80,46 @@
     MoveRequested { from: PoolId, to: PoolId },
     /// The VM belongs to another pool now.
     Moved { from: PoolId, to: PoolId },
-    /// A move would cost more than it earns.
-    MoveNotWorth {
-        earned_slot_seconds: u64,
-        cost_slot_seconds: u64,
-    },
     /// A VM that had no row was taken into a pool.
     Adopted { pool: PoolId },
 }
 
 impl fmt::Display for Reason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::PermitGranted {
+                pool,
+                wave,
+                rack,
+                room_left_vms,
+            } => write!(
+                f,
+                "permit granted for {wave}: rack {rack}, pool {pool} has room for {room_left_vms} more"
+            ),
+            Self::RebootPermitted { wave } => write!(f, "empty; {wave} may reboot it"),
+            Self::Rebooted { wave } => write!(f, "rebooted by {wave}; has to prove healthy"),
+            Self::TakenBack { pool } => write!(f, "healthy; takes work of pool {pool}"),
+            Self::NotBack { after_s } => write!(f, "not back after {after_s} s"),
+            Self::OutageRecorded {
+                pool,
+                unavailable_vms,
+                max_unavailable_vms,
+            } => write!(
+                f,
+                "fails its health check: {unavailable_vms} of {max_unavailable_vms} VMs of pool {pool} unavailable"
+            ),
+            Self::OutageCleared { pool } => write!(f, "healthy again in pool {pool}"),
+            Self::RebootedWithoutPermit { wave } => {
+                write!(f, "the platform rebooted it for {wave} without a permit")
+            }
+            Self::Adopted { pool } => write!(f, "had no row; taken into pool {pool}"),
+            other => other.fmt_wait_or_move(f),
+        }
+    }
+}
+
+impl Reason {
+    fn fmt_wait_or_move(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::WaitsForBudget { refusal } => write!(f, "waits for the budget: {refusal}"),
             Self::WaitsForBatch {
@@ -123,7 +152,17 @@
                     "waits for {missing_entries} entries to confirm the drain"
                 )
             }
-            Self::NotBack { after_s } => write!(f, "not back after {after_s} s"),
+            Self::MoveStarted {
+                from,
+                to,
+                wanted_vms,
+                available_vms,
+            } => write!(
+                f,
+                "moves from {from} to {to}, which wants {wanted_vms} VMs and has {available_vms}"
+            ),
+            Self::MoveRequested { from, to } => write!(f, "asked to move from {from} to {to}"),
+            Self::Moved { from, to } => write!(f, "moved from {from} to {to}"),
             other => write!(f, "{other:?}"),
         }
     }
--- a/rhubarbfall-fleet/src/wave_policy.rs
+++ b/rhubarbfall-fleet/src/wave_policy.rs
@@ -67,7 +67,7 @@
     fn default() -> Self {
         Self {
             first_batch_vms: 4,
-            growth_per_done_vms: 4,
+            growth_per_done_vms: 16,
             failed_one_in: 20,
             busy_percent: 90,
             demand_wait_percent: 5,
