--- a/rhubarbfall-entry/src/control/control_thread.rs
+++ b/rhubarbfall-entry/src/control/control_thread.rs
@@ -7,6 +7,7 @@
 use tokio::time::sleep;
 
 use super::upstream_poll;
+use crate::fleet::{run_duty, run_registration, withdraw};
 use crate::routing::{run_claims, run_health_checks};
 use crate::{Phase, Shared, admission, membership};
 
@@ -39,6 +40,8 @@
     duties.spawn_local(admission::run(Arc::clone(shared)));
     duties.spawn_local(run_claims(Arc::clone(shared)));
     duties.spawn_local(run_health_checks(Arc::clone(shared)));
+    duties.spawn_local(run_registration(Arc::clone(shared)));
+    duties.spawn_local(run_duty(Arc::clone(shared)));
     duties.block_on(&runtime, async {
         if handles_signals {
             let mut terminate = signal(SignalKind::terminate())?;
@@ -73,5 +76,6 @@
     }
     sleep(FLUSH_TIME).await;
     let in_flight = shared.lifecycle.in_flight();
+    withdraw(shared).await;
     log::info!("event=stop phase=stopped in_flight={in_flight}");
 }
--- a/rhubarbfall-entry/src/operator/mod.rs
+++ b/rhubarbfall-entry/src/operator/mod.rs
@@ -9,7 +9,10 @@
 mod server;
 mod state_dump;
 
+pub(crate) use answer::answer;
+pub(crate) use document_endpoints::read_text;
 pub use fleet_status::FleetStatus;
 pub(crate) use fleet_status::register as register_status;
+pub(crate) use operator_key::check_operator;
 pub use server::{OperatorContext, serve};
 pub use state_dump::StateDump;
--- a/rhubarbfall-entry/src/settings/settings.rs
+++ b/rhubarbfall-entry/src/settings/settings.rs
@@ -5,6 +5,7 @@
     ControlSettings, EntrySettings, LimitSettings, ListenSettings, LogSettings, PlatformSettings,
     QueueSettings, SecretSettings, SettingsError, StopSettings, TrafficSettings,
 };
+use crate::fleet::FleetSettings;
 
 /// The rule of numbers that must not be zero.
 const AT_LEAST_ONE: &str = "must be at least 1";
@@ -32,6 +33,8 @@
     pub limits: LimitSettings,
     /// The bounds of the queues.
     pub queues: QueueSettings,
+    /// How maintenance waves and moves go.
+    pub fleet: FleetSettings,
     /// What is logged and how.
     pub log: LogSettings,
 }
@@ -55,11 +58,13 @@
         let claims = reader.optional("claims");
         let limits = reader.optional("limits");
         let queues = reader.optional("queues");
+        let fleet = reader.optional("fleet");
         let log = reader.optional("log");
         check_platform(platform.as_ref(), &mut reader);
         check_traffic(&traffic, &mut reader);
         check_control(&control, &mut reader);
         check_limits(&limits, &mut reader);
+        check_fleet(&fleet, &mut reader);
         check_log(&log, &mut reader);
         let faults = reader.finish();
         match (entry, listen, platform, secrets) {
@@ -75,6 +80,7 @@
                     claims,
                     limits,
                     queues,
+                    fleet,
                     log,
                 })
             }
@@ -130,6 +136,18 @@
     }
 }
 
+fn check_fleet(fleet: &FleetSettings, reader: &mut SectionReader<'_>) {
+    let numbers = [
+        ("fleet.lease_ms", fleet.lease_ms),
+        ("fleet.round_ms", fleet.round_ms),
+        ("fleet.confirm_ms", fleet.confirm_ms),
+        ("fleet.first_batch_vms", u64::from(fleet.first_batch_vms)),
+    ];
+    for (path, number) in numbers {
+        reader.rule(path, number > 0, AT_LEAST_ONE);
+    }
+}
+
 fn check_log(log: &LogSettings, reader: &mut SectionReader<'_>) {
     let is_level = log.level.parse::<log::LevelFilter>().is_ok();
     let rule = "must be off, error, warn, info, debug or trace";
--- a/rhubarbfall-entry/src/shared.rs
+++ b/rhubarbfall-entry/src/shared.rs
@@ -9,6 +9,7 @@
 use rhubarbfall_platform::vms::VmListClient;
 
 use crate::dispatch::Dispatcher;
+use crate::fleet::FleetState;
 use crate::membership::Membership;
 use crate::operator::FleetStatus;
 use crate::routing::{ClaimService, Upstreams};
@@ -38,6 +39,8 @@
     pub connections: UpstreamConnections,
     /// Which revisions the other entries have in force.
     pub fleet_status: FleetStatus,
+    /// Waves, moves and drains.
+    pub fleet: FleetState,
     /// The memory for the bodies of requests.
     pub body_budget: Arc<BodyBudget>,
     /// Claims of non-idempotent requests.
@@ -56,6 +59,7 @@
         let zone = &settings.entry.availability_zone;
         let timeout = platform.timeout();
         Self {
+            fleet: FleetState::new(&settings),
             table: TableClient::new(platform.table, zone.clone(), timeout),
             vm_list: VmListClient::new(platform.vms, zone.clone(), timeout),
             connections: UpstreamConnections::new(
