--- a/rhubarbfall-entry/src/operator/state_dump.rs
+++ b/rhubarbfall-entry/src/operator/state_dump.rs
@@ -3,6 +3,7 @@
 use serde::Serialize;
 
 use crate::dispatch::DispatchSnapshot;
+use crate::membership::MembershipSnapshot;
 use crate::{Phase, Shared};
 
 /// The state of one process, for people and for tests.
@@ -20,6 +21,8 @@
     pub revision: Option<Revision>,
     /// Whether the document is known to be the newest.
     pub is_document_fresh: bool,
+    /// The other entries and the evidence.
+    pub membership: Option<MembershipSnapshot>,
     /// Waiting and running requests.
     pub dispatch: DispatchSnapshot,
     /// The health of upstreams.
@@ -39,6 +42,7 @@
             in_flight: shared.lifecycle.in_flight(),
             revision: shared.document.load().as_ref().map(|doc| doc.revision),
             is_document_fresh: shared.is_document_fresh(),
+            membership: shared.membership.snapshot(shared.clock.now()),
             dispatch: shared.dispatcher.snapshot(),
             upstreams: shared.upstreams.snapshot(),
             claims: shared.claims.state(),
