--- a/rhubarbfall-entry/src/settings/settings.rs
+++ b/rhubarbfall-entry/src/settings/settings.rs
@@ -65,6 +65,7 @@
         check_control(&control, &mut reader);
         check_limits(&limits, &mut reader);
         check_fleet(&fleet, &mut reader);
+        check_claims(&claims, &mut reader);
         check_log(&log, &mut reader);
         let faults = reader.finish();
         match (entry, listen, platform, secrets) {
@@ -89,6 +90,26 @@
     }
 }
 
+fn check_claims(claims: &ClaimSettings, reader: &mut SectionReader<'_>) {
+    let numbers = [
+        ("claims.window_ms", claims.window_ms),
+        ("claims.max_wait_ms", claims.max_wait_ms),
+        ("claims.append_interval_ms", claims.append_interval_ms),
+        ("claims.append_burst", u64::from(claims.append_burst)),
+        (
+            "claims.max_claims_per_append",
+            claims.max_claims_per_append as u64,
+        ),
+        (
+            "claims.max_waiting_claims",
+            claims.max_waiting_claims as u64,
+        ),
+    ];
+    for (key, number) in numbers {
+        reader.rule(key, number > 0, AT_LEAST_ONE);
+    }
+}
+
 fn check_platform(platform: Option<&PlatformSettings>, reader: &mut SectionReader<'_>) {
     let timeout_ms = platform.map_or(1, |platform| platform.timeout_ms);
     reader.rule("platform.timeout_ms", timeout_ms > 0, AT_LEAST_ONE);
