--- a/rhubarbctl/src/arguments.rs
+++ b/rhubarbctl/src/arguments.rs
@@ -3,7 +3,7 @@
 
 use clap::{Arg, ArgAction, ArgGroup, Command, value_parser};
 use rhubarbfall_core::{
-    PoolId, Revision, SectionVersion, ShareWeight, Slots, TeamId, UpstreamId, VmCount,
+    PoolId, Revision, SectionVersion, ShareWeight, Slots, TeamId, UpstreamId, VmCount, VmId, WaveId,
 };
 use rhubarbfall_document::{AccessKey, SectionId};
 
@@ -20,6 +20,9 @@
         .subcommand(pool())
         .subcommand(entry())
         .subcommand(upstream())
+        .subcommand(wave())
+        .subcommand(explain())
+        .subcommand(move_vm())
         .subcommand(Command::new("state").about("Prints the whole state of the entry"))
         .subcommand(
             Command::new("status").about("Shows which entries have which revision in force"),
@@ -159,6 +162,18 @@
                 .arg(Arg::new("label").required(true).help("The key's name")),
         )
         .subcommand(Command::new("list").about("Lists the granted keys"))
+        .subcommand(
+            Command::new("new")
+                .about("Makes a key for the first document, without an entry")
+                .arg(
+                    Arg::new("settings")
+                        .long("settings")
+                        .value_name("FILE")
+                        .help("An entry's settings, which hold the fleet's pepper")
+                        .value_parser(value_parser!(PathBuf))
+                        .required(true),
+                ),
+        )
 }
 
 fn team() -> Command {
@@ -233,6 +248,52 @@
         )
 }
 
+fn wave() -> Command {
+    let command = |name: &'static str, about: &'static str| {
+        Command::new(name).about(about).arg(id::<WaveId>())
+    };
+    group("wave", "Shows and steers maintenance waves")
+        .subcommand(Command::new("list").about("Lists the waves"))
+        .subcommand(command("show", "Shows a wave"))
+        .subcommand(command(
+            "plan",
+            "Shows when each VM is taken and why, or what it waits for",
+        ))
+        .subcommand(command("pause", "Grants no new permits"))
+        .subcommand(command("resume", "Grants permits again"))
+        .subcommand(command(
+            "stop",
+            "Grants no new permits, and undoes drains that have not led to a reboot",
+        ))
+}
+
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Explains why something waits, was moved, refused or stopped")
+        .arg(
+            Arg::new("kind")
+                .required(true)
+                .value_parser(["vm", "pool", "team", "wave"])
+                .help("What to explain"),
+        )
+        .arg(Arg::new("id").required(true).help("The identifier"))
+}
+
+fn move_vm() -> Command {
+    Command::new("move")
+        .about("Asks for a VM to be moved to a pool")
+        .arg(
+            Arg::new("vm")
+                .required(true)
+                .value_parser(value_parser!(VmId)),
+        )
+        .arg(
+            Arg::new("pool")
+                .required(true)
+                .value_parser(value_parser!(PoolId)),
+        )
+}
+
 fn group(name: &'static str, about: &'static str) -> Command {
     Command::new(name)
         .about(about)
--- a/rhubarbfall-entry/src/lib.rs
+++ b/rhubarbfall-entry/src/lib.rs
@@ -3,13 +3,16 @@
 //! Traffic threads serve callers. One control thread polls the platform and keeps the state in
 //! [`Shared`] up to date. Operators use an HTTP interface of their own.
 
+mod admission;
 pub mod control;
 pub mod dispatch;
 mod document;
 mod entry;
+pub mod fleet;
 mod lifecycle;
 pub mod membership;
 pub mod operator;
+pub mod routing;
 pub mod settings;
 mod shared;
 pub mod traffic;
--- a/rhubarbfall-entry/src/operator/document_endpoints.rs
+++ b/rhubarbfall-entry/src/operator/document_endpoints.rs
@@ -78,7 +78,7 @@
 }
 
 /// Reads the body of a request to the operators' interface.
-pub(super) async fn read_text(
+pub(crate) async fn read_text(
     shared: &Shared,
     body: &mut RequestBody,
 ) -> Result<BufferedBody, ErrorAnswer> {
--- a/rhubarbfall-entry/src/operator/state_dump.rs
+++ b/rhubarbfall-entry/src/operator/state_dump.rs
@@ -1,7 +1,9 @@
 use rhubarbfall_core::{AvailabilityZoneId, EntryId, Revision};
+use rhubarbfall_routing::{ClaimLedgerState, UpstreamView};
 use serde::Serialize;
 
 use crate::dispatch::DispatchSnapshot;
+use crate::fleet::FleetDump;
 use crate::membership::MembershipSnapshot;
 use crate::{Phase, Shared};
 
@@ -24,6 +26,12 @@
     pub membership: Option<MembershipSnapshot>,
     /// Waiting and running requests.
     pub dispatch: DispatchSnapshot,
+    /// The health of upstreams.
+    pub upstreams: Vec<UpstreamView>,
+    /// Claims of non-idempotent requests.
+    pub claims: ClaimLedgerState,
+    /// Waves and moves, while this process holds the zone's lease.
+    pub fleet: FleetDump,
 }
 
 impl StateDump {
@@ -39,6 +47,9 @@
             is_document_fresh: shared.is_document_fresh(),
             membership: shared.membership.snapshot(shared.clock.now()),
             dispatch: shared.dispatcher.snapshot(),
+            upstreams: shared.upstreams.snapshot(),
+            claims: shared.claims.state(),
+            fleet: shared.fleet.dump(),
         }
     }
 }
--- a/rhubarbfall-entry/src/shared.rs
+++ b/rhubarbfall-entry/src/shared.rs
@@ -9,7 +9,10 @@
 use rhubarbfall_platform::vms::VmListClient;
 
 use crate::dispatch::Dispatcher;
+use crate::fleet::FleetState;
 use crate::membership::Membership;
+use crate::operator::FleetStatus;
+use crate::routing::{ClaimService, Upstreams};
 use crate::traffic::{BodyBudget, UpstreamConnections};
 use crate::{Lifecycle, Settings};
 
@@ -30,10 +33,18 @@
     pub lifecycle: Lifecycle,
     /// Waiting and running requests.
     pub dispatcher: Arc<Dispatcher>,
+    /// The health of upstreams, and repeats of failed attempts.
+    pub upstreams: Upstreams,
     /// Connections to upstreams.
     pub connections: UpstreamConnections,
+    /// Which revisions the other entries have in force.
+    pub fleet_status: FleetStatus,
+    /// Waves, moves and drains.
+    pub fleet: FleetState,
     /// The memory for the bodies of requests.
     pub body_budget: Arc<BodyBudget>,
+    /// Claims of non-idempotent requests.
+    pub claims: Arc<ClaimService>,
     /// The platform's table.
     pub table: TableClient,
     /// The platform's list of VMs.
@@ -48,13 +59,22 @@
         let zone = &settings.entry.availability_zone;
         let timeout = platform.timeout();
         Self {
+            fleet: FleetState::new(&settings),
             table: TableClient::new(platform.table, zone.clone(), timeout),
             vm_list: VmListClient::new(platform.vms, zone.clone(), timeout),
-            connections: UpstreamConnections::new(Duration::from_millis(
-                settings.traffic.connect_timeout_ms,
+            connections: UpstreamConnections::new(
+                Arc::clone(&clock),
+                Duration::from_millis(settings.traffic.connect_timeout_ms),
+            ),
+            upstreams: Upstreams::new(Arc::clone(&clock)),
+            dispatcher: Arc::new(Dispatcher::new(Arc::clone(&clock), &settings)),
+            claims: Arc::new(ClaimService::new(
+                &clock,
+                &settings.entry.id,
+                settings.claims,
             )),
+            fleet_status: FleetStatus::default(),
             body_budget: Arc::new(BodyBudget::new(settings.traffic.max_buffered_bytes)),
-            dispatcher: Arc::new(Dispatcher::new()),
             document_guard: Mutex::new(()),
             document: ArcSwapOption::empty(),
             membership: Membership::new(),
--- a/rhubarbfall/tests/bad_input.rs
+++ b/rhubarbfall/tests/bad_input.rs
@@ -4,6 +4,7 @@
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::process::Command;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use http::Method;
@@ -26,8 +27,11 @@
     TestFleet::start(PROGRAM, shape.extra_settings(SMALL_LIMITS)).expect("the fleet starts")
 }
 
+/// A request with an identifier of its own, since one that is taken is refused as a duplicate.
 fn labels(fleet: &TestFleet) -> Request {
-    Request::to_queue(fleet.entries[0].callers(), "labels-urgent", "r1").key("house-a-key")
+    static NEXT_REQUEST: AtomicU64 = AtomicU64::new(0);
+    let id = format!("r{}", NEXT_REQUEST.fetch_add(1, Ordering::Relaxed));
+    Request::to_queue(fleet.entries[0].callers(), "labels-urgent", &id).key("house-a-key")
 }
 
 fn resident_kb(fleet: &TestFleet) -> u64 {
@@ -216,6 +220,27 @@
     assert_goes_on(&fleet);
 }
 
+#[test]
+fn garbage_from_peers_ends_the_connection_only() {
+    let fleet = start();
+    let before_kb = resident_kb(&fleet);
+    let address = fleet.entries[0].process.address("peers");
+    let garbage: Vec<u8> = (0..1_000_000_u32).map(|n| (n * 31 % 251) as u8).collect();
+    let huge_frame = [&u32::MAX.to_be_bytes()[..], &vec![b'x'; 1_000_000]].concat();
+    let empty_frames = vec![0; 100_000];
+    for bytes in [&garbage, &huge_frame, &empty_frames] {
+        // Whatever comes back is no more than a greeting.
+        assert!(raw(address, bytes).len() < 1_000);
+    }
+    let silent: Vec<TcpStream> = (0..200)
+        .map(|_| TcpStream::connect(address).expect("the port is open"))
+        .collect();
+    assert_goes_on(&fleet);
+    drop(silent);
+    assert!(resident_kb(&fleet) < before_kb + MAX_GROWTH_KB);
+    assert_goes_on(&fleet);
+}
+
 #[test]
 fn bad_settings_end_with_exit_code_two_and_every_fault() {
     let directory = TempDir::new().expect("a directory");
--- a/rhubarbfall/tests/membership.rs
+++ b/rhubarbfall/tests/membership.rs
@@ -40,13 +40,16 @@
     fleet
 }
 
+/// Idempotent work needs no claim in the table, so that the answer depends on the key alone.
 fn keyed(fleet: &TestFleet, entry: &EntryProcess, key: &str) -> Option<u16> {
     let request = Request::to_queue(entry.callers(), "labels-urgent", &unique_id()).key(key);
+    let request = request.header("x-rhubarbfall-idempotent", "true");
     fleet.send(request).ok()?.code()
 }
 
 fn open(fleet: &TestFleet, entry: &EntryProcess) -> Option<u16> {
     let request = Request::to_queue(entry.callers(), "labels-open", &unique_id());
+    let request = request.header("x-rhubarbfall-idempotent", "true");
     fleet.send(request).ok()?.code()
 }
 
