--- a/rhubarbfall-membership/tests/partitions.rs
+++ b/rhubarbfall-membership/tests/partitions.rs
@@ -67,7 +67,7 @@
         "flap" => {
             let zone = number(case, "zone");
             return run(fleet, number(case, "seconds"), |fleet, second| {
-                let is_cut = second as u64 / FLAP.as_secs() % 2 == 0;
+                let is_cut = (second as u64 / FLAP.as_secs()).is_multiple_of(2);
                 fleet.cut_zones = if is_cut { vec![zone] } else { Vec::new() };
             });
         }
