fix(membership): admit entries before they are settled

A new fleet refused changes that take something away with 4005 for 15 s and longer: entries of other zones counted as admitting one only once their words were settled. A zone's word now names the entries that hold the same roster though their words do not count yet.

--- a/rhubarbfall-membership/src/gossip/compose.rs
+++ b/rhubarbfall-membership/src/gossip/compose.rs
@@ -130,9 +130,18 @@
                 covered += 1;
             } else {
                 summary.uncovered.push(index as u32);
+                if self.is_aware(entry) {
+                    summary.aware.push(index as u32);
+                }
             }
         }
-        (covered > 0).then_some(summary)
+        (covered > 0 || !summary.aware.is_empty()).then_some(summary)
+    }
+
+    /// Returns whether an entry is known to hold the same roster as this one.
+    fn is_aware(&self, entry: &EntryId) -> bool {
+        let digest = self.peers.get(entry).map(|peer| peer.roster_digest);
+        *entry == self.entry || digest == Some(self.roster_digest)
     }
 
     /// Adds the word of one member to a summary; returns false when there is none to add.
--- a/rhubarbfall-membership/src/gossip/receive.rs
+++ b/rhubarbfall-membership/src/gossip/receive.rs
@@ -93,9 +93,17 @@
         let Some((_, entries)) = zone.filter(|(zone, _)| **zone != self.own.zone) else {
             return;
         };
-        let covered = entries.iter().enumerate();
+        let entries: Vec<EntryId> = entries.clone();
+        for index in &summary.aware {
+            let entry = entries.get(*index as usize);
+            if let Some(peer) = entry.and_then(|entry| self.peers.get_mut(entry)) {
+                peer.has_admitted = true;
+                peer.roster_digest = self.roster_digest;
+            }
+        }
+        let covered = entries.into_iter().enumerate();
         let covered = covered.filter(|(index, _)| !summary.uncovered.contains(&(*index as u32)));
-        let covered: Vec<EntryId> = covered.map(|(_, entry)| entry.clone()).collect();
+        let covered: Vec<EntryId> = covered.map(|(_, entry)| entry).collect();
         let Some(time) = earlier(composed, summary.age_ms) else {
             return;
         };
--- a/rhubarbfall-membership/tests/fleet.rs
+++ b/rhubarbfall-membership/tests/fleet.rs
@@ -65,6 +65,13 @@
     }
 }
 
+#[test]
+fn newly_started_entries_are_admitted_before_they_are_settled() {
+    let mut fleet = Fleet::new(ZONES, ENTRIES);
+    fleet.run(Duration::from_secs(8));
+    assert!(fleet.nodes.iter().all(|node| node.gossip.is_admitted()));
+}
+
 #[test]
 fn bytes_of_heartbeats_stay_within_the_budget_of_a_node() {
     let mut fleet = settled();
--- a/rhubarbfall-wire/src/messages/membership.rs
+++ b/rhubarbfall-wire/src/messages/membership.rs
@@ -80,6 +80,9 @@
     /// The places in the sorted roster of the zone's members that are not covered.
     #[prost(uint32, repeated, tag = "6")]
     pub uncovered: Vec<u32>,
+    /// Those of them that are known to hold the same roster.
+    #[prost(uint32, repeated, tag = "7")]
+    pub aware: Vec<u32>,
 }
 
 /// Names an intent.
