--- a/rhubarbctl/src/commands/upstream.rs
+++ b/rhubarbctl/src/commands/upstream.rs
@@ -53,9 +53,10 @@
         ];
         let mut table = TextTable::new(&headings);
         for upstream in upstreams {
+            let service = upstream.service.as_ref();
             table = table.row([
                 upstream.id.to_string(),
-                upstream.service.to_string(),
+                service.map_or_else(|| "-".to_owned(), ToString::to_string),
                 upstream.availability_zone.to_string(),
                 upstream.state.to_string(),
                 upstream.running_slots.to_string(),
--- a/rhubarbfall-document/src/api/upstream_view.rs
+++ b/rhubarbfall-document/src/api/upstream_view.rs
@@ -8,11 +8,11 @@
 pub struct UpstreamView {
     /// The upstream.
     pub id: UpstreamId,
-    /// The service that it serves.
-    pub service: ServiceId,
+    /// The service that it serves for this entry; nothing while it takes no work.
+    pub service: Option<ServiceId>,
     /// Its availability zone.
     pub availability_zone: AvailabilityZoneId,
-    /// Whether it takes work, leaves, or is unhealthy.
+    /// `serving`, `drained`, `leaving`, `ejected` or `silent`; only the first takes new work.
     pub state: Arc<str>,
     /// The slots that run work of this entry.
     pub running_slots: u32,
--- a/rhubarbfall-entry/src/control/control_thread.rs
+++ b/rhubarbfall-entry/src/control/control_thread.rs
@@ -7,11 +7,15 @@
 use tokio::time::sleep;
 
 use super::upstream_poll;
+use crate::routing::{run_claims, run_health_checks};
 use crate::{Phase, Shared, membership};
 
 /// How often a stopping process looks whether its requests have ended.
 const STOP_POLL: Duration = Duration::from_millis(20);
 
+/// How long the last bytes of an answer may take from its body's end to the socket.
+const FLUSH_TIME: Duration = Duration::from_millis(200);
+
 /// Runs the control duties until a planned stop is complete.
 ///
 /// # Errors
@@ -32,6 +36,8 @@
         runtime.handle().clone(),
     ));
     duties.spawn_local(upstream_poll::run(Arc::clone(shared)));
+    duties.spawn_local(run_claims(Arc::clone(shared)));
+    duties.spawn_local(run_health_checks(Arc::clone(shared)));
     duties.block_on(&runtime, async {
         if handles_signals {
             let mut terminate = signal(SignalKind::terminate())?;
@@ -64,6 +70,7 @@
     while shared.lifecycle.in_flight() > 0 && shared.clock.now() < deadline {
         sleep(STOP_POLL).await;
     }
+    sleep(FLUSH_TIME).await;
     let in_flight = shared.lifecycle.in_flight();
     log::info!("event=stop phase=stopped in_flight={in_flight}");
 }
--- a/rhubarbfall-entry/src/settings/settings.rs
+++ b/rhubarbfall-entry/src/settings/settings.rs
@@ -1,3 +1,5 @@
+use rhubarbfall_routing::ClaimSettings;
+
 use super::section_reader::SectionReader;
 use super::{
     ControlSettings, EntrySettings, ListenSettings, LogSettings, PlatformSettings, SecretSettings,
@@ -24,6 +26,8 @@
     pub control: ControlSettings,
     /// How a planned stop goes.
     pub stop: StopSettings,
+    /// How non-idempotent requests are recorded.
+    pub claims: ClaimSettings,
     /// What is logged and how.
     pub log: LogSettings,
 }
@@ -44,6 +48,7 @@
         let traffic = reader.optional("traffic");
         let control = reader.optional("control");
         let stop = reader.optional("stop");
+        let claims = reader.optional("claims");
         let log = reader.optional("log");
         check_platform(platform.as_ref(), &mut reader);
         check_traffic(&traffic, &mut reader);
@@ -60,6 +65,7 @@
                     traffic,
                     control,
                     stop,
+                    claims,
                     log,
                 })
             }
