--- a/rhubarbfall-admission/src/rights/rights_settings.rs
+++ b/rhubarbfall-admission/src/rights/rights_settings.rs
@@ -12,6 +12,9 @@
 /// platform's list of VMs.
 const MIN_RECLAIM_DELAY_MS: u64 = 60_000;
 
+/// Work that a right was taken for is sent within this time or not at all.
+pub const MAX_START_DELAY: Duration = Duration::from_secs(1);
+
 /// How rights are lent and taken back.
 ///
 /// # Examples
@@ -82,7 +85,7 @@
     #[must_use]
     pub fn lender_hold(&self) -> Duration {
         let drift = self.loan_lease * CLOCK_DRIFT_PER_MILLE / 1_000;
-        self.loan_lease + drift + self.request_hold()
+        self.loan_lease + drift + MAX_START_DELAY + self.request_hold()
     }
 
     /// Returns how long a right stays taken when the end of its work is unknown.
--- a/rhubarbfall-entry/src/dispatch/dispatcher.rs
+++ b/rhubarbfall-entry/src/dispatch/dispatcher.rs
@@ -1,26 +1,38 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
-use rhubarbfall_core::{ResultCode, ServiceId, Slots, TeamId, UpstreamId};
+use rhubarbfall_admission::{Admission, Rights, Ticket, WorkEnd};
+use rhubarbfall_core::{
+    Incarnation, LiteMap, ResultCode, ServiceId, SharedClock, Slots, UpstreamId,
+};
 use rhubarbfall_document::Document;
 use tokio::sync::oneshot;
 
 use super::dispatch_state::DispatchState;
 use super::{DispatchSnapshot, Permit, Work};
+use crate::Settings;
 
 /// Lets waiting requests start as upstreams and teams' limits have room.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Dispatcher {
     state: Mutex<DispatchState>,
+    clock: SharedClock,
 }
 
 impl Dispatcher {
     /// Creates a dispatcher that knows no service yet.
     #[must_use]
-    pub fn new() -> Self {
-        Self::default()
+    pub fn new(clock: SharedClock, settings: &Settings) -> Self {
+        let entry = settings.entry.id.clone();
+        let rights = Rights::new(entry, Incarnation::default(), settings.limits.rights());
+        let admission = Admission::new(settings.queues.admission(), rights);
+        Self {
+            state: Mutex::new(DispatchState::new(admission)),
+            clock,
+        }
     }
 
     /// Takes the limits and services of a document.
@@ -47,16 +59,21 @@
     pub async fn acquire(self: &Arc<Self>, work: Work, now: Instant) -> Result<Permit, ResultCode> {
         let remaining = work.deadline.saturating_duration_since(now);
         let (reply, permit) = oneshot::channel();
-        self.update(|state| {
+        let ticket = self.update(|state| {
             if !state.has_upstream(&work.service) {
                 return Err(ResultCode::NoUpstream);
             }
-            state.push(work, reply).map_err(|_| ResultCode::QueueFull)
+            let pushed = state.push(now, work, reply);
+            pushed.map_err(|rejection| rejection.code)
         })?;
+        let _place = Place {
+            dispatcher: self,
+            ticket,
+        };
         tokio::time::timeout(remaining, permit)
             .await
             .map_err(|_| ResultCode::DeadlinePassed)?
-            .map_err(|_| ResultCode::EntryStopping)
+            .map_err(|_| ResultCode::EntryStopping)?
     }
 
     /// Takes how long an upstream took for an answer, or that there was none.
@@ -73,37 +90,67 @@
 
     pub(super) fn release(
         self: &Arc<Self>,
-        team: &TeamId,
+        ticket: Ticket,
         service: &ServiceId,
         upstream: &UpstreamId,
+        end: WorkEnd,
     ) {
-        self.update(|state| state.release(team, service, upstream));
+        let now = self.clock.now();
+        self.update(|state| state.release(now, ticket, service, upstream, end));
+    }
+
+    /// Changes queues and rights, and starts what may start after the change.
+    pub(crate) fn change<T>(self: &Arc<Self>, change: impl FnOnce(&mut Admission) -> T) -> T {
+        self.update(|state| change(&mut state.admission))
+    }
+
+    /// Returns the slots of the upstreams that take work, by service.
+    pub(crate) fn capacity_slots(&self) -> LiteMap<ServiceId, u32> {
+        self.state.lock().capacity_slots()
     }
 
     /// Copies the state for the dump.
     #[must_use]
     pub fn snapshot(&self) -> DispatchSnapshot {
-        self.state.lock().snapshot()
+        self.state.lock().snapshot(self.clock.now())
     }
 
-    /// Changes the state and delivers every start that the change allows.
+    /// Changes the state and delivers every decision that the change allows.
     fn update<T>(self: &Arc<Self>, change: impl FnOnce(&mut DispatchState) -> T) -> T {
-        let (result, starts) = {
+        let (result, decisions, now) = {
             let mut state = self.state.lock();
             let result = change(&mut state);
-            (result, state.pump())
+            let now = self.clock.now();
+            (result, state.pump(now), now)
         };
-        for start in starts {
+        for (reply, code) in decisions.refusals {
+            drop(reply.send(Err(code)));
+        }
+        for start in decisions.starts {
             let permit = Permit {
                 dispatcher: Arc::clone(self),
-                team: start.work.team,
-                service: start.work.service,
+                ticket: start.ticket,
+                service: start.service,
                 upstream: start.upstream,
                 address: start.address,
+                granted_at: now,
+                is_running: AtomicBool::new(false),
             };
             // A waiter that has given up drops the permit, which releases it.
-            drop(start.reply.send(permit));
+            drop(start.reply.send(Ok(permit)));
         }
         result
     }
 }
+
+/// A place in a queue, which is freed when its waiter gives up.
+struct Place<'a> {
+    dispatcher: &'a Arc<Dispatcher>,
+    ticket: Ticket,
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.dispatcher.update(|state| state.cancel(self.ticket));
+    }
+}
--- a/rhubarbfall/tests/bad_input.rs
+++ b/rhubarbfall/tests/bad_input.rs
@@ -27,6 +27,7 @@
     TestFleet::start(PROGRAM, shape.extra_settings(SMALL_LIMITS)).expect("the fleet starts")
 }
 
+/// A request with an identifier of its own, since one that is taken is refused as a duplicate.
 fn labels(fleet: &TestFleet) -> Request {
     static NEXT_REQUEST: AtomicU64 = AtomicU64::new(0);
     let id = format!("r{}", NEXT_REQUEST.fetch_add(1, Ordering::Relaxed));
