--- a/rhubarbfall-entry/src/shared.rs
+++ b/rhubarbfall-entry/src/shared.rs
@@ -32,10 +32,10 @@
     pub upstreams: Upstreams,
     /// Connections to upstreams.
     pub connections: UpstreamConnections,
-    /// Claims of non-idempotent requests.
-    pub claims: Arc<ClaimService>,
     /// The memory for the bodies of requests.
     pub body_budget: Arc<BodyBudget>,
+    /// Claims of non-idempotent requests.
+    pub claims: Arc<ClaimService>,
     /// The platform's table.
     pub table: TableClient,
     /// The platform's list of VMs.
--- a/rhubarbfall-entry/src/traffic/attempts.rs
+++ b/rhubarbfall-entry/src/traffic/attempts.rs
@@ -1,5 +1,5 @@
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use rhubarbfall_core::{Execution, ResultCode};
 use rhubarbfall_routing::{Attempt, RetryDecision};
@@ -11,8 +11,11 @@
 use crate::dispatch::{Permit, Work};
 use crate::routing::ClaimGuard;
 
-/// How often a request whose upstream has just become unusable waits for another one.
-const MAX_STALE_PERMITS: u32 = 3;
+/// How long a request waits until upstreams whose last word is too old have been asked again.
+const MAX_WAIT_FOR_WORD: Duration = Duration::from_secs(2);
+
+/// How often such a request looks for a usable upstream.
+const WORD_POLL: Duration = Duration::from_millis(20);
 
 /// Runs a request at an upstream, and at another one if it surely did not run or may run again.
 ///
@@ -84,16 +87,33 @@
     claimed.unwrap_or(Err(ResultCode::ClaimUnchecked)).map(Some)
 }
 
-/// Waits for a permit whose upstream is usable at this instant, since this process may have been
-/// paused after it chose the upstream.
+/// Waits for a permit whose upstream is usable at this instant.
+///
+/// After a pause of this process no upstream is, until each has been asked again; that is worth a
+/// short wait.
 async fn usable_permit(shared: &Arc<Shared>, work: &Work) -> Result<Permit, ResultCode> {
-    for _ in 0..MAX_STALE_PERMITS {
+    let mut without_since = None;
+    loop {
         let now = shared.clock.now();
-        let permit = shared.dispatcher.acquire(work.clone(), now).await?;
-        if shared.upstreams.is_usable(permit.upstream()) {
-            return Ok(permit);
+        let acquired = shared.dispatcher.acquire(work.clone(), now).await;
+        let now = shared.clock.now();
+        let since = *without_since.get_or_insert(now);
+        let is_late = now.duration_since(since) >= MAX_WAIT_FOR_WORD;
+        match acquired {
+            Ok(permit) if shared.upstreams.is_usable(permit.upstream()) => return Ok(permit),
+            Ok(_) if !is_late => {
+                // The dispatcher forgets the upstream, and the next permit is for another.
+                shared.upstreams.refresh(shared);
+                continue;
+            }
+            Err(ResultCode::NoUpstream) if !is_late => {}
+            Ok(_) => return Err(ResultCode::NoUpstream),
+            Err(code) => return Err(code),
+        }
+        if now >= work.deadline || !shared.upstreams.has_prospect(&work.service) {
+            return Err(ResultCode::NoUpstream);
         }
+        sleep(WORD_POLL).await;
         shared.upstreams.refresh(shared);
     }
-    Err(ResultCode::NoUpstream)
 }
--- a/rhubarbfall/tests/bad_input.rs
+++ b/rhubarbfall/tests/bad_input.rs
@@ -4,7 +4,7 @@
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::process::Command;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use http::Method;
@@ -29,8 +29,8 @@
 
 /// A request with an identifier of its own, since one that is taken is refused as a duplicate.
 fn labels(fleet: &TestFleet) -> Request {
-    static NUMBER: AtomicU32 = AtomicU32::new(0);
-    let id = format!("r{}", NUMBER.fetch_add(1, Ordering::Relaxed));
+    static NEXT_REQUEST: AtomicU64 = AtomicU64::new(0);
+    let id = format!("r{}", NEXT_REQUEST.fetch_add(1, Ordering::Relaxed));
     Request::to_queue(fleet.entries[0].callers(), "labels-urgent", &id).key("house-a-key")
 }
 
--- a/rhubarbfall/tests/routing.rs
+++ b/rhubarbfall/tests/routing.rs
@@ -265,3 +265,20 @@
     assert_eq!(status.and_then(|status| status.code()), Some(0));
     assert_eq!(fleet.log.report().started, 12);
 }
+
+#[test]
+fn entry_that_was_paused_asks_an_upstream_before_it_sends_work() {
+    let fleet = TestFleet::start(PROGRAM, one_zone()).expect("the fleet starts");
+    let entry = &fleet.entries[0];
+    entry.process.freeze();
+    fleet.upstreams[0].set_mode(UpstreamMode::Leaving);
+    std::thread::sleep(Duration::from_millis(3_200));
+    entry.process.resume();
+    let requests = (0..8)
+        .map(|number| idempotent(entry.callers(), &format!("paused-{number}")))
+        .collect();
+    for answer in fleet.send_all(requests) {
+        assert_eq!(answer.expect("an answer").code(), Some(1000));
+    }
+    assert_eq!(fleet.log.report().started_after_leaving, 0);
+}
