--- a/rhubarbfall-entry/src/control/control_thread.rs
+++ b/rhubarbfall-entry/src/control/control_thread.rs
@@ -6,27 +6,42 @@
 use tokio::task::LocalSet;
 use tokio::time::sleep;
 
-use super::{document_poll, upstream_poll};
+use super::upstream_poll;
 use crate::fleet::{run_duty, run_registration, withdraw};
-use crate::{Phase, Shared};
+use crate::routing::{run_claims, run_health_checks};
+use crate::{Phase, Shared, admission, membership};
 
 /// How often a stopping process looks whether its requests have ended.
 const STOP_POLL: Duration = Duration::from_millis(20);
 
+/// How long the last bytes of an answer may take from its body's end to the socket.
+const FLUSH_TIME: Duration = Duration::from_millis(200);
+
 /// Runs the control duties until a planned stop is complete.
 ///
 /// # Errors
 ///
 /// Any error of the system when the runtime or the signal handler cannot be set up.
-pub fn run(shared: &Arc<Shared>, handles_signals: bool) -> io::Result<()> {
+pub fn run(
+    shared: &Arc<Shared>,
+    peers: std::net::TcpListener,
+    handles_signals: bool,
+) -> io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
     let duties = LocalSet::new();
-    duties.spawn_local(document_poll::run(Arc::clone(shared)));
+    duties.spawn_local(membership::run(
+        Arc::clone(shared),
+        peers,
+        runtime.handle().clone(),
+    ));
     duties.spawn_local(upstream_poll::run(Arc::clone(shared)));
     duties.spawn_local(run_registration(Arc::clone(shared)));
     duties.spawn_local(run_duty(Arc::clone(shared)));
+    duties.spawn_local(admission::run(Arc::clone(shared)));
+    duties.spawn_local(run_claims(Arc::clone(shared)));
+    duties.spawn_local(run_health_checks(Arc::clone(shared)));
     duties.block_on(&runtime, async {
         if handles_signals {
             let mut terminate = signal(SignalKind::terminate())?;
@@ -59,6 +74,7 @@
     while shared.lifecycle.in_flight() > 0 && shared.clock.now() < deadline {
         sleep(STOP_POLL).await;
     }
+    sleep(FLUSH_TIME).await;
     let in_flight = shared.lifecycle.in_flight();
     withdraw(shared).await;
     log::info!("event=stop phase=stopped in_flight={in_flight}");
--- a/rhubarbfall-entry/src/control/upstream_poll.rs
+++ b/rhubarbfall-entry/src/control/upstream_poll.rs
@@ -10,7 +10,7 @@
 use crate::Shared;
 use crate::fleet::FleetState;
 
-/// Reads the list of VMs until the process ends, and routes to the live ones of its zone.
+/// Reads the list of VMs until the process ends, and watches the live ones of its zone.
 pub(super) async fn run(shared: Arc<Shared>) {
     let interval = Duration::from_millis(shared.settings.control.vm_list_poll_ms);
     loop {
@@ -38,10 +38,7 @@
             .filter_map(|vm| Some((vm.id.as_str().parse().ok()?, vm.address)))
             .filter(|(id, _)| !document.is_drained(id))
             .collect();
-        let slots = service.slots_per_upstream;
-        shared
-            .dispatcher
-            .set_upstreams(&service.id, slots, &upstreams);
+        shared.upstreams.set_listed(&service.id, &upstreams);
     }
     shared.fleet.set_applied(rows);
     Ok(())
--- a/rhubarbfall-entry/src/dispatch/work.rs
+++ b/rhubarbfall-entry/src/dispatch/work.rs
@@ -1,17 +1,7 @@
 use std::time::Instant;
 
-use rhubarbfall_core::{QueueId, RequestId, ServiceId, TeamId};
-use serde::{Deserialize, Serialize};
-
-/// How soon work is needed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum WorkClass {
-    /// Somebody waits for the answer.
-    Urgent,
-    /// The work may wait until its deadline.
-    Batch,
-}
+pub use rhubarbfall_admission::WorkClass;
+use rhubarbfall_core::{QueueId, RequestId, ServiceId, TeamId, UpstreamId};
 
 /// One request that asks for an upstream.
 #[derive(Debug, Clone)]
@@ -28,4 +18,6 @@
     pub class: WorkClass,
     /// When it must have started.
     pub deadline: Instant,
+    /// Upstreams where an attempt failed; others are preferred.
+    pub avoided: Vec<UpstreamId>,
 }
--- a/rhubarbfall-entry/src/fleet/duty.rs
+++ b/rhubarbfall-entry/src/fleet/duty.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, UNIX_EPOCH};
 
-use rhubarbfall_core::{EntryId, LiteMap, PoolId};
+use rhubarbfall_core::{EntryId, FencingNumber, LiteMap, PoolId};
 use rhubarbfall_document::Document;
 use rhubarbfall_fleet::{
     Budget, DrainConfirmation, FleetTransaction, Observation, Order, Rows, VmRow, ZoneFleet,
@@ -15,7 +15,6 @@
 use tokio::time::sleep;
 
 use super::health_probe::HealthProbe;
-use super::lease_keeper::LeaseKeeper;
 use super::read_rows::{read_announcements, read_entries, read_rows};
 use super::registration::add_demand;
 use super::{EntryFleetRow, FleetDump};
@@ -24,7 +23,6 @@
 /// The duty with what it keeps between rounds.
 struct Duty {
     shared: Arc<Shared>,
-    lease: LeaseKeeper,
     probe: HealthProbe,
     fleet: ZoneFleet,
     /// When entries were first seen as gone.
@@ -36,7 +34,6 @@
     let interval = Duration::from_millis(shared.settings.fleet.round_ms);
     let mut duty = Duty::new(shared);
     loop {
-        duty.lease.step().await;
         if let Err(error) = duty.round().await {
             log::warn!("event=fleet-round error={error}");
         }
@@ -58,7 +55,6 @@
             settings.fleet.sizer_policy(),
         );
         Self {
-            lease: LeaseKeeper::new(Arc::clone(&shared)),
             probe: HealthProbe::new(zone),
             fleet,
             gone: LiteMap::new(),
@@ -66,11 +62,16 @@
         }
     }
 
+    /// Returns the fencing number while this process holds the zone's lease.
+    fn fencing(&self) -> Option<FencingNumber> {
+        self.shared.membership.fencing(self.shared.clock.now())
+    }
+
     async fn round(&mut self) -> Result<(), PlatformError> {
         let Some(document) = self.shared.document.load_full() else {
             return Ok(());
         };
-        if self.lease.fencing().is_none() {
+        if self.fencing().is_none() {
             self.fleet.forget();
             self.shared.fleet.set_dump(FleetDump::default());
             return Ok(());
@@ -80,7 +81,7 @@
         let round = self.fleet.round(&observation, now);
         self.publish(&observation, now);
         // The lease may have lapsed since the rows were read.
-        if self.lease.fencing() != observation.fence {
+        if self.fencing() != observation.fence {
             return Ok(());
         }
         self.obey(&round.orders).await;
@@ -91,7 +92,7 @@
     }
 
     async fn observe(&mut self, document: &Document) -> Result<Observation, PlatformError> {
-        let fence = self.lease.fencing();
+        let fence = self.fencing();
         let rows = read_rows(&self.shared).await?;
         let entries = read_entries(&self.shared).await?;
         let announcements = read_announcements(&self.shared).await;
@@ -188,7 +189,7 @@
             let Order::PermitReboot { wave, vm } = order else {
                 continue;
             };
-            if self.lease.fencing().is_none() {
+            if self.fencing().is_none() {
                 return;
             }
             let permit = MaintenancePermit {
--- a/rhubarbfall-entry/src/fleet/mod.rs
+++ b/rhubarbfall-entry/src/fleet/mod.rs
@@ -10,7 +10,6 @@
 mod fleet_settings;
 mod fleet_state;
 mod health_probe;
-mod lease_keeper;
 mod operations;
 mod plan_all;
 mod read_rows;
--- a/rhubarbfall-entry/src/operator/state_dump.rs
+++ b/rhubarbfall-entry/src/operator/state_dump.rs
@@ -1,8 +1,10 @@
 use rhubarbfall_core::{AvailabilityZoneId, EntryId, Revision};
+use rhubarbfall_routing::{ClaimLedgerState, UpstreamView};
 use serde::Serialize;
 
 use crate::dispatch::DispatchSnapshot;
 use crate::fleet::FleetDump;
+use crate::membership::MembershipSnapshot;
 use crate::{Phase, Shared};
 
 /// The state of one process, for people and for tests.
@@ -20,10 +22,16 @@
     pub revision: Option<Revision>,
     /// Whether the document is known to be the newest.
     pub is_document_fresh: bool,
+    /// The other entries and the evidence.
+    pub membership: Option<MembershipSnapshot>,
     /// Waiting and running requests.
     pub dispatch: DispatchSnapshot,
     /// Waves and moves, while this process holds the zone's lease.
     pub fleet: FleetDump,
+    /// The health of upstreams.
+    pub upstreams: Vec<UpstreamView>,
+    /// Claims of non-idempotent requests.
+    pub claims: ClaimLedgerState,
 }
 
 impl StateDump {
@@ -37,8 +45,11 @@
             in_flight: shared.lifecycle.in_flight(),
             revision: shared.document.load().as_ref().map(|doc| doc.revision),
             is_document_fresh: shared.is_document_fresh(),
+            membership: shared.membership.snapshot(shared.clock.now()),
             dispatch: shared.dispatcher.snapshot(),
             fleet: shared.fleet.dump(),
+            upstreams: shared.upstreams.snapshot(),
+            claims: shared.claims.state(),
         }
     }
 }
--- a/rhubarbfall-entry/src/shared.rs
+++ b/rhubarbfall-entry/src/shared.rs
@@ -1,8 +1,7 @@
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
-use parking_lot::Mutex;
 use rhubarbfall_core::SharedClock;
 use rhubarbfall_document::Document;
 use rhubarbfall_platform::table::TableClient;
@@ -10,6 +9,8 @@
 
 use crate::dispatch::Dispatcher;
 use crate::fleet::FleetState;
+use crate::membership::Membership;
+use crate::routing::{ClaimService, Upstreams};
 use crate::traffic::{BodyBudget, UpstreamConnections};
 use crate::{Lifecycle, Settings};
 
@@ -22,18 +23,22 @@
     pub clock: SharedClock,
     /// The document in force.
     pub document: ArcSwapOption<Document>,
-    /// When it was last known that no newer document had been accepted.
-    pub document_confirmed_at: Mutex<Option<Instant>>,
+    /// The other entries, and until when the document in force is proved to be the newest.
+    pub membership: Membership,
     /// The phase of the process.
     pub lifecycle: Lifecycle,
     /// Waiting and running requests.
     pub dispatcher: Arc<Dispatcher>,
+    /// The health of upstreams, and repeats of failed attempts.
+    pub upstreams: Upstreams,
     /// Connections to upstreams.
     pub connections: UpstreamConnections,
     /// Waves, moves and drains.
     pub fleet: FleetState,
     /// The memory for the bodies of requests.
     pub body_budget: Arc<BodyBudget>,
+    /// Claims of non-idempotent requests.
+    pub claims: Arc<ClaimService>,
     /// The platform's table.
     pub table: TableClient,
     /// The platform's list of VMs.
@@ -51,24 +56,29 @@
             fleet: FleetState::new(&settings),
             table: TableClient::new(platform.table, zone.clone(), timeout),
             vm_list: VmListClient::new(platform.vms, zone.clone(), timeout),
-            connections: UpstreamConnections::new(Duration::from_millis(
-                settings.traffic.connect_timeout_ms,
-            )),
+            connections: UpstreamConnections::new(
+                Arc::clone(&clock),
+                Duration::from_millis(settings.traffic.connect_timeout_ms),
+            ),
+            upstreams: Upstreams::new(Arc::clone(&clock)),
             body_budget: Arc::new(BodyBudget::new(settings.traffic.max_buffered_bytes)),
-            dispatcher: Arc::new(Dispatcher::new()),
+            dispatcher: Arc::new(Dispatcher::new(Arc::clone(&clock), &settings)),
+            claims: Arc::new(ClaimService::new(
+                &clock,
+                &settings.entry.id,
+                settings.claims,
+            )),
             document: ArcSwapOption::empty(),
-            document_confirmed_at: Mutex::new(None),
+            membership: Membership::new(),
             lifecycle: Lifecycle::new(),
             clock,
             settings,
         }
     }
 
-    /// Returns whether the document in force is known to have been the newest a moment ago.
+    /// Returns whether the document in force is proved to have been the newest a moment ago.
     #[must_use]
     pub fn is_document_fresh(&self) -> bool {
-        let bound = Duration::from_millis(self.settings.control.freshness_bound_ms);
-        let confirmed_at = *self.document_confirmed_at.lock();
-        confirmed_at.is_some_and(|at| self.clock.now().duration_since(at) < bound)
+        self.membership.is_fresh(self.clock.now())
     }
 }
--- a/rhubarbfall-entry/src/traffic/mod.rs
+++ b/rhubarbfall-entry/src/traffic/mod.rs
@@ -1,10 +1,12 @@
 //! The callers' side: requests in, answers out.
 
+mod attempts;
 mod authorize;
 mod body_budget;
 mod caller_request;
 mod exchange;
 mod handler;
+mod in_flight;
 mod read_body;
 mod refusal;
 mod server;
@@ -13,8 +15,10 @@
 
 pub use body_budget::BodyBudget;
 pub use caller_request::CallerRequest;
+pub(crate) use in_flight::InFlight;
 pub(crate) use read_body::{BufferedBody, discard_body, read_body};
 pub use refusal::Refusal;
 pub(crate) use server::MAX_HEAD_BYTES;
 pub use server::{HttpListener, serve};
 pub use upstream_connections::UpstreamConnections;
+pub(crate) use upstream_connections::{Connection, ask_health};
