--- a/rhubarbfall-entry/src/membership/duties.rs
+++ b/rhubarbfall-entry/src/membership/duties.rs
@@ -4,9 +4,7 @@
 
 use parking_lot::Mutex;
 use prost::Message;
-use rhubarbfall_membership::{
-    DeltaLog, Gossip, Member, MembershipConfig, TablePoll, ZoneLease, ZoneLeaseConfig,
-};
+use rhubarbfall_membership::{DeltaLog, Gossip, Member, MembershipConfig, TablePoll, ZoneLease};
 use rhubarbfall_wire::messages::membership::{
     HEARTBEAT_KIND, INTENT_REQUEST_KIND, IntentReference,
 };
@@ -77,7 +75,12 @@
     operator::register_status(shared, &network);
     let state = State {
         gossip: Gossip::new(config, entry.clone(), own, now),
-        lease: ZoneLease::new(ZoneLeaseConfig::new(), entry, incarnation, now),
+        lease: ZoneLease::new(
+            shared.settings.fleet.lease_config(),
+            entry,
+            incarnation,
+            now,
+        ),
         announced: Vec::new(),
         next_intent: 0,
         behind_since: None,
