--- a/rhubarbfall-entry/src/admission/duties.rs
+++ b/rhubarbfall-entry/src/admission/duties.rs
@@ -2,9 +2,9 @@
 use std::time::Duration;
 
 use rhubarbfall_wire::PeerNetwork;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
-use super::ledger::Ledger;
+use super::ledger::{Ledger, hand_over};
 use super::loans;
 use super::summaries::Summaries;
 use crate::Shared;
@@ -12,6 +12,9 @@
 /// How often rights and portions are looked at.
 const TICK: Duration = Duration::from_millis(100);
 
+/// How long a stopping process tries to give back its rights.
+const HAND_OVER_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Keeps rights and portions up to date until the process ends.
 pub(crate) async fn run(shared: Arc<Shared>) {
     let network = started_network(&shared).await;
@@ -30,6 +33,15 @@
     }
 }
 
+/// Gives back the rights of a process that stops, when the table answers soon enough.
+pub(crate) async fn stop(shared: &Arc<Shared>) {
+    match timeout(HAND_OVER_TIMEOUT, hand_over(shared)).await {
+        Ok(Ok(())) => log::info!("event=rights-handed-over"),
+        Ok(Err(error)) => log::warn!("event=rights-kept error={error}"),
+        Err(_) => log::warn!("event=rights-kept error=timeout"),
+    }
+}
+
 async fn started_network(shared: &Shared) -> PeerNetwork {
     loop {
         if let Some(network) = shared.membership.network() {
--- a/rhubarbfall-entry/src/admission/ledger.rs
+++ b/rhubarbfall-entry/src/admission/ledger.rs
@@ -208,6 +208,48 @@
     }
 }
 
+/// Gives back this process's idle slots, for a planned stop.
+///
+/// What cannot be given back in time is taken over once the VM is listed as gone, or by the
+/// successor on it.
+pub(super) async fn hand_over(shared: &Arc<Shared>) -> Result<(), PlatformError> {
+    let Some(network) = shared.membership.network() else {
+        return Ok(());
+    };
+    let identity = network.identity();
+    for (number, row) in shared
+        .table
+        .scan(LEDGER_PREFIX)
+        .await?
+        .into_iter()
+        .enumerate()
+    {
+        let team = row
+            .key
+            .strip_prefix(LEDGER_PREFIX)
+            .and_then(|id| id.parse().ok());
+        let Some(team) = team else { continue };
+        let current: LedgerRow = row.parse()?;
+        let next = shared.dispatcher.change(|admission| {
+            let rights = admission.rights_mut();
+            let next = rights.plan_hand_over(&team, &current)?;
+            rights.begin(&team, &next);
+            Some(next)
+        });
+        let Some(next) = next else { continue };
+        let value = serde_json::to_value(&next)
+            .map_err(|error| PlatformError::Malformed(error.to_string().into()))?;
+        let writer = format!("hand-over-{}", identity.entry);
+        let id = TransactionId::new(writer, identity.incarnation.get(), number as u64);
+        let transaction = Transaction::new(id)
+            .expect(Arc::clone(&row.key), row.version)
+            .put(Arc::clone(&row.key), value);
+        // The process ends: slots that it has given up are not used again whatever the result is.
+        shared.table.commit(&transaction).await?;
+    }
+    Ok(())
+}
+
 fn jittered(pause: Duration) -> Duration {
     pause.mul_f64(rand::rng().random_range(0.5..1.5))
 }
--- a/rhubarbfall-entry/src/admission/mod.rs
+++ b/rhubarbfall-entry/src/admission/mod.rs
@@ -5,4 +5,4 @@
 mod loans;
 mod summaries;
 
-pub(crate) use duties::run;
+pub(crate) use duties::{run, stop};
--- a/rhubarbfall-entry/src/control/control_thread.rs
+++ b/rhubarbfall-entry/src/control/control_thread.rs
@@ -62,7 +62,7 @@
 }
 
 /// Ends the process without cutting off a request.
-async fn stop(shared: &Shared) {
+async fn stop(shared: &Arc<Shared>) {
     let settings = &shared.settings.stop;
     log::info!("event=stop phase=draining");
     sleep(Duration::from_millis(settings.balancer_grace_ms)).await;
@@ -72,6 +72,7 @@
         sleep(STOP_POLL).await;
     }
     sleep(FLUSH_TIME).await;
+    admission::stop(shared).await;
     let in_flight = shared.lifecycle.in_flight();
     log::info!("event=stop phase=stopped in_flight={in_flight}");
 }
--- a/rhubarbfall/tests/upper_limits.rs
+++ b/rhubarbfall/tests/upper_limits.rs
@@ -137,3 +137,26 @@
     );
     assert_within_limit(&fleet);
 }
+
+#[test]
+fn stopped_entry_hands_its_rights_over() {
+    let mut fleet = start();
+    let first = Load::start(&fleet, fleet.entries[0].callers());
+    wait_until(
+        "one entry uses the whole limit",
+        Duration::from_secs(10),
+        || running(&fleet) == LIMIT,
+    );
+    drop(first);
+    fleet.entries[0].process.terminate();
+    let status = fleet.entries[0].process.wait_exit(Duration::from_secs(10));
+    assert_eq!(status.and_then(|status| status.code()), Some(0));
+    // Nothing proves the process dead, so that its rights would stay with it for good.
+    let _second = Load::start(&fleet, fleet.entries[2].callers());
+    wait_until(
+        "another entry uses the whole limit",
+        Duration::from_secs(8),
+        || running(&fleet) == LIMIT,
+    );
+    assert_within_limit(&fleet);
+}
