--- a/rhubarbfall-admission/tests/upper_limits.rs
+++ b/rhubarbfall-admission/tests/upper_limits.rs
@@ -2,8 +2,12 @@
 
 mod rights_model;
 
+use std::time::Instant;
+
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use rhubarbfall_admission::{LedgerRow, LoanRequest, Rights, RightsSettings};
+use rhubarbfall_core::{EntryId, Incarnation, Revision, Slots, TeamId};
 use rights_model::{Fault, Model};
 
 fn faults() -> impl Strategy<Value = Vec<(u16, Fault)>> {
@@ -42,3 +46,31 @@
         prop_assert_eq!(reached, 9, "the whole limit is usable again at one entry");
     }
 }
+
+#[test]
+fn reserve_is_the_part_of_its_own_slots_that_an_owner_never_lends() {
+    let now = Instant::now();
+    let team: TeamId = "house-a".parse().expect("the identifier is valid");
+    let (owner, borrower): (EntryId, EntryId) = (
+        "entry-1".parse().expect("the identifier is valid"),
+        "entry-2".parse().expect("the identifier is valid"),
+    );
+    let lent_slots = [0, 25, 50, 100].map(|reserve_percent| {
+        let settings = RightsSettings::default().reserve_percent(reserve_percent);
+        let mut rights = Rights::new(owner.clone(), Incarnation::new(1), settings);
+        rights.set_limits([(team.clone(), Slots::new(10))], Revision::new(1));
+        rights.set_waiting(&team, 1);
+        let next = rights.plan(&team, &LedgerRow::default(), 1, &|_, _| false, now);
+        rights.begin(&team, &next.expect("a claim"));
+        rights.settle(&team, true);
+        rights.set_waiting(&team, 0);
+        let request = LoanRequest {
+            sequence: 1,
+            held_slots: 0,
+            wanted_slots: 20,
+        };
+        let reply = rights.lend(now, &borrower, Incarnation::new(1), &team, &request);
+        reply.expect("an answer").granted_slots
+    });
+    assert_eq!(lent_slots, [10, 7, 5, 0]);
+}
