--- a/rhubarbctl/src/commands/mod.rs
+++ b/rhubarbctl/src/commands/mod.rs
@@ -7,6 +7,7 @@
 mod pool;
 mod team;
 mod upstream;
+mod wave;
 
 use clap::ArgMatches;
 
@@ -22,6 +23,9 @@
     if group == "document" && document::needs_no_entry(matches) {
         return document::check_whole(matches, report);
     }
+    if group == "key" && key::needs_no_entry(matches) {
+        return key::make_key(matches, report);
+    }
     let client = Client::new(Settings::from_matches(matches)?);
     match group {
         "document" => document::run(&client, matches, report).await,
@@ -29,6 +33,9 @@
         "team" => team::run(&client, matches, report).await,
         "pool" => pool::run(&client, matches, report).await,
         "entry" | "status" => observe::status(&client, group, report).await,
+        "wave" => wave::run(&client, matches, report).await,
+        "move" => wave::move_vm(&client, matches, report).await,
+        "explain" => wave::explain(&client, matches, report).await,
         "upstream" => upstream::run(&client, matches, report).await,
         _ => observe::state(&client, report).await,
     }
--- a/rhubarbfall-document/tests/accept.rs
+++ b/rhubarbfall-document/tests/accept.rs
@@ -227,6 +227,23 @@
     }
 }
 
+#[test]
+fn the_polled_row_stays_small() {
+    let (mut rows, mut state) = start();
+    for index in 0..40_u64 {
+        let base = state.version(&"team.house-a".parse().expect("a section"));
+        let text =
+            format!("[versions]\n'team.house-a' = {base}\n[team.house-a]\ncontact = '{index}'");
+        let next = next(&state, &change(team("house-a"), &index.to_string(), &text));
+        assert!(rows.take(&next.plan));
+        state = next.state;
+    }
+    let (_, head) = rows.0.get("document/head").expect("the row exists");
+    // Two polls a second, with their heads, are to take a quarter of a node's 8 KB/s at most.
+    assert!(head.as_ref().map_or(0, |head| head.to_string().len()) <= 700);
+    assert_eq!(state.history.len(), 41);
+}
+
 #[derive(Debug, Clone)]
 struct Step {
     team: usize,
@@ -257,6 +274,25 @@
         ..Config::default()
     })]
 
+    #[test]
+    fn damaged_rows_never_panic(at in 0..4000_usize, length in 0..30_usize, text in "[0-9a-z\"{}\\[\\]:,-]{0,6}") {
+        let (rows, _) = start();
+        for (key, (version, value)) in &rows.0 {
+            let mut json = serde_json::to_vec(value).expect("a value has a text");
+            let start = at % json.len();
+            let end = (start + length).min(json.len());
+            json.splice(start..end, text.bytes());
+            let Ok(value) = serde_json::from_slice(&json) else {
+                continue;
+            };
+            let mut damaged = rows.clone();
+            damaged.0.insert(Arc::clone(key), (*version, value));
+            if let Ok(state) = damaged.state() {
+                prop_assert!(state.document.revision.get() <= 1 || &**key == "document/head");
+            }
+        }
+    }
+
     #[test]
     fn an_acceptance_never_lowers_a_version(steps in steps()) {
         let (mut rows, mut state) = start();
--- a/rhubarbfall-entry/src/admission/ledger.rs
+++ b/rhubarbfall-entry/src/admission/ledger.rs
@@ -21,6 +21,8 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 /// The most rows that one look at the ledger changes, to spread the writes.
 const MAX_WRITES_PER_LOOK: usize = 16;
+/// The pause after a write for each entry of the fleet, which bounds the writes of all together.
+const WRITE_PAUSE_PER_ENTRY: Duration = Duration::from_millis(40);
 /// How many looks a need may cause without having led to a change, before they become rare.
 const MAX_EAGER_LOOKS: u32 = 10;
 
@@ -32,6 +34,8 @@
     next_transaction: u64,
     looked_at: Option<Instant>,
     fruitless_looks: u32,
+    /// The pause until the next look that nothing needs.
+    pause: Duration,
 }
 
 impl Ledger {
@@ -44,6 +48,7 @@
             next_transaction: 1,
             looked_at: None,
             fruitless_looks: 0,
+            pause: NEED_PAUSE,
         }
     }
 
@@ -53,8 +58,17 @@
             self.watch_entries().await;
             if self.is_due() {
                 match self.look().await {
-                    Ok(0) => self.fruitless_looks = self.fruitless_looks.saturating_add(1),
-                    Ok(_) => self.fruitless_looks = 0,
+                    Ok(None) => self.pause = RETRY_PAUSE,
+                    Ok(Some(0)) => {
+                        self.fruitless_looks = self.fruitless_looks.saturating_add(1);
+                        let interval = self.shared.settings.limits.ledger_poll_ms;
+                        self.pause = Duration::from_millis(interval);
+                    }
+                    Ok(Some(writes)) => {
+                        self.fruitless_looks = 0;
+                        let entries = self.network.peers().len() as u32 + 1;
+                        self.pause = WRITE_PAUSE_PER_ENTRY * entries * writes as u32;
+                    }
                     Err(error) => {
                         log::warn!("event=ledger error={error}");
                         sleep(jittered(RETRY_PAUSE)).await;
@@ -71,12 +85,11 @@
             .shared
             .dispatcher
             .change(|admission| !admission.rights().teams_in_need(now).is_empty());
-        let interval = Duration::from_millis(self.shared.settings.limits.ledger_poll_ms);
         let is_rare = !needs || self.fruitless_looks >= MAX_EAGER_LOOKS;
         let is_due = self.looked_at.is_none_or(|at| {
             now >= at
                 + if is_rare {
-                    jittered(interval)
+                    jittered(self.pause)
                 } else {
                     NEED_PAUSE
                 }
@@ -109,18 +122,19 @@
         }
     }
 
-    /// Reads the ledger once and changes the rows that this process would change.
-    async fn look(&mut self) -> Result<usize, PlatformError> {
+    /// Reads the ledger once and changes the rows that this process would change; nothing when this
+    /// process does not know the newest document.
+    async fn look(&mut self) -> Result<Option<usize>, PlatformError> {
         let Some(document) = self.shared.document.load_full() else {
-            return Ok(0);
+            return Ok(None);
         };
         let Some(head) = self.shared.table.read(HEAD_ROW_KEY).await? else {
-            return Ok(0);
+            return Ok(None);
         };
         let rows = self.shared.table.scan(LEDGER_PREFIX).await?;
         // Only under the newest document may slots be taken.
         if head.parse::<Head>()?.revision != document.revision {
-            return Ok(0);
+            return Ok(None);
         }
         let delay = self.shared.dispatcher.change(|admission| {
             let settings = admission.rights().settings();
@@ -140,7 +154,7 @@
                 writes += 1;
             }
         }
-        Ok(writes)
+        Ok(Some(writes))
     }
 
     /// Changes one team's row if this process would; returns whether it did.
--- a/rhubarbfall-entry/src/lib.rs
+++ b/rhubarbfall-entry/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod dispatch;
 mod document;
 mod entry;
+pub mod fleet;
 mod lifecycle;
 pub mod membership;
 pub mod operator;
--- a/rhubarbfall-entry/src/operator/state_dump.rs
+++ b/rhubarbfall-entry/src/operator/state_dump.rs
@@ -3,6 +3,7 @@
 use serde::Serialize;
 
 use crate::dispatch::DispatchSnapshot;
+use crate::fleet::FleetDump;
 use crate::membership::MembershipSnapshot;
 use crate::{Phase, Shared};
 
@@ -29,6 +30,8 @@
     pub upstreams: Vec<UpstreamView>,
     /// Claims of non-idempotent requests.
     pub claims: ClaimLedgerState,
+    /// Waves and moves, while this process holds the zone's lease.
+    pub fleet: FleetDump,
 }
 
 impl StateDump {
@@ -46,6 +49,7 @@
             dispatch: shared.dispatcher.snapshot(),
             upstreams: shared.upstreams.snapshot(),
             claims: shared.claims.state(),
+            fleet: shared.fleet.dump(),
         }
     }
 }
--- a/rhubarbfall-entry/src/settings/settings.rs
+++ b/rhubarbfall-entry/src/settings/settings.rs
@@ -5,6 +5,7 @@
     ControlSettings, EntrySettings, LimitSettings, ListenSettings, LogSettings, PlatformSettings,
     QueueSettings, SecretSettings, SettingsError, StopSettings, TrafficSettings,
 };
+use crate::fleet::FleetSettings;
 
 /// The rule of numbers that must not be zero.
 const AT_LEAST_ONE: &str = "must be at least 1";
@@ -32,6 +33,8 @@
     pub limits: LimitSettings,
     /// The bounds of the queues.
     pub queues: QueueSettings,
+    /// How maintenance waves and moves go.
+    pub fleet: FleetSettings,
     /// What is logged and how.
     pub log: LogSettings,
 }
@@ -55,11 +58,14 @@
         let claims = reader.optional("claims");
         let limits = reader.optional("limits");
         let queues = reader.optional("queues");
+        let fleet = reader.optional("fleet");
         let log = reader.optional("log");
         check_platform(platform.as_ref(), &mut reader);
         check_traffic(&traffic, &mut reader);
         check_control(&control, &mut reader);
         check_limits(&limits, &mut reader);
+        check_fleet(&fleet, &mut reader);
+        check_claims(&claims, &mut reader);
         check_log(&log, &mut reader);
         let faults = reader.finish();
         match (entry, listen, platform, secrets) {
@@ -75,6 +81,7 @@
                     claims,
                     limits,
                     queues,
+                    fleet,
                     log,
                 })
             }
@@ -83,6 +90,26 @@
     }
 }
 
+fn check_claims(claims: &ClaimSettings, reader: &mut SectionReader<'_>) {
+    let numbers = [
+        ("claims.window_ms", claims.window_ms),
+        ("claims.max_wait_ms", claims.max_wait_ms),
+        ("claims.append_interval_ms", claims.append_interval_ms),
+        ("claims.append_burst", u64::from(claims.append_burst)),
+        (
+            "claims.max_claims_per_append",
+            claims.max_claims_per_append as u64,
+        ),
+        (
+            "claims.max_waiting_claims",
+            claims.max_waiting_claims as u64,
+        ),
+    ];
+    for (key, number) in numbers {
+        reader.rule(key, number > 0, AT_LEAST_ONE);
+    }
+}
+
 fn check_platform(platform: Option<&PlatformSettings>, reader: &mut SectionReader<'_>) {
     let timeout_ms = platform.map_or(1, |platform| platform.timeout_ms);
     reader.rule("platform.timeout_ms", timeout_ms > 0, AT_LEAST_ONE);
@@ -130,6 +157,18 @@
     }
 }
 
+fn check_fleet(fleet: &FleetSettings, reader: &mut SectionReader<'_>) {
+    let numbers = [
+        ("fleet.lease_ms", fleet.lease_ms),
+        ("fleet.round_ms", fleet.round_ms),
+        ("fleet.confirm_ms", fleet.confirm_ms),
+        ("fleet.first_batch_vms", u64::from(fleet.first_batch_vms)),
+    ];
+    for (path, number) in numbers {
+        reader.rule(path, number > 0, AT_LEAST_ONE);
+    }
+}
+
 fn check_log(log: &LogSettings, reader: &mut SectionReader<'_>) {
     let is_level = log.level.parse::<log::LevelFilter>().is_ok();
     let rule = "must be off, error, warn, info, debug or trace";
