--- a/rhubarbfall-admission/src/rights/ledger_plan.rs
+++ b/rhubarbfall-admission/src/rights/ledger_plan.rs
@@ -66,9 +66,7 @@
         let given = (owned - even).min(team.idle_owned()).min(others_want);
         return (owned - given, 0);
     }
-    if team.demand() == 0 {
-        return (owned, 0);
-    }
+    // The even part is claimed before it is needed, so that it is there when the table is not.
     let to_even = even.saturating_sub(owned);
     // Slots that another entry waits for go to that entry before this one takes more than its part.
     let reserved = if to_even == 0 { others_want } else { 0 };
--- a/rhubarbfall-entry/src/routing/upstreams.rs
+++ b/rhubarbfall-entry/src/routing/upstreams.rs
@@ -52,6 +52,12 @@
         self.watch.lock().is_usable(self.clock.now(), upstream)
     }
 
+    /// Returns whether a service has an upstream that serves, or only has to be asked again.
+    #[must_use]
+    pub fn has_prospect(&self, service: &ServiceId) -> bool {
+        self.watch.lock().has_prospect(self.clock.now(), service)
+    }
+
     /// Counts an attempt.
     pub fn on_attempt(
         &self,
@@ -84,7 +90,8 @@
         };
         let mut in_use = self.in_use.lock();
         for service in &document.fleet.services {
-            let usable = self.watch.lock().usable(now, &service.id);
+            let mut usable = self.watch.lock().usable(now, &service.id);
+            usable.retain(|(id, _)| !document.is_drained(id));
             if in_use.get(&service.id) == Some(&usable) {
                 continue;
             }
--- a/rhubarbfall-routing/src/upstreams/upstream_watch.rs
+++ b/rhubarbfall-routing/src/upstreams/upstream_watch.rs
@@ -159,6 +159,15 @@
         usable
     }
 
+    /// Returns whether a service has an upstream that served when it was last asked, even if that
+    /// was too long ago to use it before it is asked again.
+    #[must_use]
+    pub fn has_prospect(&self, now: Instant, service: &ServiceId) -> bool {
+        let ids = self.services.get(service).map_or(&[][..], Vec::as_slice);
+        let mut upstreams = ids.iter().filter_map(|id| self.upstreams.get(id));
+        upstreams.any(|upstream| upstream.is_prospect(now))
+    }
+
     /// Returns the services whose upstreams are watched.
     #[must_use]
     pub fn services(&self) -> Vec<ServiceId> {
--- a/rhubarbfall-routing/src/upstreams/watched_upstream.rs
+++ b/rhubarbfall-routing/src/upstreams/watched_upstream.rs
@@ -144,6 +144,10 @@
         !self.is_leaving(now) && self.confirmed_at.is_some_and(is_recent)
     }
 
+    pub(super) fn is_prospect(&self, now: Instant) -> bool {
+        self.last_report == Some(HealthReport::Serving) && !self.is_leaving(now)
+    }
+
     pub(super) fn view(&self, now: Instant, upstream: &UpstreamId) -> UpstreamView {
         UpstreamView {
             upstream: upstream.clone(),
--- a/rhubarbfall/tests/document.rs
+++ b/rhubarbfall/tests/document.rs
@@ -259,6 +259,11 @@
             upstreams.as_array().map(Vec::len) == Some(1)
         });
     }
+    let address = fleet.entries[1].operators();
+    let list = Request::new(Method::GET, address, "/v1/upstreams").key("operator-key");
+    let list = json(&fleet.send(list).expect("an answer"));
+    let states: Vec<&Value> = (0..2).map(|index| &list[index]["state"]).collect();
+    assert_eq!(states, ["drained", "serving"]);
     for index in 0..20 {
         let entry = &fleet.entries[index % fleet.entries.len()];
         let request = Request::to_queue(entry.callers(), "labels-urgent", &format!("r{index}"));
