--- a/rhubarbfall-entry/src/control/control_thread.rs
+++ b/rhubarbfall-entry/src/control/control_thread.rs
@@ -37,11 +37,11 @@
         runtime.handle().clone(),
     ));
     duties.spawn_local(upstream_poll::run(Arc::clone(shared)));
-    duties.spawn_local(run_registration(Arc::clone(shared)));
-    duties.spawn_local(run_duty(Arc::clone(shared)));
     duties.spawn_local(admission::run(Arc::clone(shared)));
     duties.spawn_local(run_claims(Arc::clone(shared)));
     duties.spawn_local(run_health_checks(Arc::clone(shared)));
+    duties.spawn_local(run_registration(Arc::clone(shared)));
+    duties.spawn_local(run_duty(Arc::clone(shared)));
     duties.block_on(&runtime, async {
         if handles_signals {
             let mut terminate = signal(SignalKind::terminate())?;
--- a/rhubarbfall-entry/src/membership/duties.rs
+++ b/rhubarbfall-entry/src/membership/duties.rs
@@ -4,7 +4,7 @@
 
 use parking_lot::Mutex;
 use prost::Message;
-use rhubarbfall_membership::{Gossip, Member, MembershipConfig, TablePoll, ZoneLease};
+use rhubarbfall_membership::{DeltaLog, Gossip, Member, MembershipConfig, TablePoll, ZoneLease};
 use rhubarbfall_wire::messages::membership::{
     HEARTBEAT_KIND, INTENT_REQUEST_KIND, IntentReference,
 };
@@ -14,7 +14,7 @@
 
 use super::handle::{Started, State};
 use super::{handlers, lease, registration};
-use crate::{Shared, control};
+use crate::{Shared, control, operator};
 
 /// How often the control thread looks for heartbeats and table reads that are due.
 const TICK: Duration = Duration::from_millis(50);
@@ -72,6 +72,7 @@
     let key = FleetKey::new(shared.settings.secrets.fleet_key.reveal());
     let network = PeerNetwork::start(PeerNetworkConfig::new(identity, key), listener, runtime);
     handlers::register(shared, &network);
+    operator::register_status(shared, &network);
     let state = State {
         gossip: Gossip::new(config, entry.clone(), own, now),
         lease: ZoneLease::new(
@@ -82,6 +83,8 @@
         ),
         announced: Vec::new(),
         next_intent: 0,
+        behind_since: None,
+        deltas: DeltaLog::default(),
         is_superseded: false,
     };
     let started = Started {
@@ -90,7 +93,7 @@
     };
     let _ = shared.membership.started.set(started);
     if let Some(document) = shared.document.load_full() {
-        shared.membership.put_in_force(document.revision);
+        shared.membership.put_in_force(now, None, &document);
     }
     Ok(())
 }
@@ -146,10 +149,8 @@
     loop {
         let now = shared.clock.now();
         let newest = shared.membership.update(now, |state| {
-            let freshness = state.gossip.freshness();
-            let read = freshness.newest_read().map(|(began, _)| began);
-            // A newer revision than the one in force is fetched at once.
-            read.filter(|_| !freshness.is_behind())
+            let read = state.gossip.freshness().newest_read();
+            read.map(|(began, _)| began)
         });
         if poll.is_due(now, newest.flatten()) {
             poll.begin();
--- a/rhubarbfall-entry/src/operator/mod.rs
+++ b/rhubarbfall-entry/src/operator/mod.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod document_endpoints;
 mod fleet_endpoints;
+mod fleet_status;
 mod health_endpoints;
 mod operator_key;
 mod server;
@@ -10,6 +11,8 @@
 
 pub(crate) use answer::answer;
 pub(crate) use document_endpoints::read_text;
+pub use fleet_status::FleetStatus;
+pub(crate) use fleet_status::register as register_status;
 pub(crate) use operator_key::check_operator;
 pub use server::{OperatorContext, serve};
 pub use state_dump::StateDump;
--- a/rhubarbfall-entry/src/operator/state_dump.rs
+++ b/rhubarbfall-entry/src/operator/state_dump.rs
@@ -26,12 +26,12 @@
     pub membership: Option<MembershipSnapshot>,
     /// Waiting and running requests.
     pub dispatch: DispatchSnapshot,
-    /// Waves and moves, while this process holds the zone's lease.
-    pub fleet: FleetDump,
     /// The health of upstreams.
     pub upstreams: Vec<UpstreamView>,
     /// Claims of non-idempotent requests.
     pub claims: ClaimLedgerState,
+    /// Waves and moves, while this process holds the zone's lease.
+    pub fleet: FleetDump,
 }
 
 impl StateDump {
@@ -47,9 +47,9 @@
             is_document_fresh: shared.is_document_fresh(),
             membership: shared.membership.snapshot(shared.clock.now()),
             dispatch: shared.dispatcher.snapshot(),
-            fleet: shared.fleet.dump(),
             upstreams: shared.upstreams.snapshot(),
             claims: shared.claims.state(),
+            fleet: shared.fleet.dump(),
         }
     }
 }
--- a/rhubarbfall-entry/src/settings/settings.rs
+++ b/rhubarbfall-entry/src/settings/settings.rs
@@ -27,14 +27,14 @@
     pub control: ControlSettings,
     /// How a planned stop goes.
     pub stop: StopSettings,
-    /// How maintenance waves and moves go.
-    pub fleet: FleetSettings,
     /// How non-idempotent requests are recorded.
     pub claims: ClaimSettings,
     /// How rights under upper limits are lent and taken back.
     pub limits: LimitSettings,
     /// The bounds of the queues.
     pub queues: QueueSettings,
+    /// How maintenance waves and moves go.
+    pub fleet: FleetSettings,
     /// What is logged and how.
     pub log: LogSettings,
 }
@@ -55,16 +55,17 @@
         let traffic = reader.optional("traffic");
         let control = reader.optional("control");
         let stop = reader.optional("stop");
-        let fleet = reader.optional("fleet");
         let claims = reader.optional("claims");
         let limits = reader.optional("limits");
         let queues = reader.optional("queues");
+        let fleet = reader.optional("fleet");
         let log = reader.optional("log");
         check_platform(platform.as_ref(), &mut reader);
         check_traffic(&traffic, &mut reader);
         check_control(&control, &mut reader);
-        check_fleet(&fleet, &mut reader);
         check_limits(&limits, &mut reader);
+        check_fleet(&fleet, &mut reader);
+        check_claims(&claims, &mut reader);
         check_log(&log, &mut reader);
         let faults = reader.finish();
         match (entry, listen, platform, secrets) {
@@ -77,10 +78,10 @@
                     traffic,
                     control,
                     stop,
-                    fleet,
                     claims,
                     limits,
                     queues,
+                    fleet,
                     log,
                 })
             }
@@ -89,6 +90,26 @@
     }
 }
 
+fn check_claims(claims: &ClaimSettings, reader: &mut SectionReader<'_>) {
+    let numbers = [
+        ("claims.window_ms", claims.window_ms),
+        ("claims.max_wait_ms", claims.max_wait_ms),
+        ("claims.append_interval_ms", claims.append_interval_ms),
+        ("claims.append_burst", u64::from(claims.append_burst)),
+        (
+            "claims.max_claims_per_append",
+            claims.max_claims_per_append as u64,
+        ),
+        (
+            "claims.max_waiting_claims",
+            claims.max_waiting_claims as u64,
+        ),
+    ];
+    for (key, number) in numbers {
+        reader.rule(key, number > 0, AT_LEAST_ONE);
+    }
+}
+
 fn check_platform(platform: Option<&PlatformSettings>, reader: &mut SectionReader<'_>) {
     let timeout_ms = platform.map_or(1, |platform| platform.timeout_ms);
     reader.rule("platform.timeout_ms", timeout_ms > 0, AT_LEAST_ONE);
--- a/rhubarbfall-entry/src/shared.rs
+++ b/rhubarbfall-entry/src/shared.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
+use parking_lot::Mutex;
 use rhubarbfall_core::SharedClock;
 use rhubarbfall_document::Document;
 use rhubarbfall_platform::table::TableClient;
@@ -10,6 +11,7 @@
 use crate::dispatch::Dispatcher;
 use crate::fleet::FleetState;
 use crate::membership::Membership;
+use crate::operator::FleetStatus;
 use crate::routing::{ClaimService, Upstreams};
 use crate::traffic::{BodyBudget, UpstreamConnections};
 use crate::{Lifecycle, Settings};
@@ -21,6 +23,8 @@
     pub settings: Settings,
     /// The clock.
     pub clock: SharedClock,
+    /// Held while a document is put in force.
+    pub(crate) document_guard: Mutex<()>,
     /// The document in force.
     pub document: ArcSwapOption<Document>,
     /// The other entries, and until when the document in force is proved to be the newest.
@@ -33,6 +37,8 @@
     pub upstreams: Upstreams,
     /// Connections to upstreams.
     pub connections: UpstreamConnections,
+    /// Which revisions the other entries have in force.
+    pub fleet_status: FleetStatus,
     /// Waves, moves and drains.
     pub fleet: FleetState,
     /// The memory for the bodies of requests.
@@ -61,13 +67,15 @@
                 Duration::from_millis(settings.traffic.connect_timeout_ms),
             ),
             upstreams: Upstreams::new(Arc::clone(&clock)),
-            body_budget: Arc::new(BodyBudget::new(settings.traffic.max_buffered_bytes)),
             dispatcher: Arc::new(Dispatcher::new(Arc::clone(&clock), &settings)),
             claims: Arc::new(ClaimService::new(
                 &clock,
                 &settings.entry.id,
                 settings.claims,
             )),
+            fleet_status: FleetStatus::default(),
+            body_budget: Arc::new(BodyBudget::new(settings.traffic.max_buffered_bytes)),
+            document_guard: Mutex::new(()),
             document: ArcSwapOption::empty(),
             membership: Membership::new(),
             lifecycle: Lifecycle::new(),
--- a/rhubarbfall-entry/src/traffic/attempts.rs
+++ b/rhubarbfall-entry/src/traffic/attempts.rs
@@ -6,6 +6,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::exchange::{Answer, Outgoing, exchange};
+use super::handler::authorize_now;
 use crate::Shared;
 use crate::dispatch::{Permit, Work};
 use crate::routing::ClaimGuard;
@@ -25,6 +26,8 @@
     let mut attempts = 0;
     loop {
         let permit = usable_permit(shared, &work).await?;
+        // The key may have been withdrawn while the request waited.
+        authorize_now(shared, outgoing.caller)?;
         if !claim.as_mut().is_none_or(ClaimGuard::start) {
             return Err(ResultCode::ClaimUnavailable);
         }
--- a/rhubarbfall-entry/src/traffic/handler.rs
+++ b/rhubarbfall-entry/src/traffic/handler.rs
@@ -68,7 +68,7 @@
 }
 
 /// Decides by the document in force at this moment.
-fn authorize_now(
+pub(super) fn authorize_now(
     shared: &Shared,
     caller: &CallerRequest,
 ) -> Result<(Arc<Document>, Authorized), ResultCode> {
--- a/rhubarbfall-wire/src/messages/mod.rs
+++ b/rhubarbfall-wire/src/messages/mod.rs
@@ -5,3 +5,4 @@
 
 pub mod admission;
 pub mod membership;
+pub mod status;
