--- a/rhubarbfall-entry/src/operator/fleet_endpoints.rs
+++ b/rhubarbfall-entry/src/operator/fleet_endpoints.rs
@@ -2,7 +2,7 @@
 use rhubarbfall_document::api::{
     EntryStatus, ErrorAnswer, KeyDigestAnswer, StatusView, UpstreamView,
 };
-use rhubarbfall_document::{AccessKey, ParseAccessKeyError, digest_key};
+use rhubarbfall_document::{AccessKey, Document, ParseAccessKeyError, digest_key};
 use xitca_web::body::RequestBody;
 use xitca_web::handler::body::Body;
 use xitca_web::handler::state::StateRef;
@@ -92,18 +92,31 @@
 }
 
 fn upstreams_of(shared: &Shared) -> Vec<UpstreamView> {
-    let snapshot = shared.dispatcher.snapshot();
-    let view = |upstream: crate::dispatch::UpstreamSnapshot| UpstreamView {
-        id: upstream.upstream,
-        service: upstream.service,
-        availability_zone: shared.settings.entry.availability_zone.clone(),
-        state: if upstream.is_leaving {
+    let document = shared.document.load_full();
+    let in_use = shared.dispatcher.snapshot().upstreams;
+    let view = |upstream: rhubarbfall_routing::UpstreamView| {
+        let is_drained = |document: &Document| document.is_drained(&upstream.upstream);
+        let dispatch = in_use
+            .iter()
+            .find(|used| used.upstream == upstream.upstream);
+        let state = if document.as_deref().is_some_and(is_drained) {
+            "drained"
+        } else if upstream.is_leaving {
             "leaving"
-        } else {
+        } else if upstream.is_ejected {
+            "ejected"
+        } else if upstream.is_usable {
             "serving"
+        } else {
+            "silent"
+        };
+        UpstreamView {
+            id: upstream.upstream.clone(),
+            service: dispatch.map(|used| used.service.clone()),
+            availability_zone: shared.settings.entry.availability_zone.clone(),
+            state: state.into(),
+            running_slots: dispatch.map_or(0, |used| used.running_slots.get()),
         }
-        .into(),
-        running_slots: upstream.running_slots.get(),
     };
-    snapshot.upstreams.into_iter().map(view).collect()
+    shared.upstreams.snapshot().into_iter().map(view).collect()
 }
