--- a/rhubarbctl/src/client.rs
+++ b/rhubarbctl/src/client.rs
@@ -5,13 +5,16 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use rhubarbfall_core::{ResultCode, Revision};
+use rhubarbfall_core::{ResultCode, Revision, WaveId};
 use rhubarbfall_document::AccessKey;
 use rhubarbfall_document::HistoryRecord;
 use rhubarbfall_document::api::{
     ChangeAnswer, DocumentView, ErrorAnswer, KEY_HEADER, KeyDigestAnswer, StatusView,
     TRANSACTION_HEADER, UpstreamView,
 };
+use rhubarbfall_fleet::api::{Explanation, VmMove, WaveStatusChange, WaveView};
+use rhubarbfall_fleet::{PlannedVm, WaveRow};
+use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use tokio::net::TcpStream;
@@ -69,6 +72,44 @@
         self.get("/state").await
     }
 
+    /// Reads the maintenance waves.
+    pub(crate) async fn waves(&self) -> Result<Vec<WaveView>, CtlError> {
+        self.get("/v1/waves").await
+    }
+
+    /// Reads when each VM of a wave is taken, or what it waits for.
+    pub(crate) async fn wave_plan(&self, wave: &WaveId) -> Result<Vec<PlannedVm>, CtlError> {
+        self.get(&format!("/v1/waves/plan?wave={wave}")).await
+    }
+
+    /// Pauses, resumes or stops a wave.
+    pub(crate) async fn set_wave_status(
+        &self,
+        change: &WaveStatusChange,
+    ) -> Result<WaveRow, CtlError> {
+        self.post("/v1/waves/status", change).await
+    }
+
+    /// Asks for a VM to be moved.
+    pub(crate) async fn move_vm(&self, change: &VmMove) -> Result<VmMove, CtlError> {
+        self.post("/v1/vms/pool", change).await
+    }
+
+    /// Reads why something stands as it does.
+    pub(crate) async fn explain(&self, kind: &str, id: &str) -> Result<Explanation, CtlError> {
+        self.get(&format!("/v1/explain?kind={kind}&id={id}")).await
+    }
+
+    async fn post<B: Serialize, T: DeserializeOwned>(
+        &self,
+        path: &str,
+        body: &B,
+    ) -> Result<T, CtlError> {
+        let body = serde_json::to_vec(body);
+        let body = body.map_err(|error| CtlError::Usage(error.to_string()))?;
+        self.request(Method::POST, path, body.into(), None).await
+    }
+
     /// Asks for the digest of a key.
     pub(crate) async fn key_digest(&self, key: &AccessKey) -> Result<KeyDigestAnswer, CtlError> {
         let body = Bytes::from(key.reveal().to_owned());
@@ -195,6 +236,7 @@
         CtlError::Refused(answer) => !matches!(
             answer.code,
             ResultCode::ChangeUnknown
+                | ResultCode::ConditionFailed
                 | ResultCode::PlatformAnswerLost
                 | ResultCode::PlatformUnavailable
                 | ResultCode::AcceptanceUnproved
--- /dev/null
+++ b/rhubarbctl/src/commands/wave.rs
@@ -0,0 +1,170 @@
+//! Commands about maintenance waves, moves and explanations.
+
+use clap::ArgMatches;
+use rhubarbfall_core::{PoolId, VmId, WaveId};
+use rhubarbfall_fleet::api::{Explanation, VmMove, WaveStatusChange, WaveView};
+use rhubarbfall_fleet::{Decision, PlannedVm, StopReason, WaveStatus};
+
+use crate::client::Client;
+use crate::ctl_error::CtlError;
+use crate::report::Report;
+use crate::text_table::TextTable;
+
+/// Runs a command of the group `wave`.
+pub(super) async fn run(
+    client: &Client,
+    matches: &ArgMatches,
+    report: Report,
+) -> Result<(), CtlError> {
+    let (command, matches) = matches.subcommand().expect("a subcommand is required");
+    if command == "list" {
+        let waves = client.waves().await?;
+        return report.print(&waves, |waves| waves_table(waves).to_string());
+    }
+    let wave = matches.get_one::<WaveId>("id").expect("required");
+    match command {
+        "show" => show(client, wave, report).await,
+        "plan" => {
+            let plan = client.wave_plan(wave).await?;
+            report.print(&plan, |plan| plan_table(plan).to_string())
+        }
+        "pause" => set_status(client, wave, WaveStatus::Paused, report).await,
+        "resume" => set_status(client, wave, WaveStatus::Running, report).await,
+        _ => {
+            let reason = StopReason::Operator;
+            set_status(client, wave, WaveStatus::Stopped { reason }, report).await
+        }
+    }
+}
+
+/// Explains a VM, a pool, a team or a wave.
+pub(super) async fn explain(
+    client: &Client,
+    matches: &ArgMatches,
+    report: Report,
+) -> Result<(), CtlError> {
+    let text = |name: &str| matches.get_one::<String>(name).expect("required");
+    let found = client.explain(text("kind"), text("id")).await?;
+    report.print(&found, explanation)
+}
+
+/// Asks for a VM to be moved to a pool.
+pub(super) async fn move_vm(
+    client: &Client,
+    matches: &ArgMatches,
+    report: Report,
+) -> Result<(), CtlError> {
+    let change = VmMove {
+        vm: matches.get_one::<VmId>("vm").expect("required").clone(),
+        pool: matches.get_one::<PoolId>("pool").expect("required").clone(),
+    };
+    let change = client.move_vm(&change).await?;
+    report.print(&change, |change| {
+        format!("{} is asked to move to {}\n", change.vm, change.pool)
+    })
+}
+
+async fn show(client: &Client, wave: &WaveId, report: Report) -> Result<(), CtlError> {
+    let waves = client.waves().await?;
+    let found = waves.into_iter().find(|view| view.row.wave == *wave);
+    let found = found.ok_or_else(|| CtlError::Usage(format!("no wave has the name {wave}")))?;
+    report.print(&found, |view| {
+        waves_table(std::slice::from_ref(view)).to_string()
+    })
+}
+
+async fn set_status(
+    client: &Client,
+    wave: &WaveId,
+    status: WaveStatus,
+    report: Report,
+) -> Result<(), CtlError> {
+    let wave = wave.clone();
+    let row = client
+        .set_wave_status(&WaveStatusChange { wave, status })
+        .await?;
+    report.print(&row, |row| {
+        format!("{} is {}\n", row.wave, status_text(&row.status))
+    })
+}
+
+fn status_text(status: &WaveStatus) -> String {
+    match status {
+        WaveStatus::Running => "running".to_owned(),
+        WaveStatus::Paused => "paused".to_owned(),
+        WaveStatus::Stopped { reason } => format!("stopped: {reason}"),
+    }
+}
+
+fn waves_table(waves: &[WaveView]) -> TextTable {
+    let headings = [
+        "wave",
+        "announced",
+        "rebooting",
+        "rebooted",
+        "done",
+        "failed",
+        "status",
+    ];
+    waves.iter().fold(TextTable::new(&headings), |table, view| {
+        table.row([
+            view.row.wave.to_string(),
+            view.announced_vms.to_string(),
+            view.rebooting_vms.to_string(),
+            view.rebooted_vms.to_string(),
+            view.row.done_vms.to_string(),
+            view.row.all_failed_vms().to_string(),
+            status_text(&view.row.status),
+        ])
+    })
+}
+
+fn plan_table(plan: &[PlannedVm]) -> TextTable {
+    let headings = ["vm", "availability zone", "rack", "pool", "in", "reason"];
+    plan.iter()
+        .fold(TextTable::new(&headings), |table, planned| {
+            table.row([
+                planned.vm.to_string(),
+                planned.zone.to_string(),
+                planned.rack.to_string(),
+                planned.pool.to_string(),
+                format!("{} s", planned.starts_in_s),
+                planned.reason.to_string(),
+            ])
+        })
+}
+
+fn explanation(found: &Explanation) -> String {
+    let mut lines = Vec::new();
+    if let Some(vm) = &found.vm {
+        let generation = vm.generation;
+        lines.push(format!(
+            "pool {}, {:?}, generation {generation}",
+            vm.pool, vm.state
+        ));
+        lines.extend(vm.decision.as_ref().map(decision_line));
+    }
+    if let Some(pool) = &found.pool {
+        lines.push(format!(
+            "{} planned and {} unplanned of {} unavailable VMs",
+            pool.permits.len(),
+            pool.unplanned_vms(),
+            pool.budget.max_unavailable_vms
+        ));
+    }
+    if let Some(wave) = &found.wave {
+        lines.push(status_text(&wave.status));
+    }
+    lines.extend(found.decisions.iter().map(decision_line));
+    let planned = found.plan.iter();
+    lines.extend(planned.map(|planned| format!("{}: {}", planned.vm, planned.reason)));
+    if lines.is_empty() {
+        lines.push("no decision is recorded".to_owned());
+    }
+    lines.join("\n") + "\n"
+}
+
+fn decision_line(decision: &Decision) -> String {
+    let at = std::time::UNIX_EPOCH + std::time::Duration::from_millis(decision.last_unix_ms);
+    format!("{}: {}", httpdate::fmt_http_date(at), decision.reason)
+}
--- a/rhubarbfall-admission/src/rights/rights.rs
+++ b/rhubarbfall-admission/src/rights/rights.rs
@@ -80,6 +80,11 @@
         &self.settings
     }
 
+    /// Sets the incarnation of this process, before it has written anything.
+    pub const fn set_incarnation(&mut self, incarnation: Incarnation) {
+        self.incarnation = incarnation;
+    }
+
     /// Sets how long work may go on at an upstream; it never becomes shorter.
     pub fn set_longest_request(&mut self, longest_request: Duration) {
         self.settings.longest_request = self.settings.longest_request.max(longest_request);
@@ -107,6 +112,12 @@
         }
     }
 
+    /// Counts requests of a team that begin or cease to wait here.
+    pub fn change_waiting(&mut self, team: &TeamId, change: i32) {
+        let team = self.team_mut(team);
+        team.waiting = team.waiting.saturating_add_signed(change);
+    }
+
     /// Returns how many requests of the team may start now.
     #[must_use]
     pub fn free_slots(&self, now: Instant, team: &TeamId) -> u32 {
@@ -131,6 +142,8 @@
     }
 
     /// Keeps the right of work whose end is unknown until it must have ended.
+    ///
+    /// `sent_at` is any time that is no earlier than the sending.
     pub fn release_later(&mut self, sent_at: Instant, team: &TeamId) {
         let until = sent_at + self.settings.request_hold();
         if let Some(team) = self.teams.get_mut(team) {
--- a/rhubarbfall-entry/src/control/control_thread.rs
+++ b/rhubarbfall-entry/src/control/control_thread.rs
@@ -7,8 +7,9 @@
 use tokio::time::sleep;
 
 use super::upstream_poll;
+use crate::fleet::{run_duty, run_registration, withdraw};
 use crate::routing::{run_claims, run_health_checks};
-use crate::{Phase, Shared, membership};
+use crate::{Phase, Shared, admission, membership};
 
 /// How often a stopping process looks whether its requests have ended.
 const STOP_POLL: Duration = Duration::from_millis(20);
@@ -36,8 +37,11 @@
         runtime.handle().clone(),
     ));
     duties.spawn_local(upstream_poll::run(Arc::clone(shared)));
+    duties.spawn_local(admission::run(Arc::clone(shared)));
     duties.spawn_local(run_claims(Arc::clone(shared)));
     duties.spawn_local(run_health_checks(Arc::clone(shared)));
+    duties.spawn_local(run_registration(Arc::clone(shared)));
+    duties.spawn_local(run_duty(Arc::clone(shared)));
     duties.block_on(&runtime, async {
         if handles_signals {
             let mut terminate = signal(SignalKind::terminate())?;
@@ -72,5 +76,6 @@
     }
     sleep(FLUSH_TIME).await;
     let in_flight = shared.lifecycle.in_flight();
+    withdraw(shared).await;
     log::info!("event=stop phase=stopped in_flight={in_flight}");
 }
--- a/rhubarbfall-entry/src/dispatch/work.rs
+++ b/rhubarbfall-entry/src/dispatch/work.rs
@@ -1,17 +1,7 @@
 use std::time::Instant;
 
+pub use rhubarbfall_admission::WorkClass;
 use rhubarbfall_core::{QueueId, RequestId, ServiceId, TeamId, UpstreamId};
-use serde::{Deserialize, Serialize};
-
-/// How soon work is needed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum WorkClass {
-    /// Somebody waits for the answer.
-    Urgent,
-    /// The work may wait until its deadline.
-    Batch,
-}
 
 /// One request that asks for an upstream.
 #[derive(Debug, Clone)]
--- a/rhubarbfall-entry/src/settings/mod.rs
+++ b/rhubarbfall-entry/src/settings/mod.rs
@@ -1,5 +1,7 @@
 //! The settings of one process, read from TOML and checked as a whole.
 
+mod limit_settings;
+mod queue_settings;
 mod section_reader;
 mod sections;
 #[expect(
@@ -9,6 +11,8 @@
 mod settings;
 mod settings_error;
 
+pub use limit_settings::LimitSettings;
+pub use queue_settings::QueueSettings;
 pub use sections::{
     ControlSettings, EntrySettings, ListenSettings, LogFormat, LogSettings, PlatformSettings,
     SecretSettings, StopSettings, TrafficSettings,
--- /dev/null
+++ b/rhubarbfall-entry/src/settings/queue_settings.rs
@@ -0,0 +1,32 @@
+use rhubarbfall_admission::AdmissionSettings;
+use serde::Deserialize;
+
+/// The bounds of the queues at one entry.
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct QueueSettings {
+    /// The most requests that wait at the entry.
+    pub max_waiting: u32,
+    /// The most requests of one team that wait for one service.
+    pub max_waiting_per_team: u32,
+}
+
+impl QueueSettings {
+    /// Returns the settings of the queues.
+    #[must_use]
+    pub fn admission(&self) -> AdmissionSettings {
+        AdmissionSettings::default()
+            .max_waiting(self.max_waiting)
+            .max_waiting_per_team(self.max_waiting_per_team)
+    }
+}
+
+impl Default for QueueSettings {
+    fn default() -> Self {
+        let bounds = AdmissionSettings::default();
+        Self {
+            max_waiting: bounds.max_waiting,
+            max_waiting_per_team: bounds.max_waiting_per_team,
+        }
+    }
+}
--- a/rhubarbfall-entry/src/settings/settings.rs
+++ b/rhubarbfall-entry/src/settings/settings.rs
@@ -2,9 +2,10 @@
 
 use super::section_reader::SectionReader;
 use super::{
-    ControlSettings, EntrySettings, ListenSettings, LogSettings, PlatformSettings, SecretSettings,
-    SettingsError, StopSettings, TrafficSettings,
+    ControlSettings, EntrySettings, LimitSettings, ListenSettings, LogSettings, PlatformSettings,
+    QueueSettings, SecretSettings, SettingsError, StopSettings, TrafficSettings,
 };
+use crate::fleet::FleetSettings;
 
 /// The rule of numbers that must not be zero.
 const AT_LEAST_ONE: &str = "must be at least 1";
@@ -28,6 +29,12 @@
     pub stop: StopSettings,
     /// How non-idempotent requests are recorded.
     pub claims: ClaimSettings,
+    /// How rights under upper limits are lent and taken back.
+    pub limits: LimitSettings,
+    /// The bounds of the queues.
+    pub queues: QueueSettings,
+    /// How maintenance waves and moves go.
+    pub fleet: FleetSettings,
     /// What is logged and how.
     pub log: LogSettings,
 }
@@ -49,10 +56,15 @@
         let control = reader.optional("control");
         let stop = reader.optional("stop");
         let claims = reader.optional("claims");
+        let limits = reader.optional("limits");
+        let queues = reader.optional("queues");
+        let fleet = reader.optional("fleet");
         let log = reader.optional("log");
         check_platform(platform.as_ref(), &mut reader);
         check_traffic(&traffic, &mut reader);
         check_control(&control, &mut reader);
+        check_limits(&limits, &mut reader);
+        check_fleet(&fleet, &mut reader);
         check_claims(&claims, &mut reader);
         check_log(&log, &mut reader);
         let faults = reader.finish();
@@ -67,6 +79,9 @@
                     control,
                     stop,
                     claims,
+                    limits,
+                    queues,
+                    fleet,
                     log,
                 })
             }
@@ -100,6 +115,19 @@
     reader.rule("platform.timeout_ms", timeout_ms > 0, AT_LEAST_ONE);
 }
 
+fn check_limits(limits: &LimitSettings, reader: &mut SectionReader<'_>) {
+    reader.rule(
+        "limits.loan_lease_ms",
+        limits.loan_lease_ms > 0,
+        AT_LEAST_ONE,
+    );
+    reader.rule(
+        "limits.reserve_percent",
+        limits.reserve_percent <= 100,
+        "must be at most 100",
+    );
+}
+
 fn check_traffic(traffic: &TrafficSettings, reader: &mut SectionReader<'_>) {
     let numbers = [
         ("traffic.threads", traffic.threads as u64),
@@ -129,6 +157,18 @@
     }
 }
 
+fn check_fleet(fleet: &FleetSettings, reader: &mut SectionReader<'_>) {
+    let numbers = [
+        ("fleet.lease_ms", fleet.lease_ms),
+        ("fleet.round_ms", fleet.round_ms),
+        ("fleet.confirm_ms", fleet.confirm_ms),
+        ("fleet.first_batch_vms", u64::from(fleet.first_batch_vms)),
+    ];
+    for (path, number) in numbers {
+        reader.rule(path, number > 0, AT_LEAST_ONE);
+    }
+}
+
 fn check_log(log: &LogSettings, reader: &mut SectionReader<'_>) {
     let is_level = log.level.parse::<log::LevelFilter>().is_ok();
     let rule = "must be off, error, warn, info, debug or trace";
--- a/rhubarbfall-entry/src/traffic/upstream_body.rs
+++ b/rhubarbfall-entry/src/traffic/upstream_body.rs
@@ -52,6 +52,7 @@
             connection,
         } = in_progress;
         let address = permit.address();
+        permit.end();
         drop(permit);
         in_flight.shared().connections.put_idle(address, connection);
     }
--- a/rhubarbfall-routing/tests/slots.rs
+++ b/rhubarbfall-routing/tests/slots.rs
@@ -291,3 +291,31 @@
         .sum::<usize>();
     assert_eq!(taken, all_slots().len());
 }
+
+#[test]
+fn a_member_that_missed_a_view_waits_for_the_one_that_owned_its_slots_meanwhile() {
+    let mut zone = Zone::new();
+    let adopt = |zone: &mut Zone, entry: usize| {
+        let view = zone.view();
+        zone.entries[entry].on_view(zone.now, view);
+    };
+    zone.change(0b0001);
+    adopt(&mut zone, 0);
+    let now = zone.now;
+    while let Some(slot) = zone.entries[0].take(now, &upstream(0)) {
+        zone.running.push(Running {
+            slot,
+            member: Arc::clone(&zone.names[0]),
+            ends_at: now + Duration::from_millis(1),
+        });
+    }
+    zone.change(0b0010);
+    adopt(&mut zone, 1);
+    zone.advance(VALIDITY + LONGEST_REQUEST);
+    adopt(&mut zone, 1);
+    let now = zone.now;
+    assert!(zone.entries[1].take(now, &upstream(0)).is_some());
+    zone.change(0b0001);
+    adopt(&mut zone, 0);
+    assert_eq!(zone.entries[0].take(now, &upstream(0)), None);
+}
