feat(dev): take a pool through a maintenance wave

Cause: the report could not say whether the availability budget holds. Change: a run announces every VM of the last service, and checks each reboot as the platform sees it: unavailable VMs against the budget, and no request running on the VM.

--- a/rhubarbfall/src/dev/dev_command.rs
+++ b/rhubarbfall/src/dev/dev_command.rs
@@ -15,7 +15,7 @@
 use super::operator_client::{apply_first_document, is_ready};
 use super::outcomes::{OutcomeReport, Outcomes};
 use super::report::DevReport;
-use super::{script, share_sampler};
+use super::{script, share_sampler, wave};
 
 /// How long the fleet may take until every entry is ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
@@ -137,6 +137,18 @@
         let load = load::run(context.clone(), service_index, start, end);
         tasks.push(tokio::spawn(load));
     }
+    wave::watch(
+        &fleet.platform,
+        fleet.upstreams.clone(),
+        fleet.log.clone(),
+        checks.clone(),
+    );
+    tasks.push(tokio::spawn(wave::announce(
+        example,
+        fleet.platform.clone(),
+        fleet.upstreams.clone(),
+        start + run_for / 16,
+    )));
     let stopping = fleet.entries.pop();
     let staying: Vec<(SocketAddr, SocketAddr)> = fleet
         .entries
--- a/rhubarbfall/src/dev/dev_fleet.rs
+++ b/rhubarbfall/src/dev/dev_fleet.rs
@@ -161,7 +161,9 @@
          listen = {{ callers = \"{any}\", operators = \"{any}\", peers = \"{any}\" }}\n\
          platform = {{ table = \"{platform}\", objects = \"{platform}\", vms = \"{platform}\" }}\n\
          secrets = {{ fleet_key = \"{FLEET_KEY}\", key_pepper = \"{KEY_PEPPER}\" }}\n\
-         traffic = {{ threads = 1 }}\n",
+         traffic = {{ threads = 1 }}\n\
+         fleet = {{ lease_ms = 3000, round_ms = 150, confirm_ms = 100, prove_ms = 300, \
+         prove_limit_ms = 5000, reboot_limit_ms = 3000, outage_after_ms = 400 }}\n",
     )
 }
 
--- a/rhubarbfall/src/dev/example.rs
+++ b/rhubarbfall/src/dev/example.rs
@@ -12,6 +12,9 @@
 /// The key of the operator of a development fleet.
 pub(super) const OPERATOR_KEY: &str = "operator-key";
 
+/// The availability budget of every pool.
+pub(super) const MAX_UNAVAILABLE_VMS: u32 = 2;
+
 /// How many slots an upstream has.
 const SLOTS_PER_UPSTREAM: u32 = 8;
 
@@ -106,7 +109,7 @@
         for service in self.services {
             let _ = write!(
                 text,
-                "[[fleet.pool]]\nid = \"{service}-pool\"\nmax_unavailable_vms = 2\nmin_vms = 1\n\n\
+                "[[fleet.pool]]\nid = \"{service}-pool\"\nmax_unavailable_vms = {MAX_UNAVAILABLE_VMS}\nmin_vms = 1\n\n\
                  [[fleet.service]]\nid = \"{service}\"\npool = \"{service}-pool\"\n\
                  slots_per_upstream = {SLOTS_PER_UPSTREAM}\nconnections_per_upstream = 64\n\
                  answer_timeout_ms = 20000\n\n\
--- a/rhubarbfall/src/dev/mod.rs
+++ b/rhubarbfall/src/dev/mod.rs
@@ -11,5 +11,6 @@
 mod report;
 mod script;
 mod share_sampler;
+mod wave;
 
 pub(crate) use dev_command::{DevOptions, run};
--- /dev/null
+++ b/rhubarbfall/src/dev/wave.rs
@@ -0,0 +1,81 @@
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use rhubarbfall_platform::maintenance::{MaintenanceRecord, MaintenanceState};
+use rhubarbfall_testing::platform::{RebootEvent, StandInPlatform};
+use rhubarbfall_testing::upstream::{UpstreamLog, UpstreamMode};
+
+use super::checks::{Checks, Promise};
+use super::dev_fleet::DevUpstream;
+use super::example::{Example, MAX_UNAVAILABLE_VMS};
+
+/// The wave that a run announces.
+const WAVE: &str = "wave-1";
+
+/// How long a reboot takes.
+const REBOOT_TIME: Duration = Duration::from_millis(400);
+
+/// How much time the platform gives the wave.
+const DUE_AFTER: Duration = Duration::from_hours(1);
+
+/// Announces maintenance of every VM of the example's last service, whose turn of high demand
+/// comes last.
+pub(super) async fn announce(
+    example: Example,
+    platform: StandInPlatform,
+    upstreams: Vec<DevUpstream>,
+    at: Instant,
+) {
+    platform.set_reboot_time(REBOOT_TIME);
+    tokio::time::sleep_until(at.into()).await;
+    let due = SystemTime::now() + DUE_AFTER;
+    let due = due.duration_since(UNIX_EPOCH).unwrap_or_default();
+    let Ok(wave) = WAVE.parse::<rhubarbfall_core::WaveId>() else {
+        return;
+    };
+    for upstream in upstreams.iter().filter(|up| is_last_service(&example, up)) {
+        platform.announce(MaintenanceRecord {
+            wave: wave.clone(),
+            vm: upstream.record.id.clone(),
+            availability_zone: upstream.record.availability_zone.clone(),
+            rack: upstream.record.rack.clone(),
+            due_at_unix_ms: due.as_millis() as u64,
+            state: MaintenanceState::Announced,
+        });
+    }
+}
+
+/// Lets upstreams stop while they reboot, and checks each reboot as the platform sees it.
+pub(super) fn watch(
+    platform: &StandInPlatform,
+    upstreams: Vec<DevUpstream>,
+    log: UpstreamLog,
+    checks: Checks,
+) {
+    let down = AtomicU32::new(0);
+    platform.on_reboot(move |vm, event| {
+        let Some(upstream) = upstreams.iter().find(|up| up.record.id == *vm) else {
+            return;
+        };
+        match event {
+            RebootEvent::Down => {
+                let running = log.report().running_by_upstream;
+                let running = running.get(vm.as_str()).copied().unwrap_or(0);
+                checks.check(Promise::GracefulStop, running == 0);
+                let down_now = down.fetch_add(1, Ordering::SeqCst) + 1;
+                let holds = down_now <= MAX_UNAVAILABLE_VMS;
+                checks.check(Promise::AvailabilityBudget, holds);
+                upstream.stand_in.set_mode(UpstreamMode::Refuse);
+            }
+            RebootEvent::Up => {
+                down.fetch_sub(1, Ordering::SeqCst);
+                upstream.stand_in.set_mode(UpstreamMode::Serve);
+            }
+        }
+    });
+}
+
+fn is_last_service(example: &Example, upstream: &DevUpstream) -> bool {
+    let name = upstream.record.id.as_str().rsplit_once('-');
+    name.map(|(service, _)| service) == example.services.last().copied()
+}
