feat(dev): move a VM between pools during a run

Cause: 'one pool per VM' was not checked in the report. Change: a run asks for one VM to be moved; upstreams note which queues they serve, and a request of a queue that an upstream had left, or that comes while the other queue's requests run there, counts as broken.

--- a/rhubarbfall-testing/src/upstream/upstream_log.rs
+++ b/rhubarbfall-testing/src/upstream/upstream_log.rs
@@ -18,6 +18,7 @@
     report: UpstreamReport,
     starts_by_request: HashMap<Arc<str>, u32>,
     limit_by_team: LiteMap<Arc<str>, u32>,
+    queues_by_upstream: LiteMap<Arc<str>, Vec<Arc<str>>>,
 }
 
 /// Counts over all upstreams of a group.
@@ -45,6 +46,11 @@
     pub running_by_upstream: LiteMap<Arc<str>, u32>,
     /// Requests that were started while their team had its whole limit running.
     pub started_above_limit: u64,
+    /// Requests that were the first of another queue at an upstream, as after a move.
+    pub queue_changes: u64,
+    /// Requests of a queue that an upstream had left for another one, or that came while requests
+    /// of the other queue were running there.
+    pub started_in_two_pools: u64,
     /// Requests that an upstream was handed more than its grace after it had said that it leaves.
     pub started_after_leaving: u64,
 }
@@ -92,6 +98,7 @@
         *starts += 1;
         let is_repeat = *starts > 1;
         let limit = inner.limit_by_team.get(start.team).copied();
+        inner.note_queue(start.upstream, start.queue);
         let report = &mut inner.report;
         report.started += 1;
         report.repeated += u64::from(is_repeat);
@@ -117,6 +124,23 @@
     }
 }
 
+impl Inner {
+    /// Notes which queues an upstream serves, one after the other.
+    fn note_queue(&mut self, upstream: &str, queue: &str) {
+        let queues = entry(&mut self.queues_by_upstream, upstream);
+        if queues.last().is_some_and(|last| **last == *queue) {
+            return;
+        }
+        let had_left = queues.iter().any(|earlier| **earlier == *queue);
+        let is_change = !queues.is_empty();
+        queues.push(Arc::from(queue));
+        let running = entry(&mut self.report.running_by_upstream, upstream);
+        let is_shared = is_change && *running > 0;
+        self.report.queue_changes += u64::from(is_change);
+        self.report.started_in_two_pools += u64::from(had_left || is_shared);
+    }
+}
+
 fn raise(counts: &mut LiteMap<Arc<str>, u32>, key: &str) -> u32 {
     let count = entry(counts, key);
     *count += 1;
--- a/rhubarbfall/src/dev/dev_command.rs
+++ b/rhubarbfall/src/dev/dev_command.rs
@@ -6,6 +6,7 @@
 use metrics_exporter_prometheus::PrometheusBuilder;
 use rhubarbfall_testing::rig::Caller;
 use rhubarbfall_testing::upstream::UpstreamLog;
+use tokio::task::JoinHandle;
 
 use super::balancer::Balancer;
 use super::checks::{Checks, Promise};
@@ -137,18 +138,9 @@
         let load = load::run(context.clone(), service_index, start, end);
         tasks.push(tokio::spawn(load));
     }
-    wave::watch(
-        &fleet.platform,
-        fleet.upstreams.clone(),
-        fleet.log.clone(),
-        checks.clone(),
-    );
-    tasks.push(tokio::spawn(wave::announce(
-        example,
-        fleet.platform.clone(),
-        fleet.upstreams.clone(),
-        start + run_for / 16,
-    )));
+    tasks.extend(spawn_fleet_changes(
+        &example, &fleet, &caller, &checks, start, run_for,
+    ));
     let stopping = fleet.entries.pop();
     let staying: Vec<(SocketAddr, SocketAddr)> = fleet
         .entries
@@ -163,14 +155,6 @@
         start + run_for / 4,
         end,
     )));
-    if let Some(upstream) = fleet.upstreams.first() {
-        let leaving = script::leave(
-            upstream.clone(),
-            fleet.platform.clone(),
-            start + run_for / 8,
-        );
-        tokio::spawn(leaving);
-    }
     if let Some(entry) = stopping {
         tasks.push(tokio::spawn(script::stop_entry(
             entry,
@@ -197,6 +181,34 @@
     }
 }
 
+/// Starts a maintenance wave, a move and a leaving upstream.
+fn spawn_fleet_changes(
+    example: &Example,
+    fleet: &DevFleet,
+    caller: &Caller,
+    checks: &Checks,
+    start: Instant,
+    run_for: Duration,
+) -> Vec<JoinHandle<()>> {
+    let platform = &fleet.platform;
+    let upstreams = || fleet.upstreams.clone();
+    wave::watch(platform, upstreams(), fleet.log.clone(), checks.clone());
+    let begin = start + run_for / 16;
+    let wave = wave::announce(*example, platform.clone(), upstreams(), begin);
+    let mut tasks = vec![tokio::spawn(wave)];
+    if let Some(entry) = fleet.entries.first() {
+        let at = start + run_for / 10;
+        let moving = script::move_vm(*example, caller.clone(), entry.operators, at);
+        tasks.push(tokio::spawn(moving));
+    }
+    if let Some(upstream) = fleet.upstreams.first() {
+        let at = start + run_for / 8;
+        // It outlasts the run, since the platform's list names the upstream only much later.
+        tokio::spawn(script::leave(upstream.clone(), platform.clone(), at));
+    }
+    tasks
+}
+
 /// Compares what callers saw with what the upstreams ran.
 fn check_upstreams(log: &UpstreamLog, requests: &OutcomeReport, checks: &Checks) {
     let report = log.report();
@@ -205,6 +217,13 @@
         report.started,
         report.started_above_limit,
     );
+    if report.queue_changes > 0 {
+        checks.add(
+            Promise::OnePoolPerVm,
+            report.started,
+            report.started_in_two_pools,
+        );
+    }
     checks.add(
         Promise::NonIdempotentAtMostOnce,
         report.started,
--- a/rhubarbfall/src/dev/operator_client.rs
+++ b/rhubarbfall/src/dev/operator_client.rs
@@ -40,6 +40,18 @@
     }
 }
 
+/// Asks for a VM to be moved to another pool; returns whether the wish was recorded.
+pub(super) async fn request_move(
+    caller: &Caller,
+    operators: SocketAddr,
+    vm: &str,
+    pool: &str,
+) -> bool {
+    let body = serde_json::json!({ "vm": vm, "pool": pool }).to_string();
+    let request = Request::new(Method::POST, operators, "/v1/vms/pool");
+    send(caller, request, "move", body).await
+}
+
 /// Returns whether an entry says that it is ready.
 pub(super) async fn is_ready(caller: &Caller, operators: SocketAddr) -> bool {
     let request = Request::new(Method::GET, operators, "/ready");
--- a/rhubarbfall/src/dev/script.rs
+++ b/rhubarbfall/src/dev/script.rs
@@ -11,7 +11,7 @@
 use super::checks::{Checks, Promise};
 use super::dev_fleet::{DevEntry, DevUpstream};
 use super::example::{Example, second_key};
-use super::operator_client::{apply_change, is_ready};
+use super::operator_client::{apply_change, is_ready, request_move};
 use super::outcomes::Outcomes;
 
 /// How long a withdrawn key may still be taken.
@@ -104,6 +104,14 @@
     }
 }
 
+/// Asks for the second service's first VM to be moved to the fourth service's pool.
+pub(super) async fn move_vm(example: Example, caller: Caller, operators: SocketAddr, at: Instant) {
+    tokio::time::sleep_until(at.into()).await;
+    let vm = format!("{}-0", example.services[1]);
+    let pool = format!("{}-pool", example.services[3]);
+    request_move(&caller, operators, &vm, &pool).await;
+}
+
 /// Makes an upstream say that it leaves; the platform's list says so only much later.
 pub(super) async fn leave(upstream: DevUpstream, platform: StandInPlatform, at: Instant) {
     tokio::time::sleep_until(at.into()).await;
