--- a/rhubarbfall-entry/src/operator/document_endpoints.rs
+++ b/rhubarbfall-entry/src/operator/document_endpoints.rs
@@ -44,11 +44,7 @@
     headers: &HeaderMap,
     Body(body): Body<RequestBody>,
 ) -> WebResponse {
-    let shared = &context.shared;
-    answer(match change_request(shared, headers, body, false).await {
-        Ok(request) => accept_change(shared, &request).await,
-        Err(error) => Err(error),
-    })
+    accept(context, headers, body, false).await
 }
 
 /// Accepts the first document of a fleet.
@@ -56,12 +52,23 @@
     StateRef(context): StateRef<'_, OperatorContext>,
     headers: &HeaderMap,
     Body(body): Body<RequestBody>,
+) -> WebResponse {
+    accept(context, headers, body, true).await
+}
+
+async fn accept(
+    context: &OperatorContext,
+    headers: &HeaderMap,
+    body: RequestBody,
+    is_first: bool,
 ) -> WebResponse {
     let shared = &context.shared;
-    answer(match change_request(shared, headers, body, true).await {
-        Ok(request) => accept_change(shared, &request).await,
-        Err(error) => Err(error),
-    })
+    answer(
+        match change_request(shared, headers, body, is_first).await {
+            Ok(request) => accept_change(shared, &request).await,
+            Err(error) => Err(error),
+        },
+    )
 }
 
 /// Says whether a change would be accepted.
