refactor(testing): make the record of an entry's VM in one place

Cause: the test rig and the development fleet built the same record field by field. Change: entry_record in rhubarbfall-testing, called by both; behaviour is as before.

--- a/rhubarbfall-testing/src/platform/mod.rs
+++ b/rhubarbfall-testing/src/platform/mod.rs
@@ -1,11 +1,13 @@
 //! A stand-in for the platform's table, object store and VM list, with scripted faults.
 
+mod entry_record;
 mod fault;
 mod maintenance;
 mod stand_in_platform;
 mod table_state;
 mod vm_history;
 
+pub use entry_record::entry_record;
 pub use fault::{Fault, FaultMode, ServiceKind};
 pub use maintenance::{RebootEvent, RebootFate};
 pub use stand_in_platform::{PlatformCounters, StandInPlatform};
--- a/rhubarbfall-testing/src/rig/test_fleet.rs
+++ b/rhubarbfall-testing/src/rig/test_fleet.rs
@@ -17,7 +17,7 @@
 
 use super::{Answer, Caller, CallerError, Process, Request, wait_until};
 use crate::Relay;
-use crate::platform::StandInPlatform;
+use crate::platform::{StandInPlatform, entry_record};
 use crate::upstream::{StandInUpstream, UpstreamLog};
 
 /// How long an entry may take until it is ready.
@@ -279,17 +279,8 @@
         if let Some(relay) = self.peer_relays.get(&id) {
             relay.set_target(process.address("peers"));
         }
-        self.platform.put_vm(VmRecord {
-            id: id.parse().map_err(io::Error::other)?,
-            kind: VmKind::Entry,
-            availability_zone: zone.parse().map_err(io::Error::other)?,
-            region: "west".parse().map_err(io::Error::other)?,
-            rack: format!("{zone}-entries")
-                .parse()
-                .map_err(io::Error::other)?,
-            address: process.address("callers"),
-            state: VmState::Live,
-        });
+        self.platform
+            .put_vm(entry_record(&id, zone, process.address("callers"))?);
         Ok(EntryProcess {
             id,
             zone: zone.to_owned(),
--- a/rhubarbfall/src/dev/dev_fleet.rs
+++ b/rhubarbfall/src/dev/dev_fleet.rs
@@ -8,7 +8,7 @@
 use rhubarbfall_entry::{Entry, Settings};
 use rhubarbfall_platform::table::{TableClient, Transaction, TransactionId};
 use rhubarbfall_platform::vms::{VmKind, VmRecord, VmState};
-use rhubarbfall_testing::platform::StandInPlatform;
+use rhubarbfall_testing::platform::{StandInPlatform, entry_record};
 use rhubarbfall_testing::upstream::{StandInUpstream, UpstreamLog};
 use serde_json::json;
 
@@ -132,17 +132,8 @@
         let clock: SharedClock = Arc::new(SystemClock::new());
         let entry = Entry::start(settings, clock, metrics, false).map_err(io::Error::other)?;
         let addresses = entry.addresses();
-        self.platform.put_vm(VmRecord {
-            id: name.parse().map_err(io::Error::other)?,
-            kind: VmKind::Entry,
-            availability_zone: zone.parse().map_err(io::Error::other)?,
-            region: "west".parse().map_err(io::Error::other)?,
-            rack: format!("{zone}-entries")
-                .parse()
-                .map_err(io::Error::other)?,
-            address: addresses.callers,
-            state: VmState::Live,
-        });
+        self.platform
+            .put_vm(entry_record(&name, zone, addresses.callers)?);
         self.entries.push(DevEntry {
             name,
             entry,
