--- a/rhubarbfall-entry/src/control/control_thread.rs
+++ b/rhubarbfall-entry/src/control/control_thread.rs
@@ -7,11 +7,15 @@
 use tokio::time::sleep;
 
 use super::{document_poll, upstream_poll};
+use crate::routing::{run_claims, run_health_checks};
 use crate::{Phase, Shared};
 
 /// How often a stopping process looks whether its requests have ended.
 const STOP_POLL: Duration = Duration::from_millis(20);
 
+/// How long the last bytes of an answer may take from its body's end to the socket.
+const FLUSH_TIME: Duration = Duration::from_millis(200);
+
 /// Runs the control duties until a planned stop is complete.
 ///
 /// # Errors
@@ -24,6 +28,8 @@
     let duties = LocalSet::new();
     duties.spawn_local(document_poll::run(Arc::clone(shared)));
     duties.spawn_local(upstream_poll::run(Arc::clone(shared)));
+    duties.spawn_local(run_claims(Arc::clone(shared)));
+    duties.spawn_local(run_health_checks(Arc::clone(shared)));
     duties.block_on(&runtime, async {
         if handles_signals {
             let mut terminate = signal(SignalKind::terminate())?;
@@ -56,6 +62,7 @@
     while shared.lifecycle.in_flight() > 0 && shared.clock.now() < deadline {
         sleep(STOP_POLL).await;
     }
+    sleep(FLUSH_TIME).await;
     let in_flight = shared.lifecycle.in_flight();
     log::info!("event=stop phase=stopped in_flight={in_flight}");
 }
--- a/rhubarbfall-entry/src/control/upstream_poll.rs
+++ b/rhubarbfall-entry/src/control/upstream_poll.rs
@@ -16,7 +16,7 @@
     pool: PoolId,
 }
 
-/// Reads the list of VMs until the process ends, and routes to the live ones of its zone.
+/// Reads the list of VMs until the process ends, and watches the live ones of its zone.
 pub(super) async fn run(shared: Arc<Shared>) {
     let interval = Duration::from_millis(shared.settings.control.vm_list_poll_ms);
     loop {
@@ -45,10 +45,7 @@
             .filter(|vm| is_routable(shared, vm) && pools.get(&vm.id) == Some(&service.pool))
             .filter_map(|vm| Some((vm.id.as_str().parse().ok()?, vm.address)))
             .collect();
-        let slots = service.slots_per_upstream;
-        shared
-            .dispatcher
-            .set_upstreams(&service.id, slots, &upstreams);
+        shared.upstreams.set_listed(&service.id, &upstreams);
     }
     Ok(())
 }
--- a/rhubarbfall-entry/src/dispatch/dispatch_state.rs
+++ b/rhubarbfall-entry/src/dispatch/dispatch_state.rs
@@ -199,7 +199,7 @@
 ) {
     let mut index = 0;
     while let Some(waiting) = state.waiting.get(index) {
-        let Some(id) = least_loaded(&state.upstreams) else {
+        let Some(id) = least_loaded(&state.upstreams, &waiting.work.avoided) else {
             return;
         };
         let team = teams.get_mut(&waiting.work.team);
@@ -224,10 +224,13 @@
     }
 }
 
-fn least_loaded(upstreams: &LiteMap<UpstreamId, UpstreamState>) -> Option<UpstreamId> {
+fn least_loaded(
+    upstreams: &LiteMap<UpstreamId, UpstreamState>,
+    avoided: &[UpstreamId],
+) -> Option<UpstreamId> {
     upstreams
         .iter()
         .filter(|(_, up)| !up.is_leaving && up.running < up.slots)
-        .min_by_key(|(_, up)| up.running)
+        .min_by_key(|(id, up)| (avoided.contains(id), up.running))
         .map(|(id, _)| id.clone())
 }
--- a/rhubarbfall-entry/src/dispatch/work.rs
+++ b/rhubarbfall-entry/src/dispatch/work.rs
@@ -1,6 +1,6 @@
 use std::time::Instant;
 
-use rhubarbfall_core::{QueueId, RequestId, ServiceId, TeamId};
+use rhubarbfall_core::{QueueId, RequestId, ServiceId, TeamId, UpstreamId};
 use serde::{Deserialize, Serialize};
 
 /// How soon work is needed.
@@ -28,4 +28,6 @@
     pub class: WorkClass,
     /// When it must have started.
     pub deadline: Instant,
+    /// Upstreams where an attempt failed; others are preferred.
+    pub avoided: Vec<UpstreamId>,
 }
--- a/rhubarbfall-entry/src/lib.rs
+++ b/rhubarbfall-entry/src/lib.rs
@@ -8,6 +8,7 @@
 mod entry;
 mod lifecycle;
 pub mod operator;
+pub mod routing;
 pub mod settings;
 mod shared;
 pub mod traffic;
--- a/rhubarbfall-entry/src/operator/state_dump.rs
+++ b/rhubarbfall-entry/src/operator/state_dump.rs
@@ -1,4 +1,5 @@
 use rhubarbfall_core::{AvailabilityZoneId, EntryId, Revision};
+use rhubarbfall_routing::{ClaimLedgerState, UpstreamView};
 use serde::Serialize;
 
 use crate::dispatch::DispatchSnapshot;
@@ -21,6 +22,10 @@
     pub is_document_fresh: bool,
     /// Waiting and running requests.
     pub dispatch: DispatchSnapshot,
+    /// The health of upstreams.
+    pub upstreams: Vec<UpstreamView>,
+    /// Claims of non-idempotent requests.
+    pub claims: ClaimLedgerState,
 }
 
 impl StateDump {
@@ -35,6 +40,8 @@
             revision: shared.document.load().as_ref().map(|doc| doc.revision),
             is_document_fresh: shared.is_document_fresh(),
             dispatch: shared.dispatcher.snapshot(),
+            upstreams: shared.upstreams.snapshot(),
+            claims: shared.claims.state(),
         }
     }
 }
--- /dev/null
+++ b/rhubarbfall-entry/src/routing/claim_service.rs
@@ -0,0 +1,126 @@
+use std::fmt;
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use rhubarbfall_core::{EntryId, LiteMap, RequestId, ResultCode, SharedClock, TeamId};
+use rhubarbfall_routing::{
+    ClaimAction, ClaimKey, ClaimLedger, ClaimLedgerState, ClaimSettings, ClaimVerdict,
+};
+use tokio::sync::{Notify, oneshot};
+
+use super::ClaimGuard;
+
+/// Claims requests for the traffic threads; the control thread talks to the table.
+pub struct ClaimService {
+    clock: SharedClock,
+    entry: EntryId,
+    incarnation: u64,
+    state: Mutex<State>,
+    has_work: Notify,
+}
+
+struct State {
+    ledger: ClaimLedger,
+    waiters: LiteMap<ClaimKey, oneshot::Sender<ClaimVerdict>>,
+}
+
+impl ClaimService {
+    /// Creates the service of a process that has just started.
+    #[must_use]
+    pub fn new(clock: &SharedClock, entry: &EntryId, settings: ClaimSettings) -> Self {
+        let incarnation: u64 = rand::random();
+        let appender = format!("{entry}/{incarnation}");
+        let ledger = ClaimLedger::new(clock.now(), appender, settings);
+        Self {
+            clock: Arc::clone(clock),
+            entry: entry.clone(),
+            incarnation,
+            state: Mutex::new(State {
+                ledger,
+                waiters: LiteMap::new(),
+            }),
+            has_work: Notify::new(),
+        }
+    }
+
+    /// Claims a request, and waits until the claim is in the table.
+    ///
+    /// # Errors
+    ///
+    /// [`ResultCode::DuplicateRequest`] or [`ResultCode::ClaimUnchecked`].
+    pub async fn claim(
+        self: &Arc<Self>,
+        team: &TeamId,
+        request: &RequestId,
+    ) -> Result<ClaimGuard, ResultCode> {
+        let key = ClaimKey::new(team.as_str(), request);
+        let verdict = match self.begin(key) {
+            Ok(verdict) => verdict,
+            Err(waiter) => waiter.await.unwrap_or(ClaimVerdict::Unchecked),
+        };
+        match verdict.refusal() {
+            None => Ok(ClaimGuard::new(Arc::clone(self), key)),
+            Some(code) => Err(code),
+        }
+    }
+
+    /// Returns a summary for the dump.
+    #[must_use]
+    pub fn state(&self) -> ClaimLedgerState {
+        self.state.lock().ledger.state()
+    }
+
+    /// Returns the entry and the number of this process, for transaction identifiers.
+    pub(super) const fn writer(&self) -> (&EntryId, u64) {
+        (&self.entry, self.incarnation)
+    }
+
+    pub(super) fn may_start(&self, key: ClaimKey) -> bool {
+        self.state.lock().ledger.may_start(self.clock.now(), key)
+    }
+
+    pub(super) fn release(&self, key: ClaimKey) {
+        self.state.lock().ledger.release(key);
+        self.has_work.notify_one();
+    }
+
+    pub(super) async fn wait_for_work(&self) {
+        self.has_work.notified().await;
+    }
+
+    pub(super) fn next_action(&self) -> Option<ClaimAction> {
+        self.state.lock().ledger.action(self.clock.now())
+    }
+
+    /// Changes the ledger and answers the requests that the change decides.
+    pub(super) fn update(&self, change: impl FnOnce(&mut ClaimLedger)) {
+        let mut state = self.state.lock();
+        change(&mut state.ledger);
+        for (key, verdict) in state.ledger.take_verdicts() {
+            let waiter = state.waiters.remove(&key);
+            let is_taken = waiter.is_some_and(|waiter| waiter.send(verdict).is_ok());
+            if !is_taken && verdict == ClaimVerdict::Granted {
+                state.ledger.release(key);
+            }
+        }
+    }
+
+    fn begin(&self, key: ClaimKey) -> Result<ClaimVerdict, oneshot::Receiver<ClaimVerdict>> {
+        let mut state = self.state.lock();
+        if let Some(verdict) = state.ledger.begin(self.clock.now(), key) {
+            return Ok(verdict);
+        }
+        let (sender, receiver) = oneshot::channel();
+        state.waiters.insert(key, sender);
+        self.has_work.notify_one();
+        Err(receiver)
+    }
+}
+
+impl fmt::Debug for ClaimService {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("ClaimService")
+            .field("state", &self.state())
+            .finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/rhubarbfall-entry/src/routing/upstreams.rs
@@ -0,0 +1,126 @@
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use parking_lot::Mutex;
+use rhubarbfall_core::{LiteMap, ServiceId, SharedClock, UpstreamId};
+use rhubarbfall_routing::{
+    Attempt, HealthReport, RetryDecision, RetryPolicy, UpstreamView, UpstreamWatch,
+};
+
+use crate::Shared;
+
+/// The health of upstreams and the repeats of failed attempts, for all threads.
+#[derive(Debug)]
+pub struct Upstreams {
+    clock: SharedClock,
+    watch: Mutex<UpstreamWatch>,
+    retries: Mutex<LiteMap<ServiceId, RetryPolicy>>,
+    /// What the dispatcher was last told.
+    in_use: Mutex<LiteMap<ServiceId, Vec<(UpstreamId, SocketAddr)>>>,
+}
+
+impl Upstreams {
+    /// Creates the state of a process that knows no upstream.
+    #[must_use]
+    pub fn new(clock: SharedClock) -> Self {
+        Self {
+            clock,
+            watch: Mutex::new(UpstreamWatch::new()),
+            retries: Mutex::new(LiteMap::new()),
+            in_use: Mutex::new(LiteMap::new()),
+        }
+    }
+
+    /// Takes the live upstreams of a service from the platform's list.
+    pub fn set_listed(&self, service: &ServiceId, listed: &[(UpstreamId, SocketAddr)]) {
+        self.watch.lock().set_listed(service, listed);
+    }
+
+    /// Takes a notice that an upstream leaves.
+    pub fn mark_leaving(&self, upstream: &UpstreamId) {
+        self.watch.lock().mark_leaving(self.clock.now(), upstream);
+    }
+
+    /// Takes an upstream's own sign that it leaves.
+    pub fn on_leave_sign(&self, upstream: &UpstreamId) {
+        self.watch.lock().on_leave_sign(self.clock.now(), upstream);
+    }
+
+    /// Returns whether an upstream takes work at this instant.
+    #[must_use]
+    pub fn is_usable(&self, upstream: &UpstreamId) -> bool {
+        self.watch.lock().is_usable(self.clock.now(), upstream)
+    }
+
+    /// Counts an attempt.
+    pub fn on_attempt(
+        &self,
+        service: &ServiceId,
+        upstream: &UpstreamId,
+        sent_at: Instant,
+        is_success: bool,
+    ) {
+        let now = self.clock.now();
+        let mut watch = self.watch.lock();
+        watch.on_attempt(now, upstream, sent_at, is_success);
+        drop(watch);
+        if is_success {
+            self.with_policy(service, RetryPolicy::on_success);
+        }
+    }
+
+    /// Decides what follows an attempt that failed.
+    #[must_use]
+    pub fn decide(&self, service: &ServiceId, attempt: Attempt) -> RetryDecision {
+        let now = self.clock.now();
+        self.with_policy(service, |policy| policy.decide(now, attempt))
+    }
+
+    /// Tells the dispatcher which upstreams are usable, where that has changed.
+    pub fn refresh(&self, shared: &Shared) {
+        let now = self.clock.now();
+        let Some(document) = shared.document.load_full() else {
+            return;
+        };
+        let mut in_use = self.in_use.lock();
+        for service in &document.fleet.services {
+            let usable = self.watch.lock().usable(now, &service.id);
+            if in_use.get(&service.id) == Some(&usable) {
+                continue;
+            }
+            log::info!(
+                "event=upstreams service={} usable={}",
+                service.id,
+                usable.len()
+            );
+            let slots = service.slots_per_upstream;
+            shared.dispatcher.set_upstreams(&service.id, slots, &usable);
+            in_use.insert(service.id.clone(), usable);
+        }
+    }
+
+    /// Copies the state for the dump.
+    #[must_use]
+    pub fn snapshot(&self) -> Vec<UpstreamView> {
+        self.watch.lock().snapshot(self.clock.now())
+    }
+
+    pub(super) fn take_due_checks(&self) -> Vec<(UpstreamId, SocketAddr)> {
+        self.watch.lock().take_due_checks(self.clock.now())
+    }
+
+    pub(super) fn on_health(&self, upstream: &UpstreamId, asked_at: Instant, report: HealthReport) {
+        let now = self.clock.now();
+        let mut watch = self.watch.lock();
+        watch.on_health(now, upstream, asked_at, report);
+    }
+
+    fn with_policy<T>(&self, service: &ServiceId, change: impl FnOnce(&mut RetryPolicy) -> T) -> T {
+        let mut retries = self.retries.lock();
+        if !retries.contains_key(service) {
+            retries.insert(service.clone(), RetryPolicy::new(rand::random()));
+        }
+        let policy = retries.get_mut(service).expect("it was inserted above");
+        change(policy)
+    }
+}
--- a/rhubarbfall-entry/src/settings/settings.rs
+++ b/rhubarbfall-entry/src/settings/settings.rs
@@ -1,5 +1,6 @@
 use std::sync::Arc;
 
+use rhubarbfall_routing::ClaimSettings;
 use serde::Deserialize;
 
 use super::{
@@ -28,6 +29,9 @@
     /// How a planned stop goes.
     #[serde(default)]
     pub stop: StopSettings,
+    /// How non-idempotent requests are recorded.
+    #[serde(default)]
+    pub claims: ClaimSettings,
     /// What is logged and how.
     #[serde(default)]
     pub log: LogSettings,
--- a/rhubarbfall-entry/src/shared.rs
+++ b/rhubarbfall-entry/src/shared.rs
@@ -9,6 +9,7 @@
 use rhubarbfall_platform::vms::VmListClient;
 
 use crate::dispatch::Dispatcher;
+use crate::routing::{ClaimService, Upstreams};
 use crate::traffic::UpstreamConnections;
 use crate::{Lifecycle, Settings};
 
@@ -27,8 +28,12 @@
     pub lifecycle: Lifecycle,
     /// Waiting and running requests.
     pub dispatcher: Arc<Dispatcher>,
+    /// The health of upstreams, and repeats of failed attempts.
+    pub upstreams: Upstreams,
     /// Connections to upstreams.
     pub connections: UpstreamConnections,
+    /// Claims of non-idempotent requests.
+    pub claims: Arc<ClaimService>,
     /// The platform's table.
     pub table: TableClient,
     /// The platform's list of VMs.
@@ -45,10 +50,17 @@
         Self {
             table: TableClient::new(platform.table, zone.clone(), timeout),
             vm_list: VmListClient::new(platform.vms, zone.clone(), timeout),
-            connections: UpstreamConnections::new(Duration::from_millis(
-                settings.traffic.connect_timeout_ms,
-            )),
+            connections: UpstreamConnections::new(
+                Arc::clone(&clock),
+                Duration::from_millis(settings.traffic.connect_timeout_ms),
+            ),
+            upstreams: Upstreams::new(Arc::clone(&clock)),
             dispatcher: Arc::new(Dispatcher::new()),
+            claims: Arc::new(ClaimService::new(
+                &clock,
+                &settings.entry.id,
+                settings.claims,
+            )),
             document: ArcSwapOption::empty(),
             document_confirmed_at: Mutex::new(None),
             lifecycle: Lifecycle::new(),
--- /dev/null
+++ b/rhubarbfall-entry/src/traffic/attempts.rs
@@ -0,0 +1,92 @@
+use std::sync::Arc;
+
+use rhubarbfall_core::{Execution, ResultCode};
+use rhubarbfall_routing::{Attempt, RetryDecision};
+use tokio::time::sleep;
+
+use super::exchange::{Answer, Outgoing, exchange};
+use crate::Shared;
+use crate::dispatch::{Permit, Work};
+use crate::routing::ClaimGuard;
+
+/// How often a request whose upstream has just become unusable waits for another one.
+const MAX_STALE_PERMITS: u32 = 3;
+
+/// Runs a request at an upstream, and at another one if it surely did not run or may run again.
+///
+/// A non-idempotent request is claimed first, and keeps one claim through all attempts.
+pub(super) async fn attempt(
+    shared: &Arc<Shared>,
+    outgoing: &Outgoing<'_>,
+    mut work: Work,
+) -> Result<(Permit, Answer), ResultCode> {
+    let mut claim = claim(shared, outgoing).await?;
+    let mut attempts = 0;
+    loop {
+        let permit = usable_permit(shared, &work).await?;
+        if !claim.as_mut().is_none_or(ClaimGuard::start) {
+            return Err(ResultCode::ClaimUnavailable);
+        }
+        attempts += 1;
+        let sent_at = shared.clock.now();
+        let result = exchange(shared, outgoing, &permit).await;
+        let is_success = result.as_ref().is_ok_and(Answer::is_success);
+        let upstream = permit.upstream();
+        shared
+            .upstreams
+            .on_attempt(&work.service, upstream, sent_at, is_success);
+        let code = match result {
+            Ok(answer) => return Ok((permit, answer)),
+            Err(code) => code,
+        };
+        if let Some(claim) = &mut claim
+            && code.execution() == Execution::NotRun
+        {
+            claim.set_not_run();
+        }
+        let failed = Attempt {
+            attempts,
+            code,
+            is_idempotent: outgoing.caller.is_idempotent,
+            deadline: work.deadline,
+        };
+        let decision = shared.upstreams.decide(&work.service, failed);
+        let RetryDecision::Repeat(pause) = decision else {
+            return Err(code);
+        };
+        metrics::counter!("rhubarbfall_repeats_total").increment(1);
+        work.avoided.push(upstream.clone());
+        drop(permit);
+        sleep(pause).await;
+    }
+}
+
+async fn claim(
+    shared: &Arc<Shared>,
+    outgoing: &Outgoing<'_>,
+) -> Result<Option<ClaimGuard>, ResultCode> {
+    let caller = outgoing.caller;
+    if caller.is_idempotent {
+        return Ok(None);
+    }
+    let team = &outgoing.authorized.team;
+    shared
+        .claims
+        .claim(team, &caller.request_id)
+        .await
+        .map(Some)
+}
+
+/// Waits for a permit whose upstream is usable at this instant, since this process may have been
+/// paused after it chose the upstream.
+async fn usable_permit(shared: &Arc<Shared>, work: &Work) -> Result<Permit, ResultCode> {
+    for _ in 0..MAX_STALE_PERMITS {
+        let now = shared.clock.now();
+        let permit = shared.dispatcher.acquire(work.clone(), now).await?;
+        if shared.upstreams.is_usable(permit.upstream()) {
+            return Ok(permit);
+        }
+        shared.upstreams.refresh(shared);
+    }
+    Err(ResultCode::NoUpstream)
+}
--- a/rhubarbfall-entry/src/traffic/exchange.rs
+++ b/rhubarbfall-entry/src/traffic/exchange.rs
@@ -2,74 +2,134 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONTENT_LENGTH, HOST};
+use http::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderValue, TRANSFER_ENCODING};
 use http::{Method, Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use rhubarbfall_core::ResultCode;
+use rhubarbfall_routing::{HealthReport, Reuse};
 
 use super::CallerRequest;
 use super::authorize::Authorized;
-use super::upstream_connections::Connection;
+use super::upstream_connections::{Connection, ask_health};
 use crate::Shared;
 use crate::dispatch::Permit;
 
+/// How long an idle connection may take to prove that it works.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// The head of an upstream's answer, with the connection that carries the rest.
 pub(super) struct Answer {
     pub(super) response: Response<Incoming>,
     pub(super) connection: Connection,
 }
 
+/// A request on its way to an upstream.
+pub(super) struct Outgoing<'a> {
+    pub(super) caller: &'a CallerRequest,
+    pub(super) authorized: &'a Authorized,
+    pub(super) headers: &'a http::HeaderMap,
+    pub(super) body: Bytes,
+    pub(super) timeout: Duration,
+}
+
+impl Answer {
+    /// Returns whether the upstream did its work, as opposed to failing at it.
+    pub(super) fn is_success(&self) -> bool {
+        !self.response.status().is_server_error()
+    }
+}
+
 /// Sends a request to the permit's upstream and waits for the head of the answer.
 pub(super) async fn exchange(
     shared: &Arc<Shared>,
-    caller: &CallerRequest,
-    authorized: &Authorized,
+    outgoing: &Outgoing<'_>,
     permit: &Permit,
-    headers: &http::HeaderMap,
-    body: Bytes,
-    timeout: Duration,
 ) -> Result<Answer, ResultCode> {
-    let address = permit.address();
-    let mut connection = match shared.connections.take_idle(address) {
-        Some(connection) => connection,
-        None => shared.connections.open(address).await?,
-    };
-    let request = upstream_request(caller, authorized, permit, headers, body)?;
-    let sent = tokio::time::timeout(timeout, connection.send_request(request));
+    let request = upstream_request(outgoing, permit)?;
+    let mut connection = working_connection(shared, outgoing, permit).await?;
+    let sent = tokio::time::timeout(outgoing.timeout, connection.send_request(request));
     let response = match sent.await {
         Err(_) => return Err(ResultCode::UpstreamSilent),
+        Ok(Err(error)) if error.is_canceled() => return Err(ResultCode::ConnectFailed),
         Ok(Err(_)) => return Err(ResultCode::UpstreamConnectionLost),
         Ok(Ok(response)) => response,
     };
-    if response.headers().contains_key("x-not-started") {
-        return Err(ResultCode::UpstreamRefused);
-    }
-    let echoed = response.headers().get("x-request-id");
-    if echoed.is_some_and(|id| id.as_bytes() != caller.request_id.as_str().as_bytes()) {
-        return Err(ResultCode::AnswerMismatch);
+    if is_closing(&response) {
+        shared.upstreams.on_leave_sign(permit.upstream());
     }
+    check(&response, outgoing.caller)?;
     Ok(Answer {
         response,
         connection,
     })
 }
 
+/// Returns a connection that has proved a moment ago that it works, or a new one.
+async fn working_connection(
+    shared: &Arc<Shared>,
+    outgoing: &Outgoing<'_>,
+    permit: &Permit,
+) -> Result<Connection, ResultCode> {
+    let address = permit.address();
+    let connections = &shared.connections;
+    let is_idempotent = outgoing.caller.is_idempotent;
+    let Some((mut connection, reuse)) = connections.take_idle(address, is_idempotent) else {
+        return connections.open(address).await;
+    };
+    if reuse == Reuse::Direct {
+        return Ok(connection);
+    }
+    match ask_health(&mut connection, PROBE_TIMEOUT).await {
+        Some(HealthReport::Serving) => Ok(connection),
+        Some(_) => {
+            shared.upstreams.on_leave_sign(permit.upstream());
+            Err(ResultCode::UpstreamRefused)
+        }
+        None => {
+            log::info!("event=connection-silent upstream={}", permit.upstream());
+            metrics::counter!("rhubarbfall_silent_connections_total").increment(1);
+            connections.drop_idle(address);
+            connections.open(address).await
+        }
+    }
+}
+
+fn is_closing(response: &Response<Incoming>) -> bool {
+    let value = response.headers().get(CONNECTION);
+    value.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
+}
+
+/// Checks that an answer belongs to the request, and that its end can be told from a cut.
+fn check(response: &Response<Incoming>, caller: &CallerRequest) -> Result<(), ResultCode> {
+    let headers = response.headers();
+    if headers.contains_key("x-not-started") {
+        return Err(ResultCode::UpstreamRefused);
+    }
+    let echoed = headers.get("x-request-id").map(HeaderValue::as_bytes);
+    if echoed != Some(caller.request_id.as_str().as_bytes()) {
+        return Err(ResultCode::AnswerMismatch);
+    }
+    let has_end = headers.contains_key(TRANSFER_ENCODING) || headers.contains_key(CONTENT_LENGTH);
+    if has_end {
+        Ok(())
+    } else {
+        Err(ResultCode::AnswerCut)
+    }
+}
+
 fn upstream_request(
-    caller: &CallerRequest,
-    authorized: &Authorized,
+    outgoing: &Outgoing<'_>,
     permit: &Permit,
-    headers: &http::HeaderMap,
-    body: Bytes,
 ) -> Result<Request<Full<Bytes>>, ResultCode> {
     let mut request = Request::builder()
         .method(Method::POST)
-        .uri(format!("/work/{}", caller.queue))
+        .uri(format!("/work/{}", outgoing.caller.queue))
         .header(HOST, permit.address().to_string())
-        .header("x-team", authorized.team.as_str())
-        .body(Full::new(body))
+        .header("x-team", outgoing.authorized.team.as_str())
+        .body(Full::new(outgoing.body.clone()))
         .map_err(|_| ResultCode::BadRequest)?;
-    for (name, value) in headers {
+    for (name, value) in outgoing.headers {
         if is_passed_on(name) {
             request.headers_mut().append(name, value.clone());
         }
--- a/rhubarbfall-entry/src/traffic/handler.rs
+++ b/rhubarbfall-entry/src/traffic/handler.rs
@@ -8,10 +8,11 @@
 use xitca_web::handler::state::StateRef;
 use xitca_web::http::{HeaderMap, HeaderValue, Uri, WebResponse};
 
+use super::attempts::attempt;
 use super::authorize::authorize;
-use super::exchange::{Answer, exchange};
+use super::exchange::{Answer, Outgoing};
 use super::upstream_body::{InProgress, UpstreamBody};
-use super::{CallerRequest, Refusal};
+use super::{CallerRequest, InFlight, Refusal};
 use crate::dispatch::{Permit, Work};
 use crate::{Phase, Shared};
 
@@ -23,8 +24,8 @@
     Body(body): Body<RequestBody>,
 ) -> WebResponse {
     let started = shared.clock.now();
-    let _in_flight = InFlight::new(shared);
-    let result = answer(shared, uri, headers, body, started).await;
+    let in_flight = InFlight::new(Arc::clone(shared));
+    let result = answer(in_flight, uri, headers, body, started).await;
     let elapsed = shared.clock.now().duration_since(started);
     metrics::histogram!("rhubarbfall_request_seconds").record(elapsed);
     match result {
@@ -51,29 +52,14 @@
         .increment(1);
 }
 
-/// Counts a request as in flight until this is dropped.
-struct InFlight<'a>(&'a Shared);
-
-impl<'a> InFlight<'a> {
-    fn new(shared: &'a Shared) -> Self {
-        shared.lifecycle.begin_request();
-        Self(shared)
-    }
-}
-
-impl Drop for InFlight<'_> {
-    fn drop(&mut self) {
-        self.0.lifecycle.end_request();
-    }
-}
-
 async fn answer(
-    shared: &Arc<Shared>,
+    in_flight: InFlight,
     uri: &Uri,
     headers: &HeaderMap,
     body: RequestBody,
     started: Instant,
 ) -> Result<WebResponse, Refusal> {
+    let shared = &Arc::clone(in_flight.shared());
     let caller = CallerRequest::parse(uri.path(), headers)?;
     let refuse = |code| Refusal::new(code).request_id(caller.request_id.clone());
     if shared.lifecycle.phase() == Phase::Stopping {
@@ -93,28 +79,21 @@
         service: authorized.service.clone(),
         class: caller.class,
         deadline: started + caller.deadline.unwrap_or(default_deadline),
+        avoided: Vec::new(),
     };
-    let permit = shared
-        .dispatcher
-        .acquire(work, shared.clock.now())
-        .await
-        .map_err(refuse)?;
     let service = document.service(&authorized.service);
     let timeout = service.map_or(default_deadline, |service| {
         Duration::from_millis(service.answer_timeout_ms)
     });
-    let answer = exchange(
-        shared,
-        &caller,
-        &authorized,
-        &permit,
+    let outgoing = Outgoing {
+        caller: &caller,
+        authorized: &authorized,
         headers,
         body,
         timeout,
-    )
-    .await
-    .map_err(refuse)?;
-    Ok(pass_on(shared, permit, answer))
+    };
+    let (permit, answer) = attempt(shared, &outgoing, work).await.map_err(refuse)?;
+    Ok(pass_on(in_flight, permit, answer))
 }
 
 async fn read_body(shared: &Shared, mut body: RequestBody) -> Result<Bytes, ResultCode> {
@@ -136,7 +115,7 @@
         .map_err(|_| ResultCode::BodyTooSlow)?
 }
 
-fn pass_on(shared: &Arc<Shared>, permit: Permit, answer: Answer) -> WebResponse {
+fn pass_on(in_flight: InFlight, permit: Permit, answer: Answer) -> WebResponse {
     let Answer {
         response,
         connection,
@@ -157,7 +136,7 @@
     let body = UpstreamBody {
         incoming,
         in_progress: Some(InProgress {
-            shared: Arc::clone(shared),
+            in_flight,
             permit,
             connection,
         }),
--- a/rhubarbfall-entry/src/traffic/mod.rs
+++ b/rhubarbfall-entry/src/traffic/mod.rs
@@ -1,15 +1,19 @@
 //! The callers' side: requests in, answers out.
 
+mod attempts;
 mod authorize;
 mod caller_request;
 mod exchange;
 mod handler;
+mod in_flight;
 mod refusal;
 mod server;
 mod upstream_body;
 mod upstream_connections;
 
 pub use caller_request::CallerRequest;
+pub(crate) use in_flight::InFlight;
 pub use refusal::Refusal;
 pub use server::{HttpListener, serve};
 pub use upstream_connections::UpstreamConnections;
+pub(crate) use upstream_connections::{Connection, ask_health};
--- a/rhubarbfall-entry/src/traffic/upstream_body.rs
+++ b/rhubarbfall-entry/src/traffic/upstream_body.rs
@@ -1,6 +1,5 @@
 use std::fmt;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
@@ -9,8 +8,8 @@
 use rhubarbfall_core::ResultCode;
 use xitca_web::body::{Body, Frame, SizeHint};
 
+use super::InFlight;
 use super::upstream_connections::Connection;
-use crate::Shared;
 use crate::dispatch::Permit;
 
 /// An answer's body on its way from an upstream to the caller.
@@ -25,7 +24,7 @@
 
 /// What a request holds until its answer has ended.
 pub(super) struct InProgress {
-    pub(super) shared: Arc<Shared>,
+    pub(super) in_flight: InFlight,
     pub(super) permit: Permit,
     pub(super) connection: Connection,
 }
@@ -48,13 +47,13 @@
             return;
         };
         let InProgress {
-            shared,
+            in_flight,
             permit,
             connection,
         } = in_progress;
         let address = permit.address();
         drop(permit);
-        shared.connections.put_idle(address, connection);
+        in_flight.shared().connections.put_idle(address, connection);
     }
 }
 
--- a/rhubarbfall-routing/src/claims/claim_ledger.rs
+++ b/rhubarbfall-routing/src/claims/claim_ledger.rs
@@ -69,6 +69,7 @@
     must_read: bool,
     is_busy: bool,
     is_append_sent: bool,
+    has_read_for_write: bool,
     waiting: LiteMap<ClaimKey, Instant>,
     appending: Option<Appending>,
     releases: Vec<ClaimKey>,
@@ -97,6 +98,7 @@
             must_read: true,
             is_busy: false,
             is_append_sent: false,
+            has_read_for_write: false,
             waiting: LiteMap::new(),
             appending: None,
             releases: Vec::new(),
@@ -271,7 +273,10 @@
             tail: self.view.next_sequence() - 1,
             taken_requests: self.view.taken_requests(),
             waiting_claims: self.waiting.len(),
-            appending_claims: self.appending.as_ref().map_or(0, |a| a.segment.claims.len()),
+            appending_claims: self
+                .appending
+                .as_ref()
+                .map_or(0, |a| a.segment.claims.len()),
             waiting_releases: self.releases.len(),
             appends: self.appends,
             conflicts: self.conflicts,
@@ -322,8 +327,12 @@
         }
         let trim_to = self.due_trim(now);
         let wants_append = self.wants_append(now);
-        if (wants_append || trim_to.is_some()) && !self.has_read_within(now, READ_FRESHNESS) {
-            return Some(self.read());
+        if wants_append || trim_to.is_some() {
+            let is_fresh = self.has_read_for_write || self.has_read_within(now, READ_FRESHNESS);
+            self.has_read_for_write = !is_fresh;
+            if !is_fresh {
+                return Some(self.read());
+            }
         }
         if wants_append {
             return self.append(now);
--- /dev/null
+++ b/rhubarbfall-routing/src/retries/backoff.rs
@@ -0,0 +1,43 @@
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// The longest pause before the first repeat.
+const FIRST_PAUSE: Duration = Duration::from_millis(10);
+
+/// The longest pause before any repeat.
+const MAX_PAUSE: Duration = Duration::from_millis(500);
+
+/// Pauses with full jitter, from a seeded generator.
+///
+/// # Examples
+///
+/// ```
+/// use rhubarbfall_routing::Backoff;
+///
+/// let mut first = Backoff::new(7);
+/// let mut second = Backoff::new(7);
+/// assert_eq!(first.pause(1), second.pause(1));
+/// ```
+#[derive(Debug)]
+pub struct Backoff {
+    random: ChaCha8Rng,
+}
+
+impl Backoff {
+    /// Creates a generator of pauses.
+    #[must_use]
+    pub fn new(seed: u64) -> Self {
+        Self {
+            random: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// Returns the pause before the next attempt, after `attempts` that failed.
+    pub fn pause(&mut self, attempts: u32) -> Duration {
+        let doublings = attempts.saturating_sub(1).min(16);
+        let limit = FIRST_PAUSE.saturating_mul(1 << doublings).min(MAX_PAUSE);
+        limit.mul_f64(self.random.random::<f64>())
+    }
+}
--- /dev/null
+++ b/rhubarbfall-routing/src/retries/retry_budget.rs
@@ -0,0 +1,55 @@
+use serde::Serialize;
+
+/// The part of a success that a repeat may spend.
+const TOKENS_PER_SUCCESS: f64 = 0.1;
+
+/// How many repeats may be saved up, so that a quiet service can still repeat a few times and a
+/// busy one cannot repeat in bulk.
+const MAX_TOKENS: f64 = 10.0;
+
+/// Bounds the repeats of one service to a fraction of its recent successes.
+///
+/// # Examples
+///
+/// ```
+/// use rhubarbfall_routing::RetryBudget;
+///
+/// let mut budget = RetryBudget::new();
+/// let repeats = (0..100).filter(|_| budget.try_spend()).count();
+/// assert_eq!(repeats, 10);
+/// (0..20).for_each(|_| budget.on_success());
+/// assert!(budget.try_spend());
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct RetryBudget {
+    tokens: f64,
+}
+
+impl RetryBudget {
+    /// Creates a full budget.
+    #[must_use]
+    pub const fn new() -> Self {
+        Self { tokens: MAX_TOKENS }
+    }
+
+    /// Counts a request that succeeded.
+    pub const fn on_success(&mut self) {
+        self.tokens = (self.tokens + TOKENS_PER_SUCCESS).min(MAX_TOKENS);
+    }
+
+    /// Takes one repeat out of the budget; returns whether there was one.
+    #[must_use]
+    pub const fn try_spend(&mut self) -> bool {
+        let is_affordable = self.tokens >= 1.0;
+        if is_affordable {
+            self.tokens -= 1.0;
+        }
+        is_affordable
+    }
+}
+
+impl Default for RetryBudget {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/rhubarbfall-routing/tests/upstream_watch.rs
@@ -0,0 +1,71 @@
+//! Scenarios of upstreams that leave, fall silent, fail and return.
+
+use std::fmt::Write as _;
+use std::time::{Duration, Instant};
+
+use rhubarbfall_core::{ServiceId, UpstreamId};
+use rhubarbfall_routing::{HealthReport, UpstreamWatch};
+
+fn service() -> ServiceId {
+    "labels".parse().expect("an id")
+}
+
+/// Runs one line of a scenario; the commands stand in the scenario files.
+fn run_line(watch: &mut UpstreamWatch, now: Instant, line: &str) {
+    let mut words = line.split_whitespace();
+    let command = words.next().unwrap_or_default();
+    let ids: Vec<UpstreamId> = words.map(|word| word.parse().expect("an id")).collect();
+    match command {
+        "list" => {
+            let listed: Vec<_> = ids
+                .into_iter()
+                .map(|id| (id, ([127, 0, 0, 1], 1000).into()))
+                .collect();
+            watch.set_listed(&service(), &listed);
+        }
+        "notice" => ids.iter().for_each(|id| watch.mark_leaving(now, id)),
+        "close" => ids.iter().for_each(|id| watch.on_leave_sign(now, id)),
+        "serving" => report(watch, now, &ids, HealthReport::Serving),
+        "leaving" => report(watch, now, &ids, HealthReport::Leaving),
+        "silent" => report(watch, now, &ids, HealthReport::Silent),
+        "answer" => ids
+            .iter()
+            .for_each(|id| watch.on_attempt(now, id, now, true)),
+        "fail" => ids
+            .iter()
+            .for_each(|id| watch.on_attempt(now, id, now, false)),
+        other => panic!("no such command: {other}"),
+    }
+}
+
+fn report(watch: &mut UpstreamWatch, now: Instant, ids: &[UpstreamId], report: HealthReport) {
+    for id in ids {
+        watch.on_health(now, id, now, report);
+    }
+}
+
+#[test]
+fn scenarios() {
+    datadriven::walk("tests/scenarios", |file| {
+        let start = Instant::now();
+        let mut watch = UpstreamWatch::new();
+        file.run(|test| {
+            let mut output = String::new();
+            for line in test.input.lines() {
+                let (at_ms, rest) = line.split_once(' ').expect("a time and a command");
+                let now = start + Duration::from_millis(at_ms.parse().expect("milliseconds"));
+                if rest != "show" {
+                    run_line(&mut watch, now, rest);
+                    continue;
+                }
+                let usable: Vec<String> = watch
+                    .usable(now, &service())
+                    .into_iter()
+                    .map(|(id, _)| id.to_string())
+                    .collect();
+                let _ = writeln!(output, "{at_ms} usable: {}", usable.join(" "));
+            }
+            output
+        });
+    });
+}
--- /dev/null
+++ b/rhubarbfall/tests/routing.rs
@@ -0,0 +1,267 @@
+//! Routing with every part as a separate process: duplicates, leaving, silent connections, stops.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use http::StatusCode;
+use rhubarbfall_platform::vms::{VmKind, VmRecord, VmState};
+use rhubarbfall_testing::platform::{Fault, FaultMode, ServiceKind};
+use rhubarbfall_testing::rig::{Answer, FleetShape, Request, TestFleet, wait_until};
+use rhubarbfall_testing::upstream::UpstreamMode;
+use rhubarbfall_testing::{Relay, RelayMode};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_rhubarbfall");
+
+/// A non-idempotent request to the queue that needs no key.
+fn open_work(address: SocketAddr, id: &str) -> Request {
+    Request::to_queue(address, "labels-open", id)
+}
+
+fn idempotent(address: SocketAddr, id: &str) -> Request {
+    open_work(address, id).header("x-rhubarbfall-idempotent", "true")
+}
+
+fn one_zone() -> FleetShape {
+    FleetShape::new().zones(["zone-a"])
+}
+
+fn table_down() -> Fault {
+    Fault::new(FaultMode::Down).service(ServiceKind::Table)
+}
+
+fn list(fleet: &TestFleet, index: usize, address: SocketAddr) {
+    fleet.platform.put_vm(VmRecord {
+        id: format!("zone-a-labels-{index}").parse().expect("an id"),
+        kind: VmKind::Worker,
+        availability_zone: "zone-a".parse().expect("an id"),
+        region: "west".parse().expect("an id"),
+        rack: "zone-a-rack-0".parse().expect("an id"),
+        address,
+        state: VmState::Live,
+    });
+}
+
+#[test]
+fn duplicates_sent_to_all_entries_at_once_run_once() {
+    let fleet = TestFleet::start(PROGRAM, FleetShape::new()).expect("the fleet starts");
+    for number in 0..10 {
+        let id = format!("duplicate-{number}");
+        let duplicates = fleet
+            .entries
+            .iter()
+            .map(|entry| open_work(entry.callers(), &id))
+            .collect();
+        let answers = fleet.send_all(duplicates);
+        let codes: Vec<Option<u16>> = answers
+            .iter()
+            .map(|answer| answer.as_ref().ok().and_then(Answer::code))
+            .collect();
+        let completed = codes.iter().filter(|code| **code == Some(1000)).count();
+        let refused = codes.iter().filter(|code| **code == Some(3004)).count();
+        assert_eq!((completed, refused), (1, 3), "{codes:?}");
+        assert_eq!(fleet.log.starts_of(&id), 1);
+    }
+}
+
+#[test]
+fn repeat_at_another_entry_after_the_first_was_killed_does_not_run_again() {
+    let mut fleet = TestFleet::start(PROGRAM, one_zone()).expect("the fleet starts");
+    let first = open_work(fleet.entries[0].callers(), "killed").header("x-work-ms", "3000");
+    let caller = fleet.caller.clone();
+    let lost = fleet.spawn(async move { caller.send(first).await });
+    wait_until("the request runs", Duration::from_secs(10), || {
+        fleet.log.starts_of("killed") == 1
+    });
+    fleet.entries[0].process.kill();
+    assert!(fleet.block_on(lost).expect("the task ends").is_err());
+    let repeat = open_work(fleet.entries[1].callers(), "killed");
+    let answer = fleet.send(repeat).expect("an answer");
+    assert_eq!(answer.code(), Some(3004));
+    assert_eq!(answer.header("x-rhubarbfall-execution"), Some("unknown"));
+    assert_eq!(fleet.log.starts_of("killed"), 1);
+}
+
+#[test]
+fn nothing_runs_twice_while_the_table_is_down_and_claims_resume() {
+    let fleet = TestFleet::start(PROGRAM, one_zone()).expect("the fleet starts");
+    let [first, second] = [0, 1].map(|index| fleet.entries[index].callers());
+    let answer = fleet.send(open_work(first, "before")).expect("an answer");
+    assert_eq!(answer.code(), Some(1000));
+    fleet.platform.add_fault(table_down());
+    let repeats = vec![
+        open_work(first, "before"),
+        open_work(second, "before"),
+        open_work(first, "during"),
+        open_work(second, "during"),
+    ];
+    for answer in fleet.send_all(repeats) {
+        let answer = answer.expect("an answer");
+        assert!(matches!(answer.code(), Some(3004 | 3007)), "{answer:?}");
+        assert_eq!(answer.header("x-rhubarbfall-execution"), Some("unknown"));
+    }
+    let answer = fleet
+        .send(idempotent(first, "idempotent"))
+        .expect("an answer");
+    assert_eq!(answer.code(), Some(1000));
+    assert_eq!(fleet.log.starts_of("before"), 1);
+    assert_eq!(fleet.log.starts_of("during"), 0);
+    fleet.platform.clear_faults();
+    wait_until("claims resume", Duration::from_secs(10), || {
+        fleet
+            .send(open_work(first, "during"))
+            .is_ok_and(|answer| answer.code() == Some(1000))
+    });
+    assert_eq!(fleet.log.starts_of("during"), 1);
+}
+
+#[test]
+fn lost_answers_of_the_table_neither_double_nor_block_a_request() {
+    let fleet = TestFleet::start(PROGRAM, one_zone()).expect("the fleet starts");
+    let lost = Fault::new(FaultMode::LoseAnswer)
+        .service(ServiceKind::Table)
+        .writes_only(true)
+        .remaining(2);
+    fleet.platform.add_fault(lost);
+    let requests = fleet
+        .entries
+        .iter()
+        .map(|entry| open_work(entry.callers(), "lost-answer"))
+        .collect();
+    let answers = fleet.send_all(requests);
+    let completed = answers.iter().filter(|answer| {
+        answer
+            .as_ref()
+            .is_ok_and(|answer| answer.code() == Some(1000))
+    });
+    assert_eq!(completed.count(), 1, "{answers:?}");
+    assert_eq!(fleet.log.starts_of("lost-answer"), 1);
+}
+
+#[test]
+fn refused_request_runs_when_it_is_sent_again() {
+    let fleet = TestFleet::start(PROGRAM, one_zone()).expect("the fleet starts");
+    for upstream in &fleet.upstreams {
+        upstream.set_mode(UpstreamMode::Refuse);
+    }
+    let [first, second] = [0, 1].map(|index| fleet.entries[index].callers());
+    let answer = fleet.send(open_work(first, "refused")).expect("an answer");
+    assert_eq!(answer.header("x-rhubarbfall-execution"), Some("not run"));
+    for upstream in &fleet.upstreams {
+        upstream.set_mode(UpstreamMode::Serve);
+    }
+    wait_until("the repeat runs", Duration::from_secs(10), || {
+        fleet
+            .send(open_work(second, "refused"))
+            .is_ok_and(|answer| answer.code() == Some(1000))
+    });
+    assert_eq!(fleet.log.starts_of("refused"), 1);
+}
+
+#[test]
+fn leaving_upstream_gets_no_new_work_though_the_list_lags() {
+    let fleet = TestFleet::start(PROGRAM, one_zone()).expect("the fleet starts");
+    // The list goes on naming the upstream as live.
+    fleet.upstreams[0].set_mode(UpstreamMode::Leaving);
+    let until = Instant::now() + Duration::from_secs(6);
+    let mut number = 0;
+    while Instant::now() < until {
+        let requests = fleet
+            .entries
+            .iter()
+            .map(|entry| idempotent(entry.callers(), &format!("leaving-{}-{number}", entry.id)))
+            .collect();
+        for answer in fleet.send_all(requests) {
+            assert_eq!(answer.expect("an answer").code(), Some(1000));
+        }
+        number += 1;
+    }
+    assert_eq!(fleet.log.report().started_after_leaving, 0);
+}
+
+#[test]
+fn connections_that_went_silent_lose_and_double_no_request() {
+    let fleet = TestFleet::start(PROGRAM, one_zone()).expect("the fleet starts");
+    let start = |target| fleet.block_on(Relay::start(target)).expect("a relay");
+    let relays: Vec<Relay> = fleet
+        .upstreams
+        .iter()
+        .map(|up| start(up.address()))
+        .collect();
+    for (index, relay) in relays.iter().enumerate() {
+        list(&fleet, index, relay.address());
+    }
+    let addresses: Vec<String> = relays.iter().map(|up| up.address().to_string()).collect();
+    wait_until(
+        "the entries use the relays",
+        Duration::from_secs(10),
+        || {
+            fleet.entries.iter().all(|entry| {
+                let state = fleet.state(entry);
+                let upstreams = state["dispatch"]["upstreams"].as_array();
+                upstreams.is_some_and(|upstreams| {
+                    let uses = |up: &serde_json::Value| {
+                        addresses
+                            .iter()
+                            .any(|address| up["address"] == address.as_str())
+                    };
+                    upstreams.len() == 2 && upstreams.iter().all(uses)
+                })
+            })
+        },
+    );
+    let wave = |name: &str| {
+        let requests: Vec<Request> = (0..16)
+            .map(|number| {
+                let entry = &fleet.entries[number % 2];
+                open_work(entry.callers(), &format!("{name}-{number}"))
+            })
+            .collect();
+        for answer in fleet.send_all(requests) {
+            assert_eq!(answer.expect("an answer").code(), Some(1000));
+        }
+    };
+    wave("first");
+    std::thread::sleep(Duration::from_millis(300));
+    for relay in &relays {
+        relay.set_mode(RelayMode::ForgetOpen);
+    }
+    let began = Instant::now();
+    wave("second");
+    assert!(began.elapsed() < Duration::from_secs(5));
+    assert_eq!(fleet.log.report().repeated, 0);
+}
+
+#[test]
+fn planned_stop_under_load_cuts_off_nothing() {
+    let mut fleet = TestFleet::start(PROGRAM, one_zone()).expect("the fleet starts");
+    let address = fleet.entries[0].callers();
+    let mut tasks = Vec::new();
+    let mut send = |fleet: &TestFleet, id: String| {
+        let request = idempotent(address, &id)
+            .header("x-work-ms", "1500")
+            .header("x-answer-bytes", (4 * 1024 * 1024).to_string());
+        let caller = fleet.caller.clone();
+        tasks.push(fleet.spawn(async move { caller.send(request).await }));
+    };
+    for number in 0..4 {
+        send(&fleet, format!("before-{number}"));
+    }
+    wait_until("they run", Duration::from_secs(10), || {
+        fleet.log.report().started == 4
+    });
+    fleet.entries[0].process.terminate();
+    // The balancer goes on sending for a while after readiness went off.
+    for number in 0..8 {
+        send(&fleet, format!("after-{number}"));
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    for task in tasks {
+        let answer = fleet.block_on(task).expect("the task ends");
+        let answer = answer.expect("a whole answer");
+        assert_eq!(answer.status, StatusCode::OK);
+        assert_eq!(answer.body.len(), 4 * 1024 * 1024);
+    }
+    let status = fleet.entries[0].process.wait_exit(Duration::from_secs(10));
+    assert_eq!(status.and_then(|status| status.code()), Some(0));
+    assert_eq!(fleet.log.report().started, 12);
+}
