feat(runs): let pools follow the load and silent workers lapse

Change: `plan_moves` gives idle VMs to pools whose open work needs more, and to the spare pool after 1.5 s; a lease is renewed only for a worker that answered within 1.3 s; batches are cut at 99 entries and 500 kB.

--- a/rhubarbfall-runs/src/resources.rs
+++ b/rhubarbfall-runs/src/resources.rs
@@ -52,6 +52,31 @@
         }
     }
 
+    /// Takes the larger of each part.
+    #[must_use]
+    pub fn max(self, other: Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.max(other.cpu_millis),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            gpus: self.gpus.max(other.gpus),
+        }
+    }
+
+    /// Returns the largest part's share of that of `whole`; a part that `whole` lacks counts as none.
+    #[must_use]
+    pub fn fraction_of(self, whole: Self) -> f64 {
+        let share = |part: u64, whole: u64| {
+            if whole == 0 {
+                0.0
+            } else {
+                part as f64 / whole as f64
+            }
+        };
+        share(self.cpu_millis, whole.cpu_millis)
+            .max(share(self.memory_mb, whole.memory_mb))
+            .max(share(self.gpus, whole.gpus))
+    }
+
     /// Returns whether every part is within `limit`, in which zero stands for no limit.
     #[must_use]
     pub const fn is_within_limit(self, limit: Self) -> bool {
--- a/rhubarbfall-runs/src/scheduler/holds.rs
+++ b/rhubarbfall-runs/src/scheduler/holds.rs
@@ -31,7 +31,10 @@
         let lease = (now + self.settings.lease).min(self.leases_until);
         let worker = self.workers.get_mut(worker)?;
         let is_busy = !worker.placed.is_empty();
-        let wants_lease = is_busy && lease > now && worker.state == WorkerState::InTouch;
+        // A worker that does not answer must lapse, so that its tasks can start elsewhere.
+        let is_silent = now.since(worker.answered_at) > self.settings.silent_after;
+        let wants_lease =
+            is_busy && lease > now && worker.state == WorkerState::InTouch && !is_silent;
         Some(HoldOrder {
             address: worker.report.address,
             lease_deadline_ms: if wants_lease {
--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -7,6 +7,7 @@
 mod ordering;
 mod orders;
 mod placing;
+mod pools;
 mod recovery;
 mod settings;
 mod storing;
@@ -23,6 +24,7 @@
 pub use action::{Action, StartOrder, StopOrder};
 pub use holds::HoldOrder;
 pub use intake::{CallerState, Intake};
+pub use pools::{PoolLoad, plan_moves};
 pub use recovery::StoredJob;
 pub use settings::SchedulerSettings;
 pub use storing::{Batch, BatchRow};
--- a/rhubarbfall-runs/src/scheduler/ordering.rs
+++ b/rhubarbfall-runs/src/scheduler/ordering.rs
@@ -53,6 +53,11 @@
     }
 }
 
+/// Returns whether a job can still be done within the time in which it has some worth.
+pub(super) fn is_worth_capacity(job: &Job, queue: &Queue, now: BootTime) -> bool {
+    rank(job, queue, now).tier != Tier::TooLate
+}
+
 /// Returns the estimated length of the longest chain of steps that are not done.
 fn remaining_path(job: &Job) -> Duration {
     let steps = &job.submission.steps;
--- /dev/null
+++ b/rhubarbfall-runs/src/scheduler/pools.rs
@@ -0,0 +1,222 @@
+//! Pools follow the load: queues surge one after the other, each beyond its own pool, while the
+//! VMs of the others stand idle.
+
+use std::time::Duration;
+
+use rhubarbfall_core::{BootTime, ServiceId, VmId};
+
+use super::Scheduler;
+use super::ordering::is_worth_capacity;
+use super::upkeep::{VmState, VmTask};
+use crate::{JobState, Phase, Resources};
+
+/// Room beyond the sum of the demands: tasks of several sizes do not fill a worker.
+const PACKING_RESERVE: f64 = 1.15;
+
+/// How long a VM is idle before it leaves for the spare pool: a move costs about as much as a
+/// second in a pool.
+const IDLE_BEFORE_SPARE: Duration = Duration::from_millis(1_500);
+
+/// How long a VM is idle before another pool may take it.
+const IDLE_BEFORE_LENDING: Duration = Duration::from_millis(300);
+
+/// What a pool has and needs.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PoolLoad {
+    /// The service.
+    pub service: ServiceId,
+    /// Whether its VMs are switched off and wait for another pool.
+    pub is_spare: bool,
+    /// How many VMs its open work needs.
+    pub needed: usize,
+    /// How many VMs it has or gets.
+    pub supply: usize,
+    /// Its VMs without work, and for how long.
+    pub idle: Vec<(VmId, Duration)>,
+}
+
+/// Plans which VMs move to which pool: idle VMs go where work waits, those of the spare pool first,
+/// and to the spare pool when no work waits anywhere.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use rhubarbfall_runs::scheduler::{PoolLoad, plan_moves};
+///
+/// let pool = |name: &str, is_spare, needed, supply, idle: &[&str]| PoolLoad {
+///     service: name.parse().unwrap(),
+///     is_spare,
+///     needed,
+///     supply,
+///     idle: idle.iter().map(|vm| (vm.parse().unwrap(), Duration::from_secs(9))).collect(),
+/// };
+/// let pools = [
+///     pool("labels", false, 3, 1, &[]),
+///     pool("permits", false, 0, 1, &["vm-2"]),
+///     pool("spare", true, 0, 1, &["vm-3"]),
+/// ];
+/// let moves = plan_moves(&pools);
+/// assert_eq!(moves.len(), 2);
+/// assert!(moves.iter().all(|(_, to)| to.as_str() == "labels"));
+/// ```
+#[must_use]
+pub fn plan_moves(pools: &[PoolLoad]) -> Vec<(VmId, ServiceId)> {
+    let mut donors = donors(pools);
+    let mut moves = Vec::new();
+    let mut short: Vec<(usize, &PoolLoad)> = pools
+        .iter()
+        .filter(|pool| !pool.is_spare && pool.needed > pool.supply)
+        .map(|pool| (pool.needed - pool.supply, pool))
+        .collect();
+    short.sort_by_key(|(missing, _)| std::cmp::Reverse(*missing));
+    // Each pool that is short gets one VM in turn, so that one surge does not take them all.
+    while !donors.is_empty() && short.iter().any(|(missing, _)| *missing > 0) {
+        for (missing, pool) in short.iter_mut().filter(|(missing, _)| *missing > 0) {
+            if let Some(index) = donors.iter().rposition(|donor| donor.pool != pool.service) {
+                moves.push((donors.remove(index).vm, pool.service.clone()));
+            }
+            *missing -= 1;
+        }
+    }
+    if let Some(spare) = pools.iter().find(|pool| pool.is_spare) {
+        let unused = donors
+            .into_iter()
+            .filter(|donor| donor.pool != spare.service && donor.idle_for >= IDLE_BEFORE_SPARE);
+        moves.extend(unused.map(|donor| (donor.vm, spare.service.clone())));
+    }
+    moves
+}
+
+struct Donor {
+    vm: VmId,
+    pool: ServiceId,
+    idle_for: Duration,
+}
+
+/// Returns the VMs that their pools can miss, the best to move last.
+fn donors(pools: &[PoolLoad]) -> Vec<Donor> {
+    let mut donors = Vec::new();
+    for pool in pools {
+        let surplus = if pool.is_spare {
+            pool.idle.len()
+        } else {
+            pool.supply.saturating_sub(pool.needed)
+        };
+        let mut idle = pool.idle.clone();
+        idle.sort_by_key(|(_, idle_for)| std::cmp::Reverse(*idle_for));
+        let is_ready = |idle_for: Duration| pool.is_spare || idle_for >= IDLE_BEFORE_LENDING;
+        for (vm, idle_for) in idle.into_iter().take(surplus) {
+            if is_ready(idle_for) {
+                donors.push(Donor {
+                    vm,
+                    pool: pool.service.clone(),
+                    idle_for,
+                });
+            }
+        }
+    }
+    // Those that cost while they idle go first, then those that are switched off.
+    let is_spare = |donor: &Donor| {
+        pools
+            .iter()
+            .any(|pool| pool.is_spare && pool.service == donor.pool)
+    };
+    donors.sort_by_key(|donor| (!is_spare(donor), donor.idle_for));
+    donors
+}
+
+impl Scheduler {
+    /// Begins the moves that the load asks for.
+    pub(super) fn resize_pools(&mut self, now: BootTime) {
+        if !self.config.services.iter().any(|service| service.is_spare) {
+            return;
+        }
+        let room = self
+            .settings
+            .max_vm_calls
+            .saturating_sub(self.upkeep.calls());
+        if room == 0 {
+            return;
+        }
+        let pools = self.pool_loads(now);
+        for (vm, to) in plan_moves(&pools).into_iter().take(room) {
+            self.begin_emptying(&vm, VmTask::Move(to));
+        }
+    }
+
+    fn pool_loads(&self, now: BootTime) -> Vec<PoolLoad> {
+        let mut loads = Vec::with_capacity(self.config.services.len());
+        for service in &self.config.services {
+            let mut load = PoolLoad {
+                service: service.id.clone(),
+                is_spare: service.is_spare,
+                needed: 0,
+                supply: self.upkeep.moving_to(&service.id),
+                idle: Vec::new(),
+            };
+            let mut vm_size = Resources::default();
+            for row in self.upkeep.vms().filter(|row| row.pool == service.id) {
+                vm_size = vm_size.max(row.capacity);
+                if row.state != VmState::Up && !service.is_spare || self.upkeep.is_busy(&row.vm) {
+                    continue;
+                }
+                load.supply += 1;
+                if service.is_spare {
+                    load.idle.push((row.vm.clone(), Duration::MAX));
+                    continue;
+                }
+                let worker = row.worker.as_ref().and_then(|id| self.workers.get(id));
+                if let Some(worker) = worker.filter(|worker| worker.is_empty()) {
+                    load.idle
+                        .push((row.vm.clone(), now.since(worker.idle_since)));
+                }
+            }
+            if !service.is_spare {
+                load.needed = self.needed_vms(&service.id, vm_size, now);
+            }
+            loads.push(load);
+        }
+        loads
+    }
+
+    /// Returns how many VMs of a size the open work of a service needs.
+    fn needed_vms(&self, service: &ServiceId, vm_size: Resources, now: BootTime) -> usize {
+        let vm_size = if vm_size == Resources::default() {
+            self.upkeep
+                .vms()
+                .map(|row| row.capacity)
+                .fold(vm_size, Resources::max)
+        } else {
+            vm_size
+        };
+        let mut demand = Resources::default();
+        let mut spread = 0_usize;
+        for job in self.jobs().filter(|job| job.state == JobState::Active) {
+            let Some(queue) = self.config.queue(&job.submission.queue) else {
+                continue;
+            };
+            if queue.service != *service || !is_worth_capacity(job, queue, now) {
+                continue;
+            }
+            for occurrence in &job.occurrences {
+                for (step, step_run) in job.submission.steps.iter().zip(&occurrence.steps) {
+                    if step_run.is_done() || !occurrence.is_unblocked(&step.after) {
+                        continue;
+                    }
+                    let open = step_run
+                        .tasks
+                        .iter()
+                        .filter(|task| task.phase != Phase::Done)
+                        .count();
+                    demand += step.reserved().times(open as u64);
+                    if let Some(most) = step.max_per_worker {
+                        spread = spread.max(open.div_ceil(most.max(1) as usize));
+                    }
+                }
+            }
+        }
+        let parts = demand.fraction_of(vm_size) * PACKING_RESERVE;
+        (parts.ceil() as usize).max(spread)
+    }
+}
--- a/rhubarbfall-runs/src/scheduler/settings.rs
+++ b/rhubarbfall-runs/src/scheduler/settings.rs
@@ -30,8 +30,8 @@
 impl Default for SchedulerSettings {
     fn default() -> Self {
         Self {
-            lease: Duration::from_millis(3_000),
-            silent_after: Duration::from_millis(1_800),
+            lease: Duration::from_millis(2_500),
+            silent_after: Duration::from_millis(1_300),
             unclear_for: Duration::from_millis(400),
             stop_repeat: Duration::from_millis(500),
             stalled_after: Duration::from_millis(1_500),
--- a/rhubarbfall-runs/src/scheduler/storing.rs
+++ b/rhubarbfall-runs/src/scheduler/storing.rs
@@ -2,7 +2,13 @@
 
 use super::Scheduler;
 use super::action::{Action, StartOrder};
-use crate::{JobProgress, JobState, Order, TaskId, encode_progress, encode_submission};
+use crate::{Job, JobProgress, JobState, Order, TaskId, encode_progress, encode_submission};
+
+/// The most entries of one transaction, as the platform states it, less the ownership's condition.
+const MAX_ENTRIES: usize = 99;
+
+/// The most bytes of values in one transaction: the platform takes 1 MB, with their encoding.
+const MAX_BYTES: usize = 500_000;
 
 /// Rows that are stored together.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -27,30 +33,50 @@
     state: JobState,
 }
 
+impl BatchRow {
+    /// Returns how many entries of a transaction the row takes: a condition and a write each.
+    fn entries(&self) -> usize {
+        2 * (usize::from(self.submission.is_some()) + usize::from(self.progress.is_some()))
+    }
+
+    /// Returns the size of the row's values.
+    fn bytes(&self) -> usize {
+        let length = |value: &Option<Vec<u8>>| value.as_ref().map_or(0, Vec::len);
+        length(&self.submission) + length(&self.progress)
+    }
+}
+
+fn batch_row(id: &SubmissionId, job: &Job) -> BatchRow {
+    let has_progress = job.has_begun || job.state.is_final();
+    BatchRow {
+        id: id.clone(),
+        submission: (!job.is_accepted).then(|| encode_submission(&job.submission)),
+        progress: has_progress.then(|| encode_progress(&JobProgress::of(job))),
+        replaces: job.progress_row,
+        version: job.version,
+        state: job.state,
+    }
+}
+
 impl Scheduler {
-    /// Takes up to `max_jobs` jobs that have changed. The batch has to be stored, whatever it
-    /// takes, before the next one is taken.
-    pub fn next_batch(&mut self, max_jobs: usize) -> Option<Batch> {
-        let count = self.dirty.len().min(max_jobs);
-        if count == 0 {
-            return None;
+    /// Takes jobs that have changed, as many as fit into one transaction. The batch has to be
+    /// stored, whatever it takes, before the next one is taken.
+    pub fn next_batch(&mut self) -> Option<Batch> {
+        let mut rows = Vec::new();
+        let (mut entries, mut bytes, mut taken) = (0, 0, 0);
+        for id in &self.dirty {
+            if let Some(row) = self.jobs.get(id).map(|job| batch_row(id, job)) {
+                entries += row.entries();
+                bytes += row.bytes();
+                if !rows.is_empty() && (entries > MAX_ENTRIES || bytes > MAX_BYTES) {
+                    break;
+                }
+                rows.push(row);
+            }
+            taken += 1;
         }
-        let ids: Vec<SubmissionId> = self.dirty.drain(..count).collect();
-        let rows = ids.iter().filter_map(|id| {
-            let job = self.jobs.get(id)?;
-            let has_progress = job.has_begun || job.state.is_final();
-            Some(BatchRow {
-                id: id.clone(),
-                submission: (!job.is_accepted).then(|| encode_submission(&job.submission)),
-                progress: has_progress.then(|| encode_progress(&JobProgress::of(job))),
-                replaces: job.progress_row,
-                version: job.version,
-                state: job.state,
-            })
-        });
-        Some(Batch {
-            rows: rows.collect(),
-        })
+        self.dirty.drain(..taken);
+        (!rows.is_empty()).then_some(Batch { rows })
     }
 
     /// Notes that a batch is stored under `row_version`, and begins what waited for it.
--- a/rhubarbfall-runs/src/scheduler/upkeep.rs
+++ b/rhubarbfall-runs/src/scheduler/upkeep.rs
@@ -5,7 +5,7 @@
 
 use super::Scheduler;
 use super::action::Action;
-use crate::{Order, TaskId};
+use crate::{Order, Resources, TaskId};
 
 /// How long a call without an answer rests before it is repeated; a repeat is harmless.
 const REPEAT_AFTER: Duration = Duration::from_millis(600);
@@ -24,6 +24,8 @@
     pub state: VmState,
     /// The worker that runs on it.
     pub worker: Option<WorkerId>,
+    /// What it has room for.
+    pub capacity: Resources,
 }
 
 /// The state of a VM.
@@ -105,6 +107,32 @@
     waves: LiteMap<WaveId, WaveRun>,
 }
 
+impl Upkeep {
+    /// Returns the VMs.
+    pub(super) fn vms(&self) -> impl Iterator<Item = &VmRow> {
+        self.vms.iter().map(|(_, row)| row)
+    }
+
+    /// Returns whether something is being done with a VM.
+    pub(super) fn is_busy(&self, vm: &VmId) -> bool {
+        self.work.get(vm).is_some()
+    }
+
+    /// Returns how many VMs are on their way to a pool.
+    pub(super) fn moving_to(&self, service: &ServiceId) -> usize {
+        let is_to = |work: &VmWork| matches!(&work.task, VmTask::Move(to) if to == service);
+        self.work.iter().filter(|(_, work)| is_to(work)).count()
+    }
+
+    /// Returns how many calls about VMs are on their way.
+    pub(super) fn calls(&self) -> usize {
+        self.work
+            .iter()
+            .filter(|(_, work)| work.phase == VmPhase::Calling)
+            .count()
+    }
+}
+
 impl Scheduler {
     /// Takes the platform's list of VMs.
     pub fn vms_listed(&mut self, rows: Vec<VmRow>, now: BootTime) {
@@ -222,6 +250,7 @@
     pub fn tick_upkeep(&mut self, now: BootTime) {
         self.repeat_unclear(now);
         self.start_emptying(now);
+        self.resize_pools(now);
         self.stop_lasting_on_cordoned(now);
         self.call_for_empty(now);
     }
--- a/rhubarbfall-scheduler/src/owner/store_loop.rs
+++ b/rhubarbfall-scheduler/src/owner/store_loop.rs
@@ -14,9 +14,6 @@
 use crate::ownership::owner_row_key;
 use crate::telemetry;
 
-/// The most jobs in one transaction: each takes up to two of the hundred entries.
-const MAX_JOBS: usize = 48;
-
 /// The pause before a transaction without an answer is repeated.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
 
@@ -26,7 +23,7 @@
 /// Stores batches until the ownership ends.
 pub(super) async fn run(node: Rc<Node>, owner: Rc<Owner>) {
     while !owner.has_ended() {
-        let batch = owner.scheduler.borrow_mut().next_batch(MAX_JOBS);
+        let batch = owner.scheduler.borrow_mut().next_batch();
         let Some(batch) = batch else {
             owner.wake_store.notified().await;
             report_waves(&node, &owner).await;
--- a/rhubarbfall-scheduler/src/owner/worker_loop.rs
+++ b/rhubarbfall-scheduler/src/owner/worker_loop.rs
@@ -18,10 +18,10 @@
 const ORDER_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// How long a worker with runs may hold a call: a third of a lease.
-const BUSY_WAIT: Duration = Duration::from_millis(1_000);
+const BUSY_WAIT: Duration = Duration::from_millis(700);
 
 /// How long a worker without runs may hold a call.
-const IDLE_WAIT: Duration = Duration::from_millis(1_500);
+const IDLE_WAIT: Duration = Duration::from_millis(900);
 
 /// The pause after a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
