fix(runs): store the calls of a wave before they are made

Ruled out: a start that passed the new fence; a record that was missing (the row held the placement).

Change: a wave's calls are rows of the batch and are sent once stored; a successor repeats those without an answer and counts the others as away until the list shows another worker. A VM's runs end when it is listed as absent, not when a call is answered.

--- a/rhubarbfall-core/src/boot_time.rs
+++ b/rhubarbfall-core/src/boot_time.rs
@@ -34,6 +34,12 @@
         self.0.saturating_sub(earlier.0)
     }
 
+    /// Returns the time that was `duration` before this one.
+    #[must_use]
+    pub const fn before(self, duration: Duration) -> Self {
+        Self(self.0.saturating_sub(duration))
+    }
+
     /// Returns the whole milliseconds since the VM started.
     #[must_use]
     pub const fn as_millis(self) -> u64 {
--- a/rhubarbfall-runs/src/lib.rs
+++ b/rhubarbfall-runs/src/lib.rs
@@ -19,7 +19,8 @@
 pub use job::{Job, JobState, Occurrence, StepRun};
 pub use progress::{JobProgress, OpenTask, PlacedRun};
 pub use record::{
-    RecordError, decode_progress, decode_submission, encode_progress, encode_submission,
+    RecordError, decode_progress, decode_submission, decode_wave, encode_progress,
+    encode_submission, encode_wave,
 };
 pub use resources::Resources;
 pub use scheduler::Scheduler;
--- a/rhubarbfall-runs/src/record.rs
+++ b/rhubarbfall-runs/src/record.rs
@@ -7,6 +7,7 @@
 use quick_error::quick_error;
 use rhubarbfall_core::ParseIdError;
 
+use crate::scheduler::{CalledVm, WaveProgress};
 use crate::{JobProgress, JobState, OpenTask, PlacedRun, Resources, Schedule, Step, Submission};
 
 quick_error! {
@@ -127,6 +128,59 @@
     run: u64,
 }
 
+#[derive(Clone, PartialEq, Message)]
+struct WaveRecord {
+    #[prost(uint64, tag = "1")]
+    first_seen_unix_ms: u64,
+    #[prost(message, repeated, tag = "2")]
+    called: Vec<CalledRecord>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct CalledRecord {
+    #[prost(string, tag = "1")]
+    vm: String,
+    #[prost(string, optional, tag = "2")]
+    worker: Option<String>,
+    #[prost(bool, tag = "3")]
+    has_begun: bool,
+}
+
+/// Encodes the progress of a wave.
+#[must_use]
+pub fn encode_wave(progress: &WaveProgress) -> Vec<u8> {
+    let called = progress.called.iter().map(|called| CalledRecord {
+        vm: called.vm.to_string(),
+        worker: called.worker.as_ref().map(ToString::to_string),
+        has_begun: called.has_begun,
+    });
+    let record = WaveRecord {
+        first_seen_unix_ms: progress.first_seen_unix_ms,
+        called: called.collect(),
+    };
+    record.encode_to_vec()
+}
+
+/// Decodes the progress of a wave.
+///
+/// # Errors
+///
+/// [`RecordError`] when the bytes are not a wave's progress.
+pub fn decode_wave(bytes: &[u8]) -> Result<WaveProgress, RecordError> {
+    let record = WaveRecord::decode(bytes)?;
+    let called = record.called.into_iter().map(|called| {
+        Ok::<_, RecordError>(CalledVm {
+            vm: called.vm.parse()?,
+            worker: called.worker.map(|id| id.parse()).transpose()?,
+            has_begun: called.has_begun,
+        })
+    });
+    Ok(WaveProgress {
+        first_seen_unix_ms: record.first_seen_unix_ms,
+        called: called.collect::<Result<_, _>>()?,
+    })
+}
+
 /// Encodes a submission.
 #[must_use]
 pub fn encode_submission(submission: &Submission) -> Vec<u8> {
--- a/rhubarbfall-runs/src/scheduler/listing.rs
+++ b/rhubarbfall-runs/src/scheduler/listing.rs
@@ -10,7 +10,10 @@
         let id = report.id.clone();
         let Some(worker) = self.workers.get_mut(&id) else {
             log::info!("event=worker_listed worker={id} service={}", report.service);
-            self.workers.insert(id.clone(), Worker::new(report, now));
+            let mut worker = Worker::new(report, now);
+            // An earlier owner may have granted it leases until then.
+            worker.lease_until = self.inherited_until.unwrap_or_default();
+            self.workers.insert(id.clone(), worker);
             self.adopt_inherited(&id);
             return true;
         };
--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -27,8 +27,8 @@
 pub use pools::{PoolLoad, plan_moves};
 pub use recovery::StoredJob;
 pub use settings::SchedulerSettings;
-pub use storing::{Batch, BatchRow};
-pub use upkeep::{VmRow, VmState, VmTask, Wave, WaveState};
+pub use storing::{Batch, BatchRow, WaveRow};
+pub use upkeep::{CalledVm, VmRow, VmState, VmTask, Wave, WaveProgress, WaveState};
 
 /// Decides for one owner: which task starts where, what is stored, what callers are told.
 #[derive(Debug)]
--- a/rhubarbfall-runs/src/scheduler/storing.rs
+++ b/rhubarbfall-runs/src/scheduler/storing.rs
@@ -1,4 +1,4 @@
-use rhubarbfall_core::{BootTime, RowVersion, SubmissionId};
+use rhubarbfall_core::{BootTime, RowVersion, SubmissionId, WaveId};
 
 use super::Scheduler;
 use super::action::{Action, StartOrder};
@@ -15,6 +15,21 @@
 pub struct Batch {
     /// The rows, one a job.
     pub rows: Vec<BatchRow>,
+    /// The waves whose progress changed.
+    pub waves: Vec<WaveRow>,
+}
+
+/// What is stored of a wave.
+#[derive(Debug, Clone, PartialEq)]
+pub struct WaveRow {
+    /// The wave.
+    pub id: WaveId,
+    /// The progress.
+    pub progress: Vec<u8>,
+    /// The version of the row that the progress replaces, if there is one.
+    pub replaces: Option<RowVersion>,
+    /// The wave's version that the row holds.
+    pub version: u64,
 }
 
 /// What is stored of one job.
@@ -62,8 +77,9 @@
     /// Takes jobs that have changed, as many as fit into one transaction. The batch has to be
     /// stored, whatever it takes, before the next one is taken.
     pub fn next_batch(&mut self) -> Option<Batch> {
+        let waves = self.changed_waves();
         let mut rows = Vec::new();
-        let (mut entries, mut bytes, mut taken) = (0, 0, 0);
+        let (mut entries, mut bytes, mut taken) = (2 * waves.len(), 0, 0);
         for id in &self.dirty {
             if let Some(row) = self.jobs.get(id).map(|job| batch_row(id, job)) {
                 entries += row.entries();
@@ -76,7 +92,7 @@
             taken += 1;
         }
         self.dirty.drain(..taken);
-        (!rows.is_empty()).then_some(Batch { rows })
+        (!rows.is_empty() || !waves.is_empty()).then_some(Batch { rows, waves })
     }
 
     /// Notes that a batch is stored under `row_version`, and begins what waited for it.
@@ -104,6 +120,9 @@
                 self.send_start(&task, now);
             }
         }
+        for wave in &batch.waves {
+            self.wave_stored(wave, row_version);
+        }
         self.acknowledge_stored();
         self.has_news = true;
     }
--- a/rhubarbfall-runs/src/scheduler/upkeep.rs
+++ b/rhubarbfall-runs/src/scheduler/upkeep.rs
@@ -1,15 +1,20 @@
 use std::time::Duration;
 
 use litemap::LiteMap;
-use rhubarbfall_core::{BootTime, ServiceId, VmId, WaveId, WorkerId};
+use rhubarbfall_core::{BootTime, RowVersion, ServiceId, VmId, WaveId, WorkerId};
 
 use super::Scheduler;
 use super::action::Action;
-use crate::{Order, Resources, TaskId};
+use super::storing::WaveRow;
+use crate::{Order, Resources, TaskId, encode_wave};
 
 /// How long a call without an answer rests before it is repeated; a repeat is harmless.
 const REPEAT_AFTER: Duration = Duration::from_millis(600);
 
+/// A VM that is listed with the worker that it had counts as back after this long: moves and
+/// maintenance take two seconds, and a worker may come back under its name.
+const SAME_WORKER_AFTER: Duration = Duration::from_millis(6_000);
+
 /// The part of a wave's time that is kept in reserve for its last VMs.
 const WAVE_RESERVE: f64 = 0.15;
 
@@ -54,6 +59,26 @@
     pub max_down: usize,
 }
 
+/// What is stored of a wave, before a call is made and after it was answered.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct WaveProgress {
+    /// When it was first seen, in milliseconds since 1970.
+    pub first_seen_unix_ms: u64,
+    /// The VMs whose maintenance was called for.
+    pub called: Vec<CalledVm>,
+}
+
+/// A VM whose maintenance was called for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CalledVm {
+    /// The VM.
+    pub vm: VmId,
+    /// The worker that ran on it at the time.
+    pub worker: Option<WorkerId>,
+    /// Whether the call was answered.
+    pub has_begun: bool,
+}
+
 /// How far a wave has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum WaveState {
@@ -76,6 +101,8 @@
 enum VmPhase {
     /// Its worker gets no new work and runs empty.
     Emptying,
+    /// The call waits until this version of its wave is stored.
+    Recording(u64),
     /// The call is on its way.
     Calling,
     /// No answer came.
@@ -95,10 +122,27 @@
 struct WaveRun {
     wave: Wave,
     since: BootTime,
-    begun: Vec<VmId>,
+    progress: WaveProgress,
+    /// Rises with each change that has to be stored.
+    version: u64,
+    stored_version: u64,
+    row: Option<RowVersion>,
     reported: Option<WaveState>,
 }
 
+impl WaveRun {
+    fn has_begun(&self, vm: &VmId) -> bool {
+        self.progress
+            .called
+            .iter()
+            .any(|called| called.has_begun && called.vm == *vm)
+    }
+
+    fn begun(&self) -> usize {
+        self.wave.vms.iter().filter(|vm| self.has_begun(vm)).count()
+    }
+}
+
 /// What is known of VMs and what is being done with them.
 #[derive(Debug, Default)]
 pub(super) struct Upkeep {
@@ -134,17 +178,18 @@
 }
 
 impl Scheduler {
-    /// Takes the platform's list of VMs.
-    pub fn vms_listed(&mut self, rows: Vec<VmRow>, now: BootTime) {
+    /// Takes the platform's list of VMs, which was asked for at `asked_at`.
+    pub fn vms_listed(&mut self, rows: Vec<VmRow>, asked_at: BootTime, now: BootTime) {
         let mut vms = LiteMap::new();
         for row in rows {
             vms.insert(row.vm.clone(), row);
         }
         self.upkeep.vms = vms;
+        self.drop_workers_of_absent(now);
         let is_back = |work: &VmWork, row: Option<&VmRow>| match (work.phase, row) {
-            (VmPhase::Away(since), Some(row)) => {
+            (VmPhase::Away(since), Some(row)) if since < asked_at => {
                 row.state == VmState::Up
-                    && (row.worker != work.worker || now.since(since) > REPEAT_AFTER * 10)
+                    && (row.worker != work.worker || now.since(since) > SAME_WORKER_AFTER)
             }
             (VmPhase::Away(_) | VmPhase::Emptying, None) => true,
             _ => false,
@@ -162,27 +207,125 @@
         }
     }
 
-    /// Takes a request for maintenance.
-    pub fn wave_requested(&mut self, wave: Wave, now: BootTime) {
+    /// Gives up what ran on VMs that have left for maintenance or another pool.
+    fn drop_workers_of_absent(&mut self, now: BootTime) {
+        let is_absent = |vm: &VmId| {
+            self.upkeep
+                .vms
+                .get(vm)
+                .is_some_and(|row| row.state != VmState::Up)
+        };
+        let gone: Vec<WorkerId> = self
+            .upkeep
+            .work
+            .iter()
+            .filter(|(vm, work)| matches!(work.phase, VmPhase::Away(_)) && is_absent(vm))
+            .filter_map(|(_, work)| work.worker.clone())
+            .filter(|worker| self.workers.get(worker).is_some())
+            .collect();
+        for worker in gone {
+            self.drop_runs_of(&worker, now, "vm_left");
+            self.workers.remove(&worker);
+        }
+    }
+
+    /// Takes a request for maintenance, with what an earlier owner stored of it.
+    pub fn wave_requested(
+        &mut self,
+        wave: Wave,
+        stored: Option<(WaveProgress, RowVersion)>,
+        now: BootTime,
+        unix_ms: u64,
+    ) {
         if self.upkeep.waves.get(&wave.id).is_some() {
             return;
         }
         log::info!(
-            "event=wave_requested wave={} vms={} max_down={} duration={:?}",
+            "event=wave_requested wave={} vms={} max_down={} duration={:?} is_inherited={}",
             wave.id,
             wave.vms.len(),
             wave.max_down,
-            wave.duration
+            wave.duration,
+            stored.is_some()
         );
+        let (progress, row) = stored.map_or_else(
+            || {
+                (
+                    WaveProgress {
+                        first_seen_unix_ms: unix_ms,
+                        ..WaveProgress::default()
+                    },
+                    None,
+                )
+            },
+            |(progress, row)| (progress, Some(row)),
+        );
+        let age_ms = unix_ms.saturating_sub(progress.first_seen_unix_ms);
+        for called in &progress.called {
+            // Calls are repeated until they are answered; a VM that has begun may still be down.
+            let long_ago = now.before(REPEAT_AFTER * 2);
+            let phase = if called.has_begun {
+                VmPhase::Away(now)
+            } else {
+                VmPhase::Unclear(long_ago)
+            };
+            let work = VmWork {
+                task: VmTask::Maintain(wave.id.clone()),
+                phase,
+                worker: called.worker.clone(),
+            };
+            self.upkeep.work.insert(called.vm.clone(), work);
+        }
+        let version = u64::from(row.is_none());
         let run = WaveRun {
-            since: now,
-            begun: Vec::new(),
+            since: now.before(Duration::from_millis(age_ms)),
+            progress,
+            version,
+            stored_version: 0,
+            row,
             reported: None,
             wave,
         };
         self.upkeep.waves.insert(run.wave.id.clone(), run);
     }
 
+    /// Returns the waves whose progress has to be stored.
+    pub(super) fn changed_waves(&self) -> Vec<WaveRow> {
+        self.upkeep
+            .waves
+            .iter()
+            .filter(|(_, run)| run.stored_version < run.version)
+            .map(|(id, run)| WaveRow {
+                id: id.clone(),
+                progress: encode_wave(&run.progress),
+                replaces: run.row,
+                version: run.version,
+            })
+            .collect()
+    }
+
+    /// Notes that a wave's progress is stored, and makes the calls that waited for it.
+    pub(super) fn wave_stored(&mut self, stored: &WaveRow, row: RowVersion) {
+        let Some(run) = self.upkeep.waves.get_mut(&stored.id) else {
+            return;
+        };
+        run.stored_version = stored.version;
+        run.row = Some(row);
+        let ready: Vec<VmId> = self
+            .upkeep
+            .work
+            .iter()
+            .filter(|(_, work)| work.task == VmTask::Maintain(stored.id.clone()))
+            .filter(|(_, work)| {
+                matches!(work.phase, VmPhase::Recording(version) if version <= stored.version)
+            })
+            .map(|(vm, _)| vm.clone())
+            .collect();
+        for vm in ready {
+            self.call(&vm);
+        }
+    }
+
     /// Returns the states of waves that have not been reported yet.
     #[must_use]
     pub fn unreported_waves(&self) -> Vec<(WaveId, WaveState)> {
@@ -203,7 +346,13 @@
     }
 
     fn wave_state(&self, run: &WaveRun) -> WaveState {
-        if run.wave.vms.iter().all(|vm| run.begun.contains(vm)) {
+        let has_left = |vm: &VmId| !self.upkeep.vms.is_empty() && self.upkeep.vms.get(vm).is_none();
+        if run
+            .wave
+            .vms
+            .iter()
+            .all(|vm| run.has_begun(vm) || has_left(vm))
+        {
             WaveState::Completed
         } else {
             WaveState::Running
@@ -220,14 +369,16 @@
         match is_done {
             Some(true) => {
                 work.phase = VmPhase::Away(now);
-                let worker = work.worker.clone();
                 if let VmTask::Maintain(wave) = &task
                     && let Some(run) = self.upkeep.waves.get_mut(wave)
+                    && let Some(called) = run
+                        .progress
+                        .called
+                        .iter_mut()
+                        .find(|called| called.vm == *vm)
                 {
-                    run.begun.push(vm.clone());
-                }
-                if let Some(worker) = worker {
-                    self.worker_left(&worker, now);
+                    called.has_begun = true;
+                    run.version += 1;
                 }
             }
             Some(false) => {
@@ -241,11 +392,6 @@
         }
     }
 
-    fn worker_left(&mut self, id: &WorkerId, now: BootTime) {
-        self.drop_runs_of(id, now, "vm_left");
-        self.workers.remove(id);
-    }
-
     /// Carries waves on.
     pub fn tick_upkeep(&mut self, now: BootTime) {
         self.repeat_unclear(now);
@@ -286,7 +432,7 @@
                 .wave
                 .vms
                 .iter()
-                .filter(|vm| !run.begun.contains(vm) && self.upkeep.work.get(*vm).is_none())
+                .filter(|vm| !run.has_begun(vm) && self.upkeep.work.get(*vm).is_none())
                 .filter_map(|vm| {
                     let row = self.upkeep.vms.get(vm)?;
                     (row.state == VmState::Up).then(|| (self.load_of(row), vm))
@@ -388,8 +534,32 @@
             }
         }
         for vm in ready {
-            self.call(&vm);
+            self.call_once_stored(&vm);
+        }
+    }
+
+    /// Calls for a move at once, and for maintenance as soon as that is stored: a successor must
+    /// know which VMs of a wave may be down.
+    fn call_once_stored(&mut self, vm: &VmId) {
+        let Some(work) = self.upkeep.work.get_mut(vm) else {
+            return;
+        };
+        let VmTask::Maintain(wave) = &work.task else {
+            return self.call(vm);
+        };
+        let Some(run) = self.upkeep.waves.get_mut(wave) else {
+            return;
+        };
+        if !run.progress.called.iter().any(|called| called.vm == *vm) {
+            let worker = work.worker.clone();
+            run.progress.called.push(CalledVm {
+                vm: vm.clone(),
+                worker,
+                has_begun: false,
+            });
         }
+        run.version += 1;
+        work.phase = VmPhase::Recording(run.version);
     }
 
     fn has_lasting(&self, tasks: &[TaskId]) -> bool {
@@ -407,7 +577,7 @@
         };
         let usable = run.wave.duration.mul_f64(1.0 - WAVE_RESERVE);
         let passed = now.since(run.since).as_secs_f64() / usable.as_secs_f64().max(0.001);
-        let begun = run.begun.len() as f64 / run.wave.vms.len().max(1) as f64;
+        let begun = run.begun() as f64 / run.wave.vms.len().max(1) as f64;
         passed > begun
     }
 
--- a/rhubarbfall-scheduler/src/operator_feed.rs
+++ b/rhubarbfall-scheduler/src/operator_feed.rs
@@ -59,8 +59,10 @@
             }
             Some(OperatorRow::Wave(wave)) => {
                 if let Some(owner) = &*node.owner.borrow() {
-                    let now = node.now();
-                    owner.with(|scheduler| scheduler.wave_requested(wave.clone(), now));
+                    let (now, unix_ms) = (node.now(), node.unix_ms());
+                    owner.with(|scheduler| {
+                        scheduler.wave_requested(wave.clone(), None, now, unix_ms);
+                    });
                 }
                 node.waves.borrow_mut().insert(wave.id.clone(), wave);
             }
--- a/rhubarbfall-scheduler/src/owner/mod.rs
+++ b/rhubarbfall-scheduler/src/owner/mod.rs
@@ -236,20 +236,20 @@
 /// Loads what earlier owners stored, and starts the duties.
 pub(crate) async fn start(node: &Rc<Node>, owner: Rc<Owner>, inherited_until: BootTime) {
     let loaded = state_rows::load(node).await;
-    let (jobs, reported) = match loaded {
+    let state_rows::Loaded { jobs, mut waves } = match loaded {
         Ok(loaded) => loaded,
         Err(error) => {
             log::warn!("event=load_failed error={error}");
             return owner.end();
         }
     };
-    let now = node.now();
+    let (now, unix_ms) = (node.now(), node.unix_ms());
     log::info!(
         "event=loaded jobs={} inherited_until={inherited_until}",
         jobs.len()
     );
     let config = node.config.borrow().clone();
-    let waves: Vec<_> = node
+    let requested: Vec<_> = node
         .waves
         .borrow()
         .iter()
@@ -258,10 +258,9 @@
     owner.with(|scheduler| {
         scheduler.set_config(config);
         scheduler.recover(jobs, inherited_until, now);
-        for wave in waves {
-            if !reported.contains(&wave.id) {
-                scheduler.wave_requested(wave, now);
-            }
+        for wave in requested {
+            let stored = waves.remove(&wave.id);
+            scheduler.wave_requested(wave, stored, now, unix_ms);
         }
     });
     owner.is_loaded.set(true);
--- a/rhubarbfall-scheduler/src/owner/state_rows.rs
+++ b/rhubarbfall-scheduler/src/owner/state_rows.rs
@@ -4,9 +4,9 @@
 
 use litemap::LiteMap;
 use rhubarbfall_core::{RowVersion, SubmissionId, WaveId};
-use rhubarbfall_runs::scheduler::{Batch, CallerState, StoredJob};
-use rhubarbfall_runs::{JobProgress, JobState, decode_progress, decode_submission};
-use rhubarbfall_site::{RowKey, STATUS_TABLE, StoreError, Transaction, wave_status_key};
+use rhubarbfall_runs::scheduler::{Batch, CallerState, StoredJob, WaveProgress};
+use rhubarbfall_runs::{JobProgress, JobState, decode_progress, decode_submission, decode_wave};
+use rhubarbfall_site::{RowKey, StoreError, Transaction};
 
 use crate::node::Node;
 use crate::owner::Owner;
@@ -21,8 +21,15 @@
 /// The table with the progress of submissions.
 const PROGRESS_TABLE: &str = "progress";
 
-/// What an owner takes over: the jobs, and the waves that were reported as completed.
-pub(super) type Loaded = (Vec<StoredJob>, Vec<WaveId>);
+/// The table with the progress of waves.
+const WAVE_TABLE: &str = "wave";
+
+/// What an owner takes over.
+#[derive(Debug)]
+pub(super) struct Loaded {
+    pub(super) jobs: Vec<StoredJob>,
+    pub(super) waves: LiteMap<WaveId, (WaveProgress, RowVersion)>,
+}
 
 /// Reads what earlier owners stored.
 pub(super) async fn load(node: &Node) -> Result<Loaded, StoreError> {
@@ -51,25 +58,24 @@
             ),
         }
     }
-    Ok((jobs, load_completed_waves(node).await?))
+    let waves = load_waves(node).await?;
+    Ok(Loaded { jobs, waves })
 }
 
-async fn load_completed_waves(node: &Node) -> Result<Vec<WaveId>, StoreError> {
-    let (rows, _) = node.store.read_all(STATUS_TABLE, "").await?;
-    let waves: Vec<WaveId> = node
-        .waves
-        .borrow()
-        .iter()
-        .map(|(id, _)| id.clone())
-        .collect();
-    let is_completed = |wave: &WaveId| {
-        let key = wave_status_key(wave);
-        let completed =
-            rhubarbfall_site::encode_wave_state(rhubarbfall_runs::scheduler::WaveState::Completed);
-        rows.iter()
-            .any(|row| *row.key.key == *key && row.value == completed)
-    };
-    Ok(waves.into_iter().filter(is_completed).collect())
+async fn load_waves(
+    node: &Node,
+) -> Result<LiteMap<WaveId, (WaveProgress, RowVersion)>, StoreError> {
+    let (rows, _) = node.store.read_all(WAVE_TABLE, CELL_PART).await?;
+    let mut waves = LiteMap::new();
+    for row in rows {
+        match (row.key.key.parse(), decode_wave(&row.value)) {
+            (Ok(id), Ok(progress)) => drop(waves.insert(id, (progress, row.version))),
+            (id, progress) => {
+                log::error!("event=wave_row_malformed id={id:?} progress={progress:?}");
+            }
+        }
+    }
+    Ok(waves)
 }
 
 /// Prepares the transaction that stores a batch, conditioned on the ownership.
@@ -90,6 +96,11 @@
             transaction.writes.push((key, progress.clone()));
         }
     }
+    for wave in &batch.waves {
+        let key = RowKey::new(WAVE_TABLE, CELL_PART, wave.id.as_str());
+        transaction.expected.push((key.clone(), wave.replaces));
+        transaction.writes.push((key, wave.progress.clone()));
+    }
     transaction
 }
 
--- a/rhubarbfall-scheduler/src/owner/store_loop.rs
+++ b/rhubarbfall-scheduler/src/owner/store_loop.rs
@@ -58,8 +58,10 @@
                 {
                     return Some(version);
                 }
-                log::error!("event=batch_conflict rows={}", rows.len());
-                node.drop_ownership("batch_conflict");
+                if !owner.has_ended() {
+                    log::error!("event=batch_conflict rows={}", rows.len());
+                    node.drop_ownership("batch_conflict");
+                }
                 return None;
             }
             Err(error) => {
--- a/rhubarbfall-scheduler/src/owner/vm_loop.rs
+++ b/rhubarbfall-scheduler/src/owner/vm_loop.rs
@@ -15,9 +15,10 @@
 /// Reads the list until the ownership ends.
 pub(super) async fn run(node: Rc<Node>, owner: Rc<Owner>) {
     while !owner.has_ended() {
+        let asked_at = node.now();
         if let Some(rows) = node.vm_service.list().await {
             let now = node.now();
-            owner.with(|scheduler| scheduler.vms_listed(rows, now));
+            owner.with(|scheduler| scheduler.vms_listed(rows, asked_at, now));
         }
         tokio::time::sleep(INTERVAL).await;
     }
