fix(scheduler): ask for an owner until the caller's time limit; take over sooner

Change: an entry repeats a submission or cancellation under its identifier until an owner answers, within the caller's limit, and refuses after a second when nothing was sent; takeover after 2.2 s of silence instead of 2.6 s; a new owner interrupts no lasting task for 2.5 s.

--- a/rhubarbfall-runs/src/job.rs
+++ b/rhubarbfall-runs/src/job.rs
@@ -12,6 +12,8 @@
     pub submission: Arc<Submission>,
     /// When it arrived, or when this owner took it over.
     pub accepted_at: BootTime,
+    /// Whether the customer had handed in more than its weight allows when this one came.
+    pub is_excess: bool,
     /// The state, which may not be stored yet.
     pub state: JobState,
     /// The occurrences that have begun, by number.
@@ -126,6 +128,7 @@
         Self {
             submission,
             accepted_at: now,
+            is_excess: false,
             state: JobState::Active,
             occurrences: Vec::new(),
             has_begun: false,
--- a/rhubarbfall-runs/src/scheduler/intake.rs
+++ b/rhubarbfall-runs/src/scheduler/intake.rs
@@ -3,6 +3,7 @@
 use rhubarbfall_core::{BootTime, QueueId, SubmissionId};
 
 use super::Scheduler;
+use super::arrival_rate::ArrivalRate;
 use crate::{Job, JobState, Order, Phase, Submission};
 
 /// What becomes of a submission that is handed in.
@@ -53,6 +54,27 @@
         Intake::New(1)
     }
 
+    /// Counts a submission against the rate that its customer's weight allows.
+    fn is_within_weight(&mut self, submission: &Submission, now: BootTime) -> bool {
+        let Some(customer) = &submission.customer else {
+            return true;
+        };
+        let Some(weight) = self
+            .config
+            .customer(customer)
+            .map(|customer| customer.weight)
+        else {
+            return true;
+        };
+        if self.arrivals.get(customer).is_none() {
+            self.arrivals
+                .insert(customer.clone(), ArrivalRate::new(weight, now));
+        }
+        self.arrivals
+            .get_mut(customer)
+            .is_none_or(|rate| rate.admit(weight, now))
+    }
+
     /// Returns whether a version of a job is stored, or `None` for an unknown submission.
     #[must_use]
     pub fn is_stored(&self, id: &SubmissionId, version: u64) -> Option<bool> {
--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -1,6 +1,7 @@
 //! The state of one owner and its transitions, a duty a file.
 
 mod action;
+mod arrival_rate;
 mod holds;
 mod intake;
 mod listing;
@@ -39,6 +40,7 @@
     jobs: LiteMap<SubmissionId, Job>,
     workers: LiteMap<WorkerId, Worker>,
     used: LiteMap<CustomerId, Resources>,
+    arrivals: LiteMap<CustomerId, arrival_rate::ArrivalRate>,
     actions: Vec<Action>,
     dirty: Vec<SubmissionId>,
     /// Until when the ownership was confirmed to last if nobody else is heard of.
@@ -48,6 +50,10 @@
     /// Whether something changed that may let a waiting task start.
     has_news: bool,
     upkeep: upkeep::Upkeep,
+    pools_logged_at: BootTime,
+    /// No lasting task is interrupted on purpose before this time: an earlier owner may just have
+    /// interrupted others.
+    interrupt_after: BootTime,
 }
 
 impl Scheduler {
@@ -61,12 +67,15 @@
             jobs: LiteMap::new(),
             workers: LiteMap::new(),
             used: LiteMap::new(),
+            arrivals: LiteMap::new(),
             actions: Vec::new(),
             dirty: Vec::new(),
             leases_until: BootTime::default(),
             inherited_until: None,
             has_news: true,
             upkeep: upkeep::Upkeep::default(),
+            pools_logged_at: BootTime::default(),
+            interrupt_after: BootTime::default(),
         }
     }
 
--- a/rhubarbfall-runs/src/scheduler/ordering.rs
+++ b/rhubarbfall-runs/src/scheduler/ordering.rs
@@ -24,6 +24,8 @@
     InTime,
     /// It can be done late.
     Late,
+    /// Its customer hands in more than its weight allows.
+    Excess,
     /// It is too late for anybody.
     TooLate,
 }
@@ -39,6 +41,8 @@
     let (in_time, late) = (latest(objective), latest(objective * LATE_FACTOR));
     let (tier, latest_start) = if job.submission.is_lasting() {
         (Tier::Lasting, job.accepted_at)
+    } else if job.is_excess {
+        (Tier::Excess, in_time)
     } else if now <= in_time {
         (Tier::InTime, in_time)
     } else if now <= late {
--- a/rhubarbfall-runs/src/scheduler/pools.rs
+++ b/rhubarbfall-runs/src/scheduler/pools.rs
@@ -20,6 +20,9 @@
 /// How long a VM is idle before another pool may take it.
 const IDLE_BEFORE_LENDING: Duration = Duration::from_millis(300);
 
+/// How often the state of the pools is logged.
+const LOG_INTERVAL: Duration = Duration::from_millis(1_000);
+
 /// What a pool has and needs.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PoolLoad {
@@ -140,11 +143,28 @@
             return;
         }
         let pools = self.pool_loads(now);
+        self.log_pools(&pools, now);
         for (vm, to) in plan_moves(&pools).into_iter().take(room) {
             self.begin_emptying(&vm, VmTask::Move(to));
         }
     }
 
+    fn log_pools(&mut self, pools: &[PoolLoad], now: BootTime) {
+        if now.since(self.pools_logged_at) < LOG_INTERVAL {
+            return;
+        }
+        self.pools_logged_at = now;
+        for pool in pools {
+            log::info!(
+                "event=pool service={} needed={} supply={} idle={}",
+                pool.service,
+                pool.needed,
+                pool.supply,
+                pool.idle.len()
+            );
+        }
+    }
+
     fn pool_loads(&self, now: BootTime) -> Vec<PoolLoad> {
         let mut loads = Vec::with_capacity(self.config.services.len());
         for service in &self.config.services {
--- a/rhubarbfall-runs/src/scheduler/recovery.rs
+++ b/rhubarbfall-runs/src/scheduler/recovery.rs
@@ -24,6 +24,7 @@
         now: BootTime,
     ) {
         self.inherited_until = Some(inherited_until);
+        self.interrupt_after = now + self.settings.interrupt_pause;
         for StoredJob {
             submission,
             progress,
--- a/rhubarbfall-runs/src/scheduler/settings.rs
+++ b/rhubarbfall-runs/src/scheduler/settings.rs
@@ -23,6 +23,9 @@
     pub retry_pause: Duration,
     /// How long a lasting task may be away before it counts as missing.
     pub notice: Duration,
+    /// How long a new owner interrupts no lasting task: a stop of its predecessor may take a second
+    /// and is listed afterwards.
+    pub interrupt_pause: Duration,
     /// The most moves and maintenance calls in flight at the same time.
     pub max_vm_calls: usize,
 }
@@ -39,6 +42,7 @@
             keep_ended: Duration::from_secs(150),
             retry_pause: Duration::from_millis(20),
             notice: Duration::from_millis(4_500),
+            interrupt_pause: Duration::from_millis(2_500),
             max_vm_calls: 8,
         }
     }
--- a/rhubarbfall-runs/src/scheduler/upkeep.rs
+++ b/rhubarbfall-runs/src/scheduler/upkeep.rs
@@ -473,7 +473,10 @@
     }
 
     /// Stops lasting tasks on VMs that run empty, as far as each step may miss them.
-    fn stop_lasting_on_cordoned(&mut self, _now: BootTime) {
+    fn stop_lasting_on_cordoned(&mut self, now: BootTime) {
+        if now < self.interrupt_after {
+            return;
+        }
         let workers: Vec<WorkerId> = self
             .upkeep
             .work
--- a/rhubarbfall-scheduler/src/callers.rs
+++ b/rhubarbfall-scheduler/src/callers.rs
@@ -6,7 +6,7 @@
 use http::{Method, StatusCode};
 use rhubarbfall_core::{CustomerId, QueueId, ResultCode, SubmissionId};
 use rhubarbfall_runs::scheduler::CallerState;
-use rhubarbfall_runs::{FleetConfig, Queue};
+use rhubarbfall_runs::{FleetConfig, Queue, Submission};
 use rhubarbfall_site::{
     CUSTOMER_KEY_HEADER, DEADLINE_HEADER, encode_pending, encode_state, read_submission,
 };
@@ -14,7 +14,7 @@
 use crate::http_server::{Answer, Request};
 use crate::node::Node;
 use crate::owner::{Submitted, read_stored_state};
-use crate::peer::{self, PeerError};
+use crate::peer;
 use crate::telemetry;
 
 /// The time limit of a caller that names none.
@@ -29,6 +29,16 @@
 /// When a caller is told to come back while no owner is reached: about the time of a takeover.
 const NO_OWNER_RETRY: Duration = Duration::from_millis(1_000);
 
+/// How long a request that no owner was sent waits for one: a handed back ownership is taken within
+/// a fraction of this, and a caller cannot be told to come back earlier than after a second.
+const OWNER_PATIENCE: Duration = Duration::from_millis(1_000);
+
+/// How long an owner may take for one answer before it is asked again: several slow transactions.
+const ASK_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// The pause before the owner is asked again.
+const ASK_PAUSE: Duration = Duration::from_millis(60);
+
 /// Keeps the number of requests in service.
 struct InFlight(Rc<Node>);
 
@@ -167,22 +177,10 @@
             return refusal(ResultCode::SubmissionInvalid, None);
         }
     };
-    let outcome = if let Some(owner) = node.acting_owner() {
-        let waited = tokio::time::timeout(limit, owner.submit(node, submission)).await;
-        waited.unwrap_or(Submitted::Unknown)
-    } else if let Some(address) = node.other_owner() {
-        match peer::submit(node, address, &submission, limit).await {
-            Ok(outcome) => outcome,
-            Err(PeerError::NotTaken) => Submitted::Refused {
-                retry_after: NO_OWNER_RETRY,
-            },
-            Err(PeerError::Unknown) => Submitted::Unknown,
-        }
-    } else {
-        Submitted::Refused {
-            retry_after: NO_OWNER_RETRY,
-        }
-    };
+    let outcome = until_answered(node, limit, async |timeout| {
+        ask_to_submit(node, &submission, timeout).await
+    })
+    .await;
     log::info!(
         "event=submission id={id} queue={} outcome={outcome:?} fence={}",
         queue.id,
@@ -193,31 +191,75 @@
 
 async fn cancel(node: &Rc<Node>, id: &SubmissionId, request: &Request) -> Answer {
     let limit = time_limit(request);
-    let outcome = if let Some(owner) = node.acting_owner() {
-        let waited = tokio::time::timeout(limit, owner.cancel(node, id)).await;
-        waited.unwrap_or(Submitted::Unknown)
-    } else if let Some(address) = node.other_owner() {
-        match peer::cancel(node, address, id, limit).await {
-            Ok(outcome) => outcome,
-            Err(PeerError::NotTaken) => Submitted::Refused {
-                retry_after: NO_OWNER_RETRY,
-            },
-            Err(PeerError::Unknown) => Submitted::Unknown,
-        }
-    } else {
-        Submitted::Refused {
-            retry_after: NO_OWNER_RETRY,
-        }
-    };
+    let outcome = until_answered(node, limit, async |timeout| {
+        ask_to_cancel(node, id, timeout).await
+    })
+    .await;
     log::info!("event=cancel id={id} outcome={outcome:?}");
     outcome_answer(outcome)
 }
 
+/// Asks the owner until it answers, for as long as the caller waits: the identifier makes a repeat
+/// harmless, and the ownership may be on its way to another entry. A request that was never sent to
+/// an owner is refused earlier, so that the caller can try elsewhere.
+async fn until_answered(
+    node: &Node,
+    limit: Duration,
+    ask: impl AsyncFn(Duration) -> Submitted,
+) -> Submitted {
+    let began_at = node.now();
+    let mut may_be_taken = false;
+    loop {
+        let left = limit.saturating_sub(node.now().since(began_at));
+        match ask(left.min(ASK_TIMEOUT)).await {
+            Submitted::Unknown => may_be_taken = true,
+            Submitted::NoOwner => {}
+            answered => return answered,
+        }
+        let waited = node.now().since(began_at);
+        if waited + ASK_PAUSE >= limit {
+            return if may_be_taken {
+                Submitted::Unknown
+            } else {
+                Submitted::NoOwner
+            };
+        }
+        if !may_be_taken && waited >= OWNER_PATIENCE {
+            return Submitted::NoOwner;
+        }
+        tokio::time::sleep(ASK_PAUSE).await;
+    }
+}
+
+async fn ask_to_submit(node: &Node, submission: &Submission, timeout: Duration) -> Submitted {
+    if let Some(owner) = node.acting_owner() {
+        let waited = tokio::time::timeout(timeout, owner.submit(node, submission.clone())).await;
+        return waited.unwrap_or(Submitted::Unknown);
+    }
+    match node.other_owner() {
+        Some(address) => peer::submit(node, address, submission, timeout)
+            .await
+            .into(),
+        None => Submitted::NoOwner,
+    }
+}
+
+async fn ask_to_cancel(node: &Node, id: &SubmissionId, timeout: Duration) -> Submitted {
+    if let Some(owner) = node.acting_owner() {
+        let waited = tokio::time::timeout(timeout, owner.cancel(id)).await;
+        return waited.unwrap_or(Submitted::Unknown);
+    }
+    match node.other_owner() {
+        Some(address) => peer::cancel(node, address, id, timeout).await.into(),
+        None => Submitted::NoOwner,
+    }
+}
+
 fn outcome_answer(outcome: Submitted) -> Answer {
     match outcome {
         Submitted::Stored => Answer::empty(StatusCode::OK),
         Submitted::NotFound => refusal(ResultCode::SubmissionUnknown, None),
-        Submitted::Refused { retry_after } => refusal(ResultCode::NoOwner, Some(retry_after)),
+        Submitted::NoOwner => refusal(ResultCode::NoOwner, Some(NO_OWNER_RETRY)),
         Submitted::Unknown => refusal(ResultCode::OwnerSilent, None),
     }
 }
--- a/rhubarbfall-scheduler/src/owner/mod.rs
+++ b/rhubarbfall-scheduler/src/owner/mod.rs
@@ -25,7 +25,7 @@
 pub(crate) use state_rows::{CELL_PART, read_stored_state};
 
 /// The owner stops starting anything this long before others may take over.
-const ACT_MARGIN: Duration = Duration::from_millis(400);
+const ACT_MARGIN: Duration = Duration::from_millis(300);
 
 /// What is kept of the longest lease, so that leases end before a successor counts them as lapsed.
 const LEASE_MARGIN: Duration = Duration::from_millis(800);
@@ -44,11 +44,8 @@
 pub(crate) enum Submitted {
     /// It is stored.
     Stored,
-    /// It was not taken.
-    Refused {
-        /// When to come back.
-        retry_after: Duration,
-    },
+    /// No owner was reached; nothing was taken.
+    NoOwner,
     /// It may be stored.
     Unknown,
     /// There is no such submission.
@@ -189,7 +186,7 @@
     }
 
     /// Cancels a submission and waits until that is stored.
-    pub(crate) async fn cancel(&self, _node: &Node, id: &SubmissionId) -> Submitted {
+    pub(crate) async fn cancel(&self, id: &SubmissionId) -> Submitted {
         match self.with(|scheduler| scheduler.cancel(id)) {
             Some(version) => self.wait_stored(id.clone(), version).await,
             None => Submitted::NotFound,
--- a/rhubarbfall-scheduler/src/ownership.rs
+++ b/rhubarbfall-scheduler/src/ownership.rs
@@ -21,14 +21,14 @@
 const RENEWAL_KEY: &str = "renewal";
 
 /// How often the owner renews: four times within the time after which others take over.
-const RENEW_INTERVAL: Duration = Duration::from_millis(600);
+const RENEW_INTERVAL: Duration = Duration::from_millis(500);
 
 /// The pause after a renewal that failed.
 const RENEW_RETRY: Duration = Duration::from_millis(200);
 
 /// Others take over when no renewal was seen for this long while the store answered: long enough
 /// for two lost renewals, and short against a caller's patience.
-pub(crate) const TAKEOVER_AFTER: Duration = Duration::from_millis(2_600);
+pub(crate) const TAKEOVER_AFTER: Duration = Duration::from_millis(2_200);
 
 /// How long the store may hold a call for changes.
 const WAIT: Duration = Duration::from_millis(1_000);
@@ -36,6 +36,9 @@
 /// The pause after a call to the store that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
+/// The pause until an entry that has just started has read its configuration.
+const CONFIG_PAUSE: Duration = Duration::from_millis(40);
+
 /// How long the store must have answered again before silence counts against the owner, which may
 /// have been cut off as well.
 const STORE_SETTLED: Duration = Duration::from_millis(900);
@@ -141,7 +144,13 @@
     let now = node.now();
     node.store_heard_at.set(now);
     let answers_since = *watch.answers_since.get_or_insert(now);
-    if node.is_stopping.get() || node.config.borrow().version == 0 {
+    if node.is_stopping.get() {
+        tokio::time::sleep(RETRY_PAUSE).await;
+        return;
+    }
+    if node.config.borrow().version == 0 {
+        watch.after = None;
+        tokio::time::sleep(CONFIG_PAUSE).await;
         return;
     }
     let belief = node.belief.borrow().clone();
--- a/rhubarbfall-scheduler/src/peer.rs
+++ b/rhubarbfall-scheduler/src/peer.rs
@@ -37,14 +37,12 @@
 struct OutcomeMessage {
     #[prost(enumeration = "OutcomeKind", tag = "1")]
     kind: i32,
-    #[prost(uint64, tag = "2")]
-    retry_after_ms: u64,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, prost::Enumeration)]
 enum OutcomeKind {
     Stored = 0,
-    Refused = 1,
+    NoOwner = 1,
     Unknown = 2,
     NotFound = 3,
 }
@@ -188,7 +186,7 @@
         };
     }
     if let Some(id) = read_id(path, CANCEL_PATH) {
-        return message(&OutcomeMessage::from(owner.cancel(&node, &id).await));
+        return message(&OutcomeMessage::from(owner.cancel(&id).await));
     }
     if let Some(id) = read_id(path, STATE_PATH) {
         let state = owner.with(|scheduler| scheduler.caller_state(&id));
@@ -227,16 +225,13 @@
 
 impl From<Submitted> for OutcomeMessage {
     fn from(outcome: Submitted) -> Self {
-        let (kind, retry_after) = match outcome {
-            Submitted::Stored => (OutcomeKind::Stored, Duration::ZERO),
-            Submitted::Refused { retry_after } => (OutcomeKind::Refused, retry_after),
-            Submitted::Unknown => (OutcomeKind::Unknown, Duration::ZERO),
-            Submitted::NotFound => (OutcomeKind::NotFound, Duration::ZERO),
+        let kind = match outcome {
+            Submitted::Stored => OutcomeKind::Stored,
+            Submitted::NoOwner => OutcomeKind::NoOwner,
+            Submitted::Unknown => OutcomeKind::Unknown,
+            Submitted::NotFound => OutcomeKind::NotFound,
         };
-        Self {
-            kind: kind.into(),
-            retry_after_ms: retry_after.as_millis() as u64,
-        }
+        Self { kind: kind.into() }
     }
 }
 
@@ -244,11 +239,19 @@
     fn from(message: OutcomeMessage) -> Self {
         match message.kind() {
             OutcomeKind::Stored => Self::Stored,
-            OutcomeKind::Refused => Self::Refused {
-                retry_after: Duration::from_millis(message.retry_after_ms),
-            },
+            OutcomeKind::NoOwner => Self::NoOwner,
             OutcomeKind::Unknown => Self::Unknown,
             OutcomeKind::NotFound => Self::NotFound,
         }
     }
 }
+
+impl From<Result<Self, PeerError>> for Submitted {
+    fn from(answer: Result<Self, PeerError>) -> Self {
+        match answer {
+            Ok(outcome) => outcome,
+            Err(PeerError::NotTaken) => Self::NoOwner,
+            Err(PeerError::Unknown) => Self::Unknown,
+        }
+    }
+}
