feat(scheduler): take over after 1.3 s, and let customers beyond their weight go last

Change: the renewal row says for how long it keeps others out: 1.3 s, or four round trips while the store is slow; a takeover is conditional on the last renewal that was seen. Submissions beyond a customer's weight a second rank last.

--- a/rhubarbfall-runs/src/scheduler/intake.rs
+++ b/rhubarbfall-runs/src/scheduler/intake.rs
@@ -47,8 +47,10 @@
         if self.jobs.get(&id).is_some() {
             return Intake::Known(1);
         }
-        self.jobs
-            .insert(id.clone(), Job::new(Arc::new(submission), now));
+        let is_excess = !self.is_within_weight(&submission, now);
+        let mut job = Job::new(Arc::new(submission), now);
+        job.is_excess = is_excess;
+        self.jobs.insert(id.clone(), job);
         self.mark_dirty(&id);
         self.has_news = true;
         Intake::New(1)
--- a/rhubarbfall-scheduler/src/owner/mod.rs
+++ b/rhubarbfall-scheduler/src/owner/mod.rs
@@ -20,7 +20,6 @@
 use tokio::task::spawn_local;
 
 use crate::node::Node;
-use crate::ownership::TAKEOVER_AFTER;
 
 pub(crate) use state_rows::{CELL_PART, read_stored_state};
 
@@ -58,6 +57,10 @@
     fencing_number: FencingNumber,
     owner_row: RowVersion,
     confirmed_at: Cell<BootTime>,
+    /// How long the confirmed renewal keeps others from taking over.
+    tenure: Cell<Duration>,
+    /// What the next renewal asks for.
+    next_tenure: Cell<Duration>,
     max_lease: Duration,
     has_ended: Cell<bool>,
     is_closing: Cell<bool>,
@@ -89,6 +92,7 @@
         fencing_number: FencingNumber,
         owner_row: RowVersion,
         confirmed_at: BootTime,
+        tenure: Duration,
     ) -> Rc<Self> {
         let scheduler = Scheduler::new(SchedulerSettings::default(), fencing_number);
         let owner = Self {
@@ -96,6 +100,8 @@
             fencing_number,
             owner_row,
             confirmed_at: Cell::new(confirmed_at),
+            tenure: Cell::new(tenure),
+            next_tenure: Cell::new(tenure),
             max_lease: node.settings.max_lease().saturating_sub(LEASE_MARGIN),
             has_ended: Cell::new(false),
             is_closing: Cell::new(false),
@@ -105,7 +111,7 @@
             waiters: RefCell::default(),
             calls: RefCell::new(LiteMap::new()),
         };
-        owner.confirm(confirmed_at);
+        owner.confirm(confirmed_at, tenure);
         Rc::new(owner)
     }
 
@@ -118,20 +124,31 @@
         self.owner_row
     }
 
-    /// Notes that a renewal sent at this time was stored.
-    pub(crate) fn confirm(&self, sent_at: BootTime) {
+    /// Notes that a renewal sent at this time was stored; nobody takes over for `tenure` from then.
+    pub(crate) fn confirm(&self, sent_at: BootTime, tenure: Duration) {
         self.confirmed_at.set(self.confirmed_at.get().max(sent_at));
+        self.tenure.set(tenure);
         self.scheduler
             .borrow_mut()
             .confirm_ownership(sent_at + self.max_lease);
     }
 
+    /// Returns the time that the next renewal asks for.
+    pub(crate) const fn next_tenure(&self) -> Duration {
+        self.next_tenure.get()
+    }
+
+    /// Notes the time that the next renewal asks for.
+    pub(crate) fn set_next_tenure(&self, tenure: Duration) {
+        self.next_tenure.set(tenure);
+    }
+
     /// Returns whether nobody else can have taken over yet.
     pub(crate) fn may_act(&self, now: BootTime) -> bool {
         self.is_loaded.get()
             && !self.has_ended.get()
             && !self.is_closing.get()
-            && now.since(self.confirmed_at.get()) < TAKEOVER_AFTER - ACT_MARGIN
+            && now.since(self.confirmed_at.get()) + ACT_MARGIN < self.tenure.get()
     }
 
     /// Returns whether every lease that it may grant has ended.
--- a/rhubarbfall-scheduler/src/ownership.rs
+++ b/rhubarbfall-scheduler/src/ownership.rs
@@ -20,15 +20,21 @@
 const OWNER_KEY: &str = "owner";
 const RENEWAL_KEY: &str = "renewal";
 
-/// How often the owner renews: four times within the time after which others take over.
-const RENEW_INTERVAL: Duration = Duration::from_millis(500);
+/// How often the owner renews: several times within the time after which others take over.
+const RENEW_INTERVAL: Duration = Duration::from_millis(330);
 
 /// The pause after a renewal that failed.
 const RENEW_RETRY: Duration = Duration::from_millis(200);
 
-/// Others take over when no renewal was seen for this long while the store answered: long enough
-/// for two lost renewals, and short against a caller's patience.
-pub(crate) const TAKEOVER_AFTER: Duration = Duration::from_millis(2_200);
+/// Others take over when no renewal was seen for at least this long while the store answered: long
+/// enough for two lost renewals, and short against a caller's patience.
+const MIN_TENURE: Duration = Duration::from_millis(1_300);
+
+/// The most that a slow store lengthens that time to.
+const MAX_TENURE: Duration = Duration::from_millis(3_000);
+
+/// How many round trips of a renewal the time is at least.
+const TENURE_ROUND_TRIPS: u32 = 4;
 
 /// How long the store may hold a call for changes.
 const WAIT: Duration = Duration::from_millis(1_000);
@@ -41,7 +47,7 @@
 
 /// How long the store must have answered again before silence counts against the owner, which may
 /// have been cut off as well.
-const STORE_SETTLED: Duration = Duration::from_millis(900);
+const STORE_SETTLED: Duration = Duration::from_millis(800);
 
 /// Entries that see a free ownership wait up to this long, so that not all write at once.
 const MAX_JITTER_MS: u64 = 60;
@@ -63,6 +69,9 @@
     fencing_number: u64,
     #[prost(uint64, tag = "2")]
     count: u64,
+    /// How long this renewal keeps others from taking over.
+    #[prost(uint64, tag = "3")]
+    tenure_ms: u64,
 }
 
 /// What an entry has seen of the ownership rows.
@@ -71,6 +80,8 @@
     after: Option<RowVersion>,
     owner_row: Option<RowVersion>,
     renewal_row: Option<RowVersion>,
+    /// How long the newest renewal keeps others from taking over.
+    tenure: Duration,
     /// When a change of either row was seen last.
     heard_at: BootTime,
     /// Since when the store has answered without a failure.
@@ -100,9 +111,11 @@
 
 async fn renew(node: &Node, owner: &Rc<Owner>) {
     let sent_at = node.now();
+    let tenure = owner.next_tenure();
     let renewal = RenewalRow {
         fencing_number: owner.fencing_number().get(),
         count: sent_at.as_millis(),
+        tenure_ms: tenure.as_millis() as u64,
     };
     let transaction = Transaction {
         expected: vec![(cell_row(OWNER_KEY), Some(owner.owner_row()))],
@@ -114,7 +127,9 @@
     match &outcome {
         Ok(CommitOutcome::Stored(_)) => {
             node.store_heard_at.set(now);
-            owner.confirm(sent_at);
+            owner.confirm(sent_at, tenure);
+            let round_trips = now.since(sent_at) * TENURE_ROUND_TRIPS;
+            owner.set_next_tenure(round_trips.clamp(MIN_TENURE, MAX_TENURE));
             telemetry::count_store_call("renew", "stored", now.since(sent_at));
         }
         Ok(CommitOutcome::Conflict(_)) => node.drop_ownership("taken_over"),
@@ -159,8 +174,8 @@
         .holder
         .as_ref()
         .is_some_and(|holder| holder.entry == node.settings.entry);
-    let is_silent =
-        now.since(watch.heard_at) > TAKEOVER_AFTER && now.since(answers_since) > STORE_SETTLED;
+    let is_silent = now.since(watch.heard_at) > watch.tenure.max(MIN_TENURE)
+        && now.since(answers_since) > STORE_SETTLED;
     if is_free || was_me || is_silent {
         let jitter_ms = rand::rng().random_range(0..MAX_JITTER_MS);
         tokio::time::sleep(Duration::from_millis(jitter_ms)).await;
@@ -203,6 +218,12 @@
     }
     *seen = Some(row.version);
     watch.heard_at = node.now();
+    if &*row.key.key == RENEWAL_KEY {
+        match RenewalRow::decode(&*row.value) {
+            Ok(renewal) => watch.tenure = Duration::from_millis(renewal.tenure_ms),
+            Err(error) => log::error!("event=renewal_row_malformed error={error}"),
+        }
+    }
     if &*row.key.key == OWNER_KEY {
         match OwnerRow::decode(&*row.value) {
             Ok(owner) => {
@@ -228,6 +249,7 @@
     let renewal = RenewalRow {
         fencing_number: fencing_number.get(),
         count: 0,
+        tenure_ms: MIN_TENURE.as_millis() as u64,
     };
     let transaction = Transaction {
         expected: vec![
@@ -248,7 +270,7 @@
             node.accept_belief(fencing_number, Some(me));
             let lease = node.settings.max_lease().mul_f64(LEASE_SLACK);
             let inherited_until = watch.heard_at + lease;
-            let owner = Owner::new(node, fencing_number, version, sent_at);
+            let owner = Owner::new(node, fencing_number, version, sent_at, MIN_TENURE);
             owner::start(node, owner, inherited_until).await;
         }
         Ok(CommitOutcome::Conflict(_)) => log::debug!("event=takeover_lost fence={fencing_number}"),
