fix(runs): send no VM down whose worker is not known to be empty

A wave counted as behind from its first moment.

Change: a VM counts as empty when its worker has answered and runs nothing, or when every lease of an earlier owner has lapsed; a wave is behind when the VMs under way do not make up for the time that has passed.

--- a/rhubarbfall-runs/src/scheduler/upkeep.rs
+++ b/rhubarbfall-runs/src/scheduler/upkeep.rs
@@ -6,7 +6,7 @@
 use super::Scheduler;
 use super::action::Action;
 use super::storing::WaveRow;
-use crate::{Order, Resources, TaskId, encode_wave};
+use crate::{Order, Resources, TaskId, WorkerState, encode_wave};
 
 /// How long a call without an answer rests before it is repeated; a repeat is harmless.
 const REPEAT_AFTER: Duration = Duration::from_millis(600);
@@ -526,13 +526,15 @@
         let mut ready = Vec::new();
         for (vm, work) in self.upkeep.work.iter() {
             let worker = work.worker.as_ref().and_then(|id| self.workers.get(id));
-            let is_empty = worker.is_none_or(|worker| worker.is_empty());
+            let is_empty = self.is_surely_empty(work.worker.as_ref());
             let is_pressing = match &work.task {
                 VmTask::Maintain(wave) => self.is_behind(wave, now),
                 VmTask::Move(_) => false,
             };
-            let has_lasting = worker.is_some_and(|worker| self.has_lasting(&worker.placed));
-            if work.phase == VmPhase::Emptying && (is_empty || (is_pressing && !has_lasting)) {
+            let may_be_cut = worker.is_some_and(|worker| {
+                worker.state == WorkerState::InTouch && !self.has_lasting(&worker.placed)
+            });
+            if work.phase == VmPhase::Emptying && (is_empty || (is_pressing && may_be_cut)) {
                 ready.push(vm.clone());
             }
         }
@@ -565,6 +567,18 @@
         work.phase = VmPhase::Recording(run.version);
     }
 
+    /// Returns whether nothing runs on a VM with this worker. One that is not known or has not
+    /// answered may still run what an earlier owner started.
+    fn is_surely_empty(&self, worker: Option<&WorkerId>) -> bool {
+        let Some(id) = worker else { return true };
+        let has_inheritance = self.inherited_until.is_some();
+        match self.workers.get(id) {
+            Some(worker) if worker.state == WorkerState::New => false,
+            Some(worker) => worker.is_empty(),
+            None => !has_inheritance,
+        }
+    }
+
     fn has_lasting(&self, tasks: &[TaskId]) -> bool {
         tasks.iter().any(|id| {
             self.jobs
@@ -573,14 +587,14 @@
         })
     }
 
-    /// Returns whether a wave has less of its VMs begun than of its time passed.
+    /// Returns whether a wave has less of its VMs begun, or about to, than of its time passed.
     fn is_behind(&self, wave: &WaveId, now: BootTime) -> bool {
         let Some(run) = self.upkeep.waves.get(wave) else {
             return false;
         };
         let usable = run.wave.duration.mul_f64(1.0 - WAVE_RESERVE);
         let passed = now.since(run.since).as_secs_f64() / usable.as_secs_f64().max(0.001);
-        let begun = run.begun() as f64 / run.wave.vms.len().max(1) as f64;
+        let begun = (run.begun() + run.wave.max_down) as f64 / run.wave.vms.len().max(1) as f64;
         passed > begun
     }
 
--- a/rhubarbfall-runs/tests/faults.rs
+++ b/rhubarbfall-runs/tests/faults.rs
@@ -189,3 +189,25 @@
     assert_eq!(model.runs_of(1), before);
     assert_eq!(model.broken, Vec::<String>::new());
 }
+
+#[test]
+fn a_new_owner_sends_no_vm_down_whose_worker_it_has_not_heard() {
+    let now = BootTime::new(Duration::from_secs(50));
+    let mut scheduler = Scheduler::new(SchedulerSettings::default(), FencingNumber::new(2));
+    scheduler.recover(Vec::new(), now + Duration::from_secs(10), now);
+    scheduler.wave_requested(wave(2, 5), None, now, 1_000);
+    scheduler.vms_listed(vm_rows(5), now, now);
+    for step in 1..100 {
+        let now = now + Duration::from_millis(100) * step;
+        scheduler.tick(now, 1_000);
+        if let Some(batch) = scheduler.next_batch() {
+            scheduler.batch_stored(&batch, RowVersion::new(7), now);
+        }
+        assert_eq!(scheduler.take_actions(), vec![], "after {step} steps");
+    }
+    let later = now + Duration::from_secs(11);
+    scheduler.tick(later, 1_000);
+    let batch = scheduler.next_batch().expect("the wave's row");
+    scheduler.batch_stored(&batch, RowVersion::new(8), later);
+    assert_eq!(scheduler.take_actions().len(), 2, "every lease has lapsed");
+}
