perf(runs): let one owner decide for 350 workers

Change: what depends on time alone is looked at every 80 ms; a placing pass finds the usable workers of a service once and skips demands at least as large as one that found no room; entries with more processor time take a free ownership first; waves are reported apart from the batches.

--- a/rhubarbfall-runs/src/scheduler/holds.rs
+++ b/rhubarbfall-runs/src/scheduler/holds.rs
@@ -5,7 +5,7 @@
 use super::Scheduler;
 use super::action::{Action, StopOrder};
 use crate::{
-    HoldAnswer, JobState, Order, Phase, Resources, RunEnd, RunEndKind, TaskId, WorkerState,
+    HoldAnswer, JobState, Order, Phase, Resources, RunEnd, RunEndKind, Step, TaskId, WorkerState,
 };
 
 /// Failures of different submissions, with none done in between, after which a worker is taken to
@@ -244,16 +244,13 @@
                 self.stop_stray(worker_id, &running.task, running.run);
                 continue;
             };
-            let step = job
-                .submission
-                .steps
-                .get(usize::from(running.task.step))
-                .cloned();
+            let step = job.submission.steps.get(usize::from(running.task.step));
+            let reserved = step.map(Step::reserved).unwrap_or_default();
             let current = job
                 .task_mut(&running.task)
                 .filter(|task| task.is_run(worker_id, running.run));
             let Some(task) = current else {
-                strays += step.map(|step| step.reserved()).unwrap_or_default();
+                strays += reserved;
                 log::warn!(
                     "event=stray_run id={} run={} worker={worker_id}",
                     running.task,
--- a/rhubarbfall-runs/src/scheduler/intake.rs
+++ b/rhubarbfall-runs/src/scheduler/intake.rs
@@ -50,6 +50,8 @@
         let is_excess = !self.is_within_weight(&submission, now);
         let mut job = Job::new(Arc::new(submission), now);
         job.is_excess = is_excess;
+        // Anything later than at once begins when its time comes.
+        begin_due_of(&mut job, 0);
         self.jobs.insert(id.clone(), job);
         self.mark_dirty(&id);
         self.has_news = true;
@@ -137,19 +139,9 @@
 
     /// Begins the occurrences that are due.
     pub(super) fn begin_due(&mut self, unix_ms: u64) {
-        let mut begun = false;
         for (_, job) in self.jobs.iter_mut() {
-            let submission = Arc::clone(&job.submission);
-            while job.state == JobState::Active
-                && (job.occurrences.len() as u32) < submission.occurrences()
-                && submission.due_unix_ms(job.occurrences.len() as u32) <= unix_ms
-            {
-                let next = job.occurrences.len() as u32;
-                job.occurrence_mut(next);
-                begun = true;
-            }
+            self.has_news |= begin_due_of(job, unix_ms);
         }
-        self.has_news |= begun;
     }
 
     /// Drops finished submissions that nobody has to be told of any more.
@@ -169,3 +161,16 @@
         }
     }
 }
+
+/// Begins the occurrences of a job that are due, and returns whether there are any.
+fn begin_due_of(job: &mut Job, unix_ms: u64) -> bool {
+    let begun_before = job.occurrences.len();
+    while job.state == JobState::Active
+        && (job.occurrences.len() as u32) < job.submission.occurrences()
+        && job.submission.due_unix_ms(job.occurrences.len() as u32) <= unix_ms
+    {
+        let next = job.occurrences.len() as u32;
+        job.occurrence_mut(next);
+    }
+    job.occurrences.len() > begun_before
+}
--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -51,6 +51,8 @@
     has_news: bool,
     upkeep: upkeep::Upkeep,
     pools_logged_at: BootTime,
+    /// When time alone was looked at last.
+    checked_at: BootTime,
     /// No lasting task is interrupted on purpose before this time: an earlier owner may just have
     /// interrupted others.
     interrupt_after: BootTime,
@@ -75,6 +77,7 @@
             has_news: true,
             upkeep: upkeep::Upkeep::default(),
             pools_logged_at: BootTime::default(),
+            checked_at: BootTime::default(),
             interrupt_after: BootTime::default(),
         }
     }
@@ -119,14 +122,17 @@
 
     /// Moves on what depends on time alone, and places what can be placed.
     pub fn tick(&mut self, now: BootTime, unix_ms: u64) {
-        self.drop_lapsed(now);
-        self.drop_unreachable_inheritance(now);
-        self.stop_unclear(now);
-        self.stop_stalled(now);
-        self.forget_ended(now);
-        self.leave_draining(now);
-        self.begin_due(unix_ms);
-        self.tick_upkeep(now);
+        if now.since(self.checked_at) >= self.settings.check_interval {
+            self.checked_at = now;
+            self.drop_lapsed(now);
+            self.drop_unreachable_inheritance(now);
+            self.stop_stalled(now);
+            self.forget_ended(now);
+            self.leave_draining(now);
+            self.begin_due(unix_ms);
+            self.tick_upkeep(now);
+            self.stop_unclear(now);
+        }
         self.place_waiting(now);
     }
 
--- a/rhubarbfall-runs/src/scheduler/placing.rs
+++ b/rhubarbfall-runs/src/scheduler/placing.rs
@@ -1,4 +1,5 @@
-use rhubarbfall_core::{BootTime, ServiceId, SubmissionId, WorkerId};
+use litemap::LiteMap;
+use rhubarbfall_core::{BootTime, CustomerId, ServiceId, SubmissionId, WorkerId};
 
 use super::Scheduler;
 use super::ordering::{Candidate, Rank, beyond_capacity, load_s, rank};
@@ -8,6 +9,15 @@
 /// halfway through.
 const BEGUN_SHARE: f64 = 0.5;
 
+/// What is found once for all that is placed in one go.
+#[derive(Debug, Default)]
+struct Pass {
+    /// The workers of each service that take work, by their index.
+    usable: LiteMap<ServiceId, Vec<usize>>,
+    /// Demands that no worker of a service has room for; larger ones need no look.
+    blocked: LiteMap<ServiceId, Vec<Resources>>,
+}
+
 /// The waiting tasks of one step that may start.
 #[derive(Debug)]
 struct Group {
@@ -28,11 +38,28 @@
         let mut groups = self.waiting_groups(now);
         self.demote_beyond_capacity(&mut groups, now);
         groups.sort_by(|a, b| a.rank.cmp(&b.rank));
+        let mut pass = self.start_pass(now);
         for group in &groups {
-            self.place_group(group, now);
+            self.place_group(group, &mut pass, now);
         }
     }
 
+    fn start_pass(&self, now: BootTime) -> Pass {
+        let silent_after = self.settings.silent_after;
+        let mut pass = Pass::default();
+        for (index, worker) in self.workers().enumerate() {
+            if !worker.takes_work(now, silent_after) {
+                continue;
+            }
+            let service = &worker.report.service;
+            match pass.usable.get_mut(service) {
+                Some(indexes) => indexes.push(index),
+                None => drop(pass.usable.insert(service.clone(), vec![index])),
+            }
+        }
+        pass
+    }
+
     /// Ranks what has to be given up for now among what can only be late.
     fn demote_beyond_capacity(&self, groups: &mut [Group], now: BootTime) {
         for service in &self.config.services {
@@ -144,7 +171,7 @@
         groups
     }
 
-    fn place_group(&mut self, group: &Group, now: BootTime) {
+    fn place_group(&mut self, group: &Group, pass: &mut Pass, now: BootTime) {
         let Some(job) = self.jobs.get(&group.submission) else {
             return;
         };
@@ -157,11 +184,11 @@
         };
         if step.is_gang {
             let tasks: Vec<TaskId> = group.indexes.iter().map(|index| task_id(*index)).collect();
-            return self.place_gang(&step, &group.service, &tasks, now);
+            return self.place_gang(&step, &group.service, &tasks, pass, now);
         }
         for index in &group.indexes {
             let id = task_id(*index);
-            let Some(worker) = self.choose_worker(&id, &step, &group.service, now) else {
+            let Some(worker) = self.choose_worker(&id, &step, &group.service, pass) else {
                 return;
             };
             let run = self.next_run(&id);
@@ -170,14 +197,21 @@
     }
 
     /// Places all members of a gang, or none.
-    fn place_gang(&mut self, step: &Step, service: &ServiceId, tasks: &[TaskId], now: BootTime) {
+    fn place_gang(
+        &mut self,
+        step: &Step,
+        service: &ServiceId,
+        tasks: &[TaskId],
+        pass: &mut Pass,
+        now: BootTime,
+    ) {
         if tasks.len() < step.tasks as usize {
             return;
         }
         let run = tasks.iter().map(|id| self.next_run(id)).max().unwrap_or(1);
         let mut placed: Vec<(TaskId, WorkerId)> = Vec::new();
         for id in tasks {
-            let Some(worker) = self.choose_worker(id, step, service, now) else {
+            let Some(worker) = self.choose_worker(id, step, service, pass) else {
                 break;
             };
             self.place(id, &worker, run, now);
@@ -211,18 +245,26 @@
         id: &TaskId,
         step: &Step,
         service: &ServiceId,
-        now: BootTime,
+        pass: &mut Pass,
     ) -> Option<WorkerId> {
         let job = self.jobs.get(&id.submission)?;
         let task = job.task(id)?;
         if !self.is_within_customer_limit(job.submission.customer.as_ref(), step.demand) {
             return None;
         }
-        let silent_after = self.settings.silent_after;
-        self.workers()
-            .filter(|worker| worker.report.service == *service)
-            .filter(|worker| worker.takes_work(now, silent_after))
-            .filter(|worker| step.reserved().fits_in(worker.room()))
+        let reserved = step.reserved();
+        let blocked = pass.blocked.get(service);
+        if blocked.is_some_and(|blocked| blocked.iter().any(|least| least.fits_in(reserved))) {
+            return None;
+        }
+        let usable = pass.usable.get(service)?;
+        let fitting = usable
+            .iter()
+            .filter_map(|index| self.workers.get_indexed(*index).map(|(_, worker)| worker))
+            .filter(|worker| reserved.fits_in(worker.room()));
+        let mut has_room = false;
+        let chosen = fitting
+            .inspect(|_| has_room = true)
             .filter(|worker| has_label(worker, step))
             .filter(|worker| !self.is_step_full(worker, id, step))
             .min_by_key(|worker| {
@@ -241,14 +283,17 @@
                     left.memory_mb,
                 )
             })
-            .map(|worker| worker.report.id.clone())
+            .map(|worker| worker.report.id.clone());
+        if !has_room {
+            match pass.blocked.get_mut(service) {
+                Some(blocked) => blocked.push(reserved),
+                None => drop(pass.blocked.insert(service.clone(), vec![reserved])),
+            }
+        }
+        chosen
     }
 
-    fn is_within_customer_limit(
-        &self,
-        customer: Option<&rhubarbfall_core::CustomerId>,
-        demand: Resources,
-    ) -> bool {
+    fn is_within_customer_limit(&self, customer: Option<&CustomerId>, demand: Resources) -> bool {
         let Some(id) = customer else { return true };
         let Some(customer) = self.config.customer(id) else {
             return true;
--- a/rhubarbfall-runs/src/scheduler/settings.rs
+++ b/rhubarbfall-runs/src/scheduler/settings.rs
@@ -26,6 +26,9 @@
     /// How long a new owner interrupts no lasting task: a stop of its predecessor may take a second
     /// and is listed afterwards.
     pub interrupt_pause: Duration,
+    /// How often leases, stalled runs, waves and pools are looked at: a small part of the shortest
+    /// of their times.
+    pub check_interval: Duration,
     /// The most moves and maintenance calls in flight at the same time.
     pub max_vm_calls: usize,
 }
@@ -43,6 +46,7 @@
             retry_pause: Duration::from_millis(20),
             notice: Duration::from_millis(4_500),
             interrupt_pause: Duration::from_millis(2_500),
+            check_interval: Duration::from_millis(80),
             max_vm_calls: 8,
         }
     }
--- a/rhubarbfall-scheduler/src/owner/mod.rs
+++ b/rhubarbfall-scheduler/src/owner/mod.rs
@@ -33,7 +33,7 @@
 const TICK: Duration = Duration::from_millis(50);
 
 /// The shortest time between two looks, so that events are taken together.
-const MIN_TICK: Duration = Duration::from_millis(8);
+const MIN_TICK: Duration = Duration::from_millis(12);
 
 /// How long a closing owner waits for what callers wait for.
 const CLOSE_PATIENCE: Duration = Duration::from_millis(400);
@@ -281,6 +281,7 @@
     *node.owner.borrow_mut() = Some(Rc::clone(&owner));
     metrics::gauge!("is_owner").set(1.0);
     spawn_local(store_loop::run(Rc::clone(node), Rc::clone(&owner)));
+    spawn_local(store_loop::report(Rc::clone(node), Rc::clone(&owner)));
     spawn_local(worker_list::run(Rc::clone(node), Rc::clone(&owner)));
     spawn_local(vm_loop::run(Rc::clone(node), Rc::clone(&owner)));
     spawn_local(decide(Rc::clone(node), owner));
--- a/rhubarbfall-scheduler/src/owner/store_loop.rs
+++ b/rhubarbfall-scheduler/src/owner/store_loop.rs
@@ -20,13 +20,15 @@
 /// The pause between two batches, so that changes are stored together.
 const BATCH_PAUSE: Duration = Duration::from_millis(4);
 
+/// How often it is looked whether a wave's state has to be reported.
+const REPORT_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Stores batches until the ownership ends.
 pub(super) async fn run(node: Rc<Node>, owner: Rc<Owner>) {
     while !owner.has_ended() {
         let batch = owner.scheduler.borrow_mut().next_batch();
         let Some(batch) = batch else {
             owner.wake_store.notified().await;
-            report_waves(&node, &owner).await;
             continue;
         };
         let Some(version) = store(&node, &owner, &batch).await else {
@@ -94,6 +96,14 @@
     version
 }
 
+/// Tells operators how far their waves are, until the ownership ends.
+pub(super) async fn report(node: Rc<Node>, owner: Rc<Owner>) {
+    while !owner.has_ended() {
+        report_waves(&node, &owner).await;
+        tokio::time::sleep(REPORT_INTERVAL).await;
+    }
+}
+
 async fn report_waves(node: &Node, owner: &Owner) {
     let unreported = owner.scheduler.borrow().unreported_waves();
     for (id, state) in unreported {
--- a/rhubarbfall-scheduler/src/ownership.rs
+++ b/rhubarbfall-scheduler/src/ownership.rs
@@ -52,6 +52,10 @@
 /// Entries that see a free ownership wait up to this long, so that not all write at once.
 const MAX_JITTER_MS: u64 = 60;
 
+/// How long an entry with a whole core leaves a free ownership to others; one with a tenth waits ten
+/// times as long, a fraction of the time that a takeover takes.
+const WHOLE_CORE_DELAY: Duration = Duration::from_millis(30);
+
 /// The slowest that a worker's clock may run, as the platform states it, and a margin.
 const LEASE_SLACK: f64 = 1.04;
 
@@ -177,12 +181,18 @@
     let is_silent = now.since(watch.heard_at) > watch.tenure.max(MIN_TENURE)
         && now.since(answers_since) > STORE_SETTLED;
     if is_free || was_me || is_silent {
-        let jitter_ms = rand::rng().random_range(0..MAX_JITTER_MS);
-        tokio::time::sleep(Duration::from_millis(jitter_ms)).await;
+        tokio::time::sleep(takeover_delay(node.settings.cpu_share)).await;
         take_over(node, watch, belief.fencing_number).await;
     }
 }
 
+/// Returns how long an entry leaves a free ownership to others: those with less processor time wait
+/// longer, since deciding for all workers takes more than the smallest of them have.
+fn takeover_delay(cpu_share: f64) -> Duration {
+    let jitter_ms = rand::rng().random_range(0..MAX_JITTER_MS);
+    WHOLE_CORE_DELAY.div_f64(cpu_share) + Duration::from_millis(jitter_ms)
+}
+
 async fn follow(node: &Node, watch: &mut Watch) -> Result<(), StoreError> {
     let rows = match watch.after {
         None => {
--- a/rhubarbfall-scheduler/src/settings.rs
+++ b/rhubarbfall-scheduler/src/settings.rs
@@ -53,6 +53,9 @@
     pub vm_service: SocketAddr,
     /// The longest lease that a worker grants, in milliseconds.
     pub max_lease_ms: u64,
+    /// The part of a core that the entry has.
+    #[serde(default = "default_cpu_share")]
+    pub cpu_share: f64,
     /// How long a planned stop may take, in seconds.
     pub stop_grace_s: u64,
     /// The level of the log.
@@ -60,6 +63,10 @@
     pub log_level: Arc<str>,
 }
 
+const fn default_cpu_share() -> f64 {
+    1.0
+}
+
 fn default_log_level() -> Arc<str> {
     Arc::from("info")
 }
@@ -91,6 +98,9 @@
     if settings.stop_grace_s < 1 {
         return Err(SettingsError::Invalid("stop_grace_s is below 1"));
     }
+    if !(settings.cpu_share > 0.0) {
+        return Err(SettingsError::Invalid("cpu_share is not above 0"));
+    }
     if settings.log_level.parse::<log::LevelFilter>().is_err() {
         return Err(SettingsError::Invalid("log_level is not a level"));
     }
