fix(runs): call a worker at its new address; ignore outdated entries

Change: a listed worker that has moved is called at its new address; entries of an earlier life are ignored; the log keeps up to 6,000 lines a second, since lines were dropped just where the trace needed them.

--- a/rhubarbfall-runs/src/scheduler/listing.rs
+++ b/rhubarbfall-runs/src/scheduler/listing.rs
@@ -4,7 +4,7 @@
 use crate::{Order, Worker, WorkerReport};
 
 impl Scheduler {
-    /// Takes what a worker says of itself. Returns whether the worker is new.
+    /// Takes what a worker says of itself. Returns whether it has to be called at a new address.
     pub fn worker_listed(&mut self, report: WorkerReport, now: BootTime) -> bool {
         self.has_news = true;
         let id = report.id.clone();
@@ -17,12 +17,17 @@
             self.adopt_inherited(&id);
             return true;
         };
+        if report.born_unix_ms < worker.report.born_unix_ms {
+            log::debug!("event=worker_entry_outdated worker={id}");
+            return false;
+        }
+        let has_moved = worker.report.address != report.address;
         worker.is_listed = true;
         if worker.report.born_unix_ms < report.born_unix_ms {
             let born_unix_ms = report.born_unix_ms;
             worker.report = report;
             self.worker_reborn(&id, born_unix_ms, now);
-            return false;
+            return has_moved;
         }
         if worker.report.is_draining != report.is_draining {
             log::info!(
@@ -31,7 +36,7 @@
             );
         }
         worker.report = report;
-        false
+        has_moved
     }
 
     /// Notes that the platform does not list a worker any more.
--- a/rhubarbfall-scheduler/src/logging.rs
+++ b/rhubarbfall-scheduler/src/logging.rs
@@ -10,10 +10,10 @@
 use rhubarbfall_core::SharedClock;
 
 /// The most lines that wait for the writer; about a second of the most that a busy owner writes.
-const QUEUE_LINES: usize = 4_096;
+const QUEUE_LINES: usize = 8_192;
 
 /// The most lines a second that are written, so that a storm costs a bounded part of the processor.
-const MAX_LINES_PER_S: u32 = 2_500;
+const MAX_LINES_PER_S: u32 = 6_000;
 
 #[derive(Debug, Default)]
 struct Budget {
