fix(runs): count the first confirmation of a stop, not the last

Cause: an order to start without an answer is stopped; the stop was repeated every 500 ms and each confirmation moved the moment after which a hold must have been sent.

Change: the first confirmation stands. The test with holds of 700 ms failed first (0 runs, 1 expected).

--- a/rhubarbfall-runs/src/scheduler/orders.rs
+++ b/rhubarbfall-runs/src/scheduler/orders.rs
@@ -63,17 +63,22 @@
         is_confirmed: bool,
         now: BootTime,
     ) {
-        let is_run = self
-            .jobs
-            .get(&id.submission)
-            .and_then(|job| job.task(id))
-            .is_some_and(|task| task.is_run(worker, run));
-        if is_run && is_confirmed {
+        let task = self.jobs.get(&id.submission).and_then(|job| job.task(id));
+        let placed = task
+            .filter(|task| task.is_run(worker, run))
+            .and_then(Task::placement);
+        // The first confirmation counts: a call that was sent after it tells what is left.
+        if let Some(Order::Stopping {
+            asked_at,
+            confirmed_at: None,
+        }) = placed.map(|placed| placed.order)
+            && is_confirmed
+        {
             let confirmed_at = Some(now);
             self.set_order(
                 id,
                 Order::Stopping {
-                    asked_at: Some(now),
+                    asked_at,
                     confirmed_at,
                 },
             );
--- a/rhubarbfall-runs/tests/faults.rs
+++ b/rhubarbfall-runs/tests/faults.rs
@@ -211,3 +211,21 @@
     scheduler.batch_stored(&batch, RowVersion::new(8), later);
     assert_eq!(scheduler.take_actions().len(), 2, "every lease has lapsed");
 }
+
+#[test]
+fn a_stop_that_is_confirmed_again_and_again_ends_the_wait_for_the_run() {
+    let mut model = Model::new(&[("labels", 2), ("spare", 0)], 5);
+    model.hold_takes = Duration::from_millis(700);
+    model.run_for(Duration::from_millis(200));
+    for worker in &mut model.workers {
+        worker.starts_late_by = Some(Duration::from_secs(100));
+    }
+    model.submit(submission(1, "labels", lasting(1, 1)), LASTING);
+    model.run_for(Duration::from_secs(1));
+    for worker in &mut model.workers {
+        worker.starts_late_by = None;
+    }
+    model.run_for(Duration::from_secs(4));
+    assert_eq!(model.runs_of(1).len(), 1);
+    assert_eq!(model.broken, Vec::<String>::new());
+}
--- a/rhubarbfall-runs/tests/model/mod.rs
+++ b/rhubarbfall-runs/tests/model/mod.rs
@@ -85,6 +85,8 @@
     pub(crate) fence: u64,
     pub(crate) starts: u64,
     pub(crate) moves: u64,
+    /// How long a worker keeps a call that holds its leases.
+    pub(crate) hold_takes: Duration,
     /// What broke a rule.
     pub(crate) broken: Vec<String>,
     vms: Vec<ModelVm>,
@@ -166,6 +168,7 @@
             fence: 1,
             starts: 0,
             moves: 0,
+            hold_takes: Duration::ZERO,
             broken: Vec::new(),
             vms: Vec::new(),
             lengths: BTreeMap::new(),
@@ -342,7 +345,7 @@
                 ended: worker.ends.clone(),
             };
             self.scheduler
-                .hold_answered(&id, self.now, &answer, self.now);
+                .hold_answered(&id, self.now.before(self.hold_takes), &answer, self.now);
         }
     }
 
