fix(runs): keep workers of VMs under orders out of placing, whoever gave the order

Cause: the mark that keeps a worker free was set on the worker when its VM was chosen; a new owner that repeats its predecessor's calls, or a worker that is listed later, had no mark, so that lasting tasks could be placed there and be ended by the repeated call.

Change: the set is derived from the VMs under orders. The test of a new owner passes before and after (the model's call comes before the first placement); it is kept as a check.

--- a/rhubarbfall-runs/src/scheduler/placing.rs
+++ b/rhubarbfall-runs/src/scheduler/placing.rs
@@ -46,9 +46,11 @@
 
     fn start_pass(&self, now: BootTime) -> Pass {
         let silent_after = self.settings.silent_after;
+        let cordoned = self.upkeep.cordoned();
         let mut pass = Pass::default();
         for (index, worker) in self.workers().enumerate() {
-            if !worker.takes_work(now, silent_after) {
+            let is_cordoned = cordoned.binary_search(&worker.report.id).is_ok();
+            if is_cordoned || !worker.takes_work(now, silent_after) {
                 continue;
             }
             let service = &worker.report.service;
--- a/rhubarbfall-runs/src/scheduler/upkeep.rs
+++ b/rhubarbfall-runs/src/scheduler/upkeep.rs
@@ -162,6 +162,19 @@
         self.work.get(vm).is_some()
     }
 
+    /// Returns the workers on VMs that something is being done with, sorted: they get no new work.
+    pub(super) fn cordoned(&self) -> Vec<WorkerId> {
+        let listed = |vm: &VmId| self.vms.get(vm).and_then(|row| row.worker.clone());
+        let mut cordoned: Vec<WorkerId> = self
+            .work
+            .iter()
+            .flat_map(|(vm, work)| [work.worker.clone(), listed(vm)])
+            .flatten()
+            .collect();
+        cordoned.sort();
+        cordoned
+    }
+
     /// Returns how many VMs are on their way to a pool.
     pub(super) fn moving_to(&self, service: &ServiceId) -> usize {
         let is_to = |work: &VmWork| matches!(&work.task, VmTask::Move(to) if to == service);
@@ -381,13 +394,7 @@
                     run.version += 1;
                 }
             }
-            Some(false) => {
-                let worker = work.worker.clone();
-                self.upkeep.work.remove(vm);
-                if let Some(worker) = worker.and_then(|id| self.workers.get_mut(&id)) {
-                    worker.is_cordoned = false;
-                }
-            }
+            Some(false) => drop(self.upkeep.work.remove(vm)),
             None => work.phase = VmPhase::Unclear(now),
         }
     }
@@ -454,9 +461,6 @@
     pub(super) fn begin_emptying(&mut self, vm: &VmId, task: VmTask) {
         let worker = self.upkeep.vms.get(vm).and_then(|row| row.worker.clone());
         log::info!("event=vm_emptying vm={vm} task={task:?}");
-        if let Some(worker) = worker.as_ref().and_then(|id| self.workers.get_mut(id)) {
-            worker.is_cordoned = true;
-        }
         let work = VmWork {
             task,
             phase: VmPhase::Emptying,
--- a/rhubarbfall-runs/src/worker.rs
+++ b/rhubarbfall-runs/src/worker.rs
@@ -42,8 +42,6 @@
     pub seen_end: u64,
     /// The highest end that may be acknowledged.
     pub stored_end: u64,
-    /// Whether it is kept free for a move or for maintenance.
-    pub is_cordoned: bool,
     /// The submissions that failed here since a task was last done.
     pub failed: Vec<SubmissionId>,
     /// It gets no work before this time.
@@ -82,7 +80,6 @@
             ends: VecDeque::new(),
             seen_end: 0,
             stored_end: 0,
-            is_cordoned: false,
             failed: Vec::new(),
             quarantined_until: BootTime::default(),
             idle_since: now,
@@ -104,7 +101,6 @@
         self.is_listed
             && self.state == WorkerState::InTouch
             && !self.report.is_draining
-            && !self.is_cordoned
             && self.quarantined_until <= now
             && now.since(self.answered_at) <= silent_after
     }
--- a/rhubarbfall-runs/tests/faults.rs
+++ b/rhubarbfall-runs/tests/faults.rs
@@ -229,3 +229,26 @@
     assert_eq!(model.runs_of(1).len(), 1);
     assert_eq!(model.broken, Vec::<String>::new());
 }
+
+#[test]
+fn a_new_owner_places_nothing_on_a_vm_that_its_predecessor_called_for() {
+    let mut model = Model::new(&[("labels", 2), ("spare", 0)], 6);
+    let called = rhubarbfall_runs::scheduler::CalledVm {
+        vm: "vm-0".parse().expect("a VM's name"),
+        worker: Some("w-0-0".parse().expect("a worker's name")),
+        has_begun: false,
+    };
+    let progress = rhubarbfall_runs::scheduler::WaveProgress {
+        first_seen_unix_ms: 0,
+        called: vec![called],
+    };
+    let stored = Some((progress, RowVersion::new(3)));
+    model
+        .scheduler
+        .wave_requested(wave(1, 1), stored, model.now, 0);
+    for number in 0..6 {
+        model.submit(submission(number, "labels", lasting(1, 1)), LASTING);
+    }
+    model.run_for(Duration::from_millis(700));
+    assert_eq!(model.broken, Vec::<String>::new());
+}
