--- a/rhubarbfall-runs/src/scheduler/holds.rs
+++ b/rhubarbfall-runs/src/scheduler/holds.rs
@@ -64,6 +64,10 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
+        if worker.state == WorkerState::New {
+            // The call fenced earlier owners off, so that their last lease was granted before it.
+            worker.bound_inherited_lease(now, self.settings.lease);
+        }
         if worker.state != WorkerState::InTouch {
             log::info!("event=worker_in_touch worker={id} was={:?}", worker.state);
             worker.state = WorkerState::InTouch;
--- a/rhubarbfall-runs/src/scheduler/upkeep.rs
+++ b/rhubarbfall-runs/src/scheduler/upkeep.rs
@@ -494,7 +494,7 @@
                 .get(&worker)
                 .map(|worker| worker.placed.clone());
             for id in placed.unwrap_or_default() {
-                if self.may_interrupt(&id) {
+                if self.may_interrupt(&id, now) {
                     log::info!("event=run_stopped id={id} reason=vm_emptying");
                     self.set_order(&id, Order::STOP);
                 }
@@ -502,15 +502,25 @@
         }
     }
 
+    /// Returns whether a worker has answered of late; what runs on another may be away.
+    fn is_heard(&self, worker: &WorkerId, now: BootTime) -> bool {
+        let silent_after = self.settings.silent_after;
+        self.workers
+            .get(worker)
+            .is_some_and(|worker| now.since(worker.answered_at) <= silent_after)
+    }
+
     /// Returns whether a lasting task is at work and few enough others of its step are away.
-    fn may_interrupt(&self, id: &TaskId) -> bool {
+    fn may_interrupt(&self, id: &TaskId, now: BootTime) -> bool {
         let Some(job) = self.jobs.get(&id.submission) else {
             return false;
         };
         let step = &job.submission.steps[usize::from(id.step)];
         let is_at_work = |task: &crate::Task| {
             task.placement().is_some_and(|placed| {
-                matches!(placed.order, Order::Accepted(_)) && placed.percent >= 100
+                matches!(placed.order, Order::Accepted(_))
+                    && placed.percent >= 100
+                    && self.is_heard(&placed.worker, now)
             })
         };
         if !step.is_lasting || !job.task(id).is_some_and(is_at_work) {
--- a/rhubarbfall-runs/src/worker.rs
+++ b/rhubarbfall-runs/src/worker.rs
@@ -117,6 +117,12 @@
         Some(deadline_ms)
     }
 
+    /// Notes that an earlier owner granted its last lease of this length before now.
+    pub fn bound_inherited_lease(&mut self, now: BootTime, lease: Duration) {
+        let lapsed = now + lease.div_f64(SLOWEST_CLOCK) + LAPSE_MARGIN;
+        self.lease_until = self.lease_until.min(lapsed);
+    }
+
     /// Adds a task with what its step reserves.
     pub fn add(&mut self, task: TaskId, step: &Step) {
         self.placed.push(task);
--- a/rhubarbfall-runs/tests/faults.rs
+++ b/rhubarbfall-runs/tests/faults.rs
@@ -252,3 +252,42 @@
     model.run_for(Duration::from_millis(700));
     assert_eq!(model.broken, Vec::<String>::new());
 }
+
+#[test]
+fn no_lasting_task_is_interrupted_while_others_are_on_a_silent_worker() {
+    let mut model = Model::new(&[("labels", 2), ("spare", 1)], 7);
+    model.submit(submission(1, "labels", lasting(2, 1)), LASTING);
+    model.run_for(Duration::from_secs(2));
+    assert_eq!(model.runs_of(1).len(), 2);
+    model.workers[0].is_cut_off = true;
+    model.run_for(Duration::from_millis(1_500));
+    let other = model.workers[1].report.id.clone();
+    let mut one = wave(1, 2);
+    one.vms.remove(0);
+    model.scheduler.wave_requested(one, None, model.now, 0);
+    model.run_for(Duration::from_millis(300));
+    let runs = model.runs_of(1);
+    assert!(runs.contains(&(other, 1)), "{runs:?}");
+}
+
+#[test]
+fn a_worker_that_answered_a_new_owner_lapses_by_the_new_owners_leases() {
+    let mut model = Model::new(&[("labels", 3), ("spare", 0)], 8);
+    model.submit(submission(1, "labels", lasting(1, 1)), LASTING);
+    model.run_for(Duration::from_secs(1));
+    model.fail_over();
+    model.run_for(Duration::from_secs(1));
+    let first = model.runs_of(1);
+    let worker = model
+        .workers
+        .iter_mut()
+        .find(|worker| worker.report.id == first[0].0);
+    worker.expect("the worker that runs the task").is_cut_off = true;
+    model.run_for(Duration::from_secs(5));
+    let second = model.runs_of(1);
+    assert!(
+        second.iter().any(|(worker, _)| *worker != first[0].0),
+        "{second:?}"
+    );
+    assert_eq!(model.broken, Vec::<String>::new());
+}
