--- a/rhubarbfall-runs/src/job.rs
+++ b/rhubarbfall-runs/src/job.rs
@@ -12,6 +12,10 @@
     pub submission: Arc<Submission>,
     /// When it arrived, or when this owner took it over.
     pub accepted_at: BootTime,
+    /// When its first task was placed by this owner.
+    pub placed_at: Option<BootTime>,
+    /// Whether it was ranked as late because its queue asked for more than its workers do.
+    pub was_given_up: bool,
     /// Whether the customer had handed in more than its weight allows when this one came.
     pub is_excess: bool,
     /// The state, which may not be stored yet.
@@ -128,6 +132,8 @@
         Self {
             submission,
             accepted_at: now,
+            placed_at: None,
+            was_given_up: false,
             is_excess: false,
             state: JobState::Active,
             occurrences: Vec::new(),
--- a/rhubarbfall-runs/src/scheduler/holds.rs
+++ b/rhubarbfall-runs/src/scheduler/holds.rs
@@ -212,9 +212,9 @@
         }
         self.mark_dirty(&id.submission);
         if is_active && has_failed {
-            self.finish(&id.submission, JobState::Failed);
+            self.finish(&id.submission, JobState::Failed, now);
         } else if is_active && is_done {
-            self.finish(&id.submission, JobState::Completed);
+            self.finish(&id.submission, JobState::Completed, now);
         }
     }
 
--- a/rhubarbfall-runs/src/scheduler/intake.rs
+++ b/rhubarbfall-runs/src/scheduler/intake.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use rhubarbfall_core::{BootTime, QueueId, SubmissionId};
+use rhubarbfall_core::{BootTime, CustomerId, QueueId, SubmissionId};
 
 use super::Scheduler;
 use super::arrival_rate::ArrivalRate;
@@ -48,8 +48,18 @@
             return Intake::Known(1);
         }
         let is_excess = !self.is_within_weight(&submission, now);
+        if let Some(queue) = self.config.queue(&submission.queue).filter(|_| !is_excess) {
+            self.recent_work.add(&queue.service, &submission, now);
+        }
         let mut job = Job::new(Arc::new(submission), now);
         job.is_excess = is_excess;
+        log::info!(
+            "event=job_taken id={id} queue={} customer={:?} steps={} is_excess={is_excess} config={}",
+            job.submission.queue,
+            job.submission.customer.as_ref().map(CustomerId::as_str),
+            job.submission.steps.len(),
+            self.config.version
+        );
         // Anything later than at once begins when its time comes.
         begin_due_of(&mut job, 0);
         self.jobs.insert(id.clone(), job);
@@ -109,22 +119,33 @@
 
     /// Cancels a submission and returns the version of the job that has to be stored, or `None`
     /// for an unknown submission.
-    pub fn cancel(&mut self, id: &SubmissionId) -> Option<u64> {
+    pub fn cancel(&mut self, id: &SubmissionId, now: BootTime) -> Option<u64> {
         let job = self.jobs.get(id)?;
         if job.state.is_final() {
             return Some(job.version);
         }
-        self.finish(id, JobState::Cancelled);
+        self.finish(id, JobState::Cancelled, now);
         self.jobs.get(id).map(|job| job.version)
     }
 
     /// Ends a job and stops what runs of it.
-    pub(super) fn finish(&mut self, id: &SubmissionId, state: JobState) {
+    pub(super) fn finish(&mut self, id: &SubmissionId, state: JobState, now: BootTime) {
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
         job.state = state;
-        log::info!("event=job_ended id={id} state={state}");
+        let waited = job
+            .placed_at
+            .map(|placed_at| placed_at.since(job.accepted_at).as_millis());
+        log::info!(
+            "event=job_ended id={id} queue={} state={state} took_ms={} waited_ms={waited:?} \
+             was_given_up={} is_excess={} estimated_ms={}",
+            job.submission.queue,
+            now.since(job.accepted_at).as_millis(),
+            job.was_given_up,
+            job.is_excess,
+            job.submission.critical_path().as_millis()
+        );
         for task in job.tasks_where(|task| task.placement().is_some()) {
             if let Some(task) = job.task_mut(&task)
                 && let Phase::Placed(placement) = &mut task.phase
--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -9,6 +9,7 @@
 mod orders;
 mod placing;
 mod pools;
+mod recent_work;
 mod recovery;
 mod settings;
 mod storing;
@@ -41,6 +42,7 @@
     workers: LiteMap<WorkerId, Worker>,
     used: LiteMap<CustomerId, Resources>,
     arrivals: LiteMap<CustomerId, arrival_rate::ArrivalRate>,
+    recent_work: recent_work::RecentWork,
     actions: Vec<Action>,
     dirty: Vec<SubmissionId>,
     /// Until when the ownership was confirmed to last if nobody else is heard of.
@@ -70,6 +72,7 @@
             workers: LiteMap::new(),
             used: LiteMap::new(),
             arrivals: LiteMap::new(),
+            recent_work: recent_work::RecentWork::default(),
             actions: Vec::new(),
             dirty: Vec::new(),
             leases_until: BootTime::default(),
--- a/rhubarbfall-runs/src/scheduler/placing.rs
+++ b/rhubarbfall-runs/src/scheduler/placing.rs
@@ -1,3 +1,5 @@
+use std::sync::Arc;
+
 use litemap::LiteMap;
 use rhubarbfall_core::{BootTime, CustomerId, ServiceId, SubmissionId, WorkerId};
 
@@ -63,8 +65,9 @@
     }
 
     /// Ranks what has to be given up for now among what can only be late.
-    fn demote_beyond_capacity(&self, groups: &mut [Group], now: BootTime) {
-        for service in &self.config.services {
+    fn demote_beyond_capacity(&mut self, groups: &mut [Group], now: BootTime) {
+        let config = Arc::clone(&self.config);
+        for service in &config.services {
             let of_service = |group: &&Group| group.service == service.id;
             let workers = self.usable_workers(&service.id, now);
             let size = self.worker_size(&service.id);
@@ -90,6 +93,7 @@
             let begun_s = self.begun_load_s(&service.id, size, now);
             let mut given_up = beyond_capacity(candidates, begun_s, workers, now);
             given_up.sort();
+            self.note_given_up(&given_up, workers, begun_s);
             for group in groups
                 .iter_mut()
                 .filter(|group| group.service == service.id)
@@ -101,6 +105,20 @@
         }
     }
 
+    fn note_given_up(&mut self, ids: &[SubmissionId], workers: usize, begun_s: f64) {
+        for id in ids {
+            if let Some(job) = self.jobs.get_mut(id)
+                && !job.was_given_up
+            {
+                job.was_given_up = true;
+                log::info!(
+                    "event=job_given_up id={id} queue={} workers={workers} begun_load_s={begun_s:.1}",
+                    job.submission.queue
+                );
+            }
+        }
+    }
+
     /// Returns what the submissions of a service that have begun and can be in time still need.
     fn begun_load_s(&self, service: &ServiceId, size: Resources, now: BootTime) -> f64 {
         self.jobs()
@@ -328,6 +346,7 @@
         };
         let order = Order::Recording(job.version + 1);
         job.has_begun = true;
+        job.placed_at.get_or_insert(now);
         if let Some(task) = job.task_mut(id) {
             task.last_run = run;
             task.phase = Phase::Placed(Placement {
--- a/rhubarbfall-runs/src/scheduler/upkeep.rs
+++ b/rhubarbfall-runs/src/scheduler/upkeep.rs
@@ -15,8 +15,15 @@
 /// maintenance take two seconds, and a worker may come back under its name.
 const SAME_WORKER_AFTER: Duration = Duration::from_millis(6_000);
 
+/// How long a VM is under way: until its tasks have ended or lasting ones have moved one by one, and
+/// its maintenance.
+const VM_CYCLE: Duration = Duration::from_millis(5_000);
+
+/// How many times as many VMs are under way while they run nothing.
+const UNUSED_FACTOR: usize = 2;
+
 /// The part of a wave's time that is kept in reserve for its last VMs.
-const WAVE_RESERVE: f64 = 0.15;
+const WAVE_RESERVE: f64 = 0.4;
 
 /// A VM as the platform lists it.
 #[derive(Debug, Clone, PartialEq)]
@@ -130,6 +137,15 @@
     reported: Option<WaveState>,
 }
 
+/// How many VMs of a wave may be under way at the same time.
+#[derive(Debug, Clone, Copy)]
+struct WavePace {
+    /// When the next one runs tasks.
+    used: usize,
+    /// When the next one runs nothing.
+    unused: usize,
+}
+
 impl WaveRun {
     fn has_begun(&self, vm: &VmId) -> bool {
         self.progress
@@ -138,6 +154,20 @@
             .any(|called| called.has_begun && called.vm == *vm)
     }
 
+    /// Returns how many VMs may be under way at the same time: as many as it takes to be in time,
+    /// and more of those that nobody uses.
+    fn pace(&self, now: BootTime) -> WavePace {
+        let most = self.wave.max_down.max(1);
+        let usable = self.wave.duration.mul_f64(1.0 - WAVE_RESERVE);
+        let left = usable.saturating_sub(now.since(self.since)).max(VM_CYCLE);
+        let waiting = self.wave.vms.len().saturating_sub(self.begun());
+        let needed = (waiting as f64 * VM_CYCLE.div_duration_f64(left)).ceil() as usize;
+        WavePace {
+            used: needed.clamp(1, most),
+            unused: (needed * UNUSED_FACTOR).clamp(1, most),
+        }
+    }
+
     fn begun(&self) -> usize {
         self.wave.vms.iter().filter(|vm| self.has_begun(vm)).count()
     }
@@ -424,7 +454,7 @@
     }
 
     /// Takes the next VMs of each wave out of service, within the wave's limit.
-    fn start_emptying(&mut self, _now: BootTime) {
+    fn start_emptying(&mut self, now: BootTime) {
         let mut chosen: Vec<(VmId, WaveId)> = Vec::new();
         for (id, run) in self.upkeep.waves.iter() {
             let is_busy = |vm: &VmId| {
@@ -434,7 +464,7 @@
                     .is_some_and(|work| work.task == VmTask::Maintain(id.clone()))
             };
             let busy = run.wave.vms.iter().filter(|vm| is_busy(vm)).count();
-            let room = run.wave.max_down.max(1).saturating_sub(busy);
+            let pace = run.pace(now);
             let mut waiting: Vec<(u64, &VmId)> = run
                 .wave
                 .vms
@@ -446,12 +476,12 @@
                 })
                 .collect();
             waiting.sort();
-            chosen.extend(
-                waiting
-                    .into_iter()
-                    .take(room)
-                    .map(|(_, vm)| (vm.clone(), id.clone())),
-            );
+            for (index, (load, vm)) in waiting.into_iter().enumerate() {
+                let at_work = busy + index;
+                if at_work < if load == 0 { pace.unused } else { pace.used } {
+                    chosen.push((vm.clone(), id.clone()));
+                }
+            }
         }
         for (vm, wave) in chosen {
             self.begin_emptying(&vm, VmTask::Maintain(wave));
--- a/rhubarbfall-scheduler/src/callers.rs
+++ b/rhubarbfall-scheduler/src/callers.rs
@@ -84,7 +84,11 @@
             (name, answer(&node, call, &queue, customer, &request).await)
         }
         Err(code) => {
-            log::info!("event=refused path={} code={code}", request.path);
+            log::info!(
+                "event=refused path={} code={code} config={}",
+                request.path,
+                node.config.borrow().version
+            );
             ("unauthorized", refusal(code, None))
         }
     };
@@ -169,6 +173,7 @@
     customer: Option<CustomerId>,
     request: &Request,
 ) -> Answer {
+    let began_at = node.now();
     let limit = time_limit(request);
     let submission = match read_submission(id.clone(), queue.id.clone(), customer, &request.body) {
         Ok(submission) => submission,
@@ -182,9 +187,14 @@
     })
     .await;
     log::info!(
-        "event=submission id={id} queue={} outcome={outcome:?} fence={}",
+        "event=submission id={id} queue={} outcome={outcome:?} took_ms={} limit_ms={} fence={} \
+         owner_silent_ms={} config={}",
         queue.id,
-        node.belief.borrow().fencing_number
+        node.now().since(began_at).as_millis(),
+        limit.as_millis(),
+        node.belief.borrow().fencing_number,
+        node.now().since(node.owner_heard_at.get()).as_millis(),
+        node.config.borrow().version
     );
     outcome_answer(outcome)
 }
@@ -246,7 +256,7 @@
 
 async fn ask_to_cancel(node: &Node, id: &SubmissionId, timeout: Duration) -> Submitted {
     if let Some(owner) = node.acting_owner() {
-        let waited = tokio::time::timeout(timeout, owner.cancel(id)).await;
+        let waited = tokio::time::timeout(timeout, owner.cancel(node, id)).await;
         return waited.unwrap_or(Submitted::Unknown);
     }
     match node.other_owner() {
--- a/rhubarbfall-scheduler/src/owner/mod.rs
+++ b/rhubarbfall-scheduler/src/owner/mod.rs
@@ -203,8 +203,9 @@
     }
 
     /// Cancels a submission and waits until that is stored.
-    pub(crate) async fn cancel(&self, id: &SubmissionId) -> Submitted {
-        match self.with(|scheduler| scheduler.cancel(id)) {
+    pub(crate) async fn cancel(&self, node: &Node, id: &SubmissionId) -> Submitted {
+        let now = node.now();
+        match self.with(|scheduler| scheduler.cancel(id, now)) {
             Some(version) => self.wait_stored(id.clone(), version).await,
             None => Submitted::NotFound,
         }
--- a/rhubarbfall-scheduler/src/peer.rs
+++ b/rhubarbfall-scheduler/src/peer.rs
@@ -186,7 +186,7 @@
         };
     }
     if let Some(id) = read_id(path, CANCEL_PATH) {
-        return message(&OutcomeMessage::from(owner.cancel(&id).await));
+        return message(&OutcomeMessage::from(owner.cancel(&node, &id).await));
     }
     if let Some(id) = read_id(path, STATE_PATH) {
         let state = owner.with(|scheduler| scheduler.caller_state(&id));
