--- a/rhubarbfall-runs/src/record.rs
+++ b/rhubarbfall-runs/src/record.rs
@@ -45,6 +45,8 @@
     steps: Vec<StepRecord>,
     #[prost(message, optional, tag = "6")]
     schedule: Option<ScheduleRecord>,
+    #[prost(uint64, tag = "7")]
+    received_unix_ms: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -220,6 +222,7 @@
             interval_ms: schedule.interval_ms,
             occurrences: schedule.occurrences,
         }),
+        received_unix_ms: submission.received_unix_ms,
     };
     record.encode_to_vec()
 }
@@ -243,6 +246,7 @@
             interval_ms: schedule.interval_ms,
             occurrences: schedule.occurrences,
         }),
+        received_unix_ms: record.received_unix_ms,
     })
 }
 
--- a/rhubarbfall-runs/src/scheduler/recovery.rs
+++ b/rhubarbfall-runs/src/scheduler/recovery.rs
@@ -1,10 +1,15 @@
 use std::sync::Arc;
+use std::time::Duration;
 
 use rhubarbfall_core::{BootTime, RowVersion};
 
 use super::Scheduler;
 use crate::{Job, JobProgress, Order, Phase, Placement, Submission, Task, TaskId};
 
+/// The most that a submission is taken to have waited when its owner changes; beyond this, nothing
+/// of its order depends on it.
+const MAX_AGE: Duration = Duration::from_secs(60);
+
 /// A job as an earlier owner stored it.
 #[derive(Debug, Clone)]
 pub struct StoredJob {
@@ -22,6 +27,7 @@
         stored: impl IntoIterator<Item = StoredJob>,
         inherited_until: BootTime,
         now: BootTime,
+        unix_ms: u64,
     ) {
         self.inherited_until = Some(inherited_until);
         self.interrupt_after = now + self.settings.interrupt_pause;
@@ -30,7 +36,10 @@
             progress,
         } in stored
         {
-            let mut job = Job::new(Arc::new(submission), now);
+            // Entries' clocks differ a little, and may step.
+            let age_ms = unix_ms.saturating_sub(submission.received_unix_ms);
+            let age = Duration::from_millis(age_ms).min(MAX_AGE);
+            let mut job = Job::new(Arc::new(submission), now.before(age));
             job.is_accepted = true;
             job.stored_version = job.version;
             if let Some((progress, row_version)) = progress {
--- a/rhubarbfall-runs/src/submission.rs
+++ b/rhubarbfall-runs/src/submission.rs
@@ -47,6 +47,8 @@
     pub steps: Vec<Step>,
     /// When it runs more than once, or not at once.
     pub schedule: Option<Schedule>,
+    /// When an entry received it, in milliseconds since 1970 on that entry's clock.
+    pub received_unix_ms: u64,
 }
 
 /// When the occurrences of a submission are due.
--- a/rhubarbfall-runs/tests/faults.rs
+++ b/rhubarbfall-runs/tests/faults.rs
@@ -194,7 +194,7 @@
 fn a_new_owner_sends_no_vm_down_whose_worker_it_has_not_heard() {
     let now = BootTime::new(Duration::from_secs(50));
     let mut scheduler = Scheduler::new(SchedulerSettings::default(), FencingNumber::new(2));
-    scheduler.recover(Vec::new(), now + Duration::from_secs(10), now);
+    scheduler.recover(Vec::new(), now + Duration::from_secs(10), now, 0);
     scheduler.wave_requested(wave(2, 5), None, now, 1_000);
     scheduler.vms_listed(vm_rows(5), now, now);
     for step in 1..100 {
@@ -291,3 +291,22 @@
     );
     assert_eq!(model.broken, Vec::<String>::new());
 }
+
+#[test]
+fn a_new_owner_knows_how_long_a_submission_has_waited() {
+    let now = BootTime::new(Duration::from_secs(50));
+    let mut waiting = submission(1, "labels", step(1, 1_000));
+    waiting.received_unix_ms = 10_000;
+    let bytes = rhubarbfall_runs::encode_submission(&waiting);
+    let stored = rhubarbfall_runs::scheduler::StoredJob {
+        submission: rhubarbfall_runs::decode_submission(&bytes).expect("a stored submission"),
+        progress: None,
+    };
+    let mut scheduler = Scheduler::new(SchedulerSettings::default(), FencingNumber::new(2));
+    scheduler.recover([stored], now, now, 12_500);
+    let ages: Vec<Duration> = scheduler
+        .jobs()
+        .map(|job| now.since(job.accepted_at))
+        .collect();
+    assert_eq!(ages, vec![Duration::from_millis(2_500)]);
+}
--- a/rhubarbfall-runs/tests/model/mod.rs
+++ b/rhubarbfall-runs/tests/model/mod.rs
@@ -139,6 +139,7 @@
         program: "print".into(),
         steps: vec![step],
         schedule: None,
+        received_unix_ms: 0,
     }
 }
 
@@ -473,7 +474,7 @@
         });
         let stored: Vec<StoredJob> = stored.collect();
         let inherited_until = self.now + Duration::from_secs(10);
-        self.scheduler.recover(stored, inherited_until, self.now);
+        self.scheduler.recover(stored, inherited_until, self.now, 0);
         for worker in &self.workers {
             self.scheduler
                 .worker_listed(worker.report.clone(), self.now);
--- a/rhubarbfall-scheduler/src/callers.rs
+++ b/rhubarbfall-scheduler/src/callers.rs
@@ -29,9 +29,9 @@
 /// When a caller is told to come back while no owner is reached: about the time of a takeover.
 const NO_OWNER_RETRY: Duration = Duration::from_millis(1_000);
 
-/// How long a request that no owner was sent waits for one: a handed back ownership is taken within
-/// a fraction of this, and a caller cannot be told to come back earlier than after a second.
-const OWNER_PATIENCE: Duration = Duration::from_millis(1_000);
+/// How long a request that no owner was sent waits for one: most takeovers take less, and a caller
+/// cannot be told to come back earlier than after a second.
+const OWNER_PATIENCE: Duration = Duration::from_millis(1_400);
 
 /// How long an owner may take for one answer before it is asked again: several slow transactions.
 const ASK_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -175,7 +175,9 @@
 ) -> Answer {
     let began_at = node.now();
     let limit = time_limit(request);
-    let submission = match read_submission(id.clone(), queue.id.clone(), customer, &request.body) {
+    let received = node.unix_ms();
+    let (queue_id, body) = (queue.id.clone(), &request.body);
+    let submission = match read_submission(id.clone(), queue_id, customer, body, received) {
         Ok(submission) => submission,
         Err(error) => {
             log::info!("event=submission_refused id={id} code=2026 error={error}");
@@ -234,7 +236,7 @@
                 Submitted::NoOwner
             };
         }
-        if !may_be_taken && waited >= OWNER_PATIENCE {
+        if !may_be_taken && (waited >= OWNER_PATIENCE || node.is_alone()) {
             return Submitted::NoOwner;
         }
         tokio::time::sleep(ASK_PAUSE).await;
--- a/rhubarbfall-scheduler/src/http_server.rs
+++ b/rhubarbfall-scheduler/src/http_server.rs
@@ -150,7 +150,8 @@
         let whole_seconds = after.as_millis().div_ceil(1_000).max(1);
         response = response.header("retry-after", whole_seconds.to_string());
     }
-    if node.is_stopping.get() {
+    // The caller's next connection goes to an entry that can serve it.
+    if node.is_stopping.get() || node.is_alone() {
         response = response.header("connection", "close");
     }
     response
--- a/rhubarbfall-scheduler/src/node.rs
+++ b/rhubarbfall-scheduler/src/node.rs
@@ -19,6 +19,10 @@
 /// How long a call to the store may take: its worst announced slow-down, and the way.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// An entry that has heard neither the store nor the owner for this long is cut off: the store
+/// answers within a second when nothing has changed, the owner every half second.
+const ALONE_AFTER: Duration = Duration::from_millis(1_600);
+
 /// How long a call about a VM may take.
 const VM_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -115,6 +119,13 @@
         owner.may_act(self.now()).then_some(owner)
     }
 
+    /// Returns whether neither the store nor the owner has been heard of late: the entry is cut off
+    /// and can serve nobody.
+    pub(crate) fn is_alone(&self) -> bool {
+        let heard_at = self.store_heard_at.get().max(self.owner_heard_at.get());
+        self.now().since(heard_at) > ALONE_AFTER
+    }
+
     /// Returns the address of another entry that owns the submissions.
     pub(crate) fn other_owner(&self) -> Option<SocketAddr> {
         let belief = self.belief.borrow();
--- a/rhubarbfall-scheduler/src/owner/mod.rs
+++ b/rhubarbfall-scheduler/src/owner/mod.rs
@@ -272,7 +272,7 @@
         .collect();
     owner.with(|scheduler| {
         scheduler.set_config(config);
-        scheduler.recover(jobs, inherited_until, now);
+        scheduler.recover(jobs, inherited_until, now, unix_ms);
         for wave in requested {
             let stored = waves.remove(&wave.id);
             scheduler.wave_requested(wave, stored, now, unix_ms);
--- a/rhubarbfall-scheduler/src/readiness.rs
+++ b/rhubarbfall-scheduler/src/readiness.rs
@@ -1,7 +1,6 @@
 //! Tells the balancer whether this entry takes connections, and serves metrics.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use http::StatusCode;
 use rhubarbfall_site::READY_PATH;
@@ -9,9 +8,6 @@
 use crate::http_server::{Answer, Request};
 use crate::node::Node;
 
-/// An entry that has heard neither the store nor the owner for this long can serve nobody.
-const ALONE_AFTER: Duration = Duration::from_millis(2_500);
-
 /// Answers the balancer.
 pub(crate) async fn serve(node: Rc<Node>, request: Request) -> Answer {
     if request.path != READY_PATH {
@@ -33,8 +29,5 @@
 }
 
 fn is_ready(node: &Node) -> bool {
-    let heard_at = node.store_heard_at.get().max(node.owner_heard_at.get());
-    node.config.borrow().version > 0
-        && !node.is_stopping.get()
-        && node.now().since(heard_at) <= ALONE_AFTER
+    node.config.borrow().version > 0 && !node.is_stopping.get() && !node.is_alone()
 }
