--- a/rhubarbfall-scheduler/src/ownership.rs
+++ b/rhubarbfall-scheduler/src/ownership.rs
@@ -39,6 +39,9 @@
 /// How long the store may hold a call for changes.
 const WAIT: Duration = Duration::from_millis(1_000);
 
+/// The shortest time for which the store is asked to hold a call.
+const MIN_WAIT: Duration = Duration::from_millis(60);
+
 /// The pause after a call to the store that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -92,6 +95,16 @@
     answers_since: Option<BootTime>,
 }
 
+impl Watch {
+    /// Returns how long the store may hold a call, so that the end of the owner's time is seen soon.
+    fn wait(&self, now: BootTime) -> Duration {
+        let tenure = self.tenure.max(MIN_TENURE);
+        tenure
+            .saturating_sub(now.since(self.heard_at))
+            .clamp(MIN_WAIT, WAIT)
+    }
+}
+
 /// Watches the ownership, takes it over when it is free, and renews it while held.
 pub(crate) async fn run(node: Rc<Node>) {
     let mut watch = Watch {
@@ -200,7 +213,11 @@
             watch.after = Some(as_of);
             rows
         }
-        Some(after) => match node.store.feed(CELL_TABLE, after, WAIT).await? {
+        Some(after) => match node
+            .store
+            .feed(CELL_TABLE, after, watch.wait(node.now()))
+            .await?
+        {
             Feed::Changes(rows, newest) => {
                 watch.after = Some(newest.max(after));
                 rows
