feat(runs): slow fillers down while a tail beside them is near its target

Cause: a filler beside a serving task may push its tail over its target; placing avoids that where it can, and nothing acted where it could not.

Change: the tails that a worker reports set the pace of its fillers every 600 ms: half less above 0.8 of a target, a tenth more below half of it. Test in virtual time: 50, 0, then back to 100.

--- a/rhubarbfall-runs/src/scheduler/action.rs
+++ b/rhubarbfall-runs/src/scheduler/action.rs
@@ -12,6 +12,8 @@
     Start(StartOrder),
     /// Stop a run.
     Stop(StopOrder),
+    /// Set the share at which a filler works.
+    Pace(PaceOrder),
     /// Move a VM to another pool.
     Move {
         /// The VM.
@@ -59,3 +61,18 @@
     /// The run's number.
     pub run: u64,
 }
+
+/// An order to let a filler work at a share of its speed.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PaceOrder {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Where it takes orders.
+    pub address: SocketAddr,
+    /// The task.
+    pub task: TaskId,
+    /// The run's number.
+    pub run: u64,
+    /// The share in percent.
+    pub percent: u8,
+}
--- a/rhubarbfall-runs/src/scheduler/holds.rs
+++ b/rhubarbfall-runs/src/scheduler/holds.rs
@@ -85,6 +85,7 @@
             self.take_end(id, end, now);
         }
         self.take_running(id, sent_at, answer, now);
+        self.pace_fillers(id, answer, now);
     }
 
     /// Forgets what was known of an earlier life of a worker.
--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -7,6 +7,7 @@
 mod listing;
 mod ordering;
 mod orders;
+mod pacing;
 mod placing;
 mod pools;
 mod recent_work;
@@ -23,7 +24,7 @@
 
 use crate::{FleetConfig, Job, Order, Phase, Placement, Resources, TaskId, Worker};
 
-pub use action::{Action, StartOrder, StopOrder};
+pub use action::{Action, PaceOrder, StartOrder, StopOrder};
 pub use holds::HoldOrder;
 pub use intake::{CallerState, Intake};
 pub use pools::{PoolLoad, plan_moves};
--- a/rhubarbfall-runs/src/scheduler/placing.rs
+++ b/rhubarbfall-runs/src/scheduler/placing.rs
@@ -357,6 +357,7 @@
                 placed_at: now,
                 percent: 0,
                 progress_at: now,
+                pace_percent: 100,
             });
         }
         log::info!("event=run_placed id={id} run={run} worker={worker_id}");
--- a/rhubarbfall-runs/src/scheduler/recovery.rs
+++ b/rhubarbfall-runs/src/scheduler/recovery.rs
@@ -111,6 +111,7 @@
                 placed_at: now,
                 percent: 0,
                 progress_at: now,
+                pace_percent: 100,
             });
         }
     }
--- a/rhubarbfall-runs/src/scheduler/settings.rs
+++ b/rhubarbfall-runs/src/scheduler/settings.rs
@@ -29,6 +29,9 @@
     /// How often leases, stalled runs, waves and pools are looked at: a small part of the shortest
     /// of their times.
     pub check_interval: Duration,
+    /// How often the pace of fillers is set: a pace takes effect within 100 ms and shows in the tails
+    /// of the last half second.
+    pub pace_interval: Duration,
     /// The most moves and maintenance calls in flight at the same time.
     pub max_vm_calls: usize,
 }
@@ -47,6 +50,7 @@
             notice: Duration::from_millis(4_500),
             interrupt_pause: Duration::from_millis(2_500),
             check_interval: Duration::from_millis(80),
+            pace_interval: Duration::from_millis(600),
             max_vm_calls: 8,
         }
     }
--- a/rhubarbfall-runs/src/task.rs
+++ b/rhubarbfall-runs/src/task.rs
@@ -49,6 +49,8 @@
     pub percent: u8,
     /// When the progress changed last.
     pub progress_at: BootTime,
+    /// The share at which it may work, in percent; a run starts at 100.
+    pub pace_percent: u8,
 }
 
 /// How far an order to a worker has come.
--- a/rhubarbfall-runs/src/worker.rs
+++ b/rhubarbfall-runs/src/worker.rs
@@ -46,6 +46,8 @@
     pub failed: Vec<SubmissionId>,
     /// It gets no work before this time.
     pub quarantined_until: BootTime,
+    /// When the pace of its fillers was set last.
+    pub paced_at: BootTime,
     /// When its last task ended.
     pub idle_since: BootTime,
 }
@@ -82,6 +84,7 @@
             stored_end: 0,
             failed: Vec::new(),
             quarantined_until: BootTime::default(),
+            paced_at: BootTime::default(),
             idle_since: now,
         }
     }
--- a/rhubarbfall-runs/tests/faults.rs
+++ b/rhubarbfall-runs/tests/faults.rs
@@ -310,3 +310,28 @@
         .collect();
     assert_eq!(ages, vec![Duration::from_millis(2_500)]);
 }
+
+#[test]
+fn fillers_are_slowed_down_while_a_tail_beside_them_is_near_its_target() {
+    let mut model = Model::new(&[("labels", 1), ("spare", 0)], 9);
+    let serving = Step {
+        tail_target: Some(Duration::from_millis(80)),
+        ..lasting(1, 1)
+    };
+    let filler = Step {
+        is_filler: true,
+        ..step(1, 8_000)
+    };
+    model.submit(submission(1, "labels", serving), LASTING);
+    model.submit(submission(2, "labels", filler), LASTING);
+    model.tail_ms = 30;
+    model.run_for(Duration::from_secs(3));
+    assert_eq!(model.paces, vec![]);
+    model.tail_ms = 90;
+    model.run_for(Duration::from_secs(2));
+    let percents: Vec<u8> = model.paces.iter().map(|(_, percent)| *percent).collect();
+    assert_eq!(percents, vec![50, 0]);
+    model.tail_ms = 30;
+    model.run_for(Duration::from_secs(8));
+    assert_eq!(model.paces.last().map(|(_, percent)| *percent), Some(100));
+}
--- a/rhubarbfall-runs/tests/model/mod.rs
+++ b/rhubarbfall-runs/tests/model/mod.rs
@@ -87,6 +87,10 @@
     pub(crate) moves: u64,
     /// How long a worker keeps a call that holds its leases.
     pub(crate) hold_takes: Duration,
+    /// The paces that were ordered.
+    pub(crate) paces: Vec<(TaskId, u8)>,
+    /// The tail that workers report for tasks that have a target, in milliseconds.
+    pub(crate) tail_ms: u64,
     /// What broke a rule.
     pub(crate) broken: Vec<String>,
     vms: Vec<ModelVm>,
@@ -170,6 +174,8 @@
             starts: 0,
             moves: 0,
             hold_takes: Duration::ZERO,
+            paces: Vec::new(),
+            tail_ms: 0,
             broken: Vec::new(),
             vms: Vec::new(),
             lengths: BTreeMap::new(),
@@ -342,7 +348,11 @@
             let answer = HoldAnswer {
                 clock_ms: self.now.as_millis(),
                 born_unix_ms: worker.report.born_unix_ms,
-                running: worker.runs.iter().map(listed).collect(),
+                running: worker
+                    .runs
+                    .iter()
+                    .map(|run| listed(run, self.tail_ms))
+                    .collect(),
                 ended: worker.ends.clone(),
             };
             self.scheduler
@@ -354,6 +364,7 @@
         for action in self.scheduler.take_actions() {
             match action {
                 Action::Start(order) => self.start(&order),
+                Action::Pace(order) => self.paces.push((order.task, order.percent)),
                 Action::Stop(order) => {
                     let worker = self
                         .workers
@@ -592,7 +603,7 @@
     });
 }
 
-fn listed(run: &ModelRun) -> RunningRun {
+fn listed(run: &ModelRun, tail_ms: u64) -> RunningRun {
     let done = run.length.saturating_sub(run.left).as_secs_f64() / run.length.as_secs_f64();
     RunningRun {
         task: run.task.clone(),
@@ -603,7 +614,7 @@
         } else {
             (done * 100.0) as u8
         },
-        figure: None,
+        figure: Some(tail_ms),
     }
 }
 
--- a/rhubarbfall-scheduler/src/owner/mod.rs
+++ b/rhubarbfall-scheduler/src/owner/mod.rs
@@ -312,6 +312,7 @@
             Action::Start(order) if may_act => worker_loop::start_run(node, owner, order),
             Action::Start(order) => worker_loop::start_not_sent(owner, &order, now),
             Action::Stop(order) => worker_loop::stop_run(node, owner, order),
+            Action::Pace(order) => worker_loop::pace_run(owner, order),
             Action::Move { .. } | Action::Maintain { .. } => {
                 vm_loop::order(node, owner, action, may_act);
             }
--- a/rhubarbfall-scheduler/src/owner/worker_loop.rs
+++ b/rhubarbfall-scheduler/src/owner/worker_loop.rs
@@ -6,7 +6,7 @@
 
 use rhubarbfall_core::{BootTime, WorkerId};
 use rhubarbfall_runs::StartOutcome;
-use rhubarbfall_runs::scheduler::{StartOrder, StopOrder};
+use rhubarbfall_runs::scheduler::{PaceOrder, StartOrder, StopOrder};
 use rhubarbfall_site::{HoldError, WorkerCalls};
 
 use super::Owner;
@@ -156,3 +156,23 @@
         });
     });
 }
+
+/// Sends an order to let a run work at a share. One without an answer is not repeated: the next
+/// report of the worker's tails leads to another.
+pub(super) fn pace_run(owner: &Rc<Owner>, order: PaceOrder) {
+    let Some(calls) = owner.worker_calls(&order.worker) else {
+        return;
+    };
+    let owner = Rc::clone(owner);
+    tokio::task::spawn_local(async move {
+        let is_confirmed = calls.pace(&order, owner.fencing_number()).await;
+        telemetry::count_worker_call(
+            "pace",
+            if is_confirmed {
+                "confirmed"
+            } else {
+                "unconfirmed"
+            },
+        );
+    });
+}
