style: meet clippy's pedantic lints in the new packages

Cause: the new packages were formatted and not linted. Change: units of durations, one associated function, a field's name, string literals.

--- a/rhubarbfall-runs/src/scheduler/placing.rs
+++ b/rhubarbfall-runs/src/scheduler/placing.rs
@@ -39,7 +39,7 @@
         }
         let mut groups = self.waiting_groups(now);
         self.demote_beyond_capacity(&mut groups, now);
-        groups.sort_by(|a, b| a.rank.cmp(&b.rank));
+        groups.sort_by_key(|group| group.rank);
         let mut pass = self.start_pass(now);
         for group in &groups {
             self.place_group(group, &mut pass, now);
@@ -286,7 +286,7 @@
         let chosen = fitting
             .inspect(|_| has_room = true)
             .filter(|worker| has_label(worker, step))
-            .filter(|worker| !self.is_step_full(worker, id, step))
+            .filter(|worker| !Self::is_step_full(worker, id, step))
             .min_by_key(|worker| {
                 let is_avoided = task.avoid.as_ref() == Some(&worker.report.id);
                 let is_suspect = !worker.failed.is_empty();
@@ -323,7 +323,7 @@
     }
 
     /// Returns whether a worker has as many tasks of a step as the step allows.
-    fn is_step_full(&self, worker: &Worker, id: &TaskId, step: &Step) -> bool {
+    fn is_step_full(worker: &Worker, id: &TaskId, step: &Step) -> bool {
         let Some(most) = step.max_per_worker else {
             return false;
         };
--- a/rhubarbfall-runs/src/scheduler/pools.rs
+++ b/rhubarbfall-runs/src/scheduler/pools.rs
@@ -21,7 +21,7 @@
 const IDLE_BEFORE_LENDING: Duration = Duration::from_millis(300);
 
 /// How often the state of the pools is logged.
-const LOG_INTERVAL: Duration = Duration::from_millis(1_000);
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 /// How many times what is open a pool gets for what arrives: one large submission is no surge.
 const MAX_FORESIGHT: f64 = 1.6;
--- a/rhubarbfall-runs/src/scheduler/recovery.rs
+++ b/rhubarbfall-runs/src/scheduler/recovery.rs
@@ -8,7 +8,7 @@
 
 /// The most that a submission is taken to have waited when its owner changes; beyond this, nothing
 /// of its order depends on it.
-const MAX_AGE: Duration = Duration::from_secs(60);
+const MAX_AGE: Duration = Duration::from_mins(1);
 
 /// A job as an earlier owner stored it.
 #[derive(Debug, Clone)]
--- a/rhubarbfall-runs/src/scheduler/settings.rs
+++ b/rhubarbfall-runs/src/scheduler/settings.rs
@@ -44,7 +44,7 @@
             unclear_for: Duration::from_millis(400),
             stop_repeat: Duration::from_millis(500),
             stalled_after: Duration::from_millis(1_500),
-            quarantine: Duration::from_millis(4_000),
+            quarantine: Duration::from_secs(4),
             keep_ended: Duration::from_secs(150),
             retry_pause: Duration::from_millis(20),
             notice: Duration::from_millis(4_500),
--- a/rhubarbfall-runs/src/scheduler/upkeep.rs
+++ b/rhubarbfall-runs/src/scheduler/upkeep.rs
@@ -13,11 +13,11 @@
 
 /// A VM that is listed with the worker that it had counts as back after this long: moves and
 /// maintenance take two seconds, and a worker may come back under its name.
-const SAME_WORKER_AFTER: Duration = Duration::from_millis(6_000);
+const SAME_WORKER_AFTER: Duration = Duration::from_secs(6);
 
 /// How long a VM is under way: until its tasks have ended or lasting ones have moved one by one, and
 /// its maintenance.
-const VM_CYCLE: Duration = Duration::from_millis(5_000);
+const VM_CYCLE: Duration = Duration::from_secs(5);
 
 /// How many times as many VMs are under way while they run nothing.
 const UNUSED_FACTOR: usize = 2;
--- a/rhubarbfall-runs/tests/model/mod.rs
+++ b/rhubarbfall-runs/tests/model/mod.rs
@@ -156,7 +156,7 @@
             memory_mb: cpu_millis * 2,
             gpus: 0,
         },
-        estimate: Duration::from_millis(1_000),
+        estimate: Duration::from_secs(1),
         ..Step::default()
     }
 }
@@ -427,16 +427,15 @@
             None => StartOutcome::NotSent,
             Some(worker) if worker.is_cut_off => StartOutcome::Unknown,
             Some(worker) if fence < worker.fence => StartOutcome::Fenced,
-            Some(worker) => match worker.starts_late_by {
-                Some(late) => {
+            Some(worker) => {
+                if let Some(late) = worker.starts_late_by {
                     worker.late.push((now + late, order.clone(), fence));
                     StartOutcome::Unknown
-                }
-                None => {
+                } else {
                     start(worker, order, length, &self.scheduler, now);
                     StartOutcome::Accepted
                 }
-            },
+            }
         };
         let (task, worker) = (&order.task, &order.worker);
         self.scheduler
@@ -609,7 +608,7 @@
         task: run.task.clone(),
         run: run.run,
         checkpoint: None,
-        percent: if run.length > Duration::from_secs(3_600) {
+        percent: if run.length > Duration::from_hours(1) {
             100
         } else {
             (done * 100.0) as u8
--- a/rhubarbfall-runs/tests/peak_load.rs
+++ b/rhubarbfall-runs/tests/peak_load.rs
@@ -32,7 +32,7 @@
             // Six tasks of four cores for a second are 24 core-seconds; the pool has 640 a second.
             for _ in 0..2 {
                 asked += 1;
-                let length = model.draw(Duration::from_millis(1_000), 0.5);
+                let length = model.draw(Duration::from_secs(1), 0.5);
                 model.submit(submission(asked, queue, step(6, 4_000)), length);
             }
             model.run_for(Duration::from_millis(43));
@@ -65,7 +65,7 @@
     while model.now < end {
         for _ in 0..2 {
             asked += 1;
-            let length = model.draw(Duration::from_millis(1_000), 0.5);
+            let length = model.draw(Duration::from_secs(1), 0.5);
             let tasks = 4 + model.draw_below(10);
             model.submit(submission(asked, "q-a", step(tasks, 4_000)), length);
         }
--- a/rhubarbfall-scheduler/src/callers.rs
+++ b/rhubarbfall-scheduler/src/callers.rs
@@ -18,7 +18,7 @@
 use crate::telemetry;
 
 /// The time limit of a caller that names none.
-const DEFAULT_TIME_LIMIT: Duration = Duration::from_millis(3_000);
+const DEFAULT_TIME_LIMIT: Duration = Duration::from_secs(3);
 
 /// What is kept of a caller's time limit for the way back.
 const TIME_LIMIT_RESERVE: Duration = Duration::from_millis(150);
@@ -27,7 +27,7 @@
 const STATE_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// When a caller is told to come back while no owner is reached: about the time of a takeover.
-const NO_OWNER_RETRY: Duration = Duration::from_millis(1_000);
+const NO_OWNER_RETRY: Duration = Duration::from_secs(1);
 
 /// How long a request that no owner was sent waits for one: most takeovers take less, and a caller
 /// cannot be told to come back earlier than after a second.
--- a/rhubarbfall-scheduler/src/lifecycle.rs
+++ b/rhubarbfall-scheduler/src/lifecycle.rs
@@ -18,7 +18,7 @@
 };
 
 /// The part of the grace that is left unused, so that the process ends before it is killed.
-const GRACE_RESERVE: Duration = Duration::from_millis(1_000);
+const GRACE_RESERVE: Duration = Duration::from_secs(1);
 
 /// How long a stopping entry still takes new connections: the balancer notices after two of its
 /// questions, one a second.
--- a/rhubarbfall-scheduler/src/logging.rs
+++ b/rhubarbfall-scheduler/src/logging.rs
@@ -1,6 +1,7 @@
 //! Structured lines on the standard output that never block the process.
 
-use std::io::Write;
+use std::fmt::Write as _;
+use std::io::Write as _;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -81,9 +82,8 @@
         }
         let lost = dropped.swap(0, Ordering::Relaxed);
         if lost > 0 {
-            text.push_str(&format!(
-                "level=WARN event=log_lines_dropped count={lost}\n"
-            ));
+            // Writing to a string cannot fail.
+            let _ = writeln!(text, "level=WARN event=log_lines_dropped count={lost}");
         }
         let mut stdout = stdout.lock();
         if stdout
--- a/rhubarbfall-scheduler/src/node.rs
+++ b/rhubarbfall-scheduler/src/node.rs
@@ -17,7 +17,7 @@
 use crate::settings::ScheduleSettings;
 
 /// How long a call to the store may take: its worst announced slow-down, and the way.
-const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
+const STORE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// An entry that has heard neither the store nor the owner for this long is cut off: the store
 /// answers within a second when nothing has changed, the owner every half second.
--- a/rhubarbfall-scheduler/src/operator_feed.rs
+++ b/rhubarbfall-scheduler/src/operator_feed.rs
@@ -13,7 +13,7 @@
 
 /// How long the store may hold a call: a silent connection is noticed well within the bound for a
 /// new configuration.
-const WAIT: Duration = Duration::from_millis(1_000);
+const WAIT: Duration = Duration::from_secs(1);
 
 /// The pause after a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
--- a/rhubarbfall-scheduler/src/owner/mod.rs
+++ b/rhubarbfall-scheduler/src/owner/mod.rs
@@ -55,7 +55,7 @@
 pub(crate) struct Owner {
     scheduler: RefCell<Scheduler>,
     fencing_number: FencingNumber,
-    owner_row: RowVersion,
+    row_version: RowVersion,
     confirmed_at: Cell<BootTime>,
     /// How long the confirmed renewal keeps others from taking over.
     tenure: Cell<Duration>,
@@ -98,7 +98,7 @@
         let owner = Self {
             scheduler: RefCell::new(scheduler),
             fencing_number,
-            owner_row,
+            row_version: owner_row,
             confirmed_at: Cell::new(confirmed_at),
             tenure: Cell::new(tenure),
             next_tenure: Cell::new(tenure),
@@ -121,7 +121,7 @@
 
     /// Returns the version of the row that every write of this owner is conditioned on.
     pub(crate) const fn owner_row(&self) -> RowVersion {
-        self.owner_row
+        self.row_version
     }
 
     /// Notes that a renewal sent at this time was stored; nobody takes over for `tenure` from then.
--- a/rhubarbfall-scheduler/src/owner/worker_list.rs
+++ b/rhubarbfall-scheduler/src/owner/worker_list.rs
@@ -10,7 +10,7 @@
 use crate::node::Node;
 
 /// How long the store may hold a call for changes.
-const WAIT: Duration = Duration::from_millis(1_000);
+const WAIT: Duration = Duration::from_secs(1);
 
 /// The pause after a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
--- a/rhubarbfall-scheduler/src/ownership.rs
+++ b/rhubarbfall-scheduler/src/ownership.rs
@@ -31,13 +31,13 @@
 const MIN_TENURE: Duration = Duration::from_millis(1_300);
 
 /// The most that a slow store lengthens that time to.
-const MAX_TENURE: Duration = Duration::from_millis(3_000);
+const MAX_TENURE: Duration = Duration::from_secs(3);
 
 /// How many round trips of a renewal the time is at least.
 const TENURE_ROUND_TRIPS: u32 = 4;
 
 /// How long the store may hold a call for changes.
-const WAIT: Duration = Duration::from_millis(1_000);
+const WAIT: Duration = Duration::from_secs(1);
 
 /// The shortest time for which the store is asked to hold a call.
 const MIN_WAIT: Duration = Duration::from_millis(60);
--- a/rhubarbfall-scheduler/src/settings.rs
+++ b/rhubarbfall-scheduler/src/settings.rs
@@ -98,7 +98,7 @@
     if settings.stop_grace_s < 1 {
         return Err(SettingsError::Invalid("stop_grace_s is below 1"));
     }
-    if !(settings.cpu_share > 0.0) {
+    if settings.cpu_share.is_nan() || settings.cpu_share <= 0.0 {
         return Err(SettingsError::Invalid("cpu_share is not above 0"));
     }
     if settings.log_level.parse::<log::LevelFilter>().is_err() {
