test(scheduler): entries as separate processes against a stand-in of the users' platform

The stand-in found one fault: a task longer than 150 s would show no progress for 1.5 s and be stopped as stalled; the bound now grows with the estimate.

Also: a refused call about a VM rests all of them for 400 ms (a service that is down was called 12 times a second); a submission counts as pending, and is shown as queued, until a worker has started a task of it. Both with tests.

--- a/rhubarbfall-runs/src/job.rs
+++ b/rhubarbfall-runs/src/job.rs
@@ -24,6 +24,8 @@
     pub occurrences: Vec<Occurrence>,
     /// Whether any task of it was ever placed.
     pub has_begun: bool,
+    /// Whether a worker is known to have started a task of it.
+    pub has_started: bool,
     /// Rises with each change that has to be stored.
     pub version: u64,
     /// The version that is stored.
@@ -138,6 +140,7 @@
             state: JobState::Active,
             occurrences: Vec::new(),
             has_begun: false,
+            has_started: false,
             version: 1,
             stored_version: 0,
             stored_state: JobState::Active,
--- a/rhubarbfall-runs/src/scheduler/holds.rs
+++ b/rhubarbfall-runs/src/scheduler/holds.rs
@@ -115,6 +115,7 @@
         );
         if is_ours {
             self.release(&end.task, now);
+            self.note_started(&end.task);
         }
         if is_ours || (waits && end.kind == RunEndKind::Done) {
             self.note_end(worker_id, end, now);
@@ -276,6 +277,7 @@
                     placement.order = Order::Accepted(now);
                     placement.progress_at = now;
                 }
+                job.has_started = true;
             }
         }
         self.drop_unlisted(worker_id, sent_at, answer, now);
--- a/rhubarbfall-runs/src/scheduler/intake.rs
+++ b/rhubarbfall-runs/src/scheduler/intake.rs
@@ -103,7 +103,7 @@
             JobState::Completed => CallerState::Completed,
             JobState::Failed => CallerState::Failed,
             JobState::Cancelled => CallerState::Cancelled,
-            JobState::Active if job.has_begun => CallerState::Running,
+            JobState::Active if job.has_started => CallerState::Running,
             JobState::Active => CallerState::Queued,
         })
     }
@@ -113,7 +113,7 @@
     pub fn pending(&self, queue: &QueueId) -> usize {
         self.jobs()
             .filter(|job| job.submission.queue == *queue)
-            .filter(|job| job.is_accepted && !job.has_begun && !job.state.is_final())
+            .filter(|job| job.is_accepted && !job.has_started && !job.state.is_final())
             .count()
     }
 
--- a/rhubarbfall-runs/src/scheduler/orders.rs
+++ b/rhubarbfall-runs/src/scheduler/orders.rs
@@ -4,6 +4,9 @@
 use super::action::{Action, StopOrder};
 use crate::{Order, StartOutcome, Step, Task, TaskId, WorkerState};
 
+/// A task that is estimated to be long shows no progress for up to this part of its estimate.
+const LEAST_PROGRESS: u32 = 20;
+
 impl Scheduler {
     /// Notes what became of an order to start a run.
     pub fn start_answered(
@@ -24,6 +27,7 @@
         match outcome {
             StartOutcome::Accepted if order == Some(Order::Sending) => {
                 self.set_order(id, Order::Accepted(now));
+                self.note_started(id);
             }
             StartOutcome::Unknown if order == Some(Order::Sending) => {
                 log::warn!("event=start_unclear id={id} run={run} worker={worker}");
@@ -34,6 +38,13 @@
         }
     }
 
+    /// Notes that a worker has started a task.
+    pub(super) fn note_started(&mut self, id: &TaskId) {
+        if let Some(job) = self.jobs.get_mut(&id.submission) {
+            job.has_started = true;
+        }
+    }
+
     /// Puts a task back that its worker has surely not started.
     fn start_refused(
         &mut self,
@@ -181,7 +192,8 @@
                 && task.placement().is_some_and(|placed| {
                     matches!(placed.order, Order::Accepted(_))
                         && placed.percent < 100
-                        && now.since(placed.progress_at) > stalled_after
+                        && now.since(placed.progress_at)
+                            > stalled_after.max(step.estimate / LEAST_PROGRESS)
                 })
         });
         for id in stalled {
--- a/rhubarbfall-runs/src/scheduler/upkeep.rs
+++ b/rhubarbfall-runs/src/scheduler/upkeep.rs
@@ -11,6 +11,10 @@
 /// How long a call without an answer rests before it is repeated; a repeat is harmless.
 const REPEAT_AFTER: Duration = Duration::from_millis(600);
 
+/// How long no VM is chosen after a call was refused, so that a service that takes no calls is not
+/// asked many times a second.
+const REST_AFTER_REFUSAL: Duration = Duration::from_millis(400);
+
 /// A VM that is listed with the worker that it had counts as back after this long: moves and
 /// maintenance take two seconds, and a worker may come back under its name.
 const SAME_WORKER_AFTER: Duration = Duration::from_secs(6);
@@ -179,6 +183,8 @@
     vms: LiteMap<VmId, VmRow>,
     work: LiteMap<VmId, VmWork>,
     waves: LiteMap<WaveId, WaveRun>,
+    /// No VM is chosen before this time, since a call was refused.
+    rests_until: BootTime,
 }
 
 impl Upkeep {
@@ -424,7 +430,10 @@
                     run.version += 1;
                 }
             }
-            Some(false) => drop(self.upkeep.work.remove(vm)),
+            Some(false) => {
+                self.upkeep.work.remove(vm);
+                self.upkeep.rests_until = now + REST_AFTER_REFUSAL;
+            }
             None => work.phase = VmPhase::Unclear(now),
         }
     }
@@ -432,8 +441,10 @@
     /// Carries waves on.
     pub fn tick_upkeep(&mut self, now: BootTime) {
         self.repeat_unclear(now);
-        self.start_emptying(now);
-        self.resize_pools(now);
+        if now >= self.upkeep.rests_until {
+            self.start_emptying(now);
+            self.resize_pools(now);
+        }
         self.stop_lasting_on_cordoned(now);
         self.call_for_empty(now);
     }
--- a/rhubarbfall-runs/tests/faults.rs
+++ b/rhubarbfall-runs/tests/faults.rs
@@ -335,3 +335,47 @@
     model.run_for(Duration::from_secs(8));
     assert_eq!(model.paces.last().map(|(_, percent)| *percent), Some(100));
 }
+
+#[test]
+fn a_refused_call_about_a_vm_is_not_repeated_many_times_a_second() {
+    let now = BootTime::new(Duration::from_secs(50));
+    let mut scheduler = Scheduler::new(SchedulerSettings::default(), FencingNumber::new(1));
+    scheduler.wave_requested(wave(2, 5), None, now, 1_000);
+    scheduler.vms_listed(vm_rows(5), now, now);
+    let mut calls = 0;
+    for step in 0..100 {
+        let now = now + Duration::from_millis(10) * step;
+        scheduler.tick(now, 1_000);
+        if let Some(batch) = scheduler.next_batch() {
+            scheduler.batch_stored(&batch, RowVersion::new(7), now);
+        }
+        for action in scheduler.take_actions() {
+            if let rhubarbfall_runs::scheduler::Action::Maintain { vm, .. } = action {
+                calls += 1;
+                scheduler.vm_answered(&vm, Some(false), now);
+            }
+        }
+    }
+    assert!((2..=6).contains(&calls), "{calls} calls in a second");
+}
+
+#[test]
+fn a_submission_is_pending_until_a_worker_has_started_a_task() {
+    let mut model = Model::new(&[("labels", 2), ("spare", 0)], 10);
+    model.run_for(Duration::from_millis(200));
+    for worker in &mut model.workers {
+        worker.starts_late_by = Some(Duration::from_secs(100));
+    }
+    let queue = "labels".parse().expect("a queue's name");
+    model.submit(
+        submission(1, "labels", step(1, 1_000)),
+        Duration::from_secs(9),
+    );
+    model.run_for(Duration::from_millis(300));
+    assert_eq!(model.scheduler.pending(&queue), 1);
+    for worker in &mut model.workers {
+        worker.starts_late_by = None;
+    }
+    model.run_for(Duration::from_secs(3));
+    assert_eq!(model.scheduler.pending(&queue), 0);
+}
--- /dev/null
+++ b/rhubarbfall/tests/submissions.rs
@@ -0,0 +1,186 @@
+//! Entries as separate processes against a stand-in for the users' platform.
+
+#[path = "../../platform/tests/stand_in/mod.rs"]
+mod stand_in;
+
+use std::net::{SocketAddr, TcpListener};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use stand_in::StandInSite;
+
+/// How long a test waits for what has to come: several takeovers.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+struct EntryProcess {
+    child: Child,
+    callers: SocketAddr,
+    peers: SocketAddr,
+}
+
+impl Drop for EntryProcess {
+    fn drop(&mut self) {
+        // An entry that has ended already has nothing to be ended.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("the listener's address")
+}
+
+fn start_entry(site: &StandInSite, name: &str, seeds: &[SocketAddr]) -> EntryProcess {
+    let (callers, peers) = (free_address(), free_address());
+    let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+    let settings = format!(
+        "entry = \"{name}\"\navailability_zone = \"zone-a\"\ncallers = \"{callers}\"\n\
+         readiness = \"{}\"\npeers = \"{peers}\"\nmetrics = \"{}\"\nseeds = [{}]\n\
+         store = \"{}\"\nvm_service = \"{}\"\nmax_lease_ms = 10000\nstop_grace_s = 6\n",
+        free_address(),
+        free_address(),
+        seeds.join(", "),
+        site.store,
+        site.vm_service,
+    );
+    let directory = tempfile::tempdir().expect("a directory");
+    let path = directory.keep().join("entry.toml");
+    std::fs::write(&path, settings).expect("the settings are written");
+    let child = Command::new(env!("CARGO_BIN_EXE_rhubarbfall"))
+        .args(["schedule", "--settings"])
+        .arg(&path)
+        .stdout(Stdio::null())
+        .spawn()
+        .expect("the entry starts");
+    EntryProcess {
+        child,
+        callers,
+        peers,
+    }
+}
+
+async fn call(
+    entry: &EntryProcess,
+    method: Method,
+    path: &str,
+    body: &str,
+) -> Option<(StatusCode, String)> {
+    let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
+    let request = Request::builder()
+        .method(method)
+        .uri(format!("http://{}{path}", entry.callers))
+        .header("host", "labels.example")
+        .header("api-key", "key-a")
+        .header("x-deadline-ms", "3000")
+        .body(Full::new(Bytes::from(body.to_owned())))
+        .expect("a request");
+    let response = client.request(request).await.ok()?;
+    let status = response.status();
+    let body = response.into_body().collect().await.ok()?.to_bytes();
+    Some((status, String::from_utf8_lossy(&body).into_owned()))
+}
+
+const BODY: &str = r#"{"spec":"print","steps":[{"count":3,"cpu":1000,"mem_mb":100,"estimate_ms":200},
+    {"count":2,"cpu":1000,"mem_mb":100,"estimate_ms":200,"after":[0]}]}"#;
+
+/// Hands a submission in until an entry accepts it.
+async fn submit(entries: &[&EntryProcess], id: &str) {
+    let until = Instant::now() + PATIENCE;
+    let mut last = None;
+    while Instant::now() < until {
+        for entry in entries {
+            last = call(entry, Method::POST, &format!("/print/{id}"), BODY).await;
+            if last
+                .as_ref()
+                .is_some_and(|(status, _)| *status == StatusCode::OK)
+            {
+                return;
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    panic!("{id} was not accepted: {last:?}");
+}
+
+/// Asks until a submission is shown as completed.
+async fn wait_completed(entry: &EntryProcess, id: &str) {
+    let until = Instant::now() + PATIENCE;
+    let mut last = None;
+    while Instant::now() < until {
+        last = call(entry, Method::GET, &format!("/print/{id}"), "").await;
+        if last
+            .as_ref()
+            .is_some_and(|(_, body)| body.contains("completed"))
+        {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("{id} was not completed: {last:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_submission_is_stored_run_and_shown_through_any_entry() {
+    let site = StandInSite::start(2, Duration::from_millis(150)).await;
+    let first = start_entry(&site, "entry-1", &[]);
+    let second = start_entry(&site, "entry-2", &[first.peers]);
+    submit(&[&first], "00000000000000a1").await;
+    submit(&[&second], "00000000000000a2").await;
+    wait_completed(&second, "00000000000000a1").await;
+    wait_completed(&first, "00000000000000a2").await;
+    assert_eq!(site.done().len(), 10, "{:?}", site.done());
+    assert_eq!(site.started().len(), 10, "{:?}", site.started());
+    let unknown = call(&second, Method::GET, "/print/00000000000000ff", "").await;
+    assert_eq!(unknown.map(|(status, _)| status), Some(StatusCode::GONE));
+    let nowhere = call(&first, Method::GET, "/nowhere/1", "").await;
+    assert_eq!(
+        nowhere.map(|(status, _)| status),
+        Some(StatusCode::NOT_FOUND)
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_loss_of_an_owner_loses_nothing_and_runs_nothing_twice() {
+    let site = StandInSite::start(3, Duration::from_millis(700)).await;
+    let mut first = start_entry(&site, "entry-1", &[]);
+    submit(&[&first], "00000000000000b1").await;
+    let second = start_entry(&site, "entry-2", &[first.peers]);
+    submit(&[&first], "00000000000000b2").await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    first.child.kill().expect("the owner is killed");
+    submit(&[&second], "00000000000000b3").await;
+    for id in ["00000000000000b1", "00000000000000b2", "00000000000000b3"] {
+        wait_completed(&second, id).await;
+    }
+    let mut done = site.done();
+    assert_eq!(done.len(), 15, "{done:?}");
+    done.dedup();
+    assert_eq!(done.len(), 15, "a task ended as done twice: {done:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_outage_of_the_store_ends_nothing_that_runs() {
+    let site = StandInSite::start(2, Duration::from_secs(5)).await;
+    let entry = start_entry(&site, "entry-1", &[]);
+    submit(&[&entry], "00000000000000c1").await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    site.set_store_down(true);
+    let refused = call(&entry, Method::POST, "/print/00000000000000c2", BODY).await;
+    let status = refused.map(|(status, _)| status);
+    assert!(status != Some(StatusCode::OK), "{status:?}");
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    site.set_store_down(false);
+    wait_completed(&entry, "00000000000000c1").await;
+    let first: Vec<_> = site
+        .started()
+        .into_iter()
+        .filter(|(task, _)| task.contains("c1."))
+        .collect();
+    assert!(first.iter().all(|(_, run)| *run == 1), "{first:?}");
+}
