--- a/rhubarbfall-runs/src/scheduler/upkeep.rs
+++ b/rhubarbfall-runs/src/scheduler/upkeep.rs
@@ -311,12 +311,12 @@
         );
         let age_ms = unix_ms.saturating_sub(progress.first_seen_unix_ms);
         for called in &progress.called {
-            // Calls are repeated until they are answered; a VM that has begun may still be down.
-            let long_ago = now.before(REPEAT_AFTER * 2);
+            // A call without an answer is made again, once the VM is empty: it may never have been
+            // made, and tasks may run there. One that was answered may still be down.
             let phase = if called.has_begun {
                 VmPhase::Away(now)
             } else {
-                VmPhase::Unclear(long_ago)
+                VmPhase::Emptying
             };
             let work = VmWork {
                 task: VmTask::Maintain(wave.id.clone()),
@@ -433,11 +433,22 @@
             Some(false) => {
                 self.upkeep.work.remove(vm);
                 self.upkeep.rests_until = now + REST_AFTER_REFUSAL;
+                self.forget_call(vm, &task);
             }
             None => work.phase = VmPhase::Unclear(now),
         }
     }
 
+    /// Forgets a call that was surely not carried out: the VM goes on serving, and a new owner must
+    /// not repeat the call.
+    fn forget_call(&mut self, vm: &VmId, task: &VmTask) {
+        let VmTask::Maintain(wave) = task else { return };
+        if let Some(run) = self.upkeep.waves.get_mut(wave) {
+            run.progress.called.retain(|called| called.vm != *vm);
+            run.version += 1;
+        }
+    }
+
     /// Carries waves on.
     pub fn tick_upkeep(&mut self, now: BootTime) {
         self.repeat_unclear(now);
--- a/rhubarbfall-runs/tests/faults.rs
+++ b/rhubarbfall-runs/tests/faults.rs
@@ -379,3 +379,20 @@
     model.run_for(Duration::from_secs(3));
     assert_eq!(model.scheduler.pending(&queue), 0);
 }
+
+#[test]
+fn a_refused_call_is_not_repeated_by_a_new_owner() {
+    let now = BootTime::new(Duration::from_secs(50));
+    let mut scheduler = Scheduler::new(SchedulerSettings::default(), FencingNumber::new(1));
+    scheduler.wave_requested(wave(1, 1), None, now, 1_000);
+    scheduler.vms_listed(vm_rows(1), now, now);
+    scheduler.tick(now, 1_000);
+    let batch = scheduler.next_batch().expect("the wave's row");
+    scheduler.batch_stored(&batch, RowVersion::new(7), now);
+    assert_eq!(scheduler.take_actions().len(), 1);
+    let vm = "vm-0".parse().expect("a VM's name");
+    scheduler.vm_answered(&vm, Some(false), now);
+    let batch = scheduler.next_batch().expect("the wave's row");
+    let stored = rhubarbfall_runs::decode_wave(&batch.waves[0].progress).expect("a wave's row");
+    assert_eq!(stored.called, vec![]);
+}
--- a/rhubarbfall-scheduler/src/ownership.rs
+++ b/rhubarbfall-scheduler/src/ownership.rs
@@ -7,10 +7,11 @@
 use prost::Message;
 use rand::RngExt;
 use rhubarbfall_core::{BootTime, FencingNumber, RowVersion};
+use rhubarbfall_runs::scheduler::SchedulerSettings;
 use rhubarbfall_site::{CommitOutcome, Feed, RowKey, StoreError, StoredRow, Transaction};
 
 use crate::beacon::HolderMessage;
-use crate::node::{Holder, Node};
+use crate::node::{Holder, Node, OwnerBelief};
 use crate::owner::{self, CELL_PART, Owner};
 use crate::telemetry;
 
@@ -62,6 +63,9 @@
 /// The slowest that a worker's clock may run, as the platform states it, and a margin.
 const LEASE_SLACK: f64 = 1.04;
 
+/// What is added to a predecessor's lease: a worker's timers fire late.
+const LEASE_MARGIN: Duration = Duration::from_millis(200);
+
 #[derive(Clone, PartialEq, Message)]
 struct OwnerRow {
     #[prost(uint64, tag = "1")]
@@ -195,7 +199,7 @@
         && now.since(answers_since) > STORE_SETTLED;
     if is_free || was_me || is_silent {
         tokio::time::sleep(takeover_delay(node.settings.cpu_share)).await;
-        take_over(node, watch, belief.fencing_number).await;
+        take_over(node, watch, &belief).await;
     }
 }
 
@@ -262,8 +266,8 @@
     }
 }
 
-async fn take_over(node: &Rc<Node>, watch: &mut Watch, last: FencingNumber) {
-    let fencing_number = last.next();
+async fn take_over(node: &Rc<Node>, watch: &mut Watch, last: &OwnerBelief) {
+    let fencing_number = last.fencing_number.next();
     let me = Holder {
         entry: node.settings.entry.clone(),
         address: node.settings.peers,
@@ -295,7 +299,13 @@
             let silent_for = sent_at.since(watch.heard_at);
             log::info!("event=ownership_gained fence={fencing_number} silent_for={silent_for:?}");
             node.accept_belief(fencing_number, Some(me));
-            let lease = node.settings.max_lease().mul_f64(LEASE_SLACK);
+            // One that handed its ownership back granted its last lease before; one that fell silent
+            // may go on until the longest one has ended.
+            let lease = match &last.holder {
+                None => SchedulerSettings::default().lease,
+                Some(_) => node.settings.max_lease(),
+            };
+            let lease = lease.mul_f64(LEASE_SLACK) + LEASE_MARGIN;
             let inherited_until = watch.heard_at + lease;
             let owner = Owner::new(node, fencing_number, version, sent_at, MIN_TENURE);
             owner::start(node, owner, inherited_until).await;
@@ -311,6 +321,8 @@
         return;
     };
     owner.close().await;
+    // No lease is granted after this: the next owner counts from when it sees the row.
+    node.drop_ownership("handed_back");
     let row = OwnerRow {
         fencing_number: owner.fencing_number().get(),
         holder: None,
@@ -324,7 +336,6 @@
         Ok(_) => node.accept_belief(owner.fencing_number(), None),
         Err(error) => log::warn!("event=hand_back_failed error={error}"),
     }
-    node.drop_ownership("handed_back");
 }
 
 fn cell_row(key: &str) -> RowKey {
