refactor(runs): split waves and interruptions from the file of VMs

Change: waves.rs has the pace and the rows of waves, interruptions.rs which lasting task may be stopped, upkeep.rs the calls about VMs. Behaviour is unchanged; the tests of the package pass.

--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -4,6 +4,7 @@
 mod arrival_rate;
 mod holds;
 mod intake;
+mod interruptions;
 mod listing;
 mod ordering;
 mod orders;
@@ -15,6 +16,7 @@
 mod settings;
 mod storing;
 mod upkeep;
+mod waves;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -31,7 +33,8 @@
 pub use recovery::StoredJob;
 pub use settings::SchedulerSettings;
 pub use storing::{Batch, BatchRow, WaveRow};
-pub use upkeep::{CalledVm, VmRow, VmState, VmTask, Wave, WaveProgress, WaveState};
+pub use upkeep::{VmRow, VmState, VmTask};
+pub use waves::{CalledVm, Wave, WaveProgress, WaveState};
 
 /// Decides for one owner: which task starts where, what is stored, what callers are told.
 #[derive(Debug)]
--- a/rhubarbfall-runs/src/scheduler/upkeep.rs
+++ b/rhubarbfall-runs/src/scheduler/upkeep.rs
@@ -1,12 +1,14 @@
+//! VMs that move or are maintained: they run empty, the call is made, and they come back.
+
 use std::time::Duration;
 
 use litemap::LiteMap;
-use rhubarbfall_core::{BootTime, RowVersion, ServiceId, VmId, WaveId, WorkerId};
+use rhubarbfall_core::{BootTime, ServiceId, VmId, WaveId, WorkerId};
 
 use super::Scheduler;
 use super::action::Action;
-use super::storing::WaveRow;
-use crate::{Order, Resources, TaskId, WorkerState, encode_wave};
+use super::waves::WaveRun;
+use crate::{Resources, TaskId, WorkerState};
 
 /// How long a call without an answer rests before it is repeated; a repeat is harmless.
 const REPEAT_AFTER: Duration = Duration::from_millis(600);
@@ -19,16 +21,6 @@
 /// maintenance take two seconds, and a worker may come back under its name.
 const SAME_WORKER_AFTER: Duration = Duration::from_secs(6);
 
-/// How long a VM is under way: until its tasks have ended or lasting ones have moved one by one, and
-/// its maintenance.
-const VM_CYCLE: Duration = Duration::from_secs(5);
-
-/// How many times as many VMs are under way while they run nothing.
-const UNUSED_FACTOR: usize = 2;
-
-/// The part of a wave's time that is kept in reserve for its last VMs.
-const WAVE_RESERVE: f64 = 0.4;
-
 /// A VM as the platform lists it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct VmRow {
@@ -57,48 +49,6 @@
     Down,
 }
 
-/// A request that VMs are maintained.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Wave {
-    /// The wave.
-    pub id: WaveId,
-    /// The VMs.
-    pub vms: Vec<VmId>,
-    /// How long it may take.
-    pub duration: Duration,
-    /// The most VMs that may be down for it at the same time.
-    pub max_down: usize,
-}
-
-/// What is stored of a wave, before a call is made and after it was answered.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct WaveProgress {
-    /// When it was first seen, in milliseconds since 1970.
-    pub first_seen_unix_ms: u64,
-    /// The VMs whose maintenance was called for.
-    pub called: Vec<CalledVm>,
-}
-
-/// A VM whose maintenance was called for.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct CalledVm {
-    /// The VM.
-    pub vm: VmId,
-    /// The worker that ran on it at the time.
-    pub worker: Option<WorkerId>,
-    /// Whether the call was answered.
-    pub has_begun: bool,
-}
-
-/// How far a wave has come.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum WaveState {
-    /// VMs of it wait for their maintenance.
-    Running,
-    /// The maintenance of each has begun.
-    Completed,
-}
-
 /// What is to be done with a VM.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum VmTask {
@@ -109,7 +59,7 @@
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum VmPhase {
+pub(super) enum VmPhase {
     /// Its worker gets no new work and runs empty.
     Emptying,
     /// The call waits until this version of its wave is stored.
@@ -123,66 +73,18 @@
 }
 
 #[derive(Debug, Clone)]
-struct VmWork {
-    task: VmTask,
-    phase: VmPhase,
-    worker: Option<WorkerId>,
-}
-
-#[derive(Debug)]
-struct WaveRun {
-    wave: Wave,
-    since: BootTime,
-    progress: WaveProgress,
-    /// Rises with each change that has to be stored.
-    version: u64,
-    stored_version: u64,
-    row: Option<RowVersion>,
-    reported: Option<WaveState>,
-}
-
-/// How many VMs of a wave may be under way at the same time.
-#[derive(Debug, Clone, Copy)]
-struct WavePace {
-    /// When the next one runs tasks.
-    used: usize,
-    /// When the next one runs nothing.
-    unused: usize,
-}
-
-impl WaveRun {
-    fn has_begun(&self, vm: &VmId) -> bool {
-        self.progress
-            .called
-            .iter()
-            .any(|called| called.has_begun && called.vm == *vm)
-    }
-
-    /// Returns how many VMs may be under way at the same time: as many as it takes to be in time,
-    /// and more of those that nobody uses.
-    fn pace(&self, now: BootTime) -> WavePace {
-        let most = self.wave.max_down.max(1);
-        let usable = self.wave.duration.mul_f64(1.0 - WAVE_RESERVE);
-        let left = usable.saturating_sub(now.since(self.since)).max(VM_CYCLE);
-        let waiting = self.wave.vms.len().saturating_sub(self.begun());
-        let needed = (waiting as f64 * VM_CYCLE.div_duration_f64(left)).ceil() as usize;
-        WavePace {
-            used: needed.clamp(1, most),
-            unused: (needed * UNUSED_FACTOR).clamp(1, most),
-        }
-    }
-
-    fn begun(&self) -> usize {
-        self.wave.vms.iter().filter(|vm| self.has_begun(vm)).count()
-    }
+pub(super) struct VmWork {
+    pub(super) task: VmTask,
+    pub(super) phase: VmPhase,
+    pub(super) worker: Option<WorkerId>,
 }
 
 /// What is known of VMs and what is being done with them.
 #[derive(Debug, Default)]
 pub(super) struct Upkeep {
-    vms: LiteMap<VmId, VmRow>,
-    work: LiteMap<VmId, VmWork>,
-    waves: LiteMap<WaveId, WaveRun>,
+    pub(super) vms: LiteMap<VmId, VmRow>,
+    pub(super) work: LiteMap<VmId, VmWork>,
+    pub(super) waves: LiteMap<WaveId, WaveRun>,
     /// No VM is chosen before this time, since a call was refused.
     rests_until: BootTime,
 }
@@ -278,136 +180,6 @@
         }
     }
 
-    /// Takes a request for maintenance, with what an earlier owner stored of it.
-    pub fn wave_requested(
-        &mut self,
-        wave: Wave,
-        stored: Option<(WaveProgress, RowVersion)>,
-        now: BootTime,
-        unix_ms: u64,
-    ) {
-        if self.upkeep.waves.get(&wave.id).is_some() {
-            return;
-        }
-        log::info!(
-            "event=wave_requested wave={} vms={} max_down={} duration={:?} is_inherited={}",
-            wave.id,
-            wave.vms.len(),
-            wave.max_down,
-            wave.duration,
-            stored.is_some()
-        );
-        let (progress, row) = stored.map_or_else(
-            || {
-                (
-                    WaveProgress {
-                        first_seen_unix_ms: unix_ms,
-                        ..WaveProgress::default()
-                    },
-                    None,
-                )
-            },
-            |(progress, row)| (progress, Some(row)),
-        );
-        let age_ms = unix_ms.saturating_sub(progress.first_seen_unix_ms);
-        for called in &progress.called {
-            // A call without an answer is made again, once the VM is empty: it may never have been
-            // made, and tasks may run there. One that was answered may still be down.
-            let phase = if called.has_begun {
-                VmPhase::Away(now)
-            } else {
-                VmPhase::Emptying
-            };
-            let work = VmWork {
-                task: VmTask::Maintain(wave.id.clone()),
-                phase,
-                worker: called.worker.clone(),
-            };
-            self.upkeep.work.insert(called.vm.clone(), work);
-        }
-        let version = u64::from(row.is_none());
-        let run = WaveRun {
-            since: now.before(Duration::from_millis(age_ms)),
-            progress,
-            version,
-            stored_version: 0,
-            row,
-            reported: None,
-            wave,
-        };
-        self.upkeep.waves.insert(run.wave.id.clone(), run);
-    }
-
-    /// Returns the waves whose progress has to be stored.
-    pub(super) fn changed_waves(&self) -> Vec<WaveRow> {
-        self.upkeep
-            .waves
-            .iter()
-            .filter(|(_, run)| run.stored_version < run.version)
-            .map(|(id, run)| WaveRow {
-                id: id.clone(),
-                progress: encode_wave(&run.progress),
-                replaces: run.row,
-                version: run.version,
-            })
-            .collect()
-    }
-
-    /// Notes that a wave's progress is stored, and makes the calls that waited for it.
-    pub(super) fn wave_stored(&mut self, stored: &WaveRow, row: RowVersion) {
-        let Some(run) = self.upkeep.waves.get_mut(&stored.id) else {
-            return;
-        };
-        run.stored_version = stored.version;
-        run.row = Some(row);
-        let ready: Vec<VmId> = self
-            .upkeep
-            .work
-            .iter()
-            .filter(|(_, work)| work.task == VmTask::Maintain(stored.id.clone()))
-            .filter(|(_, work)| {
-                matches!(work.phase, VmPhase::Recording(version) if version <= stored.version)
-            })
-            .map(|(vm, _)| vm.clone())
-            .collect();
-        for vm in ready {
-            self.call(&vm);
-        }
-    }
-
-    /// Returns the states of waves that have not been reported yet.
-    #[must_use]
-    pub fn unreported_waves(&self) -> Vec<(WaveId, WaveState)> {
-        self.upkeep
-            .waves
-            .iter()
-            .filter(|(_, run)| run.reported != Some(self.wave_state(run)))
-            .map(|(id, run)| (id.clone(), self.wave_state(run)))
-            .collect()
-    }
-
-    /// Notes that a wave's state was reported.
-    pub fn wave_reported(&mut self, id: &WaveId, state: WaveState) {
-        if let Some(run) = self.upkeep.waves.get_mut(id) {
-            run.reported = Some(state);
-            log::info!("event=wave_reported wave={id} state={state:?}");
-        }
-    }
-
-    fn wave_state(&self, run: &WaveRun) -> WaveState {
-        let has_left = |vm: &VmId| !self.upkeep.vms.is_empty() && self.upkeep.vms.get(vm).is_none();
-        if run
-            .wave
-            .vms
-            .iter()
-            .all(|vm| run.has_begun(vm) || has_left(vm))
-        {
-            WaveState::Completed
-        } else {
-            WaveState::Running
-        }
-    }
-
     /// Notes what became of a call about a VM; `None` means that no answer came.
     pub fn vm_answered(&mut self, vm: &VmId, is_done: Option<bool>, now: BootTime) {
         let Some(work) = self.upkeep.work.get_mut(vm) else {
@@ -418,39 +190,23 @@
         match is_done {
             Some(true) => {
                 work.phase = VmPhase::Away(now);
-                if let VmTask::Maintain(wave) = &task
-                    && let Some(run) = self.upkeep.waves.get_mut(wave)
-                    && let Some(called) = run
-                        .progress
-                        .called
-                        .iter_mut()
-                        .find(|called| called.vm == *vm)
-                {
-                    called.has_begun = true;
-                    run.version += 1;
+                if let VmTask::Maintain(wave) = &task {
+                    self.note_begun(vm, wave);
                 }
             }
             Some(false) => {
                 self.upkeep.work.remove(vm);
                 self.upkeep.rests_until = now + REST_AFTER_REFUSAL;
-                self.forget_call(vm, &task);
+                if let VmTask::Maintain(wave) = &task {
+                    self.forget_call(vm, wave);
+                }
             }
             None => work.phase = VmPhase::Unclear(now),
         }
     }
 
-    /// Forgets a call that was surely not carried out: the VM goes on serving, and a new owner must
-    /// not repeat the call.
-    fn forget_call(&mut self, vm: &VmId, task: &VmTask) {
-        let VmTask::Maintain(wave) = task else { return };
-        if let Some(run) = self.upkeep.waves.get_mut(wave) {
-            run.progress.called.retain(|called| called.vm != *vm);
-            run.version += 1;
-        }
-    }
-
     /// Carries waves on.
-    pub fn tick_upkeep(&mut self, now: BootTime) {
+    pub(super) fn tick_upkeep(&mut self, now: BootTime) {
         self.repeat_unclear(now);
         if now >= self.upkeep.rests_until {
             self.start_emptying(now);
@@ -475,41 +231,6 @@
         }
     }
 
-    /// Takes the next VMs of each wave out of service, within the wave's limit.
-    fn start_emptying(&mut self, now: BootTime) {
-        let mut chosen: Vec<(VmId, WaveId)> = Vec::new();
-        for (id, run) in self.upkeep.waves.iter() {
-            let is_busy = |vm: &VmId| {
-                self.upkeep
-                    .work
-                    .get(vm)
-                    .is_some_and(|work| work.task == VmTask::Maintain(id.clone()))
-            };
-            let busy = run.wave.vms.iter().filter(|vm| is_busy(vm)).count();
-            let pace = run.pace(now);
-            let mut waiting: Vec<(u64, &VmId)> = run
-                .wave
-                .vms
-                .iter()
-                .filter(|vm| !run.has_begun(vm) && self.upkeep.work.get(*vm).is_none())
-                .filter_map(|vm| {
-                    let row = self.upkeep.vms.get(vm)?;
-                    (row.state == VmState::Up).then(|| (self.load_of(row), vm))
-                })
-                .collect();
-            waiting.sort();
-            for (index, (load, vm)) in waiting.into_iter().enumerate() {
-                let at_work = busy + index;
-                if at_work < if load == 0 { pace.unused } else { pace.used } {
-                    chosen.push((vm.clone(), id.clone()));
-                }
-            }
-        }
-        for (vm, wave) in chosen {
-            self.begin_emptying(&vm, VmTask::Maintain(wave));
-        }
-    }
-
     pub(super) fn begin_emptying(&mut self, vm: &VmId, task: VmTask) {
         let worker = self.upkeep.vms.get(vm).and_then(|row| row.worker.clone());
         log::info!("event=vm_emptying vm={vm} task={task:?}");
@@ -521,73 +242,6 @@
         self.upkeep.work.insert(vm.clone(), work);
     }
 
-    fn load_of(&self, row: &VmRow) -> u64 {
-        row.worker
-            .as_ref()
-            .and_then(|id| self.workers.get(id))
-            .map_or(0, |worker| worker.placed.len() as u64)
-    }
-
-    /// Stops lasting tasks on VMs that run empty, as far as each step may miss them.
-    fn stop_lasting_on_cordoned(&mut self, now: BootTime) {
-        if now < self.interrupt_after {
-            return;
-        }
-        let workers: Vec<WorkerId> = self
-            .upkeep
-            .work
-            .iter()
-            .filter(|(_, work)| work.phase == VmPhase::Emptying)
-            .filter_map(|(_, work)| work.worker.clone())
-            .collect();
-        for worker in workers {
-            let placed = self
-                .workers
-                .get(&worker)
-                .map(|worker| worker.placed.clone());
-            for id in placed.unwrap_or_default() {
-                if self.may_interrupt(&id, now) {
-                    log::info!("event=run_stopped id={id} reason=vm_emptying");
-                    self.set_order(&id, Order::STOP);
-                }
-            }
-        }
-    }
-
-    /// Returns whether a worker has answered of late; what runs on another may be away.
-    fn is_heard(&self, worker: &WorkerId, now: BootTime) -> bool {
-        let silent_after = self.settings.silent_after;
-        self.workers
-            .get(worker)
-            .is_some_and(|worker| now.since(worker.answered_at) <= silent_after)
-    }
-
-    /// Returns whether a lasting task is at work and few enough others of its step are away.
-    fn may_interrupt(&self, id: &TaskId, now: BootTime) -> bool {
-        let Some(job) = self.jobs.get(&id.submission) else {
-            return false;
-        };
-        let step = &job.submission.steps[usize::from(id.step)];
-        let is_at_work = |task: &crate::Task| {
-            task.placement().is_some_and(|placed| {
-                matches!(placed.order, Order::Accepted(_))
-                    && placed.percent >= 100
-                    && self.is_heard(&placed.worker, now)
-            })
-        };
-        if !step.is_lasting || !job.task(id).is_some_and(is_at_work) {
-            return false;
-        }
-        let tasks = job
-            .occurrences
-            .get(id.occurrence as usize)
-            .map(|occurrence| &occurrence.steps[usize::from(id.step)].tasks);
-        let away = tasks.map_or(0, |tasks| {
-            tasks.iter().filter(|task| !is_at_work(task)).count()
-        });
-        away < step.may_miss.max(1) as usize
-    }
-
     fn call_for_empty(&mut self, now: BootTime) {
         let mut ready = Vec::new();
         for (vm, work) in self.upkeep.work.iter() {
@@ -609,30 +263,6 @@
         }
     }
 
-    /// Calls for a move at once, and for maintenance as soon as that is stored: a successor must
-    /// know which VMs of a wave may be down.
-    fn call_once_stored(&mut self, vm: &VmId) {
-        let Some(work) = self.upkeep.work.get_mut(vm) else {
-            return;
-        };
-        let VmTask::Maintain(wave) = &work.task else {
-            return self.call(vm);
-        };
-        let Some(run) = self.upkeep.waves.get_mut(wave) else {
-            return;
-        };
-        if !run.progress.called.iter().any(|called| called.vm == *vm) {
-            let worker = work.worker.clone();
-            run.progress.called.push(CalledVm {
-                vm: vm.clone(),
-                worker,
-                has_begun: false,
-            });
-        }
-        run.version += 1;
-        work.phase = VmPhase::Recording(run.version);
-    }
-
     /// Returns whether nothing runs on a VM with this worker. One that is not known or has not
     /// answered may still run what an earlier owner started.
     fn is_surely_empty(&self, worker: Option<&WorkerId>) -> bool {
@@ -653,18 +283,7 @@
         })
     }
 
-    /// Returns whether a wave has less of its VMs begun, or about to, than of its time passed.
-    fn is_behind(&self, wave: &WaveId, now: BootTime) -> bool {
-        let Some(run) = self.upkeep.waves.get(wave) else {
-            return false;
-        };
-        let usable = run.wave.duration.mul_f64(1.0 - WAVE_RESERVE);
-        let passed = now.since(run.since).as_secs_f64() / usable.as_secs_f64().max(0.001);
-        let begun = (run.begun() + run.wave.max_down) as f64 / run.wave.vms.len().max(1) as f64;
-        passed > begun
-    }
-
-    fn call(&mut self, vm: &VmId) {
+    pub(super) fn call(&mut self, vm: &VmId) {
         let Some(work) = self.upkeep.work.get_mut(vm) else {
             return;
         };
