fix(scheduler): pass on at a hand-back how long leases of earlier owners may last

Ruled out: a worker that did not fence (none of them had answered a later owner).

Change: the row of a hand-back says for how long earlier leases may last; the next owner waits for the longer of both. Tests of the bound and of what an owner passes on.

--- a/rhubarbfall-runs/src/scheduler/recovery.rs
+++ b/rhubarbfall-runs/src/scheduler/recovery.rs
@@ -58,6 +58,13 @@
         }
     }
 
+    /// Returns for how long leases of earlier owners may still last.
+    #[must_use]
+    pub fn inheritance_left(&self, now: BootTime) -> Duration {
+        self.inherited_until
+            .map_or(Duration::ZERO, |until| until.since(now))
+    }
+
     /// Lets inherited runs wait again once their leases have lapsed wherever they were.
     pub(super) fn drop_unreachable_inheritance(&mut self, now: BootTime) {
         if self.inherited_until.is_none_or(|until| now <= until) {
--- a/rhubarbfall-runs/tests/faults.rs
+++ b/rhubarbfall-runs/tests/faults.rs
@@ -396,3 +396,19 @@
     let stored = rhubarbfall_runs::decode_wave(&batch.waves[0].progress).expect("a wave's row");
     assert_eq!(stored.called, vec![]);
 }
+
+#[test]
+fn an_owner_knows_how_long_earlier_leases_may_last() {
+    let now = BootTime::new(Duration::from_secs(50));
+    let mut scheduler = Scheduler::new(SchedulerSettings::default(), FencingNumber::new(3));
+    assert_eq!(scheduler.inheritance_left(now), Duration::ZERO);
+    scheduler.recover(Vec::new(), now + Duration::from_secs(9), now, 0);
+    let later = now + Duration::from_secs(2);
+    scheduler.tick(later, 0);
+    assert_eq!(scheduler.inheritance_left(later), Duration::from_secs(7));
+    scheduler.tick(now + Duration::from_secs(10), 0);
+    assert_eq!(
+        scheduler.inheritance_left(now + Duration::from_secs(10)),
+        Duration::ZERO
+    );
+}
--- a/rhubarbfall-scheduler/src/ownership.rs
+++ b/rhubarbfall-scheduler/src/ownership.rs
@@ -72,6 +72,9 @@
     fencing_number: u64,
     #[prost(message, optional, tag = "2")]
     holder: Option<HolderMessage>,
+    /// For how long leases of still earlier owners may last, when the ownership is handed back.
+    #[prost(uint64, tag = "3")]
+    inherited_ms: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -93,6 +96,8 @@
     renewal_row: Option<RowVersion>,
     /// How long the newest renewal keeps others from taking over.
     tenure: Duration,
+    /// Whether the ownership was handed back, and for how long leases of still earlier owners may last.
+    handed_back: Option<Duration>,
     /// When a change of either row was seen last.
     heard_at: BootTime,
     /// Since when the store has answered without a failure.
@@ -258,6 +263,8 @@
     if &*row.key.key == OWNER_KEY {
         match OwnerRow::decode(&*row.value) {
             Ok(owner) => {
+                let inherited = Duration::from_millis(owner.inherited_ms);
+                watch.handed_back = owner.holder.is_none().then_some(inherited);
                 let holder = owner.holder.as_ref().and_then(HolderMessage::read);
                 node.accept_belief(FencingNumber::new(owner.fencing_number), holder);
             }
@@ -266,6 +273,18 @@
     }
 }
 
+/// Returns how long the leases of earlier owners may last from when the owner was heard of last. One
+/// that handed its ownership back had granted its last lease before, and tells what it inherited; one
+/// that fell silent may go on until the longest lease has ended.
+fn longest_lease(
+    handed_back: Option<Duration>,
+    own_lease: Duration,
+    max_lease: Duration,
+) -> Duration {
+    let lease = handed_back.map_or(max_lease, |inherited| inherited.max(own_lease));
+    lease.mul_f64(LEASE_SLACK) + LEASE_MARGIN
+}
+
 async fn take_over(node: &Rc<Node>, watch: &mut Watch, last: &OwnerBelief) {
     let fencing_number = last.fencing_number.next();
     let me = Holder {
@@ -276,6 +295,7 @@
     let owner_row = OwnerRow {
         fencing_number: fencing_number.get(),
         holder: Some(HolderMessage::from(&me)),
+        inherited_ms: 0,
     };
     let renewal = RenewalRow {
         fencing_number: fencing_number.get(),
@@ -299,14 +319,9 @@
             let silent_for = sent_at.since(watch.heard_at);
             log::info!("event=ownership_gained fence={fencing_number} silent_for={silent_for:?}");
             node.accept_belief(fencing_number, Some(me));
-            // One that handed its ownership back granted its last lease before; one that fell silent
-            // may go on until the longest one has ended.
-            let lease = match &last.holder {
-                None => SchedulerSettings::default().lease,
-                Some(_) => node.settings.max_lease(),
-            };
-            let lease = lease.mul_f64(LEASE_SLACK) + LEASE_MARGIN;
-            let inherited_until = watch.heard_at + lease;
+            let own_lease = SchedulerSettings::default().lease;
+            let longest = longest_lease(watch.handed_back, own_lease, node.settings.max_lease());
+            let inherited_until = watch.heard_at + longest;
             let owner = Owner::new(node, fencing_number, version, sent_at, MIN_TENURE);
             owner::start(node, owner, inherited_until).await;
         }
@@ -321,11 +336,14 @@
         return;
     };
     owner.close().await;
+    let now = node.now();
     // No lease is granted after this: the next owner counts from when it sees the row.
     node.drop_ownership("handed_back");
+    let inherited = owner.with(|scheduler| scheduler.inheritance_left(now));
     let row = OwnerRow {
         fencing_number: owner.fencing_number().get(),
         holder: None,
+        inherited_ms: inherited.as_millis() as u64,
     };
     let transaction = Transaction {
         expected: vec![(cell_row(OWNER_KEY), Some(owner.owner_row()))],
@@ -346,3 +364,6 @@
 pub(crate) fn owner_row_key() -> RowKey {
     cell_row(OWNER_KEY)
 }
+
+#[cfg(test)]
+mod tests;
