refactor(runs): one place that acknowledges ends and queues jobs for a batch

Cause: the acknowledging loop and the insertion into the next batch each stood twice. Change: one function each.

--- a/rhubarbfall-runs/src/scheduler/holds.rs
+++ b/rhubarbfall-runs/src/scheduler/holds.rs
@@ -133,33 +133,9 @@
             .get(submission)
             .is_some_and(|job| job.stored_version < version)
         {
-            self.dirty_again(submission);
-        } else {
-            self.acknowledge_known(worker_id);
-        }
-    }
-
-    fn dirty_again(&mut self, id: &SubmissionId) {
-        if let Err(index) = self.dirty.binary_search(id) {
-            self.dirty.insert(index, id.clone());
-        }
-    }
-
-    fn acknowledge_known(&mut self, worker_id: &WorkerId) {
-        let Some(worker) = self.workers.get_mut(worker_id) else {
-            return;
-        };
-        while let Some((number, id, version)) = worker.ends.front() {
-            if self
-                .jobs
-                .get(id)
-                .is_some_and(|job| job.stored_version < *version)
-            {
-                break;
-            }
-            worker.stored_end = worker.stored_end.max(*number);
-            worker.ends.pop_front();
+            self.queue_for_batch(submission);
         }
+        self.acknowledge_stored();
     }
 
     /// Changes a task by the end of its run.
--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -143,10 +143,16 @@
         self.place_waiting(now);
     }
 
+    /// Notes that a job has changed and has to be stored.
     fn mark_dirty(&mut self, id: &SubmissionId) {
         if let Some(job) = self.jobs.get_mut(id) {
             job.version += 1;
         }
+        self.queue_for_batch(id);
+    }
+
+    /// Puts a job into the next batch.
+    fn queue_for_batch(&mut self, id: &SubmissionId) {
         if let Err(index) = self.dirty.binary_search(id) {
             self.dirty.insert(index, id.clone());
         }
--- a/rhubarbfall-runs/src/scheduler/storing.rs
+++ b/rhubarbfall-runs/src/scheduler/storing.rs
@@ -164,7 +164,7 @@
     }
 
     /// Lets workers forget the ends that are stored.
-    fn acknowledge_stored(&mut self) {
+    pub(super) fn acknowledge_stored(&mut self) {
         for (_, worker) in self.workers.iter_mut() {
             while let Some((number, id, version)) = worker.ends.front() {
                 let is_stored = self
