refactor(runs): remove an unused setting, an unread field and a pass-through

Cause: read over the whole change. `notice` was set and never read; a placement's time was written and never read; `run_is_gone` only called `requeue`, and every caller of `requeue` passed the same pause; one parameter was unused, and one function of the callers wrapped a single call.

Behaviour is unchanged; no test was touched.

--- a/rhubarbfall-runs/src/scheduler/holds.rs
+++ b/rhubarbfall-runs/src/scheduler/holds.rs
@@ -291,7 +291,7 @@
                 .iter()
                 .any(|entry| entry.run == run && entry.task == id);
             if is_over && !is_listed {
-                self.run_is_gone(&id, now, "not_listed");
+                self.requeue(&id, now, "not_listed");
             }
         }
     }
--- a/rhubarbfall-runs/src/scheduler/listing.rs
+++ b/rhubarbfall-runs/src/scheduler/listing.rs
@@ -63,7 +63,7 @@
     }
 
     /// Stops lasting tasks on workers that are about to leave, so that they start elsewhere.
-    pub(super) fn leave_draining(&mut self, _now: BootTime) {
+    pub(super) fn leave_draining(&mut self) {
         let mut leaving = Vec::new();
         for worker in self.workers().filter(|worker| worker.report.is_draining) {
             for task in &worker.placed {
--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -19,7 +19,6 @@
 mod waves;
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use litemap::LiteMap;
 use rhubarbfall_core::{BootTime, CustomerId, FencingNumber, SubmissionId, WorkerId};
@@ -135,7 +134,7 @@
             self.drop_unreachable_inheritance(now);
             self.stop_stalled(now);
             self.forget_ended(now);
-            self.leave_draining(now);
+            self.leave_draining();
             self.begin_due(unix_ms);
             self.tick_upkeep(now);
             self.stop_unclear(now);
@@ -196,8 +195,9 @@
         }
     }
 
-    /// Takes a task off its worker and lets it wait again.
-    fn requeue(&mut self, id: &TaskId, now: BootTime, pause: Duration, reason: &str) {
+    /// Takes a task off its worker, where its run has surely ended without a result, and lets it wait.
+    fn requeue(&mut self, id: &TaskId, now: BootTime, reason: &str) {
+        let pause = self.settings.retry_pause;
         self.release(id, now);
         let Some(job) = self.jobs.get_mut(&id.submission) else {
             return;
--- a/rhubarbfall-runs/src/scheduler/orders.rs
+++ b/rhubarbfall-runs/src/scheduler/orders.rs
@@ -62,7 +62,7 @@
                 _ => {}
             }
         }
-        self.requeue(id, now, self.settings.retry_pause, outcome.as_str());
+        self.requeue(id, now, outcome.as_str());
     }
 
     /// Notes that a worker confirmed a stop: that run will not start there any more.
@@ -162,15 +162,10 @@
     pub(super) fn drop_runs_of(&mut self, worker: &WorkerId, now: BootTime, reason: &str) {
         let placed = self.workers.get(worker).map(|worker| worker.placed.clone());
         for task in placed.unwrap_or_default() {
-            self.run_is_gone(&task, now, reason);
+            self.requeue(&task, now, reason);
         }
     }
 
-    /// Notes that a run has surely ended without a result.
-    pub(super) fn run_is_gone(&mut self, id: &TaskId, now: BootTime, reason: &str) {
-        self.requeue(id, now, self.settings.retry_pause, reason);
-    }
-
     fn forget_workers(&mut self) {
         let gone: Vec<WorkerId> = self
             .workers()
--- a/rhubarbfall-runs/src/scheduler/placing.rs
+++ b/rhubarbfall-runs/src/scheduler/placing.rs
@@ -354,7 +354,6 @@
                 born_unix_ms,
                 run,
                 order,
-                placed_at: now,
                 percent: 0,
                 progress_at: now,
                 pace_percent: 100,
--- a/rhubarbfall-runs/src/scheduler/recovery.rs
+++ b/rhubarbfall-runs/src/scheduler/recovery.rs
@@ -83,7 +83,7 @@
             stale.extend(job.tasks_where(is_stale));
         }
         for id in stale {
-            self.run_is_gone(&id, now, "inherited_lease_lapsed");
+            self.requeue(&id, now, "inherited_lease_lapsed");
         }
     }
 }
@@ -116,7 +116,6 @@
                 born_unix_ms: placed.born_unix_ms,
                 run: placed.run,
                 order,
-                placed_at: now,
                 percent: 0,
                 progress_at: now,
                 pace_percent: 100,
--- a/rhubarbfall-runs/src/scheduler/settings.rs
+++ b/rhubarbfall-runs/src/scheduler/settings.rs
@@ -21,8 +21,6 @@
     pub keep_ended: Duration,
     /// The pause before a task that failed is started again.
     pub retry_pause: Duration,
-    /// How long a lasting task may be away before it counts as missing.
-    pub notice: Duration,
     /// How long a new owner interrupts no lasting task: a stop of its predecessor may take a second
     /// and is listed afterwards.
     pub interrupt_pause: Duration,
@@ -47,7 +45,6 @@
             quarantine: Duration::from_secs(4),
             keep_ended: Duration::from_secs(150),
             retry_pause: Duration::from_millis(20),
-            notice: Duration::from_millis(4_500),
             interrupt_pause: Duration::from_millis(2_500),
             check_interval: Duration::from_millis(80),
             pace_interval: Duration::from_millis(600),
--- a/rhubarbfall-runs/src/scheduler/storing.rs
+++ b/rhubarbfall-runs/src/scheduler/storing.rs
@@ -138,13 +138,13 @@
         );
         let lease = (now + self.settings.lease).min(self.leases_until);
         let Some(worker) = self.workers.get_mut(&worker_id) else {
-            return self.requeue(id, now, self.settings.retry_pause, "worker_gone");
+            return self.requeue(id, now, "worker_gone");
         };
         let deadline = (lease > now && worker.report.born_unix_ms == born)
             .then(|| worker.grant_lease(lease))
             .flatten();
         let Some(lease_deadline_ms) = deadline else {
-            return self.requeue(id, now, self.settings.retry_pause, "no_lease");
+            return self.requeue(id, now, "no_lease");
         };
         let address = worker.report.address;
         let Some(job) = self.jobs.get(&id.submission) else {
--- a/rhubarbfall-runs/src/task.rs
+++ b/rhubarbfall-runs/src/task.rs
@@ -43,8 +43,6 @@
     pub run: u64,
     /// How far the order to start it has come.
     pub order: Order,
-    /// When it was placed.
-    pub placed_at: BootTime,
     /// The progress that the worker reported last.
     pub percent: u8,
     /// When the progress changed last.
--- a/rhubarbfall-scheduler/src/callers.rs
+++ b/rhubarbfall-scheduler/src/callers.rs
@@ -5,7 +5,6 @@
 
 use http::{Method, StatusCode};
 use rhubarbfall_core::{CustomerId, QueueId, ResultCode, SubmissionId};
-use rhubarbfall_runs::scheduler::CallerState;
 use rhubarbfall_runs::{FleetConfig, Queue, Submission};
 use rhubarbfall_site::{
     CUSTOMER_KEY_HEADER, DEADLINE_HEADER, encode_pending, encode_state, read_submission,
@@ -294,7 +293,7 @@
         }
     };
     match told {
-        Ok(Some(state)) => state_answer(state),
+        Ok(Some(state)) => Answer::new(StatusCode::OK, encode_state(state)),
         Ok(None) => {
             log::info!("event=submission_unknown id={id}");
             refusal(ResultCode::SubmissionUnknown, None)
@@ -306,10 +305,6 @@
     }
 }
 
-fn state_answer(state: CallerState) -> Answer {
-    Answer::new(StatusCode::OK, encode_state(state))
-}
-
 async fn pending(node: &Rc<Node>, queue: &QueueId) -> Answer {
     let told = if let Some(owner) = node.acting_owner() {
         Some(owner.with(|scheduler| scheduler.pending(queue)) as u64)
