perf(runs): send VMs ahead of a queue whose arrivals rise

Cause: on the grown sites a queue's turn rises over three seconds, and its pool followed what was already waiting. Ruled out: the listing of workers (0.05 s after the move), the VM service (20 ms a call), the fleet's size (350 VMs, 108 idle in the spare pool at the time). Change: the work that arrives is forecast over the time of a move from how the last two windows of 600 ms rise, at most three times the present rate, and not from fewer than four submissions. It replaces the rate that was capped by what is open.

--- a/rhubarbfall-runs/src/scheduler/pools.rs
+++ b/rhubarbfall-runs/src/scheduler/pools.rs
@@ -23,9 +23,6 @@
 /// How often the state of the pools is logged.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
-/// How many times what is open a pool gets for what arrives: one large submission is no surge.
-const MAX_FORESIGHT: f64 = 1.6;
-
 /// What a pool has and needs.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PoolLoad {
@@ -249,8 +246,8 @@
             }
         }
         let open = demand.fraction_of(vm_size);
-        let arriving = self.recent_work.rate(service, now).fraction_of(vm_size);
-        let parts = (open * PACKING_RESERVE).max(arriving.min(open * MAX_FORESIGHT));
+        let arriving = self.recent_work.forecast(service, now).fraction_of(vm_size);
+        let parts = (open * PACKING_RESERVE).max(arriving);
         (parts.ceil() as usize).max(spread)
     }
 }
--- a/rhubarbfall-runs/src/scheduler/recent_work.rs
+++ b/rhubarbfall-runs/src/scheduler/recent_work.rs
@@ -7,13 +7,38 @@
 
 /// The time over which arrivals are counted: several submissions of a surging queue, and a fraction
 /// of the time that a move takes.
-const WINDOW: Duration = Duration::from_millis(700);
+const WINDOW: Duration = Duration::from_millis(600);
 
-/// The work that arrived of late, by service: what a surge will need is known from its arrivals
-/// before its later steps wait for workers.
+/// How far ahead arrivals are foreseen: a move takes 1.5 s, and the new worker is listed and asked
+/// once after it.
+const LOOK_AHEAD: Duration = Duration::from_millis(1_700);
+
+/// Fewer submissions than this in a window show no trend.
+const MIN_ARRIVALS: usize = 4;
+
+/// A forecast is at most this many times the present rate: a rise does not go on for ever.
+const MAX_GROWTH: f64 = 3.0;
+
+/// The work that arrived of late, by service: what a surge will need is known from how its arrivals
+/// rise, before its tasks wait for workers.
 #[derive(Debug, Default)]
 pub(super) struct RecentWork {
-    arrivals: VecDeque<(BootTime, ServiceId, Resources)>,
+    arrivals: VecDeque<Arrival>,
+}
+
+#[derive(Debug)]
+struct Arrival {
+    at: BootTime,
+    service: ServiceId,
+    /// What its tasks reserve, times the milliseconds for which they are estimated to run.
+    work: Resources,
+}
+
+/// The arrivals of one window.
+#[derive(Debug, Default)]
+struct Window {
+    count: usize,
+    work: Resources,
 }
 
 impl RecentWork {
@@ -22,32 +47,48 @@
         let mut work = Resources::default();
         for step in submission.steps.iter().filter(|step| !step.is_lasting) {
             let task_ms = step.estimate.as_millis() as u64;
-            let reserved = step.reserved().times(u64::from(step.tasks) * task_ms);
-            work += reserved;
+            work += step.reserved().times(u64::from(step.tasks) * task_ms);
         }
-        self.arrivals.push_back((now, service.clone(), work));
-        while self
-            .arrivals
-            .front()
-            .is_some_and(|(at, ..)| now.since(*at) > WINDOW)
-        {
+        self.arrivals.push_back(Arrival {
+            at: now,
+            service: service.clone(),
+            work,
+        });
+        let is_over = |arrival: &Arrival| now.since(arrival.at) > WINDOW * 2;
+        while self.arrivals.front().is_some_and(is_over) {
             self.arrivals.pop_front();
         }
     }
 
-    /// Returns the resources that a service needs all the time to keep up with its arrivals.
-    pub(super) fn rate(&self, service: &ServiceId, now: BootTime) -> Resources {
-        let window_ms = WINDOW.as_millis() as u64;
-        let mut work = Resources::default();
-        for (at, of, arrived) in &self.arrivals {
-            if of == service && now.since(*at) <= WINDOW {
-                work += *arrived;
-            }
+    /// Returns the resources that a service will need all the time to keep up with its arrivals, as
+    /// they come by the time that a VM sent now has joined its pool.
+    pub(super) fn forecast(&self, service: &ServiceId, now: BootTime) -> Resources {
+        let (mut last, mut before) = (Window::default(), Window::default());
+        for arrival in self.arrivals.iter().filter(|one| one.service == *service) {
+            let age = now.since(arrival.at);
+            let window = if age <= WINDOW {
+                &mut last
+            } else if age <= WINDOW * 2 {
+                &mut before
+            } else {
+                continue;
+            };
+            window.count += 1;
+            window.work += arrival.work;
         }
+        let growth = if last.count < MIN_ARRIVALS {
+            1.0
+        } else {
+            let rise = 1.0 - before.count as f64 / last.count as f64;
+            // A window's rate is that of its middle.
+            let windows_ahead = (LOOK_AHEAD + WINDOW / 2).div_duration_f64(WINDOW);
+            (1.0 + rise * windows_ahead).clamp(1.0, MAX_GROWTH)
+        };
+        let per_ms = growth / WINDOW.as_millis() as f64;
         Resources {
-            cpu_millis: work.cpu_millis / window_ms,
-            memory_mb: work.memory_mb / window_ms,
-            gpus: work.gpus / window_ms,
+            cpu_millis: (last.work.cpu_millis as f64 * per_ms) as u64,
+            memory_mb: (last.work.memory_mb as f64 * per_ms) as u64,
+            gpus: (last.work.gpus as f64 * per_ms) as u64,
         }
     }
 }
--- a/rhubarbfall-runs/tests/peak_load.rs
+++ b/rhubarbfall-runs/tests/peak_load.rs
@@ -91,3 +91,51 @@
         );
     }
 }
+
+/// How long a queue's turn lasts from its rise to its fall, as on the grown sites.
+const LONG_TURN: Duration = Duration::from_secs(10);
+
+/// Four queues take turns, each of which rises and falls over ten seconds; the pools alone hold a
+/// third of the peak.
+fn play_rising_turns(seed: u64) -> (usize, usize, Model) {
+    let queues = ["q-a", "q-b", "q-c", "q-d"];
+    let pools: Vec<(&str, usize)> = queues
+        .iter()
+        .map(|queue| (*queue, 10))
+        .chain([("spare", 20)])
+        .collect();
+    let mut model = Model::new(&pools, seed);
+    model.run_for(Duration::from_secs(4));
+    let mut asked = 0_u64;
+    for queue in queues {
+        let begin = model.now;
+        let mut owed = 0.0;
+        while model.now.since(begin) < LONG_TURN {
+            let phase = model.now.since(begin).div_duration_f64(LONG_TURN);
+            // Tasks of six times four cores: 80 submissions a second need 30 VMs.
+            owed += 80.0 * (std::f64::consts::PI * phase).sin().powi(2) * 0.02;
+            while owed >= 1.0 {
+                owed -= 1.0;
+                asked += 1;
+                let length = model.draw(Duration::from_secs(1), 0.5);
+                model.submit(submission(asked, queue, step(6, 4_000)), length);
+            }
+            model.run_for(model::STEP);
+        }
+    }
+    model.run_for(Duration::from_secs(8));
+    let in_time = model.completed_within(objective);
+    (in_time, asked as usize, model)
+}
+
+#[test]
+fn vms_are_sent_ahead_of_a_queue_whose_arrivals_rise() {
+    for seed in 0..3 {
+        let (in_time, asked, model) = play_rising_turns(seed);
+        assert_eq!(model.broken, Vec::<String>::new());
+        assert_eq!(model.count(JobState::Completed), asked);
+        let share = in_time as f64 / asked as f64;
+        println!("seed {seed}: {in_time} of {asked} in time, {} moves", model.moves);
+        assert!(share >= 0.95, "seed {seed}: {in_time} of {asked} in time");
+    }
+}
