perf(scheduler): fewer calls and wake-ups of a busy owner

Ruled out: an entry with a small share as owner (always one with half a core), the store, the VM service. Change: (1) the log's writer gathers lines for 20 ms; each line woke it. (2) The pause between two calls that hold a worker's leases grows with the lateness of the owner's timers, to 300 ms at most. (3) Waiting for a batch wakes with the batch in place of a timer each 20 ms. (4) Tasks of an earlier owner are found by worker; each listed worker went through all jobs' tasks. (5) Jobs are boxed, names of tasks are made only where needed, ends acknowledged once an answer. Conclusion: the owner is still short of processor time at the worst moments; the rest is in HTTP calls, one a start.

--- a/rhubarbfall-runs/src/job.rs
+++ b/rhubarbfall-runs/src/job.rs
@@ -199,12 +199,12 @@
             && self.occurrences.iter().all(Occurrence::is_done)
     }
 
-    /// Calls `visit` for each task with its name.
-    pub fn for_each_task(&self, mut visit: impl FnMut(TaskId, &Task)) {
+    /// Calls `visit` for each task with its occurrence, step and index.
+    pub fn for_each_task(&self, mut visit: impl FnMut(u32, usize, usize, &Task)) {
         for occurrence in &self.occurrences {
             for (step, step_run) in occurrence.steps.iter().enumerate() {
                 for (index, task) in step_run.tasks.iter().enumerate() {
-                    visit(self.task_id(occurrence.number, step, index), task);
+                    visit(occurrence.number, step, index, task);
                 }
             }
         }
@@ -213,9 +213,9 @@
     /// Returns the names of the tasks that `select` picks.
     pub fn tasks_where(&self, mut select: impl FnMut(&Task) -> bool) -> Vec<TaskId> {
         let mut found = Vec::new();
-        self.for_each_task(|id, task| {
+        self.for_each_task(|occurrence, step, index, task| {
             if select(task) {
-                found.push(id);
+                found.push(self.task_id(occurrence, step, index));
             }
         });
         found
--- a/rhubarbfall-runs/src/progress.rs
+++ b/rhubarbfall-runs/src/progress.rs
@@ -2,7 +2,7 @@
 
 use rhubarbfall_core::WorkerId;
 
-use crate::{Job, JobState, Phase, TaskId};
+use crate::{Job, JobState, Phase};
 
 /// What is stored of a job beside the submission.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -52,14 +52,8 @@
             has_begun: job.has_begun,
             ..Self::default()
         };
-        job.for_each_task(|id, task| {
-            let TaskId {
-                occurrence,
-                step,
-                index,
-                ..
-            } = id;
-            let place = (occurrence, step, index);
+        job.for_each_task(|occurrence, step, index, task| {
+            let place = (occurrence, step as u16, index as u32);
             let placed = match &task.phase {
                 Phase::Done => {
                     progress.done.push(place);
--- a/rhubarbfall-runs/src/scheduler/holds.rs
+++ b/rhubarbfall-runs/src/scheduler/holds.rs
@@ -84,6 +84,9 @@
         for end in &news {
             self.take_end(id, end, now);
         }
+        if !news.is_empty() {
+            self.acknowledge_stored();
+        }
         self.take_running(id, sent_at, answer, now);
         self.pace_fillers(id, answer, now);
     }
@@ -135,7 +138,6 @@
         {
             self.queue_for_batch(submission);
         }
-        self.acknowledge_stored();
     }
 
     /// Changes a task by the end of its run.
--- a/rhubarbfall-runs/src/scheduler/intake.rs
+++ b/rhubarbfall-runs/src/scheduler/intake.rs
@@ -66,7 +66,7 @@
         );
         // Anything later than at once begins when its time comes.
         begin_due_of(&mut job, 0);
-        self.jobs.insert(id.clone(), job);
+        self.jobs.insert(id.clone(), Box::new(job));
         self.mark_dirty(&id);
         self.has_news = true;
         Intake::New(1)
--- a/rhubarbfall-runs/src/scheduler/listing.rs
+++ b/rhubarbfall-runs/src/scheduler/listing.rs
@@ -47,21 +47,6 @@
         }
     }
 
-    /// Counts what an earlier owner placed on a worker against its room.
-    fn adopt_inherited(&mut self, id: &WorkerId) {
-        let Some(worker) = self.workers.get_mut(id) else {
-            return;
-        };
-        for (_, job) in self.jobs.iter() {
-            job.for_each_task(|task_id, task| {
-                if task.placement().is_some_and(|placed| placed.worker == *id) {
-                    let step = &job.submission.steps[usize::from(task_id.step)];
-                    worker.add(task_id, step);
-                }
-            });
-        }
-    }
-
     /// Stops lasting tasks on workers that are about to leave, so that they start elsewhere.
     pub(super) fn leave_draining(&mut self) {
         let mut leaving = Vec::new();
--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -41,7 +41,7 @@
     settings: SchedulerSettings,
     fencing_number: FencingNumber,
     config: Arc<FleetConfig>,
-    jobs: LiteMap<SubmissionId, Job>,
+    jobs: LiteMap<SubmissionId, Box<Job>>,
     workers: LiteMap<WorkerId, Worker>,
     used: LiteMap<CustomerId, Resources>,
     arrivals: LiteMap<CustomerId, token_bucket::TokenBucket>,
@@ -52,6 +52,8 @@
     leases_until: BootTime,
     /// When placements of an earlier owner have surely ended on workers that do not answer.
     inherited_until: Option<BootTime>,
+    /// Tasks that an earlier owner placed on workers that are not listed yet.
+    unadopted: LiteMap<WorkerId, Vec<TaskId>>,
     /// Whether something changed that may let a waiting task start.
     has_news: bool,
     upkeep: upkeep::Upkeep,
@@ -80,6 +82,7 @@
             dirty: Vec::new(),
             leases_until: BootTime::default(),
             inherited_until: None,
+            unadopted: LiteMap::new(),
             has_news: true,
             upkeep: upkeep::Upkeep::default(),
             pools_logged_at: BootTime::default(),
@@ -107,7 +110,7 @@
 
     /// Returns the jobs.
     pub fn jobs(&self) -> impl Iterator<Item = &Job> {
-        self.jobs.iter().map(|(_, job)| job)
+        self.jobs.iter().map(|(_, job)| &**job)
     }
 
     /// Returns the workers.
--- a/rhubarbfall-runs/src/scheduler/recovery.rs
+++ b/rhubarbfall-runs/src/scheduler/recovery.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rhubarbfall_core::{BootTime, RowVersion};
+use rhubarbfall_core::{BootTime, RowVersion, WorkerId};
 
 use super::Scheduler;
 use crate::{Job, JobProgress, Order, Phase, Placement, Submission, Task, TaskId};
@@ -48,16 +48,45 @@
             }
             let placed = job.tasks_where(|task| task.placement().is_some());
             let id = job.submission.id.clone();
-            self.jobs.insert(id, job);
+            self.jobs.insert(id, Box::new(job));
             for task in placed {
                 let worker = self.placement(&task).map(|placed| placed.worker.clone());
                 if let Some(worker) = worker {
                     self.reserve(&task, &worker);
+                    self.note_unadopted(worker, task);
                 }
             }
         }
     }
 
+    /// Notes a task on a worker, to be counted there once the worker is listed.
+    fn note_unadopted(&mut self, worker: WorkerId, task: TaskId) {
+        if self.workers.get(&worker).is_some() {
+            return;
+        }
+        match self.unadopted.get_mut(&worker) {
+            Some(tasks) => tasks.push(task),
+            None => drop(self.unadopted.insert(worker, vec![task])),
+        }
+    }
+
+    /// Counts what an earlier owner placed on a worker against its room.
+    pub(super) fn adopt_inherited(&mut self, id: &WorkerId) {
+        for task in self.unadopted.remove(id).unwrap_or_default() {
+            let Some(job) = self.jobs.get(&task.submission) else {
+                continue;
+            };
+            let is_here = job
+                .task(&task)
+                .and_then(Task::placement)
+                .is_some_and(|placed| placed.worker == *id);
+            if let Some(worker) = self.workers.get_mut(id).filter(|_| is_here) {
+                let step = &job.submission.steps[usize::from(task.step)];
+                worker.add(task, step);
+            }
+        }
+    }
+
     /// Returns for how long leases of earlier owners may still last.
     #[must_use]
     pub fn inheritance_left(&self, now: BootTime) -> Duration {
--- a/rhubarbfall-scheduler/src/lifecycle.rs
+++ b/rhubarbfall-scheduler/src/lifecycle.rs
@@ -110,4 +110,5 @@
         tokio::time::sleep(IDLE_CHECK).await;
     }
     log::info!("event=stopped in_flight={}", node.in_flight.get());
+    tokio::time::sleep(logging::GATHER_INTERVAL * 2).await;
 }
--- a/rhubarbfall-scheduler/src/logging.rs
+++ b/rhubarbfall-scheduler/src/logging.rs
@@ -16,6 +16,9 @@
 /// The most lines a second that are written, so that a storm costs a bounded part of the processor.
 const MAX_LINES_PER_S: u32 = 6_000;
 
+/// How long the writer lets lines come together: each of its wake-ups costs as much as a call.
+pub(crate) const GATHER_INTERVAL: Duration = Duration::from_millis(20);
+
 #[derive(Debug, Default)]
 struct Budget {
     second: u64,
@@ -74,6 +77,7 @@
 fn write_lines(lines: &Receiver<String>, dropped: &AtomicU64) {
     let stdout = std::io::stdout();
     while let Ok(first) = lines.recv() {
+        std::thread::sleep(GATHER_INTERVAL);
         let mut text = first;
         text.push('\n');
         while let Ok(next) = lines.try_recv() {
--- a/rhubarbfall-scheduler/src/owner/mod.rs
+++ b/rhubarbfall-scheduler/src/owner/mod.rs
@@ -35,6 +35,9 @@
 /// The shortest time between two looks, so that events are taken together.
 const MIN_TICK: Duration = Duration::from_millis(12);
 
+/// The part that one timer has in the smoothed lateness: a few ticks show a change.
+const LATENESS_GAIN: f64 = 0.2;
+
 /// How long a closing owner waits for what callers wait for.
 const CLOSE_PATIENCE: Duration = Duration::from_millis(400);
 
@@ -69,6 +72,10 @@
     wake_store: Notify,
     waiters: RefCell<Vec<Waiter>>,
     calls: RefCell<LiteMap<WorkerId, Rc<WorkerCalls>>>,
+    /// Wakes what waits for a batch to be stored.
+    batch_stored: Notify,
+    /// How late the process's timers are, smoothed: the processor's queue.
+    lateness: Cell<Duration>,
 }
 
 /// A caller that waits until a version of a job is stored.
@@ -110,6 +117,8 @@
             wake_store: Notify::new(),
             waiters: RefCell::default(),
             calls: RefCell::new(LiteMap::new()),
+            batch_stored: Notify::new(),
+            lateness: Cell::default(),
         };
         owner.confirm(confirmed_at, tenure);
         Rc::new(owner)
@@ -167,12 +176,20 @@
         changed
     }
 
+    /// Takes how late a timer was.
+    fn note_lateness(&self, late: Duration) {
+        let smoothed = self.lateness.get().mul_f64(1.0 - LATENESS_GAIN) + late.mul_f64(LATENESS_GAIN);
+        self.lateness.set(smoothed);
+        metrics::gauge!("timer_lateness_seconds").set(smoothed.as_secs_f64());
+    }
+
     /// Ends all duties; callers that wait are told that the outcome is unknown.
     pub(crate) fn end(&self) {
         self.has_ended.set(true);
         self.waiters.borrow_mut().clear();
         self.wake_tick.notify_one();
         self.wake_store.notify_one();
+        self.batch_stored.notify_waiters();
     }
 
     /// Takes nothing more, and waits for what callers wait for.
@@ -300,7 +317,9 @@
         }
         dispatch(&node, &owner, now);
         owner.wake_store.notify_one();
+        let due = node.now() + MIN_TICK;
         tokio::time::sleep(MIN_TICK).await;
+        owner.note_lateness(node.now().since(due));
     }
 }
 
--- a/rhubarbfall-scheduler/src/owner/store_loop.rs
+++ b/rhubarbfall-scheduler/src/owner/store_loop.rs
@@ -37,6 +37,7 @@
         let now = node.now();
         owner.with(|scheduler| scheduler.batch_stored(&batch, version, now));
         owner.resolve_waiters();
+        owner.batch_stored.notify_waiters();
         tokio::time::sleep(BATCH_PAUSE).await;
     }
 }
--- a/rhubarbfall-scheduler/src/owner/worker_loop.rs
+++ b/rhubarbfall-scheduler/src/owner/worker_loop.rs
@@ -29,6 +29,12 @@
 /// The shortest time between two calls, so that ends come together.
 const MIN_PAUSE: Duration = Duration::from_millis(20);
 
+/// How many times the lateness of timers is added to that.
+const PAUSE_FACTOR: u32 = 6;
+
+/// The longest time between two calls, a small part of a lease and of most tasks.
+const MAX_PAUSE: Duration = Duration::from_millis(300);
+
 /// How long a call waits for ends to be stored, since a worker repeats what is not acknowledged.
 const STORE_PATIENCE: Duration = Duration::from_millis(500);
 
@@ -70,9 +76,9 @@
                 let now = node.now();
                 let has_ends = !answer.ended.is_empty();
                 owner.with(|scheduler| scheduler.hold_answered(&id, sent_at, &answer, now));
-                tokio::time::sleep(MIN_PAUSE).await;
+                tokio::time::sleep(pause(owner.lateness.get())).await;
                 if has_ends {
-                    wait_until_stored(&node, &owner, &id).await;
+                    wait_until_stored(&owner, &id).await;
                 }
             }
             Err(error) => {
@@ -94,17 +100,26 @@
     }
 }
 
-async fn wait_until_stored(node: &Node, owner: &Owner, id: &WorkerId) {
-    let began_at = node.now();
+/// Returns the time between two calls: a busy owner asks less often, so that each answer tells of
+/// more ends and less of the processor goes into calls.
+fn pause(lateness: Duration) -> Duration {
+    (MIN_PAUSE + lateness * PAUSE_FACTOR).min(MAX_PAUSE)
+}
+
+async fn wait_until_stored(owner: &Owner, id: &WorkerId) {
     let is_stored = || {
         let scheduler = owner.scheduler.borrow();
         scheduler
             .worker(id)
             .is_none_or(|worker| worker.stored_end >= worker.seen_end)
     };
-    while !owner.has_ended() && !is_stored() && node.now().since(began_at) < STORE_PATIENCE {
-        tokio::time::sleep(MIN_PAUSE).await;
-    }
+    let stored = async {
+        while !owner.has_ended() && !is_stored() {
+            owner.batch_stored.notified().await;
+        }
+    };
+    // The call goes out anyway: it renews leases.
+    let _ = tokio::time::timeout(STORE_PATIENCE, stored).await;
 }
 
 /// Sends an order to start a run.
