test: a fault soak of separate processes

Entries run as processes against the stand-in of the users' platform, each behind a relay of its own to the store, workers behind relays as well. A seed draws kills, planned stops, pauses, reloads, cuts, silence, lost answers, delays and outages that overlap; callers hand in, cancel, ask and come back meanwhile; the runs that workers saw are judged against what callers were told. Traced: the worker's answers were dropped from before the end until after its leases had lapsed, nobody had taken note of the end, and the platform's rules leave that case out. Entries could not take their port again in four seeds, since the system had given it to an outgoing connection; ports now come from below those.

--- a/rhubarbfall-scheduler/src/lifecycle.rs
+++ b/rhubarbfall-scheduler/src/lifecycle.rs
@@ -27,12 +27,12 @@
 /// How often a stopping entry looks whether it is idle.
 const IDLE_CHECK: Duration = Duration::from_millis(50);
 
-/// Runs an entry process until SIGTERM has stopped it.
+/// Runs an entry process until SIGTERM, or the end of `run_for`, has stopped it.
 ///
 /// # Errors
 ///
 /// The system's error when the process cannot listen or take signals.
-pub fn run(settings: ScheduleSettings) -> std::io::Result<()> {
+pub fn run(settings: ScheduleSettings, run_for: Option<Duration>) -> std::io::Result<()> {
     let clock: SharedClock = Arc::new(SystemClock::new());
     let level = settings.log_level.parse().unwrap_or(LevelFilter::Info);
     if let Err(error) = logging::start(level, Arc::clone(&clock)) {
@@ -42,10 +42,10 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    LocalSet::new().block_on(&runtime, serve(node))
+    LocalSet::new().block_on(&runtime, serve(node, run_for))
 }
 
-async fn serve(node: Rc<Node>) -> std::io::Result<()> {
+async fn serve(node: Rc<Node>, run_for: Option<Duration>) -> std::io::Result<()> {
     let settings = node.settings.clone();
     log::info!(
         "event=started entry={} zone={} incarnation={}",
@@ -78,10 +78,18 @@
     spawn_local(ownership::run(Rc::clone(&node)));
     let mut terminate = signal(SignalKind::terminate())?;
     let mut reload = signal(SignalKind::hangup())?;
+    let end = async {
+        match run_for {
+            Some(time) => tokio::time::sleep(time).await,
+            None => std::future::pending().await,
+        }
+    };
+    tokio::pin!(end);
     loop {
         tokio::select! {
             _ = reload.recv() => log::info!("event=reloaded changed=none"),
             _ = terminate.recv() => break,
+            () = &mut end => break,
         }
     }
     stop(&node).await;
--- a/rhubarbfall-scheduler/src/ownership.rs
+++ b/rhubarbfall-scheduler/src/ownership.rs
@@ -184,6 +184,7 @@
         Err(error) => {
             log::warn!("event=renewal_failed error={error}");
             telemetry::count_store_call("renew", "failed", now.since(sent_at));
+            tokio::time::sleep(RETRY_PAUSE).await;
         }
     }
 }
--- a/rhubarbfall-testing/src/relay.rs
+++ b/rhubarbfall-testing/src/relay.rs
@@ -23,6 +23,8 @@
     Silent,
     /// Passes everything on after a delay.
     Delay(Duration),
+    /// Passes requests on and drops answers.
+    DropAnswers,
     /// Connections open now go silent for good; new connections pass.
     ForgetOpen,
 }
@@ -99,8 +101,8 @@
             let (server_read, server_write) = server.into_split();
             let opened_at_epoch = epoch;
             tokio::join!(
-                copy(client_read, server_write, mode.clone(), opened_at_epoch),
-                copy(server_read, client_write, mode, opened_at_epoch),
+                copy(client_read, server_write, mode.clone(), opened_at_epoch, false),
+                copy(server_read, client_write, mode, opened_at_epoch, true),
             );
         });
     }
@@ -111,6 +113,7 @@
     mut to: OwnedWriteHalf,
     mut mode: watch::Receiver<(u64, RelayMode)>,
     opened_at_epoch: u64,
+    is_answer: bool,
 ) {
     let mut buffer = vec![0; BUFFER_BYTES];
     let mut is_forgotten = false;
@@ -137,8 +140,9 @@
         match now {
             RelayMode::Cut => break,
             RelayMode::Silent => continue,
+            RelayMode::DropAnswers if is_answer => continue,
             RelayMode::Delay(delay) => tokio::time::sleep(delay).await,
-            RelayMode::Pass | RelayMode::ForgetOpen => {}
+            RelayMode::Pass | RelayMode::ForgetOpen | RelayMode::DropAnswers => {}
         }
         if to.write_all(&buffer[..length]).await.is_err() {
             break;
--- a/rhubarbfall/src/cli.rs
+++ b/rhubarbfall/src/cli.rs
@@ -12,7 +12,10 @@
 pub(crate) fn run() -> ExitCode {
     match command().get_matches().subcommand() {
         Some(("serve", arguments)) => commands::serve(&settings_path(arguments)),
-        Some(("schedule", arguments)) => commands::schedule(&settings_path(arguments)),
+        Some(("schedule", arguments)) => {
+            let run_for = arguments.get_one::<Duration>("run-for").copied();
+            commands::schedule(&settings_path(arguments), run_for)
+        },
         Some(("check-settings", arguments)) => commands::check_settings(&settings_path(arguments)),
         Some(("stand-in", arguments)) => commands::stand_in(arguments),
         Some(("dev", arguments)) => dev::run(&dev_options(arguments)),
@@ -33,7 +36,14 @@
         .subcommand(
             Command::new("schedule")
                 .about("Runs submissions on the platform's workers until SIGTERM")
-                .arg(settings_argument()),
+                .arg(settings_argument())
+                .arg(
+                    Arg::new("run-for")
+                        .long("run-for")
+                        .value_name("TIME")
+                        .help("Stops as if told to after this time, such as 2m")
+                        .value_parser(parse_time),
+                ),
         )
         .subcommand(
             Command::new("check-settings")
--- a/rhubarbfall/src/commands/schedule.rs
+++ b/rhubarbfall/src/commands/schedule.rs
@@ -1,12 +1,14 @@
 use std::path::Path;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use rhubarbfall_scheduler::{read_settings, run};
 
 use super::EXIT_BAD_SETTINGS;
 
-/// Takes submissions and runs them on the platform's workers until SIGTERM ends the process.
-pub(crate) fn schedule(path: &Path) -> ExitCode {
+/// Takes submissions and runs them on the platform's workers until SIGTERM, or the
+/// end of `run_for`, stops the process.
+pub(crate) fn schedule(path: &Path, run_for: Option<Duration>) -> ExitCode {
     let settings = match read_settings(path) {
         Ok(settings) => settings,
         Err(error) => {
@@ -14,7 +16,7 @@
             return ExitCode::from(EXIT_BAD_SETTINGS);
         }
     };
-    match run(settings) {
+    match run(settings, run_for) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("event=start error={error}");
--- /dev/null
+++ b/rhubarbfall/tests/soak/entry.rs
@@ -0,0 +1,175 @@
+//! Entries as processes, each behind a relay of its own to the store.
+
+use std::fs::File;
+use std::net::{SocketAddr, TcpListener};
+use std::ops::Range;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use rand::RngExt;
+use rhubarbfall_testing::{Relay, RelayMode};
+use rustix::process::{Pid, Signal, kill_process};
+use tempfile::TempDir;
+
+use crate::stand_in::StandInSite;
+
+/// An entry stops by itself after this time, also when the soak is killed.
+const RUN_FOR: &str = "3m";
+
+/// How often, and how many times, entries that are down are looked for after the last fault: for as
+/// long as the grace of a planned stop.
+const STOP_CHECK: Duration = Duration::from_millis(500);
+const STOP_CHECKS: usize = 13;
+
+/// Ports below those that the system gives to outgoing connections.
+const OWN_PORTS: Range<u16> = 12_000..32_000;
+
+/// One entry, which may be down.
+pub(crate) struct Entry {
+    pub(crate) callers: SocketAddr,
+    pub(crate) store: Relay,
+    settings: PathBuf,
+    child: Mutex<Option<Child>>,
+    lives: Mutex<u32>,
+}
+
+/// All entries of one seed.
+pub(crate) struct Entries {
+    pub(crate) all: Vec<Entry>,
+    directory: Mutex<Option<TempDir>>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Returns an address that is free now, on a port that the system gives to no outgoing connection: an
+/// entry that starts again needs the same one.
+fn free_address() -> SocketAddr {
+    loop {
+        let port = rand::rng().random_range(OWN_PORTS);
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr().expect("the listener's address");
+        }
+    }
+}
+
+impl Entries {
+    pub(crate) async fn start(site: &StandInSite, seed: u64, count: usize) -> Self {
+        let directory = tempfile::Builder::new()
+            .prefix(&format!("soak-{seed}-"))
+            .tempdir()
+            .expect("a directory");
+        let peers: Vec<SocketAddr> = (0..count).map(|_| free_address()).collect();
+        let seeds: Vec<String> = peers.iter().take(3).map(|seed| format!("\"{seed}\"")).collect();
+        let mut all = Vec::new();
+        for (index, peers) in peers.iter().enumerate() {
+            let store = Relay::start(site.store).await.expect("a relay");
+            let callers = free_address();
+            let text = format!(
+                "entry = \"entry-{index}\"\navailability_zone = \"zone-a\"\ncallers = \"{callers}\"\n\
+                 readiness = \"{}\"\npeers = \"{peers}\"\nmetrics = \"{}\"\nseeds = [{}]\n\
+                 store = \"{}\"\nvm_service = \"{}\"\nmax_lease_ms = 10000\nstop_grace_s = 6\n",
+                free_address(),
+                free_address(),
+                seeds.join(", "),
+                store.address(),
+                site.vm_service,
+            );
+            let settings = directory.path().join(format!("entry-{index}.toml"));
+            std::fs::write(&settings, text).expect("the settings are written");
+            all.push(Entry {
+                callers,
+                store,
+                settings,
+                child: Mutex::default(),
+                lives: Mutex::default(),
+            });
+        }
+        for entry in &all {
+            entry.start();
+        }
+        Self {
+            all,
+            directory: Mutex::new(Some(directory)),
+        }
+    }
+
+    /// Ends every fault and starts what is down.
+    pub(crate) async fn heal(&self) {
+        for entry in &self.all {
+            entry.store.set_mode(RelayMode::Pass);
+            entry.signal(Signal::CONT);
+        }
+        // One that was told to stop needs its grace before it can start again.
+        for _ in 0..STOP_CHECKS {
+            tokio::time::sleep(STOP_CHECK).await;
+            for entry in &self.all {
+                entry.start();
+            }
+        }
+    }
+
+    /// Keeps the logs and returns where they are.
+    pub(crate) fn keep_logs(&self) -> PathBuf {
+        let directory = lock(&self.directory).take();
+        directory.map_or_else(PathBuf::new, TempDir::keep)
+    }
+
+    /// Kills every entry that is still there.
+    pub(crate) fn end(&self) {
+        for entry in &self.all {
+            entry.kill();
+        }
+    }
+}
+
+impl Drop for Entries {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
+impl Entry {
+    /// Starts the process unless it runs.
+    pub(crate) fn start(&self) {
+        let mut child = lock(&self.child);
+        if child.as_mut().is_some_and(is_running) {
+            return;
+        }
+        let mut lives = lock(&self.lives);
+        *lives += 1;
+        let log = File::create(self.settings.with_extension(format!("{lives}.log")));
+        let started = Command::new(env!("CARGO_BIN_EXE_rhubarbfall"))
+            .args(["schedule", "--run-for", RUN_FOR, "--settings"])
+            .arg(&self.settings)
+            .stdout(log.expect("a log file"))
+            .stderr(Stdio::inherit())
+            .spawn();
+        *child = Some(started.expect("the entry starts"));
+    }
+
+    /// Kills the process.
+    pub(crate) fn kill(&self) {
+        if let Some(mut child) = lock(&self.child).take() {
+            // One that has ended already has nothing to be killed.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    pub(crate) fn signal(&self, signal: Signal) {
+        if let Some(child) = lock(&self.child).as_mut()
+            && is_running(child)
+            && let Some(id) = Pid::from_raw(child.id().cast_signed())
+        {
+            kill_process(id, signal).expect("the signal is sent");
+        }
+    }
+}
+
+fn is_running(child: &mut Child) -> bool {
+    matches!(child.try_wait(), Ok(None))
+}
--- /dev/null
+++ b/rhubarbfall/tests/soak/faults.rs
@@ -0,0 +1,135 @@
+//! What goes wrong in one seed, and when.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+use rhubarbfall_testing::{Relay, RelayMode};
+use rustix::process::Signal;
+use tokio::time::Instant;
+
+use crate::entry::Entries;
+use crate::stand_in::StandInSite;
+
+/// The mean time between two faults: several overlap.
+const MEAN_GAP: Duration = Duration::from_millis(350);
+
+/// A fault at a time from the beginning.
+#[derive(Debug, Clone)]
+pub(crate) struct Fault {
+    at: Duration,
+    length: Duration,
+    kind: FaultKind,
+}
+
+#[derive(Debug, Clone, Copy)]
+enum FaultKind {
+    /// An entry is killed and starts again.
+    Kill(usize),
+    /// An entry is told to stop and starts again.
+    Stop(usize),
+    /// An entry stands still and goes on.
+    Freeze(usize),
+    /// An entry is told that its settings have changed.
+    Reload(usize),
+    /// All entries are killed at once and start again.
+    KillAll,
+    /// What lies between an entry and the store.
+    StorePath(usize, RelayMode),
+    /// What lies between all entries and a worker.
+    WorkerPath(usize, RelayMode),
+    /// The store answers nobody.
+    StoreDown,
+}
+
+/// Draws the faults of a seed, in the order of their time.
+pub(crate) fn schedule(
+    rng: &mut ChaCha8Rng,
+    time: Duration,
+    entries: usize,
+    workers: usize,
+) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    // The first entry needs a moment to own the submissions.
+    let mut at = Duration::from_secs(2);
+    while at < time {
+        let length = Duration::from_millis(rng.random_range(200..4_000));
+        let (entry, worker) = (rng.random_range(0..entries), rng.random_range(0..workers));
+        let kind = match rng.random_range(0..100) {
+            0..16 => FaultKind::Kill(entry),
+            16..30 => FaultKind::Stop(entry),
+            30..44 => FaultKind::Freeze(entry),
+            44..48 => FaultKind::Reload(entry),
+            48..52 => FaultKind::KillAll,
+            52..74 => FaultKind::StorePath(entry, path_mode(rng)),
+            74..93 => FaultKind::WorkerPath(worker, path_mode(rng)),
+            _ => FaultKind::StoreDown,
+        };
+        faults.push(Fault { at, length, kind });
+        at += MEAN_GAP.mul_f64(rng.random_range(0.0..2.0));
+    }
+    faults
+}
+
+fn path_mode(rng: &mut ChaCha8Rng) -> RelayMode {
+    match rng.random_range(0..5) {
+        0 => RelayMode::Cut,
+        1 => RelayMode::Silent,
+        2 => RelayMode::DropAnswers,
+        3 => RelayMode::ForgetOpen,
+        _ => RelayMode::Delay(Duration::from_millis(rng.random_range(20..500))),
+    }
+}
+
+/// Lets the faults begin and end at their times.
+pub(crate) async fn inject(
+    faults: &[Fault],
+    entries: &Entries,
+    site: &StandInSite,
+    workers: &[Relay],
+) {
+    let began = Instant::now();
+    // (when, the fault, whether it begins)
+    let mut changes: Vec<(Duration, &Fault, bool)> = faults
+        .iter()
+        .flat_map(|fault| [(fault.at, fault, true), (fault.at + fault.length, fault, false)])
+        .collect();
+    changes.sort_by_key(|(at, ..)| *at);
+    for (at, fault, begins) in changes {
+        tokio::time::sleep_until(began + at).await;
+        change(fault.kind, begins, entries, site, workers);
+    }
+}
+
+fn change(
+    kind: FaultKind,
+    begins: bool,
+    entries: &Entries,
+    site: &StandInSite,
+    workers: &[Relay],
+) {
+    let mode = |mode: RelayMode| if begins { mode } else { RelayMode::Pass };
+    match kind {
+        FaultKind::Kill(entry) if begins => entries.all[entry].kill(),
+        FaultKind::Stop(entry) if begins => entries.all[entry].signal(Signal::TERM),
+        FaultKind::Kill(entry) | FaultKind::Stop(entry) => entries.all[entry].start(),
+        FaultKind::Freeze(entry) => {
+            let signal = if begins { Signal::STOP } else { Signal::CONT };
+            entries.all[entry].signal(signal);
+        }
+        FaultKind::Reload(entry) if begins => entries.all[entry].signal(Signal::HUP),
+        FaultKind::Reload(_) => {}
+        FaultKind::KillAll => {
+            for entry in &entries.all {
+                if begins {
+                    entry.kill();
+                } else {
+                    entry.start();
+                }
+            }
+        }
+        FaultKind::StorePath(entry, with) => entries.all[entry].store.set_mode(mode(with)),
+        FaultKind::WorkerPath(worker, with) => workers[worker].set_mode(mode(with)),
+        FaultKind::StoreDown => site.set_store_down(begins),
+    }
+}
--- /dev/null
+++ b/rhubarbfall/tests/soak/judge.rs
@@ -0,0 +1,165 @@
+//! Compares what callers were told with what workers saw.
+
+use std::collections::BTreeMap;
+
+use crate::callers::{Record, Told};
+use crate::stand_in::Span;
+
+/// How many tasks of the soak's submissions a worker has room for.
+const WORKER_ROOM: usize = 4;
+
+/// How many tasks a submission has, and how many of them its first step.
+const TASKS: usize = 5;
+
+/// Which checks had something to look at, and what broke them.
+#[derive(Debug, Default)]
+pub(crate) struct Verdict {
+    pub(crate) broken: Vec<String>,
+    checked: BTreeMap<&'static str, usize>,
+}
+
+impl Verdict {
+    fn check(&mut self, promise: &'static str, holds: bool, what: impl FnOnce() -> String) {
+        *self.checked.entry(promise).or_default() += 1;
+        if !holds {
+            self.broken.push(format!("{promise}: {}", what()));
+        }
+    }
+
+    pub(crate) fn summary(&self) -> String {
+        const ALL: [&str; 7] = [
+            "accepted work is completed",
+            "not run is true",
+            "one run at a time",
+            "no start after it was done",
+            "steps in their order",
+            "within a worker's room",
+            "answers are true",
+        ];
+        let unchecked: Vec<&str> = ALL
+            .into_iter()
+            .filter(|promise| !self.checked.contains_key(promise))
+            .collect();
+        let state = if self.broken.is_empty() { "held" } else { "BROKEN" };
+        if unchecked.is_empty() {
+            state.to_owned()
+        } else {
+            format!("{state} (not checked: {})", unchecked.join(", "))
+        }
+    }
+}
+
+/// Judges one seed.
+pub(crate) fn judge(record: &Record, spans: &[Span]) -> Verdict {
+    let mut verdict = Verdict::default();
+    let mut by_task: BTreeMap<&str, Vec<&Span>> = BTreeMap::new();
+    for span in spans {
+        by_task.entry(&span.task).or_default().push(span);
+    }
+    let told = record.told();
+    for (id, told) in told.iter() {
+        judge_submission(&mut verdict, id, told, &by_task);
+    }
+    for (task, spans) in &mut by_task {
+        spans.sort_by_key(|span| span.from_ms);
+        judge_task(&mut verdict, task, spans);
+    }
+    judge_order_of_steps(&mut verdict, &by_task);
+    judge_room(&mut verdict, spans);
+    verdict
+}
+
+fn judge_submission(
+    verdict: &mut Verdict,
+    id: &str,
+    told: &Told,
+    by_task: &BTreeMap<&str, Vec<&Span>>,
+) {
+    let prefix = format!("{id}.");
+    let tasks = || by_task.iter().filter(|(task, _)| task.starts_with(&prefix));
+    let done = tasks()
+        .filter(|(_, spans)| spans.iter().any(|span| span.how == "done"))
+        .count();
+    if told.was_refused() {
+        verdict.check("not run is true", tasks().count() == 0, || {
+            format!("{id} was refused and {} of its tasks started", tasks().count())
+        });
+    }
+    if told.accepted_at.is_some() && told.cancelled_at.is_none() && !told.is_unclear {
+        verdict.check(
+            "accepted work is completed",
+            done == TASKS && told.shown_completed_at.is_some(),
+            || format!("{id}: {done} of {TASKS} tasks done, shown {:?}", told.shown_completed_at),
+        );
+    }
+    if told.shown_completed_at.is_some() {
+        verdict.check("answers are true", done == TASKS, || {
+            format!("{id} was shown as completed with {done} of {TASKS} tasks done")
+        });
+    }
+    verdict.check("answers are true", told.wrong.is_empty(), || {
+        format!("{id}: {}", told.wrong.join(", "))
+    });
+}
+
+/// Checks that runs of a task follow one another, and that none begins after one was done. An end
+/// that nobody took note of before the worker's leases lapsed does not count, as the platform states
+/// it: its worker was out of reach.
+fn judge_task(verdict: &mut Verdict, task: &str, spans: &[&Span]) {
+    for pair in spans.windows(2) {
+        let (first, second) = (pair[0], pair[1]);
+        let is_over = first.to_ms.is_some_and(|to_ms| to_ms <= second.from_ms);
+        verdict.check("one run at a time", is_over, || {
+            format!("{task}: {first:?} and {second:?}")
+        });
+        verdict.check("no start after it was done", first.how != "done" || !first.is_noted, || {
+            format!("{task}: {first:?} and {second:?}")
+        });
+    }
+}
+
+/// Checks that no task of the second step begins before all of the first are done.
+fn judge_order_of_steps(verdict: &mut Verdict, by_task: &BTreeMap<&str, Vec<&Span>>) {
+    for (task, spans) in by_task {
+        let mut parts = task.split('.');
+        let (id, _, step) = (parts.next().unwrap_or_default(), parts.next(), parts.next());
+        if step != Some("1") {
+            continue;
+        }
+        let first_step = format!("{id}.0.0.");
+        let done_ms: Vec<u64> = by_task
+            .iter()
+            .filter(|(other, _)| other.starts_with(&first_step))
+            .filter_map(|(_, spans)| spans.iter().find(|span| span.how == "done")?.to_ms)
+            .collect();
+        let from_ms = spans.iter().map(|span| span.from_ms).min().unwrap_or(0);
+        let is_after = done_ms.len() == 3 && done_ms.iter().all(|done_ms| *done_ms <= from_ms);
+        verdict.check("steps in their order", is_after, || {
+            format!("{task} began at {from_ms}, the step before was done at {done_ms:?}")
+        });
+    }
+}
+
+fn judge_room(verdict: &mut Verdict, spans: &[Span]) {
+    let mut by_worker: BTreeMap<usize, Vec<(u64, i64)>> = BTreeMap::new();
+    for span in spans {
+        let changes = by_worker.entry(span.worker).or_default();
+        changes.push((span.from_ms, 1));
+        changes.extend(span.to_ms.map(|to_ms| (to_ms, -1)));
+    }
+    for (worker, mut changes) in by_worker {
+        // What ends in the same millisecond ends first.
+        changes.sort_unstable();
+        let mut running = 0;
+        let most = changes
+            .iter()
+            .map(|(_, change)| {
+                running += change;
+                running
+            })
+            .max();
+        verdict.check("within a worker's room", most <= Some(WORKER_ROOM as i64), || {
+            format!("worker {worker} ran {most:?} tasks at once")
+        });
+    }
+}
--- /dev/null
+++ b/rhubarbfall/tests/soak/main.rs
@@ -0,0 +1,184 @@
+//! A randomized soak: entries as separate processes against a stand-in of the users' platform, with
+//! faults from outside them, and the promises judged by what callers and workers saw.
+//!
+//! `cargo test --release -p rhubarbfall --test soak -- --seed 7` plays one seed, `--seeds 50` plays
+//! fifty from `--first`, and without either the regression cases and two more are played.
+
+mod callers;
+mod entry;
+mod faults;
+mod judge;
+#[path = "../../../platform/tests/stand_in/mod.rs"]
+mod stand_in;
+
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rhubarbfall_testing::{Relay, RelayMode};
+use stand_in::StandInSite;
+
+use callers::Record;
+use entry::Entries;
+
+/// Seeds that failed once, each with the cause. They are played in every run of CI.
+const REGRESSIONS: [(u64, &str); 0] = [];
+
+/// Seeds that CI plays besides.
+const CI_SEEDS: [u64; 2] = [1, 2];
+
+/// How long faults are injected.
+const FAULT_TIME: Duration = Duration::from_secs(12);
+
+/// How long submissions may take to end after the last fault: the longest lease, and their work.
+const SETTLE_TIME: Duration = Duration::from_secs(30);
+
+/// How long a task takes.
+const TASK_TIME: Duration = Duration::from_millis(600);
+
+const TEST_NAME: &str = "soak_keeps_the_promises";
+
+/// The shape of one seed's fleet.
+#[derive(Debug, Clone, Copy)]
+struct Shape {
+    entries: usize,
+    workers: usize,
+    callers: usize,
+}
+
+fn main() -> ExitCode {
+    let arguments = command().get_matches();
+    if arguments.get_flag("list") {
+        println!("{TEST_NAME}: test");
+        return ExitCode::SUCCESS;
+    }
+    if !is_selected(&arguments) {
+        return ExitCode::SUCCESS;
+    }
+    let first = arguments.get_one::<u64>("first").copied().unwrap_or(1_000);
+    let seeds: Vec<u64> = match (
+        arguments.get_one::<u64>("seed"),
+        arguments.get_one::<u64>("seeds"),
+    ) {
+        (Some(seed), _) => vec![*seed],
+        (None, Some(count)) => (first..first + count).collect(),
+        (None, None) => REGRESSIONS
+            .iter()
+            .map(|(seed, _)| *seed)
+            .chain(CI_SEEDS)
+            .collect(),
+    };
+    let shape = Shape {
+        entries: arguments.get_one::<usize>("entries").copied().unwrap_or(4),
+        workers: arguments.get_one::<usize>("workers").copied().unwrap_or(6),
+        callers: arguments.get_one::<usize>("callers").copied().unwrap_or(8),
+    };
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+    let failed: Vec<u64> = seeds
+        .iter()
+        .copied()
+        .filter(|seed| !runtime.block_on(play(*seed, shape)))
+        .collect();
+    println!("{} passed, {} failed", seeds.len() - failed.len(), failed.len());
+    if failed.is_empty() {
+        ExitCode::SUCCESS
+    } else {
+        println!("failed seeds: {failed:?}");
+        ExitCode::FAILURE
+    }
+}
+
+fn command() -> Command {
+    let number = |name: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .value_parser(value_parser!(u64))
+            .num_args(1)
+    };
+    let count = |name: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .value_parser(value_parser!(usize))
+            .num_args(1)
+    };
+    let flag = |name: &'static str| Arg::new(name).long(name).action(ArgAction::SetTrue);
+    Command::new("soak")
+        .arg(number("seed"))
+        .arg(number("seeds"))
+        .arg(number("first"))
+        .arg(count("entries"))
+        .arg(count("workers"))
+        .arg(count("callers"))
+        // What the test harness of the workspace passes to every test program.
+        .arg(flag("list"))
+        .arg(flag("exact"))
+        .arg(flag("nocapture"))
+        .arg(Arg::new("skip").long("skip").action(ArgAction::Append))
+        .arg(Arg::new("filter").action(ArgAction::Append))
+}
+
+fn is_selected(arguments: &ArgMatches) -> bool {
+    let named = |id: &str| {
+        arguments
+            .get_many::<String>(id)
+            .map(|names| names.cloned().collect::<Vec<String>>())
+    };
+    let is_named = named("filter").is_none_or(|names| names.iter().any(|name| name == TEST_NAME));
+    is_named && !named("skip").unwrap_or_default().contains(&TEST_NAME.to_owned())
+}
+
+/// Plays one seed and returns whether every promise held.
+async fn play(seed: u64, shape: Shape) -> bool {
+    let began = Instant::now();
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let site = StandInSite::start(shape.workers, TASK_TIME).await;
+    let mut worker_relays = Vec::new();
+    for index in 0..shape.workers {
+        let relay = Relay::start(site.worker(index)).await.expect("a relay");
+        site.register(index, relay.address());
+        worker_relays.push(relay);
+    }
+    let entries = Arc::new(Entries::start(&site, seed, shape.entries).await);
+    let record = Arc::new(Record::default());
+    let callers: Vec<_> = (0..shape.callers)
+        .map(|_| {
+            let seed = rng.random();
+            let (entries, record) = (Arc::clone(&entries), Arc::clone(&record));
+            tokio::spawn(callers::run(seed, entries, record))
+        })
+        .collect();
+    let schedule = faults::schedule(&mut rng, FAULT_TIME, shape.entries, shape.workers);
+    faults::inject(&schedule, &entries, &site, &worker_relays).await;
+    heal(&entries, &site, &worker_relays).await;
+    record.stop();
+    for caller in callers {
+        caller.await.expect("a caller ends");
+    }
+    callers::wait_ended(&entries, &record, SETTLE_TIME).await;
+    let verdict = judge::judge(&record, &site.spans());
+    let took = began.elapsed();
+    println!("seed {seed}: {} in {took:.1?}; {}", verdict.summary(), record.summary());
+    if !verdict.broken.is_empty() {
+        for broken in &verdict.broken {
+            println!("  broken: {broken}");
+        }
+        for fault in &schedule {
+            println!("  fault: {fault:?}");
+        }
+        println!("  logs: {}", entries.keep_logs().display());
+        println!("  again: cargo test --release -p rhubarbfall --test soak -- --seed {seed}");
+    }
+    entries.end();
+    verdict.broken.is_empty()
+}
+
+async fn heal(entries: &Entries, site: &StandInSite, workers: &[Relay]) {
+    site.set_store_down(false);
+    for relay in workers {
+        relay.set_mode(RelayMode::Pass);
+    }
+    entries.heal().await;
+}
