feat(runs): ask a queue's advice service which workers may run its steps

Cause: starts of a queue with advice were sent without a ticket and refused, so that nothing of it was ever served. Ruled out: asking for every worker (the service takes one call at a time, and each worker adds to it), asking at each start. Change: a step that finds no worker with a ticket asks for up to 30, those with room first, one call at a time by the order in which tasks start. A denial lasts as long as the submission, a ticket until 0.3 s before its time or the end of the worker's life; a start that is refused for its ticket asks again and counts nothing against the worker. New setting advice. Conclusion: steps are asked for when they may start, not ahead of it; that would save one call's time a step.

--- a/rhubarbfall-runs/src/fleet_config.rs
+++ b/rhubarbfall-runs/src/fleet_config.rs
@@ -39,6 +39,19 @@
     pub objective: Duration,
     /// Whether callers need no key.
     pub is_public: bool,
+    /// How the advice service takes calls, when its tickets are needed to start the queue's tasks.
+    pub advice: Option<AdviceTerms>,
+}
+
+/// How long the advice service takes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AdviceTerms {
+    /// What a call takes.
+    pub decide: Duration,
+    /// What each worker that the call names adds.
+    pub each: Duration,
+    /// How long a ticket is valid.
+    pub valid: Duration,
 }
 
 /// A service: a pool of workers.
@@ -66,6 +79,13 @@
 }
 
 impl FleetConfig {
+    /// Returns whether starts of a queue's tasks carry a ticket of the advice service.
+    #[must_use]
+    pub fn needs_ticket(&self, queue: &QueueId) -> bool {
+        self.queue(queue)
+            .is_some_and(|queue| queue.advice.is_some())
+    }
+
     /// Finds the queue with this host and the longest matching prefix.
     ///
     /// # Examples
--- a/rhubarbfall-runs/src/lib.rs
+++ b/rhubarbfall-runs/src/lib.rs
@@ -9,13 +9,14 @@
 mod record;
 mod resources;
 pub mod scheduler;
+mod step_id;
 mod submission;
 mod task;
 mod task_id;
 mod worker;
 mod worker_events;
 
-pub use fleet_config::{Customer, FleetConfig, Queue, Service};
+pub use fleet_config::{AdviceTerms, Customer, FleetConfig, Queue, Service};
 pub use job::{Job, JobState, Occurrence, StepRun};
 pub use progress::{JobProgress, OpenTask, PlacedRun};
 pub use record::{
@@ -24,6 +25,7 @@
 };
 pub use resources::Resources;
 pub use scheduler::Scheduler;
+pub use step_id::{ParseStepIdError, StepId};
 pub use submission::{Schedule, Step, Submission, SubmissionError};
 pub use task::{Order, Phase, Placement, Task};
 pub use task_id::{ParseTaskIdError, TaskId};
--- a/rhubarbfall-runs/src/scheduler/action.rs
+++ b/rhubarbfall-runs/src/scheduler/action.rs
@@ -3,7 +3,7 @@
 
 use rhubarbfall_core::{ServiceId, VmId, WaveId, WorkerId};
 
-use crate::TaskId;
+use crate::{StepId, TaskId};
 
 /// Something that the owner has to do.
 #[derive(Debug, Clone, PartialEq)]
@@ -21,6 +21,13 @@
         /// The service whose pool it joins.
         to: ServiceId,
     },
+    /// Ask which workers may run a step.
+    Advise {
+        /// The step.
+        step: StepId,
+        /// The workers.
+        workers: Vec<WorkerId>,
+    },
     /// Begin the maintenance of a VM.
     Maintain {
         /// The VM.
@@ -47,6 +54,8 @@
     pub checkpoint: Option<Arc<str>>,
     /// The end of the lease on the worker's clock.
     pub lease_deadline_ms: u64,
+    /// What the worker asks for where the queue has an advice service.
+    pub ticket: Option<Arc<str>>,
 }
 
 /// An order to stop a run.
--- /dev/null
+++ b/rhubarbfall-runs/src/scheduler/advice.rs
@@ -0,0 +1,176 @@
+//! Which workers may run the steps of a queue with an advice service, asked ahead in batches: the
+//! service takes one call at a time, and each takes long.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use litemap::LiteMap;
+use rhubarbfall_core::{BootTime, WorkerId};
+
+use super::Scheduler;
+use super::action::Action;
+use crate::{AdviceTerms, Step, StepId, Worker};
+
+/// How many workers one call asks for: enough for most steps, and no longer than a step's share of
+/// its time allows.
+const ASK_WORKERS: usize = 30;
+
+/// A ticket is not used in the last part of its time: a placement is stored before its start is sent.
+const TICKET_MARGIN: Duration = Duration::from_millis(300);
+
+/// The pause after a call without an answer or one that was turned away.
+const REST: Duration = Duration::from_millis(150);
+
+/// What the advice service said of some workers.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct AdviceAnswer {
+    /// The workers that may run the step, each with the ticket that its starts carry.
+    pub good: Vec<(WorkerId, Arc<str>)>,
+    /// How long the tickets are valid from when they were given.
+    pub valid: Duration,
+}
+
+/// What is known of a worker for one step.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Permission {
+    /// It may not run the step, whatever comes.
+    Denied,
+    /// It may run the step with this ticket.
+    Granted {
+        ticket: Arc<str>,
+        /// The life of the worker that the ticket is for.
+        born_unix_ms: u64,
+        until: BootTime,
+    },
+}
+
+/// What is known and asked.
+#[derive(Debug, Default)]
+pub(super) struct Advice {
+    steps: LiteMap<StepId, LiteMap<WorkerId, Permission>>,
+    is_asking: bool,
+    rests_until: BootTime,
+}
+
+impl Advice {
+    /// Returns the ticket with which a worker may start a step's tasks now.
+    pub(super) fn ticket(&self, step: &StepId, worker: &Worker, now: BootTime) -> Option<Arc<str>> {
+        match self.steps.get(step)?.get(&worker.report.id)? {
+            Permission::Granted {
+                ticket,
+                born_unix_ms,
+                until,
+            } if *born_unix_ms == worker.report.born_unix_ms && now < *until => {
+                Some(Arc::clone(ticket))
+            }
+            Permission::Granted { .. } | Permission::Denied => None,
+        }
+    }
+
+    /// Forgets a ticket that a worker did not take.
+    pub(super) fn forget(&mut self, step: &StepId, worker: &WorkerId) {
+        if let Some(known) = self.steps.get_mut(step) {
+            known.remove(worker);
+        }
+    }
+
+    fn is_denied(&self, step: &StepId, worker: &WorkerId) -> bool {
+        let known = self.steps.get(step).and_then(|known| known.get(worker));
+        known == Some(&Permission::Denied)
+    }
+}
+
+impl Scheduler {
+    /// Asks which workers may run a step that found none, unless a call is on its way: the most urgent
+    /// step asks first.
+    pub(super) fn ask_advice(&mut self, id: &StepId, step: &Step, usable: &[usize], now: BootTime) {
+        if self.advice.is_asking || now < self.advice.rests_until {
+            // The next look asks.
+            self.has_news = true;
+            return;
+        }
+        let mut candidates: Vec<&Worker> = usable
+            .iter()
+            .filter_map(|index| self.workers.get_indexed(*index).map(|(_, worker)| worker))
+            .filter(|worker| !self.advice.is_denied(id, &worker.report.id))
+            .filter(|worker| self.advice.ticket(id, worker, now).is_none())
+            .filter(|worker| step.reserved().fits_in(worker.report.capacity))
+            .collect();
+        // Those with room now, and among them those that placing would choose.
+        candidates.sort_by_key(|worker| {
+            let room = worker.room();
+            (!step.reserved().fits_in(room), room.cpu_millis)
+        });
+        candidates.truncate(ASK_WORKERS);
+        if candidates.is_empty() {
+            return;
+        }
+        let workers: Vec<WorkerId> = candidates
+            .iter()
+            .map(|worker| worker.report.id.clone())
+            .collect();
+        log::info!("event=advice_asked step={id} workers={}", workers.len());
+        self.advice.is_asking = true;
+        self.actions.push(Action::Advise {
+            step: id.clone(),
+            workers,
+        });
+    }
+
+    /// Returns how the advice service takes calls for a step's queue.
+    #[must_use]
+    pub fn advice_terms(&self, step: &StepId) -> Option<AdviceTerms> {
+        let job = self.jobs.get(&step.submission)?;
+        self.config.queue(&job.submission.queue)?.advice
+    }
+
+    /// Takes what the advice service said; `None` means that it did not answer, or was too busy.
+    /// `sent_at` is when the call was sent.
+    pub fn advice_answered(
+        &mut self,
+        step: &StepId,
+        asked: &[WorkerId],
+        answer: Option<AdviceAnswer>,
+        sent_at: BootTime,
+        now: BootTime,
+    ) {
+        self.advice.is_asking = false;
+        self.has_news = true;
+        let Some(answer) = answer else {
+            self.advice.rests_until = now + REST;
+            return;
+        };
+        log::info!(
+            "event=advice_given step={step} asked={} good={} took_ms={}",
+            asked.len(),
+            answer.good.len(),
+            now.since(sent_at).as_millis()
+        );
+        self.forget_ended_advice();
+        let until = sent_at + answer.valid.saturating_sub(TICKET_MARGIN);
+        let mut known = self.advice.steps.remove(step).unwrap_or_default();
+        for id in asked {
+            let ticket = answer.good.iter().find(|(good, _)| good == id);
+            let permission = match (ticket, self.workers.get(id)) {
+                (None, _) => Permission::Denied,
+                (Some(_), None) => continue,
+                (Some((_, ticket)), Some(worker)) => Permission::Granted {
+                    ticket: Arc::clone(ticket),
+                    born_unix_ms: worker.report.born_unix_ms,
+                    until,
+                },
+            };
+            known.insert(id.clone(), permission);
+        }
+        self.advice.steps.insert(step.clone(), known);
+    }
+
+    /// Forgets what is known for submissions that have ended.
+    fn forget_ended_advice(&mut self) {
+        let jobs = &self.jobs;
+        self.advice.steps.retain(|step, _| {
+            jobs.get(&step.submission)
+                .is_some_and(|job| !job.state.is_final())
+        });
+    }
+}
--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -1,6 +1,7 @@
 //! The state of one owner and its transitions, a duty a file.
 
 mod action;
+mod advice;
 mod holds;
 mod intake;
 mod interruptions;
@@ -26,6 +27,7 @@
 use crate::{FleetConfig, Job, Order, Phase, Placement, Resources, TaskId, Worker};
 
 pub use action::{Action, PaceOrder, StartOrder, StopOrder};
+pub use advice::AdviceAnswer;
 pub use holds::HoldOrder;
 pub use intake::{CallerState, Intake};
 pub use pools::{PoolLoad, plan_moves};
@@ -57,6 +59,7 @@
     /// Whether something changed that may let a waiting task start.
     has_news: bool,
     upkeep: upkeep::Upkeep,
+    advice: advice::Advice,
     pools_logged_at: BootTime,
     /// When time alone was looked at last.
     checked_at: BootTime,
@@ -85,6 +88,7 @@
             unadopted: LiteMap::new(),
             has_news: true,
             upkeep: upkeep::Upkeep::default(),
+            advice: advice::Advice::default(),
             pools_logged_at: BootTime::default(),
             checked_at: BootTime::default(),
             interrupt_after: BootTime::default(),
--- a/rhubarbfall-runs/src/scheduler/orders.rs
+++ b/rhubarbfall-runs/src/scheduler/orders.rs
@@ -2,7 +2,7 @@
 
 use super::Scheduler;
 use super::action::{Action, StopOrder};
-use crate::{Order, StartOutcome, Step, Task, TaskId, WorkerState};
+use crate::{Order, StartOutcome, Step, StepId, Task, TaskId, WorkerState};
 
 /// A task that is estimated to be long shows no progress for up to this part of its estimate.
 const LEAST_PROGRESS: u32 = 20;
@@ -62,6 +62,9 @@
                 _ => {}
             }
         }
+        if outcome == StartOutcome::TicketRefused {
+            self.advice.forget(&StepId::of(id), worker);
+        }
         self.requeue(id, now, outcome.as_str());
     }
 
--- a/rhubarbfall-runs/src/scheduler/placing.rs
+++ b/rhubarbfall-runs/src/scheduler/placing.rs
@@ -5,7 +5,7 @@
 
 use super::Scheduler;
 use super::ordering::{Candidate, Rank, beyond_capacity, load_s, rank};
-use crate::{JobState, Order, Phase, Placement, Resources, Step, TaskId, Worker};
+use crate::{JobState, Order, Phase, Placement, Resources, Step, StepId, TaskId, Worker};
 
 /// The part of a begun submission's open tasks that is still to be done, on average: they are
 /// halfway through.
@@ -14,6 +14,8 @@
 /// What is found once for all that is placed in one go.
 #[derive(Debug, Default)]
 struct Pass {
+    /// When it takes place.
+    now: BootTime,
     /// The workers of each service that take work, by their index.
     usable: LiteMap<ServiceId, Vec<usize>>,
     /// Demands that no worker of a service has room for; larger ones need no look.
@@ -52,6 +54,7 @@
         let silent_after = self.settings.silent_after;
         let cordoned = self.upkeep.cordoned();
         let mut pass = Pass {
+            now,
             due: self.workers_due(),
             ..Pass::default()
         };
@@ -207,13 +210,26 @@
             step: group.step,
             index,
         };
+        let step_id = StepId {
+            submission: group.submission.clone(),
+            occurrence: group.occurrence,
+            step: group.step,
+        };
+        let needs_ticket = self.config.needs_ticket(&job.submission.queue);
         if step.is_gang {
             let tasks: Vec<TaskId> = group.indexes.iter().map(|index| task_id(*index)).collect();
-            return self.place_gang(&step, &group.service, &tasks, pass, now);
+            let is_placed = self.place_gang(&step, &group.service, &tasks, pass, now);
+            if !is_placed && needs_ticket {
+                self.ask_for_group(&step_id, &step, &group.service, pass, now);
+            }
+            return;
         }
         for index in &group.indexes {
             let id = task_id(*index);
             let Some(worker) = self.choose_worker(&id, &step, &group.service, pass) else {
+                if needs_ticket {
+                    self.ask_for_group(&step_id, &step, &group.service, pass, now);
+                }
                 return;
             };
             let run = self.next_run(&id);
@@ -221,7 +237,19 @@
         }
     }
 
-    /// Places all members of a gang, or none.
+    fn ask_for_group(
+        &mut self,
+        id: &StepId,
+        step: &Step,
+        service: &ServiceId,
+        pass: &Pass,
+        now: BootTime,
+    ) {
+        let usable = pass.usable.get(service).cloned().unwrap_or_default();
+        self.ask_advice(id, step, &usable, now);
+    }
+
+    /// Places all members of a gang, or none, and returns whether they are placed.
     fn place_gang(
         &mut self,
         step: &Step,
@@ -229,9 +257,9 @@
         tasks: &[TaskId],
         pass: &mut Pass,
         now: BootTime,
-    ) {
+    ) -> bool {
         if tasks.len() < step.tasks as usize {
-            return;
+            return false;
         }
         let run = tasks.iter().map(|id| self.next_run(id)).max().unwrap_or(1);
         let mut placed: Vec<(TaskId, WorkerId)> = Vec::new();
@@ -243,7 +271,7 @@
             placed.push((id.clone(), worker));
         }
         if placed.len() == tasks.len() {
-            return;
+            return true;
         }
         for (id, _) in placed {
             self.release(&id, now);
@@ -254,6 +282,7 @@
             }
         }
         self.has_news = false;
+        false
     }
 
     fn next_run(&self, id: &TaskId) -> u64 {
@@ -278,6 +307,8 @@
             return None;
         }
         let reserved = step.reserved();
+        let needs_ticket = self.config.needs_ticket(&job.submission.queue);
+        let step_id = StepId::of(id);
         let blocked = pass.blocked.get(service);
         if blocked.is_some_and(|blocked| blocked.iter().any(|least| least.fits_in(reserved))) {
             return None;
@@ -291,6 +322,9 @@
         let chosen = fitting
             .inspect(|_| has_room = true)
             .filter(|worker| has_label(worker, step))
+            .filter(|worker| {
+                !needs_ticket || self.advice.ticket(&step_id, worker, pass.now).is_some()
+            })
             .filter(|worker| !Self::is_step_full(worker, id, step))
             .min_by_key(|worker| {
                 let is_avoided = task.avoid.as_ref() == Some(&worker.report.id);
--- a/rhubarbfall-runs/src/scheduler/storing.rs
+++ b/rhubarbfall-runs/src/scheduler/storing.rs
@@ -2,7 +2,9 @@
 
 use super::Scheduler;
 use super::action::{Action, StartOrder};
-use crate::{Job, JobProgress, JobState, Order, TaskId, encode_progress, encode_submission};
+use crate::{
+    Job, JobProgress, JobState, Order, StepId, TaskId, encode_progress, encode_submission,
+};
 
 /// The most entries of one transaction, as the platform states it, less the ownership's condition
 /// and its renewal.
@@ -153,6 +155,15 @@
         let Some(job) = self.jobs.get(&id.submission) else {
             return;
         };
+        let needs_ticket = self.config.needs_ticket(&job.submission.queue);
+        let ticket = self
+            .workers
+            .get(&worker_id)
+            .filter(|_| needs_ticket)
+            .and_then(|worker| self.advice.ticket(&StepId::of(id), worker, now));
+        if needs_ticket && ticket.is_none() {
+            return self.requeue(id, now, "ticket_expired");
+        }
         let order = StartOrder {
             worker: worker_id,
             address,
@@ -161,6 +172,7 @@
             program: job.submission.program.clone(),
             checkpoint: job.task(id).and_then(|task| task.checkpoint.clone()),
             lease_deadline_ms,
+            ticket,
         };
         self.set_order(id, Order::Sending);
         self.actions.push(Action::Start(order));
--- a/rhubarbfall-runs/src/scheduler/waves.rs
+++ b/rhubarbfall-runs/src/scheduler/waves.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use rhubarbfall_core::{BootTime, RowVersion, SubmissionId, VmId, WaveId, WorkerId};
+use rhubarbfall_core::{BootTime, RowVersion, VmId, WaveId, WorkerId};
 
 use super::Scheduler;
 use super::storing::WaveRow;
 use super::upkeep::{VmPhase, VmRow, VmState, VmTask, VmWork};
-use crate::{TaskId, encode_wave};
+use crate::{StepId, TaskId, encode_wave};
 
 /// How long a VM is under way: until its tasks have ended or lasting ones have moved one by one, and
 /// its maintenance.
@@ -19,9 +19,6 @@
 /// The part of a wave's time that is kept in reserve for its last VMs.
 const WAVE_RESERVE: f64 = 0.4;
 
-/// A step of one occurrence of a submission.
-type StepId = (SubmissionId, u32, u16);
-
 /// A request that VMs are maintained.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Wave {
@@ -341,17 +338,14 @@
             job.is_some_and(|job| job.submission.steps[usize::from(task.step)].is_lasting)
         };
         let lasting = worker.placed.iter().filter(is_lasting);
-        lasting
-            .map(|task| (task.submission.clone(), task.occurrence, task.step))
-            .collect()
+        lasting.map(StepId::of).collect()
     }
 
     /// Returns whether fewer tasks of a step are about to leave than it may miss.
     fn may_leave(&self, step: &StepId, leaving: &[StepId]) -> bool {
-        let may_miss = self
-            .jobs
-            .get(&step.0)
-            .map_or(1, |job| job.submission.steps[usize::from(step.2)].may_miss);
+        let may_miss = self.jobs.get(&step.submission).map_or(1, |job| {
+            job.submission.steps[usize::from(step.step)].may_miss
+        });
         leaving.iter().filter(|other| *other == step).count() < may_miss.max(1) as usize
     }
 
--- a/rhubarbfall-runs/src/worker_events.rs
+++ b/rhubarbfall-runs/src/worker_events.rs
@@ -104,6 +104,8 @@
     NoRoom,
     /// Another worker listens at the address.
     OtherWorker,
+    /// The worker does not take the ticket, or misses one.
+    TicketRefused,
     /// The worker did not take it, for a reason of its own.
     Refused,
     /// No connection could be made.
@@ -123,6 +125,7 @@
             Self::LeaseTooOld => "lease_too_old",
             Self::NoRoom => "no_room",
             Self::OtherWorker => "other_worker",
+            Self::TicketRefused => "ticket_refused",
             Self::Refused => "refused",
             Self::NotSent => "not_sent",
             Self::Unknown => "unknown",
--- a/rhubarbfall-runs/tests/model/mod.rs
+++ b/rhubarbfall-runs/tests/model/mod.rs
@@ -9,12 +9,12 @@
 use rand_chacha::ChaCha8Rng;
 use rhubarbfall_core::{BootTime, FencingNumber, RowVersion, SubmissionId, WorkerId};
 use rhubarbfall_runs::scheduler::{
-    Action, Batch, SchedulerSettings, StartOrder, StoredJob, VmRow, VmState,
+    Action, AdviceAnswer, Batch, SchedulerSettings, StartOrder, StoredJob, VmRow, VmState,
 };
 use rhubarbfall_runs::{
     Customer, FleetConfig, HoldAnswer, JobState, Queue, Resources, RunEnd, RunEndKind, RunningRun,
-    Scheduler, Service, StartOutcome, Step, Submission, TaskId, WorkerReport, decode_progress,
-    decode_submission,
+    Scheduler, Service, StartOutcome, Step, StepId, Submission, TaskId, WorkerReport,
+    decode_progress, decode_submission,
 };
 
 /// How far one step of the model goes.
@@ -26,6 +26,9 @@
 /// How long a VM is away for a move or for maintenance.
 const AWAY: Duration = Duration::from_millis(1_500);
 
+/// How long a call for advice takes.
+const ADVICE_TAKES: Duration = Duration::from_millis(120);
+
 /// A worker's room, as on the users' platform.
 pub(crate) const WORKER_SIZE: Resources = Resources {
     cpu_millis: 64_000,
@@ -87,6 +90,13 @@
     pub(crate) moves: u64,
     /// How long a worker keeps a call that holds its leases.
     pub(crate) hold_takes: Duration,
+    /// How many workers each call for advice named.
+    pub(crate) advice_asked: Vec<usize>,
+    /// Which workers may run the tasks of queues with advice; all when unset.
+    pub(crate) advised: Option<fn(&WorkerId) -> bool>,
+    advice: Vec<(BootTime, StepId, Vec<WorkerId>, AdviceAnswer)>,
+    /// The tickets of the starts.
+    pub(crate) tickets: Vec<Option<std::sync::Arc<str>>>,
     /// The paces that were ordered.
     pub(crate) paces: Vec<(TaskId, u8)>,
     /// How long a lasting task takes to be at work.
@@ -118,6 +128,7 @@
         stretch: 1.6,
         objective: Duration::from_millis(600),
         is_public: false,
+        advice: None,
     };
     FleetConfig {
         version: 1,
@@ -176,6 +187,10 @@
             starts: 0,
             moves: 0,
             hold_takes: Duration::ZERO,
+            advice_asked: Vec::new(),
+            advised: None,
+            advice: Vec::new(),
+            tickets: Vec::new(),
             paces: Vec::new(),
             warm_up: Duration::ZERO,
             tail_ms: 0,
@@ -249,6 +264,7 @@
         self.scheduler
             .confirm_ownership(self.now + Duration::from_secs(9));
         self.advance_vms();
+        self.answer_advice();
         self.advance_runs();
         self.hold_all();
         self.scheduler.tick(self.now, 0);
@@ -258,6 +274,22 @@
         self.judge();
     }
 
+    /// Changes the configuration.
+    pub(crate) fn configure(&mut self, change: impl FnOnce(&mut FleetConfig)) {
+        change(&mut self.config);
+        self.scheduler.set_config(self.config.clone().into());
+    }
+
+    fn answer_advice(&mut self) {
+        let now = self.now;
+        let due: Vec<_> = self.advice.extract_if(.., |(at, ..)| *at <= now).collect();
+        for (at, step, workers, answer) in due {
+            let sent_at = at.before(ADVICE_TAKES);
+            self.scheduler
+                .advice_answered(&step, &workers, Some(answer), sent_at, now);
+        }
+    }
+
     fn advance_vms(&mut self) {
         for vm in 0..self.vms.len() {
             if let Some((pool, at)) = self.vms[vm].joins.clone()
@@ -388,6 +420,19 @@
                     self.scheduler
                         .stop_answered(task, worker, run, true, self.now);
                 }
+                Action::Advise { step, workers } => {
+                    self.advice_asked.push(workers.len());
+                    let valid = Duration::from_secs(3);
+                    let is_good = |id: &&WorkerId| self.advised.is_none_or(|of| of(id));
+                    let good: Vec<_> = workers
+                        .iter()
+                        .filter(is_good)
+                        .map(|id| (id.clone(), format!("{step}-{id}").into()))
+                        .collect();
+                    let answer = AdviceAnswer { good, valid };
+                    let at = self.now + ADVICE_TAKES;
+                    self.advice.push((at, step, workers, answer));
+                }
                 Action::Move { vm, to } => {
                     self.moves += 1;
                     self.take_away(vm.as_str(), to.as_str());
@@ -425,6 +470,7 @@
 
     fn start(&mut self, order: &StartOrder) {
         self.starts += 1;
+        self.tickets.push(order.ticket.clone());
         let now = self.now;
         let length = self.lengths[&order.task.submission];
         let fence = self.fence;
--- a/rhubarbfall-runs/tests/peak_load.rs
+++ b/rhubarbfall-runs/tests/peak_load.rs
@@ -135,7 +135,10 @@
         assert_eq!(model.broken, Vec::<String>::new());
         assert_eq!(model.count(JobState::Completed), asked);
         let share = in_time as f64 / asked as f64;
-        println!("seed {seed}: {in_time} of {asked} in time, {} moves", model.moves);
+        println!(
+            "seed {seed}: {in_time} of {asked} in time, {} moves",
+            model.moves
+        );
         assert!(share >= 0.95, "seed {seed}: {in_time} of {asked} in time");
     }
 }
--- a/rhubarbfall-runs/tests/wave_time.rs
+++ b/rhubarbfall-runs/tests/wave_time.rs
@@ -44,16 +44,17 @@
         max_down: 19,
     };
     let began_at = model.now;
-    model
-        .scheduler
-        .wave_requested(wave, None, model.now, 0);
+    model.scheduler.wave_requested(wave, None, model.now, 0);
     let mut done_after = None;
     let mut most_down = 0;
     while model.now.since(began_at) < WAVE_TIME * 2 && done_after.is_none() {
         model.run_for(model::STEP);
         most_down = most_down.max(model.maintained_now());
         let states = model.scheduler.unreported_waves();
-        if states.iter().any(|(_, state)| *state == WaveState::Completed) {
+        if states
+            .iter()
+            .any(|(_, state)| *state == WaveState::Completed)
+        {
             done_after = Some(model.now.since(began_at));
         }
     }
--- a/rhubarbfall-scheduler/src/beacon.rs
+++ b/rhubarbfall-scheduler/src/beacon.rs
@@ -118,7 +118,10 @@
             owner.or(seed)
         };
         turn += 1;
-        if owner.is_some() && asked == owner && node.now().since(node.owner_heard_at.get()) < INTERVAL {
+        if owner.is_some()
+            && asked == owner
+            && node.now().since(node.owner_heard_at.get()) < INTERVAL
+        {
             continue;
         }
         let Some(address) = asked.filter(|address| *address != node.settings.peers) else {
--- a/rhubarbfall-scheduler/src/node.rs
+++ b/rhubarbfall-scheduler/src/node.rs
@@ -10,7 +10,7 @@
 use rhubarbfall_core::{BootTime, EntryId, FencingNumber, SharedClock, WaveId};
 use rhubarbfall_runs::FleetConfig;
 use rhubarbfall_runs::scheduler::Wave;
-use rhubarbfall_site::{HttpCaller, StoreClient, VmService};
+use rhubarbfall_site::{AdviceService, HttpCaller, StoreClient, VmService};
 use tokio::sync::Notify;
 
 use crate::owner::Owner;
@@ -37,6 +37,7 @@
     pub(crate) clock: SharedClock,
     pub(crate) store: StoreClient,
     pub(crate) vm_service: VmService,
+    pub(crate) advice: Option<AdviceService>,
     pub(crate) metrics: Option<PrometheusHandle>,
     /// Tells this life of the process from others of the same entry.
     pub(crate) incarnation: u64,
@@ -87,6 +88,7 @@
     ) -> Self {
         Self {
             store: StoreClient::new(settings.store, STORE_TIMEOUT),
+            advice: settings.advice.map(AdviceService::new),
             vm_service: VmService::new(settings.vm_service, settings.entry.clone(), VM_TIMEOUT),
             settings,
             clock,
--- a/rhubarbfall-scheduler/src/owner/mod.rs
+++ b/rhubarbfall-scheduler/src/owner/mod.rs
@@ -1,5 +1,6 @@
 //! The duties of the entry that owns the submissions.
 
+mod advice_loop;
 mod round_trip;
 mod state_rows;
 mod store_loop;
@@ -226,7 +227,8 @@
 
     /// Takes how late a timer was.
     fn note_lateness(&self, late: Duration) {
-        let smoothed = self.lateness.get().mul_f64(1.0 - LATENESS_GAIN) + late.mul_f64(LATENESS_GAIN);
+        let smoothed =
+            self.lateness.get().mul_f64(1.0 - LATENESS_GAIN) + late.mul_f64(LATENESS_GAIN);
         self.lateness.set(smoothed);
         metrics::gauge!("timer_lateness_seconds").set(smoothed.as_secs_f64());
     }
@@ -399,6 +401,7 @@
             Action::Start(order) => worker_loop::start_not_sent(owner, &order, now),
             Action::Stop(order) => worker_loop::stop_run(node, owner, order),
             Action::Pace(order) => worker_loop::pace_run(owner, order),
+            Action::Advise { step, workers } => advice_loop::ask(node, owner, step, workers),
             Action::Move { .. } | Action::Maintain { .. } => {
                 vm_loop::order(node, owner, action, may_act);
             }
--- a/rhubarbfall-scheduler/src/owner/vm_loop.rs
+++ b/rhubarbfall-scheduler/src/owner/vm_loop.rs
@@ -41,7 +41,7 @@
                 let outcome = node.vm_service.maintain(&vm, &wave, fence).await;
                 (vm, outcome)
             }
-            Action::Start(_) | Action::Stop(_) | Action::Pace(_) => return,
+            Action::Start(_) | Action::Stop(_) | Action::Pace(_) | Action::Advise { .. } => return,
         };
         let is_done = match outcome {
             VmOrderOutcome::Done => Some(true),
--- a/rhubarbfall-scheduler/src/ownership.rs
+++ b/rhubarbfall-scheduler/src/ownership.rs
@@ -317,10 +317,7 @@
             (cell_row(OWNER_KEY), watch.owner_row),
             (cell_row(RENEWAL_KEY), watch.renewal_row),
         ],
-        writes: vec![
-            (cell_row(OWNER_KEY), owner_row.encode_to_vec()),
-            renewal,
-        ],
+        writes: vec![(cell_row(OWNER_KEY), owner_row.encode_to_vec()), renewal],
         removed: Vec::new(),
     };
     let sent_at = node.now();
--- a/rhubarbfall-scheduler/src/settings.rs
+++ b/rhubarbfall-scheduler/src/settings.rs
@@ -55,6 +55,9 @@
     pub store: SocketAddr,
     /// The service that lists, moves and maintains VMs.
     pub vm_service: SocketAddr,
+    /// The service that knows which workers may run a step, where queues need it.
+    #[serde(default)]
+    pub advice: Option<SocketAddr>,
     /// The longest lease that a worker grants, in milliseconds.
     pub max_lease_ms: u64,
     /// How many moves and maintenance calls a second the VM service takes from all entries.
--- a/rhubarbfall-testing/src/relay.rs
+++ b/rhubarbfall-testing/src/relay.rs
@@ -101,7 +101,13 @@
             let (server_read, server_write) = server.into_split();
             let opened_at_epoch = epoch;
             tokio::join!(
-                copy(client_read, server_write, mode.clone(), opened_at_epoch, false),
+                copy(
+                    client_read,
+                    server_write,
+                    mode.clone(),
+                    opened_at_epoch,
+                    false
+                ),
                 copy(server_read, client_write, mode, opened_at_epoch, true),
             );
         });
--- a/rhubarbfall/src/cli.rs
+++ b/rhubarbfall/src/cli.rs
@@ -15,7 +15,7 @@
         Some(("schedule", arguments)) => {
             let run_for = arguments.get_one::<Duration>("run-for").copied();
             commands::schedule(&settings_path(arguments), run_for)
-        },
+        }
         Some(("check-settings", arguments)) => commands::check_settings(&settings_path(arguments)),
         Some(("stand-in", arguments)) => commands::stand_in(arguments),
         Some(("dev", arguments)) => dev::run(&dev_options(arguments)),
--- a/rhubarbfall/tests/soak/callers.rs
+++ b/rhubarbfall/tests/soak/callers.rs
@@ -114,10 +114,17 @@
             .body(Full::new(Bytes::from_static(body.as_bytes())))
             .expect("a request");
         let exchange = async {
-            let response = self.client.request(request).await.map_err(|error| !error.is_connect())?;
+            let response = self
+                .client
+                .request(request)
+                .await
+                .map_err(|error| !error.is_connect())?;
             let status = response.status();
             let body = response.into_body().collect().await.map_err(|_| true)?;
-            Ok((status, String::from_utf8_lossy(&body.to_bytes()).into_owned()))
+            Ok((
+                status,
+                String::from_utf8_lossy(&body.to_bytes()).into_owned(),
+            ))
         };
         tokio::time::timeout(TIME_LIMIT, exchange)
             .await
@@ -157,7 +164,8 @@
                 record.update(id, |told| told.accepted_at = Some(Instant::now()));
                 return true;
             }
-            Ok((StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS, _)) | Err(false) => {}
+            Ok((StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS, _))
+            | Err(false) => {}
             Ok(_) | Err(true) => record.update(id, |told| told.is_unclear = true),
         }
         pause(caller, 800).await;
@@ -181,7 +189,9 @@
         return;
     };
     record.update(id, |told| {
-        let accepted_for = told.accepted_at.map(|at| asked_at.saturating_duration_since(at));
+        let accepted_for = told
+            .accepted_at
+            .map(|at| asked_at.saturating_duration_since(at));
         let is_known = accepted_for.is_some_and(|age| age > VISIBLE_AFTER);
         let is_cancelled = told.cancelled_at.is_some() || told.is_unclear;
         if status == StatusCode::GONE && is_known && !is_cancelled {
--- a/rhubarbfall/tests/soak/entry.rs
+++ b/rhubarbfall/tests/soak/entry.rs
@@ -63,7 +63,11 @@
             .tempdir()
             .expect("a directory");
         let peers: Vec<SocketAddr> = (0..count).map(|_| free_address()).collect();
-        let seeds: Vec<String> = peers.iter().take(3).map(|seed| format!("\"{seed}\"")).collect();
+        let seeds: Vec<String> = peers
+            .iter()
+            .take(3)
+            .map(|seed| format!("\"{seed}\""))
+            .collect();
         let mut all = Vec::new();
         for (index, peers) in peers.iter().enumerate() {
             let store = Relay::start(site.store).await.expect("a relay");
--- a/rhubarbfall/tests/soak/faults.rs
+++ b/rhubarbfall/tests/soak/faults.rs
@@ -92,7 +92,12 @@
     // (when, the fault, whether it begins)
     let mut changes: Vec<(Duration, &Fault, bool)> = faults
         .iter()
-        .flat_map(|fault| [(fault.at, fault, true), (fault.at + fault.length, fault, false)])
+        .flat_map(|fault| {
+            [
+                (fault.at, fault, true),
+                (fault.at + fault.length, fault, false),
+            ]
+        })
         .collect();
     changes.sort_by_key(|(at, ..)| *at);
     for (at, fault, begins) in changes {
@@ -101,13 +106,7 @@
     }
 }
 
-fn change(
-    kind: FaultKind,
-    begins: bool,
-    entries: &Entries,
-    site: &StandInSite,
-    workers: &[Relay],
-) {
+fn change(kind: FaultKind, begins: bool, entries: &Entries, site: &StandInSite, workers: &[Relay]) {
     let mode = |mode: RelayMode| if begins { mode } else { RelayMode::Pass };
     match kind {
         FaultKind::Kill(entry) if begins => entries.all[entry].kill(),
--- a/rhubarbfall/tests/soak/judge.rs
+++ b/rhubarbfall/tests/soak/judge.rs
@@ -40,7 +40,11 @@
             .into_iter()
             .filter(|promise| !self.checked.contains_key(promise))
             .collect();
-        let state = if self.broken.is_empty() { "held" } else { "BROKEN" };
+        let state = if self.broken.is_empty() {
+            "held"
+        } else {
+            "BROKEN"
+        };
         if unchecked.is_empty() {
             state.to_owned()
         } else {
@@ -82,14 +86,22 @@
         .count();
     if told.was_refused() {
         verdict.check("not run is true", tasks().count() == 0, || {
-            format!("{id} was refused and {} of its tasks started", tasks().count())
+            format!(
+                "{id} was refused and {} of its tasks started",
+                tasks().count()
+            )
         });
     }
     if told.accepted_at.is_some() && told.cancelled_at.is_none() && !told.is_unclear {
         verdict.check(
             "accepted work is completed",
             done == TASKS && told.shown_completed_at.is_some(),
-            || format!("{id}: {done} of {TASKS} tasks done, shown {:?}", told.shown_completed_at),
+            || {
+                format!(
+                    "{id}: {done} of {TASKS} tasks done, shown {:?}",
+                    told.shown_completed_at
+                )
+            },
         );
     }
     if told.shown_completed_at.is_some() {
@@ -112,9 +124,11 @@
         verdict.check("one run at a time", is_over, || {
             format!("{task}: {first:?} and {second:?}")
         });
-        verdict.check("no start after it was done", first.how != "done" || !first.is_noted, || {
-            format!("{task}: {first:?} and {second:?}")
-        });
+        verdict.check(
+            "no start after it was done",
+            first.how != "done" || !first.is_noted,
+            || format!("{task}: {first:?} and {second:?}"),
+        );
     }
 }
 
@@ -158,8 +172,10 @@
                 running
             })
             .max();
-        verdict.check("within a worker's room", most <= Some(WORKER_ROOM as i64), || {
-            format!("worker {worker} ran {most:?} tasks at once")
-        });
+        verdict.check(
+            "within a worker's room",
+            most <= Some(WORKER_ROOM as i64),
+            || format!("worker {worker} ran {most:?} tasks at once"),
+        );
     }
 }
--- a/rhubarbfall/tests/soak/main.rs
+++ b/rhubarbfall/tests/soak/main.rs
@@ -82,7 +82,11 @@
         .copied()
         .filter(|seed| !runtime.block_on(play(*seed, shape)))
         .collect();
-    println!("{} passed, {} failed", seeds.len() - failed.len(), failed.len());
+    println!(
+        "{} passed, {} failed",
+        seeds.len() - failed.len(),
+        failed.len()
+    );
     if failed.is_empty() {
         ExitCode::SUCCESS
     } else {
@@ -127,7 +131,10 @@
             .map(|names| names.cloned().collect::<Vec<String>>())
     };
     let is_named = named("filter").is_none_or(|names| names.iter().any(|name| name == TEST_NAME));
-    is_named && !named("skip").unwrap_or_default().contains(&TEST_NAME.to_owned())
+    is_named
+        && !named("skip")
+            .unwrap_or_default()
+            .contains(&TEST_NAME.to_owned())
 }
 
 /// Plays one seed and returns whether every promise held.
@@ -160,7 +167,11 @@
     callers::wait_ended(&entries, &record, SETTLE_TIME).await;
     let verdict = judge::judge(&record, &site.spans());
     let took = began.elapsed();
-    println!("seed {seed}: {} in {took:.1?}; {}", verdict.summary(), record.summary());
+    println!(
+        "seed {seed}: {} in {took:.1?}; {}",
+        verdict.summary(),
+        record.summary()
+    );
     if !verdict.broken.is_empty() {
         for broken in &verdict.broken {
             println!("  broken: {broken}");
