fix(runs): count a run's standstill from its start and by its worker's answers

Cause: a run was taken to stand still 1.5 s after its placement, though its start waits for the store, and by the owner's clock, though a busy owner asks late. Change: the time counts from the answer to the start, up to the worker's last answer. Before, after: the replay a_run_that_starts_late_does_not_stand_still starts 8 and 4 runs for 4 tasks.

--- a/rhubarbfall-runs/src/scheduler/orders.rs
+++ b/rhubarbfall-runs/src/scheduler/orders.rs
@@ -1,8 +1,10 @@
+use std::time::Duration;
+
 use rhubarbfall_core::{BootTime, WorkerId};
 
 use super::Scheduler;
 use super::action::{Action, StopOrder};
-use crate::{Order, StartOutcome, Step, StepId, Task, TaskId, WorkerState};
+use crate::{Order, Placement, StartOutcome, Step, StepId, Task, TaskId, WorkerState};
 
 /// A task that is estimated to be long shows no progress for up to this part of its estimate.
 const LEAST_PROGRESS: u32 = 20;
@@ -28,6 +30,7 @@
             StartOutcome::Accepted if order == Some(Order::Sending) => {
                 self.set_order(id, Order::Accepted(now));
                 self.note_started(id);
+                self.note_progress(id, now);
             }
             StartOutcome::Unknown if order == Some(Order::Sending) => {
                 log::warn!("event=start_unclear id={id} run={run} worker={worker}");
@@ -38,6 +41,17 @@
         }
     }
 
+    /// Counts from now on how long a run shows no progress.
+    fn note_progress(&mut self, id: &TaskId, now: BootTime) {
+        let job = self.jobs.get_mut(&id.submission);
+        if let Some(placement) = job
+            .and_then(|job| job.task_mut(id))
+            .and_then(Task::placement_mut)
+        {
+            placement.progress_at = now;
+        }
+    }
+
     /// Notes that a worker has started a task.
     pub(super) fn note_started(&mut self, id: &TaskId) {
         if let Some(job) = self.jobs.get_mut(&id.submission) {
@@ -181,17 +195,23 @@
         }
     }
 
-    /// Stops runs that show no progress, so that they start again on another worker.
+    /// Stops runs that show no progress, so that they start again on another worker. What counts is
+    /// the time between two answers of the worker: an owner that asks late learns late of progress.
     pub(super) fn stop_stalled(&mut self, now: BootTime) {
         let stalled_after = self.settings.stalled_after;
+        let told_for = |placed: &Placement| {
+            let worker = self.workers.get(&placed.worker);
+            worker.map_or(Duration::ZERO, |worker| {
+                worker.answered_at.since(placed.progress_at)
+            })
+        };
         let stalled = self.placed_where(|step, task| {
             let can_stall = !step.is_filler && !step.is_lasting && !step.is_gang;
             can_stall
                 && task.placement().is_some_and(|placed| {
                     matches!(placed.order, Order::Accepted(_))
                         && placed.percent < 100
-                        && now.since(placed.progress_at)
-                            > stalled_after.max(step.estimate / LEAST_PROGRESS)
+                        && told_for(placed) > stalled_after.max(step.estimate / LEAST_PROGRESS)
                 })
         });
         for id in stalled {
--- a/rhubarbfall-runs/tests/faults.rs
+++ b/rhubarbfall-runs/tests/faults.rs
@@ -438,3 +438,21 @@
     model.store(&batch);
     assert_eq!(model.scheduler.next_batch(), None);
 }
+
+/// A run whose start had to wait for the store has not stood still meanwhile.
+#[test]
+fn a_run_that_starts_late_does_not_stand_still() {
+    let mut model = Model::new(&[("labels", 2), ("spare", 0)], 13);
+    model.run_for(Duration::from_millis(300));
+    model.is_store_slow = true;
+    model.submit(
+        submission(1, "labels", step(4, 9_000)),
+        Duration::from_secs(2),
+    );
+    model.run_for(Duration::from_millis(1_800));
+    assert_eq!(model.starts, 0);
+    model.is_store_slow = false;
+    model.run_for(Duration::from_secs(3));
+    assert_eq!(model.starts, 4, "no task was started again");
+    assert_eq!(model.count(JobState::Completed), 1);
+}
--- a/rhubarbfall-runs/tests/model/mod.rs
+++ b/rhubarbfall-runs/tests/model/mod.rs
@@ -88,6 +88,8 @@
     pub(crate) fence: u64,
     pub(crate) starts: u64,
     pub(crate) moves: u64,
+    /// Whether nothing is stored for the time being.
+    pub(crate) is_store_slow: bool,
     /// How long a worker keeps a call that holds its leases.
     pub(crate) hold_takes: Duration,
     /// How many workers each call for advice named.
@@ -186,6 +188,7 @@
             fence: 1,
             starts: 0,
             moves: 0,
+            is_store_slow: false,
             hold_takes: Duration::ZERO,
             advice_asked: Vec::new(),
             advised: None,
@@ -498,6 +501,9 @@
     }
 
     fn store_all(&mut self) {
+        if self.is_store_slow {
+            return;
+        }
         while let Some(batch) = self.scheduler.next_batch() {
             self.store(&batch);
         }
