perf(scheduler): let renewals come together for entries that are no successors

Change: while the owner answers, an entry pauses 50 ms over its part of a core, 0.475 s at most, between two such calls. An owner that falls silent ends the pauses within 0.35 s.

--- a/rhubarbfall-scheduler/src/ownership.rs
+++ b/rhubarbfall-scheduler/src/ownership.rs
@@ -59,6 +59,17 @@
 /// times as long, a fraction of the time that a takeover takes.
 const WHOLE_CORE_DELAY: Duration = Duration::from_millis(30);
 
+/// An owner that answered this entry within this time is at work: a little more than the time between
+/// two regular exchanges.
+const OWNER_AT_WORK: Duration = Duration::from_millis(350);
+
+/// How long an entry with a whole core lets renewals come together; one with a tenth ten times as
+/// long.
+const WHOLE_CORE_PAUSE: Duration = Duration::from_millis(50);
+
+/// The longest of these pauses: half of the shortest time after which an owner counts as silent.
+const MAX_FOLLOW_PAUSE: Duration = Duration::from_millis(475);
+
 /// The slowest that a worker's clock may run, as the platform states it, and a margin.
 const LEASE_SLACK: f64 = 1.04;
 
@@ -219,9 +230,17 @@
     if is_free || was_me || is_silent {
         tokio::time::sleep(takeover_delay(node.settings.cpu_share)).await;
         take_over(node, watch, &belief).await;
+    } else if node.now().since(node.owner_heard_at.get()) < OWNER_AT_WORK {
+        tokio::time::sleep(follow_pause(node.settings.cpu_share)).await;
     }
 }
 
+/// Returns how long an entry lets renewals come together while the owner is at work: every call to the
+/// store has its price, and an entry with little processor time is no successor.
+fn follow_pause(cpu_share: f64) -> Duration {
+    WHOLE_CORE_PAUSE.div_f64(cpu_share).min(MAX_FOLLOW_PAUSE)
+}
+
 /// Returns how long an entry leaves a free ownership to others: those with less processor time wait
 /// longer, since deciding for all workers takes more than the smallest of them have.
 fn takeover_delay(cpu_share: f64) -> Duration {
