fix(scheduler): let entries that are cut off with the owner leave the rotation

The old owner is in that zone and answers the other entries' beacons, though it can store nothing; so they took themselves for in touch, stayed ready and went on sending to it. Most of the 504 took 0 ms: a caller that came back with no time left was 'sent' to the owner with a time limit of zero. Change: a beacon's answer tells whether the owner can store what it takes, and only such an answer counts as hearing it; an entry without store and owner leaves the rotation after 1.2 s (1.6 s) and refuses at once; a request with less than 50 ms left is refused unsent.

--- a/rhubarbfall-scheduler/src/beacon.rs
+++ b/rhubarbfall-scheduler/src/beacon.rs
@@ -40,6 +40,9 @@
     /// The configuration as the operator wrote it, when it is newer than the asker's.
     #[prost(bytes = "bytes", optional, tag = "3")]
     pub(crate) config_text: Option<Bytes>,
+    /// Whether the answering entry is the owner and can store what it takes.
+    #[prost(bool, tag = "4")]
+    pub(crate) is_acting: bool,
 }
 
 /// The owner.
@@ -82,6 +85,7 @@
         fencing_number: belief.fencing_number.get(),
         holder: belief.holder.as_ref().map(HolderMessage::from),
         config_text: is_newer.then(|| node.config_text.borrow().clone()),
+        is_acting: node.acting_owner().is_some(),
     }
 }
 
@@ -92,9 +96,12 @@
     };
     match peer::beacon(node, address, &request, PROBE_TIMEOUT).await {
         Ok(answer) => {
-            node.owner_heard_at.set(node.now());
+            let is_acting = answer.is_acting;
+            if is_acting {
+                node.owner_heard_at.set(node.now());
+            }
             take(node, answer);
-            true
+            is_acting
         }
         Err(error) => {
             log::debug!("event=owner_unreachable peer={address} error={error:?}");
@@ -132,7 +139,7 @@
         };
         match peer::beacon(&node, address, &request, TIMEOUT).await {
             Ok(answer) => {
-                if Some(address) == owner {
+                if Some(address) == owner && answer.is_acting {
                     node.owner_heard_at.set(node.now());
                 }
                 take(&node, answer);
--- a/rhubarbfall-scheduler/src/callers.rs
+++ b/rhubarbfall-scheduler/src/callers.rs
@@ -37,6 +37,9 @@
 /// How long an owner may take for one answer before it is asked again: several slow transactions.
 const ASK_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// With less time than this nothing is sent: the answer could only be that the outcome is unknown.
+const MIN_ASK: Duration = Duration::from_millis(50);
+
 /// The pause before the owner is asked again.
 const ASK_PAUSE: Duration = Duration::from_millis(60);
 
@@ -222,6 +225,9 @@
 ) -> Submitted {
     let began_at = node.now();
     let mut may_be_taken = false;
+    if limit < MIN_ASK || node.is_alone() {
+        return Submitted::NoOwner;
+    }
     loop {
         let left = limit.saturating_sub(node.now().since(began_at));
         match ask(left.min(ASK_TIMEOUT)).await {
--- a/rhubarbfall-scheduler/src/node.rs
+++ b/rhubarbfall-scheduler/src/node.rs
@@ -19,9 +19,9 @@
 /// How long a call to the store may take: its worst announced slow-down, and the way.
 const STORE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// An entry that has heard neither the store nor the owner for this long is cut off: the store
-/// answers within a second when nothing has changed, the owner every half second.
-const ALONE_AFTER: Duration = Duration::from_millis(1_600);
+/// An entry that has heard neither the store nor an owner at work for this long is cut off: both answer
+/// several times a second, the store after a second when there is no owner.
+const ALONE_AFTER: Duration = Duration::from_millis(1_200);
 
 /// An owner that has not answered for this long is asked whether it is there before it is sent
 /// anything: two of the regular exchanges, and the way.
@@ -53,7 +53,7 @@
     pub(crate) owner: RefCell<Option<Rc<Owner>>>,
     /// When the store answered last.
     pub(crate) store_heard_at: Cell<BootTime>,
-    /// When the owner answered last.
+    /// When the owner last answered that it can store what it takes.
     pub(crate) owner_heard_at: Cell<BootTime>,
     pub(crate) is_stopping: Cell<bool>,
     /// Wakes duties when a planned stop begins.
@@ -125,7 +125,7 @@
         owner.may_act(self.now()).then_some(owner)
     }
 
-    /// Returns whether neither the store nor the owner has been heard of late: the entry is cut off
+    /// Returns whether neither the store nor an owner at work has been heard of late: the entry is cut off
     /// and can serve nobody.
     pub(crate) fn is_alone(&self) -> bool {
         let heard_at = self.store_heard_at.get().max(self.owner_heard_at.get());
--- a/rhubarbfall-scheduler/src/peer.rs
+++ b/rhubarbfall-scheduler/src/peer.rs
@@ -141,12 +141,7 @@
 ) -> Result<Bytes, PeerError> {
     let peer = node.peer(address);
     match peer.call(method, path, &[], body, timeout).await {
-        Ok(answer) if answer.status == StatusCode::OK => {
-            if node.other_owner() == Some(address) {
-                node.owner_heard_at.set(node.now());
-            }
-            Ok(answer.body)
-        }
+        Ok(answer) if answer.status == StatusCode::OK => Ok(answer.body),
         Ok(answer) => {
             log::debug!(
                 "event=peer_refused peer={address} path={path} status={}",
--- a/rhubarbfall/tests/submissions.rs
+++ b/rhubarbfall/tests/submissions.rs
@@ -12,6 +12,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
+use rhubarbfall_testing::{Relay, RelayMode};
 use stand_in::StandInSite;
 
 /// How long a test waits for what has to come: several takeovers.
@@ -20,6 +21,7 @@
 struct EntryProcess {
     child: Child,
     callers: SocketAddr,
+    readiness: SocketAddr,
     peers: SocketAddr,
 }
 
@@ -37,16 +39,23 @@
 }
 
 fn start_entry(site: &StandInSite, name: &str, seeds: &[SocketAddr]) -> EntryProcess {
-    let (callers, peers) = (free_address(), free_address());
+    start_entry_with_store(site, site.store, name, seeds)
+}
+
+fn start_entry_with_store(
+    site: &StandInSite,
+    store: SocketAddr,
+    name: &str,
+    seeds: &[SocketAddr],
+) -> EntryProcess {
+    let (callers, peers, readiness) = (free_address(), free_address(), free_address());
     let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
     let settings = format!(
         "entry = \"{name}\"\navailability_zone = \"zone-a\"\ncallers = \"{callers}\"\n\
-         readiness = \"{}\"\npeers = \"{peers}\"\nmetrics = \"{}\"\nseeds = [{}]\n\
-         store = \"{}\"\nvm_service = \"{}\"\nmax_lease_ms = 10000\nstop_grace_s = 6\n",
-        free_address(),
+         readiness = \"{readiness}\"\npeers = \"{peers}\"\nmetrics = \"{}\"\nseeds = [{}]\n\
+         store = \"{store}\"\nvm_service = \"{}\"\nmax_lease_ms = 10000\nstop_grace_s = 6\n",
         free_address(),
         seeds.join(", "),
-        site.store,
         site.vm_service,
     );
     let directory = tempfile::tempdir().expect("a directory");
@@ -61,6 +70,7 @@
     EntryProcess {
         child,
         callers,
+        readiness,
         peers,
     }
 }
@@ -70,6 +80,16 @@
     method: Method,
     path: &str,
     body: &str,
+) -> Option<(StatusCode, String)> {
+    call_within(entry, method, path, body, 3_000).await
+}
+
+async fn call_within(
+    entry: &EntryProcess,
+    method: Method,
+    path: &str,
+    body: &str,
+    limit_ms: u64,
 ) -> Option<(StatusCode, String)> {
     let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
     let request = Request::builder()
@@ -77,7 +97,7 @@
         .uri(format!("http://{}{path}", entry.callers))
         .header("host", "labels.example")
         .header("api-key", "key-a")
-        .header("x-deadline-ms", "3000")
+        .header("x-deadline-ms", limit_ms)
         .body(Full::new(Bytes::from(body.to_owned())))
         .expect("a request");
     let response = client.request(request).await.ok()?;
@@ -184,3 +204,53 @@
         .collect();
     assert!(first.iter().all(|(_, run)| *run == 1), "{first:?}");
 }
+
+async fn is_ready(entry: &EntryProcess) -> bool {
+    let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
+    let uri = format!("http://{}/-/ready", entry.readiness);
+    let response = client.get(uri.parse().expect("an address")).await;
+    response.is_ok_and(|response| response.status() == StatusCode::OK)
+}
+
+/// A zone that is cut off may hold the last owner: it answers, and can store nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_that_are_cut_off_with_the_owner_leave_the_rotation() {
+    let site = StandInSite::start(2, Duration::from_millis(150)).await;
+    let relay = Relay::start(site.store).await.expect("a relay");
+    let first = start_entry_with_store(&site, relay.address(), "entry-1", &[]);
+    submit(&[&first], "00000000000000d1").await;
+    let second = start_entry_with_store(&site, relay.address(), "entry-2", &[first.peers]);
+    submit(&[&second], "00000000000000d2").await;
+    relay.set_mode(RelayMode::Silent);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    assert!(!is_ready(&first).await, "the owner is in rotation");
+    assert!(!is_ready(&second).await, "the other entry is in rotation");
+    let began = Instant::now();
+    let answer = call(&second, Method::POST, "/print/00000000000000d3", BODY).await;
+    assert_eq!(
+        answer.map(|(status, _)| status),
+        Some(StatusCode::SERVICE_UNAVAILABLE)
+    );
+    assert!(began.elapsed() < Duration::from_millis(500));
+    relay.set_mode(RelayMode::Pass);
+    submit(&[&first, &second], "00000000000000d4").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_without_time_left_is_refused_unsent() {
+    let site = StandInSite::start(2, Duration::from_millis(150)).await;
+    let entry = start_entry(&site, "entry-1", &[]);
+    submit(&[&entry], "00000000000000e1").await;
+    let path = "/print/00000000000000e2";
+    let answer = call_within(&entry, Method::POST, path, BODY, 100).await;
+    assert_eq!(
+        answer.map(|(status, _)| status),
+        Some(StatusCode::SERVICE_UNAVAILABLE)
+    );
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    let started = site.started();
+    assert!(
+        !started.iter().any(|(task, _)| task.contains("e2.")),
+        "{started:?}"
+    );
+}
