fix(runs): bound the starts on their way, and store changed jobs in turn

Cause: (1) everything that has room is placed at once, and the starts are sent in the order of their placement. (2) A batch takes the jobs with the lowest identifiers; when more change than it holds, those with high ones wait for ever. Ruled out: the store's time (6 ms), room on workers (120 VMs for a need of 40). Change: at most 200 tasks are between their placement and the worker's answer; the rest waits in the order of urgency. A batch goes on after the last job of the one before.

--- a/rhubarbfall-runs/src/scheduler/intake.rs
+++ b/rhubarbfall-runs/src/scheduler/intake.rs
@@ -169,14 +169,18 @@
             job.is_excess,
             job.submission.critical_path().as_millis()
         );
-        for task in job.tasks_where(|task| task.placement().is_some()) {
-            if let Some(task) = job.task_mut(&task)
+        let placed = job.tasks_where(|task| task.placement().is_some());
+        for task in &placed {
+            if let Some(task) = job.task_mut(task)
                 && let Phase::Placed(placement) = &mut task.phase
                 && !placement.order.is_stopping()
             {
                 placement.order = Order::STOP;
             }
         }
+        for task in &placed {
+            self.set_starting(task, false);
+        }
         self.mark_dirty(id);
         self.has_news = true;
     }
--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -49,7 +49,10 @@
     arrivals: LiteMap<CustomerId, token_bucket::TokenBucket>,
     recent_work: recent_work::RecentWork,
     actions: Vec<Action>,
+    /// The jobs that have to be stored, sorted.
     dirty: Vec<SubmissionId>,
+    /// The last job of the last batch.
+    stored_last: Option<SubmissionId>,
     /// Until when the ownership was confirmed to last if nobody else is heard of.
     leases_until: BootTime,
     /// When placements of an earlier owner have surely ended on workers that do not answer.
@@ -60,6 +63,8 @@
     has_news: bool,
     upkeep: upkeep::Upkeep,
     advice: advice::Advice,
+    /// The tasks that are placed and whose start has no answer yet, sorted.
+    starting: Vec<TaskId>,
     pools_logged_at: BootTime,
     /// When time alone was looked at last.
     checked_at: BootTime,
@@ -83,12 +88,14 @@
             recent_work: recent_work::RecentWork::default(),
             actions: Vec::new(),
             dirty: Vec::new(),
+            stored_last: None,
             leases_until: BootTime::default(),
             inherited_until: None,
             unadopted: LiteMap::new(),
             has_news: true,
             upkeep: upkeep::Upkeep::default(),
             advice: advice::Advice::default(),
+            starting: Vec::new(),
             pools_logged_at: BootTime::default(),
             checked_at: BootTime::default(),
             interrupt_after: BootTime::default(),
@@ -164,8 +171,18 @@
         }
     }
 
+    /// Notes that a start is on its way, or not any more.
+    fn set_starting(&mut self, id: &TaskId, is_starting: bool) {
+        match (self.starting.binary_search(id), is_starting) {
+            (Ok(index), false) => drop(self.starting.remove(index)),
+            (Err(index), true) => self.starting.insert(index, id.clone()),
+            (Ok(_), true) | (Err(_), false) => {}
+        }
+    }
+
     /// Frees what a task's placement reserves, without changing the task.
     fn release(&mut self, id: &TaskId, now: BootTime) {
+        self.set_starting(id, false);
         let Some(job) = self.jobs.get(&id.submission) else {
             return;
         };
@@ -222,6 +239,12 @@
     }
 
     fn set_order(&mut self, id: &TaskId, order: Order) {
+        if self.starting.len() >= self.settings.max_starting && order != Order::Sending {
+            // There is room for another start.
+            self.has_news = true;
+        }
+        let is_starting = matches!(order, Order::Recording(_) | Order::Sending);
+        self.set_starting(id, is_starting);
         if let Some(job) = self.jobs.get_mut(&id.submission)
             && let Some(task) = job.task_mut(id)
             && let Phase::Placed(placement) = &mut task.phase
--- a/rhubarbfall-runs/src/scheduler/placing.rs
+++ b/rhubarbfall-runs/src/scheduler/placing.rs
@@ -46,6 +46,9 @@
         groups.sort_by_key(|group| group.rank);
         let mut pass = self.start_pass(now);
         for group in &groups {
+            if self.starting.len() >= self.settings.max_starting {
+                break;
+            }
             self.place_group(group, &mut pass, now);
         }
     }
@@ -225,6 +228,9 @@
             return;
         }
         for index in &group.indexes {
+            if self.starting.len() >= self.settings.max_starting {
+                return;
+            }
             let id = task_id(*index);
             let Some(worker) = self.choose_worker(&id, &step, &group.service, pass) else {
                 if needs_ticket {
@@ -402,6 +408,7 @@
             });
         }
         log::info!("event=run_placed id={id} run={run} worker={worker_id}");
+        self.set_starting(id, true);
         self.mark_dirty(&id.submission);
     }
 }
--- a/rhubarbfall-runs/src/scheduler/settings.rs
+++ b/rhubarbfall-runs/src/scheduler/settings.rs
@@ -30,6 +30,10 @@
     /// How often the pace of fillers is set: a pace takes effect within 100 ms and shows in the tails
     /// of the last half second.
     pub pace_interval: Duration,
+    /// The most starts on their way, from the placement to the worker's answer: several times what a
+    /// round trip to the store needs at the highest load. What waits beyond them is still in the order
+    /// of its urgency, when the owner's processor is the limit.
+    pub max_starting: usize,
     /// The most moves and maintenance calls in flight at the same time: each takes one connection.
     pub max_vm_calls: usize,
     /// How many moves a second may begin, from all entries together, as the platform limits them.
@@ -50,6 +54,7 @@
             interrupt_pause: Duration::from_millis(2_500),
             check_interval: Duration::from_millis(80),
             pace_interval: Duration::from_millis(600),
+            max_starting: 200,
             max_vm_calls: 32,
             vm_moves_per_s: 48.0,
         }
--- a/rhubarbfall-runs/src/scheduler/storing.rs
+++ b/rhubarbfall-runs/src/scheduler/storing.rs
@@ -83,6 +83,12 @@
         let waves = self.changed_waves();
         let mut rows = Vec::new();
         let (mut entries, mut bytes, mut taken) = (2 * waves.len(), 0, 0);
+        // Those after the last one of the batch before have waited longest.
+        let first = self
+            .stored_last
+            .as_ref()
+            .map_or(0, |last| self.dirty.partition_point(|id| id <= last));
+        self.dirty.rotate_left(first);
         for id in &self.dirty {
             if let Some(job) = self.jobs.get_mut(id) {
                 let row = batch_row(id, job);
@@ -96,7 +102,11 @@
             }
             taken += 1;
         }
-        self.dirty.drain(..taken);
+        let taken: Vec<SubmissionId> = self.dirty.drain(..taken).collect();
+        if let Some(last) = taken.last() {
+            self.stored_last = Some(last.clone());
+        }
+        self.dirty.sort_unstable();
         (!rows.is_empty() || !waves.is_empty()).then_some(Batch { rows, waves })
     }
 
--- a/rhubarbfall-runs/tests/faults.rs
+++ b/rhubarbfall-runs/tests/faults.rs
@@ -456,3 +456,27 @@
     assert_eq!(model.starts, 4, "no task was started again");
     assert_eq!(model.count(JobState::Completed), 1);
 }
+
+/// When more changes than a transaction holds, each job's turn comes whatever its identifier.
+#[test]
+fn no_job_waits_for_the_store_behind_those_that_change_again() {
+    let mut model = Model::new(&[("labels", 1), ("spare", 0)], 14);
+    let now = model.now;
+    for number in 0..120 {
+        model
+            .scheduler
+            .submit(submission(number, "labels", step(1, 4_000)), now);
+    }
+    let mut stored = Vec::new();
+    for _ in 0..4 {
+        let batch = model.scheduler.next_batch().expect("a batch");
+        model.store(&batch);
+        for row in &batch.rows {
+            stored.push(row.id.clone());
+            model.scheduler.cancel(&row.id, now);
+        }
+    }
+    stored.sort();
+    stored.dedup();
+    assert_eq!(stored.len(), 120);
+}
--- a/rhubarbfall-runs/tests/model/mod.rs
+++ b/rhubarbfall-runs/tests/model/mod.rs
@@ -2,7 +2,7 @@
 //! fences, VMs that move, and a store. It judges what the workers saw.
 #![allow(dead_code, reason = "each test file uses a part of the model")]
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use rand::{Rng, RngExt, SeedableRng};
@@ -88,6 +88,9 @@
     pub(crate) fence: u64,
     pub(crate) starts: u64,
     pub(crate) moves: u64,
+    /// How many starts the owner's processor allows in one step; any number when unset.
+    pub(crate) starts_per_step: Option<usize>,
+    sending: VecDeque<StartOrder>,
     /// Whether nothing is stored for the time being.
     pub(crate) is_store_slow: bool,
     /// How long a worker keeps a call that holds its leases.
@@ -188,6 +191,8 @@
             fence: 1,
             starts: 0,
             moves: 0,
+            starts_per_step: None,
+            sending: VecDeque::new(),
             is_store_slow: false,
             hold_takes: Duration::ZERO,
             advice_asked: Vec::new(),
@@ -274,6 +279,7 @@
         self.carry_out();
         self.store_all();
         self.carry_out();
+        self.send_starts();
         self.judge();
     }
 
@@ -283,6 +289,16 @@
         self.scheduler.set_config(self.config.clone().into());
     }
 
+    /// Sends the starts that wait, as many as the owner's processor allows.
+    fn send_starts(&mut self) {
+        let count = self.starts_per_step.unwrap_or(usize::MAX);
+        for _ in 0..count.min(self.sending.len()) {
+            if let Some(order) = self.sending.pop_front() {
+                self.start(&order);
+            }
+        }
+    }
+
     fn answer_advice(&mut self) {
         let now = self.now;
         let due: Vec<_> = self.advice.extract_if(.., |(at, ..)| *at <= now).collect();
@@ -401,7 +417,7 @@
     fn carry_out(&mut self) {
         for action in self.scheduler.take_actions() {
             match action {
-                Action::Start(order) => self.start(&order),
+                Action::Start(order) => self.sending.push_back(order),
                 Action::Pace(order) => self.paces.push((order.task, order.percent)),
                 Action::Stop(order) => {
                     let worker = self
@@ -489,6 +505,8 @@
                 if let Some(late) = worker.starts_late_by {
                     worker.late.push((now + late, order.clone(), fence));
                     StartOutcome::Unknown
+                } else if order.lease_deadline_ms < now.as_millis() {
+                    StartOutcome::LeaseTooOld
                 } else {
                     start(worker, order, length, &self.scheduler, now);
                     StartOutcome::Accepted
--- a/rhubarbfall-runs/tests/peak_load.rs
+++ b/rhubarbfall-runs/tests/peak_load.rs
@@ -142,3 +142,44 @@
         assert!(share >= 0.95, "seed {seed}: {in_time} of {asked} in time");
     }
 }
+
+/// An owner whose processor allows 500 starts a second, after an outage that left a backlog of work
+/// that is too late for anybody, with VMs to spare for all of it.
+fn play_backlog_of_a_busy_owner(seed: u64) -> (usize, usize) {
+    let mut model = Model::new(&[("q-a", 120), ("spare", 0)], seed);
+    model.run_for(Duration::from_millis(300));
+    model.is_store_slow = true;
+    for number in 0..600 {
+        model.submit(
+            submission(number, "q-a", step(10, 4_000)),
+            Duration::from_secs(1),
+        );
+    }
+    model.run_for(Duration::from_secs(9));
+    model.is_store_slow = false;
+    model.starts_per_step = Some(10);
+    let backlog = model.scheduler.jobs().count();
+    let mut asked = 0_u64;
+    let end = model.now + Duration::from_secs(8);
+    while model.now < end {
+        asked += 1;
+        let length = model.draw(Duration::from_secs(1), 0.3);
+        model.submit(submission(10_000 + asked, "q-a", step(8, 4_000)), length);
+        model.run_for(Duration::from_millis(20));
+    }
+    model.run_for(Duration::from_secs(30));
+    assert_eq!(model.broken, Vec::<String>::new());
+    assert_eq!(model.count(JobState::Completed), backlog + asked as usize);
+    (model.completed_within(objective), asked as usize)
+}
+
+#[test]
+fn a_busy_owner_starts_first_what_can_be_in_time() {
+    for seed in 0..3 {
+        let (in_time, asked) = play_backlog_of_a_busy_owner(seed);
+        let share = in_time as f64 / asked as f64;
+        println!("seed {seed}: {in_time} of {asked} in time after an outage");
+        // The new work needs four fifths of the starts that the owner can make.
+        assert!(share >= 0.9, "seed {seed}: {in_time} of {asked} in time");
+    }
+}
