style: meet the lints in advice and soak; keep the seeds that failed

The two seeds that broke the soak's check before it followed the platform's rule are played in every run; the cause is beside them. No change of behaviour.

--- a/rhubarbfall-runs/src/scheduler/pools.rs
+++ b/rhubarbfall-runs/src/scheduler/pools.rs
@@ -16,7 +16,7 @@
 
 /// How long a VM is idle before it leaves for the spare pool: a move costs about as much as a
 /// second in a pool.
-const IDLE_BEFORE_SPARE: Duration = Duration::from_millis(1_000);
+const IDLE_BEFORE_SPARE: Duration = Duration::from_secs(1);
 
 /// How long a VM is idle before another pool may take it.
 const IDLE_BEFORE_LENDING: Duration = Duration::from_millis(300);
--- a/rhubarbfall-runs/tests/wave_time.rs
+++ b/rhubarbfall-runs/tests/wave_time.rs
@@ -11,7 +11,7 @@
 const LASTING: Duration = Duration::from_secs(100_000);
 
 /// How long a lasting task takes to be at work, as on the users' sites with its stop and restart.
-const WARM_UP: Duration = Duration::from_millis(1_000);
+const WARM_UP: Duration = Duration::from_secs(1);
 
 /// The time that operators give a wave.
 const WAVE_TIME: Duration = Duration::from_secs(25);
--- a/rhubarbfall-scheduler/src/owner/advice_loop.rs
+++ b/rhubarbfall-scheduler/src/owner/advice_loop.rs
@@ -20,12 +20,11 @@
         let sent_at = node.now();
         let terms = owner.scheduler.borrow().advice_terms(&step);
         let timeout = terms.map_or(MARGIN, |terms| call_time(terms, workers.len()) + MARGIN);
-        let answer = match &node.advice {
-            Some(service) => service.ask(&step, &workers, timeout).await,
-            None => {
-                log::error!("event=advice_unset step={step} error=the settings name no service");
-                None
-            }
+        let answer = if let Some(service) = &node.advice {
+            service.ask(&step, &workers, timeout).await
+        } else {
+            log::error!("event=advice_unset step={step} error=the settings name no service");
+            None
         };
         let now = node.now();
         owner.with(|scheduler| {
--- a/rhubarbfall/tests/soak/judge.rs
+++ b/rhubarbfall/tests/soak/judge.rs
@@ -6,7 +6,7 @@
 use crate::stand_in::Span;
 
 /// How many tasks of the soak's submissions a worker has room for.
-const WORKER_ROOM: usize = 4;
+const WORKER_ROOM: i32 = 4;
 
 /// How many tasks a submission has, and how many of them its first step.
 const TASKS: usize = 5;
@@ -155,7 +155,7 @@
 }
 
 fn judge_room(verdict: &mut Verdict, spans: &[Span]) {
-    let mut by_worker: BTreeMap<usize, Vec<(u64, i64)>> = BTreeMap::new();
+    let mut by_worker: BTreeMap<usize, Vec<(u64, i32)>> = BTreeMap::new();
     for span in spans {
         let changes = by_worker.entry(span.worker).or_default();
         changes.push((span.from_ms, 1));
@@ -172,10 +172,8 @@
                 running
             })
             .max();
-        verdict.check(
-            "within a worker's room",
-            most <= Some(WORKER_ROOM as i64),
-            || format!("worker {worker} ran {most:?} tasks at once"),
-        );
+        verdict.check("within a worker's room", most <= Some(WORKER_ROOM), || {
+            format!("worker {worker} ran {most:?} tasks at once")
+        });
     }
 }
--- a/rhubarbfall/tests/soak/main.rs
+++ b/rhubarbfall/tests/soak/main.rs
@@ -25,7 +25,13 @@
 use entry::Entries;
 
 /// Seeds that failed once, each with the cause. They are played in every run of CI.
-const REGRESSIONS: [(u64, &str); 0] = [];
+const REGRESSIONS: [(u64, &str); 2] = [
+    (
+        104,
+        "a worker's answers dropped until its leases lapsed: the check counted an end nobody noted",
+    ),
+    (120, "the same"),
+];
 
 /// Seeds that CI plays besides.
 const CI_SEEDS: [u64; 2] = [1, 2];
