--- a/rhubarbfall/tests/submissions.rs
+++ b/rhubarbfall/tests/submissions.rs
@@ -3,8 +3,10 @@
 #[path = "../../platform/tests/stand_in/mod.rs"]
 mod stand_in;
 
+use std::fs::File;
 use std::net::{SocketAddr, TcpListener};
-use std::process::{Child, Command, Stdio};
+use std::path::PathBuf;
+use std::process::{Child, Command};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -23,6 +25,19 @@
     callers: SocketAddr,
     readiness: SocketAddr,
     peers: SocketAddr,
+    log: PathBuf,
+}
+
+impl EntryProcess {
+    /// Returns the events of the log in whose line all of these texts stand, as `grep` would find them.
+    fn events(&self, texts: &[&str]) -> Vec<String> {
+        let log = std::fs::read_to_string(&self.log).expect("the log");
+        log.lines()
+            .filter(|line| texts.iter().all(|text| line.contains(text)))
+            .filter_map(|line| line.split("event=").nth(1))
+            .map(|event| event.split(' ').next().unwrap_or_default().to_owned())
+            .collect()
+    }
 }
 
 impl Drop for EntryProcess {
@@ -59,12 +74,14 @@
         site.vm_service,
     );
     let directory = tempfile::tempdir().expect("a directory");
-    let path = directory.keep().join("entry.toml");
+    let directory = directory.keep();
+    let (path, log) = (directory.join("entry.toml"), directory.join("entry.log"));
     std::fs::write(&path, settings).expect("the settings are written");
+    let output = File::create(&log).expect("a log file");
     let child = Command::new(env!("CARGO_BIN_EXE_rhubarbfall"))
         .args(["schedule", "--settings"])
         .arg(&path)
-        .stdout(Stdio::null())
+        .stdout(output)
         .spawn()
         .expect("the entry starts");
     EntryProcess {
@@ -72,6 +89,7 @@
         callers,
         readiness,
         peers,
+        log,
     }
 }
 
@@ -254,3 +272,83 @@
         "{started:?}"
     );
 }
+
+// The walks of docs/OPERATIONS.md: from the identifier of a request that failed to its cause.
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_log_tells_why_a_submission_was_refused() {
+    let site = StandInSite::start(2, Duration::from_millis(150)).await;
+    let relay = Relay::start(site.store).await.expect("a relay");
+    let entry = start_entry_with_store(&site, relay.address(), "entry-1", &[]);
+    submit(&[&entry], "00000000000000f1").await;
+    relay.set_mode(RelayMode::Silent);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let id = "00000000000000f2";
+    let answer = call(&entry, Method::POST, &format!("/print/{id}"), BODY).await;
+    assert_eq!(
+        answer.map(|(status, _)| status),
+        Some(StatusCode::SERVICE_UNAVAILABLE)
+    );
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let request = entry.events(&[id, "outcome=NoOwner", "owner_silent_ms="]);
+    assert_eq!(request, ["submission"]);
+    assert!(!entry.events(&["event=renewal_failed"]).is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_log_tells_how_long_a_late_submission_waited() {
+    // One worker has room for sixteen tasks of a core.
+    let site = StandInSite::start(1, Duration::from_millis(800)).await;
+    let entry = start_entry(&site, "entry-1", &[]);
+    let ids: Vec<String> = (0..12).map(|number| format!("{number:016x}")).collect();
+    for id in &ids {
+        submit(&[&entry], id).await;
+    }
+    for id in &ids {
+        wait_completed(&entry, id).await;
+    }
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    for id in &ids {
+        assert_eq!(entry.events(&[id, "event=job_taken"]), ["job_taken"]);
+        let ended = entry.events(&[id, "state=completed", "took_ms=", "waited_ms=Some("]);
+        assert_eq!(ended, ["job_ended"]);
+    }
+    // The wait of more than a second of some of them stands in four digits.
+    let log = std::fs::read_to_string(&entry.log).expect("the log");
+    let waits = log
+        .lines()
+        .filter_map(|line| line.split("waited_ms=Some(").nth(1));
+    assert!(
+        waits
+            .filter_map(|rest| rest.split(')').next())
+            .any(|ms| ms.len() >= 4)
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_log_tells_why_a_task_ran_again() {
+    let site = StandInSite::start(2, Duration::from_secs(2)).await;
+    let relay = Relay::start(site.worker(0)).await.expect("a relay");
+    site.register(0, relay.address());
+    let entry = start_entry(&site, "entry-1", &[]);
+    let ids: Vec<String> = (0..6).map(|number| format!("{number:016x}")).collect();
+    for id in &ids {
+        submit(&[&entry], id).await;
+    }
+    relay.set_mode(RelayMode::Silent);
+    for id in &ids {
+        wait_completed(&entry, id).await;
+    }
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let lost = entry.events(&["event=run_lost", "worker=w-0", "reason=lease_lapsed"]);
+    assert!(!lost.is_empty());
+    assert_eq!(
+        entry.events(&["event=worker_lapsed", "worker=w-0"]),
+        ["worker_lapsed"]
+    );
+    assert!(
+        !entry
+            .events(&["event=run_placed", "run=2", "worker=w-1"])
+            .is_empty()
+    );
+}
