--- a/rhubarbfall-testing/src/rig/mod.rs
+++ b/rhubarbfall-testing/src/rig/mod.rs
@@ -1,11 +1,13 @@
 //! Runs separate processes, and kills, freezes and stops them.
 
 mod caller;
+mod free_address;
 mod process;
 mod test_fleet;
 mod wait;
 
 pub use caller::{Answer, Caller, CallerError, Request};
+pub use free_address::free_address;
 pub use process::Process;
 pub use test_fleet::{EntryProcess, FLEET_KEY, FleetShape, KEY_PEPPER, TEST_DOCUMENT, TestFleet};
 pub use wait::{wait_until, wait_until_async};
--- a/rhubarbfall/tests/soak/entry.rs
+++ b/rhubarbfall/tests/soak/entry.rs
@@ -1,14 +1,13 @@
 //! Entries as processes, each behind a relay of its own to the store.
 
 use std::fs::File;
-use std::net::{SocketAddr, TcpListener};
-use std::ops::Range;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use rand::RngExt;
+use rhubarbfall_testing::rig::free_address;
 use rhubarbfall_testing::{Relay, RelayMode};
 use rustix::process::{Pid, Signal, kill_process};
 use tempfile::TempDir;
@@ -23,9 +22,6 @@
 const STOP_CHECK: Duration = Duration::from_millis(500);
 const STOP_CHECKS: usize = 13;
 
-/// Ports below those that the system gives to outgoing connections.
-const OWN_PORTS: Range<u16> = 12_000..32_000;
-
 /// One entry, which may be down.
 pub(crate) struct Entry {
     pub(crate) callers: SocketAddr,
@@ -45,17 +41,6 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Returns an address that is free now, on a port that the system gives to no outgoing connection: an
-/// entry that starts again needs the same one.
-fn free_address() -> SocketAddr {
-    loop {
-        let port = rand::rng().random_range(OWN_PORTS);
-        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
-            return listener.local_addr().expect("the listener's address");
-        }
-    }
-}
-
 impl Entries {
     pub(crate) async fn start(site: &StandInSite, seed: u64, count: usize) -> Self {
         let directory = tempfile::Builder::new()
--- a/rhubarbfall/tests/soak/main.rs
+++ b/rhubarbfall/tests/soak/main.rs
@@ -42,8 +42,12 @@
 /// How long submissions may take to end after the last fault: the longest lease, and their work.
 const SETTLE_TIME: Duration = Duration::from_secs(30);
 
-/// How long a task takes.
-const TASK_TIME: Duration = Duration::from_millis(600);
+/// How long a task takes, by whether the seed is even: short ones end while their worker is out of
+/// reach, long ones still run when a successor may take them for lost.
+const TASK_TIMES: [Duration; 2] = [Duration::from_millis(600), Duration::from_millis(2_400)];
+
+/// The part of the callers that hand in long tasks: the workers do a quarter as many of them.
+const LONG_TASK_CALLERS: usize = 4;
 
 const TEST_NAME: &str = "soak_keeps_the_promises";
 
@@ -147,7 +151,14 @@
 async fn play(seed: u64, shape: Shape) -> bool {
     let began = Instant::now();
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let site = StandInSite::start(shape.workers, TASK_TIME).await;
+    let is_long = !seed.is_multiple_of(2);
+    let task_time = TASK_TIMES[usize::from(is_long)];
+    let callers = if is_long {
+        shape.callers.div_ceil(LONG_TASK_CALLERS)
+    } else {
+        shape.callers
+    };
+    let site = StandInSite::start(shape.workers, task_time).await;
     let mut worker_relays = Vec::new();
     for index in 0..shape.workers {
         let relay = Relay::start(site.worker(index)).await.expect("a relay");
@@ -156,7 +167,7 @@
     }
     let entries = Arc::new(Entries::start(&site, seed, shape.entries).await);
     let record = Arc::new(Record::default());
-    let callers: Vec<_> = (0..shape.callers)
+    let callers: Vec<_> = (0..callers)
         .map(|_| {
             let seed = rng.random();
             let (entries, record) = (Arc::clone(&entries), Arc::clone(&record));
--- a/rhubarbfall/tests/submissions.rs
+++ b/rhubarbfall/tests/submissions.rs
@@ -4,7 +4,7 @@
 mod stand_in;
 
 use std::fs::File;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command};
 use std::time::{Duration, Instant};
@@ -14,6 +14,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
+use rhubarbfall_testing::rig::free_address;
 use rhubarbfall_testing::{Relay, RelayMode};
 use stand_in::StandInSite;
 
@@ -48,11 +49,6 @@
     }
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("the listener's address")
-}
-
 fn start_entry(site: &StandInSite, name: &str, seeds: &[SocketAddr]) -> EntryProcess {
     start_entry_with_store(site, site.store, name, seeds)
 }
