--- a/rhubarbfall-runs/src/fleet_config.rs
+++ b/rhubarbfall-runs/src/fleet_config.rs
@@ -10,7 +10,8 @@
 pub struct FleetConfig {
     /// Rises with each change.
     pub version: u64,
-    /// The queues.
+    /// The queues, sorted by name: there may be a thousand, and each job's is looked up many times a
+    /// second.
     pub queues: Vec<Queue>,
     /// The services.
     pub services: Vec<Service>,
@@ -106,7 +107,8 @@
     /// Finds a queue by name.
     #[must_use]
     pub fn queue(&self, id: &QueueId) -> Option<&Queue> {
-        self.queues.iter().find(|queue| queue.id == *id)
+        let index = self.queues.binary_search_by(|queue| queue.id.cmp(id));
+        index.ok().map(|index| &self.queues[index])
     }
 
     /// Finds a service by name.
