--- a/rhubarbfall-runs/src/job.rs
+++ b/rhubarbfall-runs/src/job.rs
@@ -1,15 +1,18 @@
 use std::fmt;
 use std::sync::Arc;
+use std::time::Duration;
 
 use rhubarbfall_core::{BootTime, RowVersion};
 
-use crate::{Phase, Submission, Task, TaskId};
+use crate::{Phase, Step, Submission, Task, TaskId};
 
 /// A submission with the state of its tasks.
 #[derive(Debug, Clone)]
 pub struct Job {
     /// What was handed in.
     pub submission: Arc<Submission>,
+    /// The estimated length of its longest chain of steps.
+    pub critical_path: Duration,
     /// When it arrived, or when this owner took it over.
     pub accepted_at: BootTime,
     /// When its first task was placed by this owner.
@@ -134,6 +137,7 @@
     #[must_use]
     pub fn new(submission: Arc<Submission>, now: BootTime) -> Self {
         Self {
+            critical_path: submission.critical_path(),
             submission,
             accepted_at: now,
             placed_at: None,
@@ -171,6 +175,12 @@
         step.tasks.get(id.index as usize)
     }
 
+    /// Returns the step of a task.
+    #[must_use]
+    pub fn step(&self, id: &TaskId) -> &Step {
+        &self.submission.steps[usize::from(id.step)]
+    }
+
     /// Finds a task to change it.
     pub fn task_mut(&mut self, id: &TaskId) -> Option<&mut Task> {
         let occurrence = self.occurrences.get_mut(id.occurrence as usize)?;
@@ -202,6 +212,18 @@
             && self.occurrences.iter().all(Occurrence::is_done)
     }
 
+    /// Returns the steps that are not done and wait for no other, with the numbers of their occurrence
+    /// and of the step.
+    pub fn open_steps(&self) -> impl Iterator<Item = (u32, usize, &Step, &StepRun)> {
+        self.occurrences.iter().flat_map(|occurrence| {
+            let steps = self.submission.steps.iter().zip(&occurrence.steps);
+            steps
+                .enumerate()
+                .filter(|(_, (step, run))| !run.is_done() && occurrence.is_unblocked(&step.after))
+                .map(|(number, (step, run))| (occurrence.number, number, step, run))
+        })
+    }
+
     /// Calls `visit` for each task with its occurrence, step and index.
     pub fn for_each_task(&self, mut visit: impl FnMut(u32, usize, usize, &Task)) {
         for occurrence in &self.occurrences {
--- a/rhubarbfall-runs/src/scheduler/action.rs
+++ b/rhubarbfall-runs/src/scheduler/action.rs
@@ -1,8 +1,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use rhubarbfall_core::{ServiceId, VmId, WaveId, WorkerId};
+use rhubarbfall_core::{VmId, WorkerId};
 
+use super::upkeep::VmTask;
 use crate::{StepId, TaskId};
 
 /// Something that the owner has to do.
@@ -14,13 +15,6 @@
     Stop(StopOrder),
     /// Set the share at which a filler works.
     Pace(PaceOrder),
-    /// Move a VM to another pool.
-    Move {
-        /// The VM.
-        vm: VmId,
-        /// The service whose pool it joins.
-        to: ServiceId,
-    },
     /// Ask which workers may run a step.
     Advise {
         /// The step.
@@ -28,12 +22,12 @@
         /// The workers.
         workers: Vec<WorkerId>,
     },
-    /// Begin the maintenance of a VM.
-    Maintain {
+    /// Move a VM, or begin its maintenance.
+    Vm {
         /// The VM.
         vm: VmId,
-        /// The wave that asks for it.
-        wave: WaveId,
+        /// What is to be done with it.
+        task: VmTask,
     },
 }
 
--- a/rhubarbfall-runs/src/scheduler/holds.rs
+++ b/rhubarbfall-runs/src/scheduler/holds.rs
@@ -3,7 +3,6 @@
 use rhubarbfall_core::{BootTime, SubmissionId, WorkerId};
 
 use super::Scheduler;
-use super::action::{Action, StopOrder};
 use crate::{
     HoldAnswer, JobState, Order, Phase, Resources, RunEnd, RunEndKind, Step, TaskId, WorkerState,
 };
@@ -151,8 +150,8 @@
             .config
             .queue(&job.submission.queue)
             .map_or(u32::MAX, |queue| queue.max_attempts.max(1));
-        let is_lasting = job.submission.steps[usize::from(id.step)].is_lasting;
-        let is_gang = job.submission.steps[usize::from(id.step)].is_gang;
+        let step = job.step(id);
+        let (is_lasting, is_gang, members) = (step.is_lasting, step.is_gang, step.tasks);
         let Some(task) = job.task_mut(id) else { return };
         if end.checkpoint.is_some() {
             task.checkpoint.clone_from(&end.checkpoint);
@@ -161,8 +160,7 @@
         match end.kind {
             RunEndKind::Done if is_lasting => task.requeue(now, pause),
             RunEndKind::Done if is_gang => {
-                let count = job.submission.steps[usize::from(id.step)].tasks;
-                for index in 0..count {
+                for index in 0..members {
                     job.set_done(&TaskId {
                         index,
                         ..id.clone()
@@ -225,7 +223,7 @@
         let mut strays = Resources::default();
         for running in &answer.running {
             let Some(job) = self.jobs.get_mut(&running.task.submission) else {
-                self.stop_stray(worker_id, &running.task, running.run);
+                self.order_stop(worker_id, &running.task, running.run);
                 continue;
             };
             let step = job.submission.steps.get(usize::from(running.task.step));
@@ -240,7 +238,7 @@
                     running.task,
                     running.run
                 );
-                self.stop_stray(worker_id, &running.task, running.run);
+                self.order_stop(worker_id, &running.task, running.run);
                 continue;
             };
             if running.checkpoint.is_some() {
@@ -273,39 +271,26 @@
         answer: &HoldAnswer,
         now: BootTime,
     ) {
-        let placed = self
-            .workers
-            .get(worker_id)
-            .map(|worker| worker.placed.clone());
-        for id in placed.unwrap_or_default() {
-            let Some(placement) = self.placement(&id) else {
-                continue;
-            };
-            let run = placement.run;
-            let is_over = match placement.order {
-                Order::Accepted(at) => at < sent_at,
-                Order::Stopping { confirmed_at, .. } => confirmed_at.is_some_and(|at| at < sent_at),
-                Order::Inherited => true,
-                Order::Recording(_) | Order::Sending | Order::Unclear(_) => false,
-            };
-            let is_listed = answer
-                .running
-                .iter()
-                .any(|entry| entry.run == run && entry.task == id);
-            if is_over && !is_listed {
-                self.requeue(&id, now, "not_listed");
-            }
-        }
-    }
-
-    fn stop_stray(&mut self, worker_id: &WorkerId, task: &TaskId, run: u64) {
-        if let Some(worker) = self.workers.get(worker_id) {
-            self.actions.push(Action::Stop(StopOrder {
-                worker: worker_id.clone(),
-                address: worker.report.address,
-                task: task.clone(),
-                run,
-            }));
+        let is_gone = |id: &&TaskId| {
+            self.placement(id).is_some_and(|placed| {
+                let is_over = match placed.order {
+                    Order::Accepted(at) => at < sent_at,
+                    Order::Stopping { confirmed_at, .. } => {
+                        confirmed_at.is_some_and(|at| at < sent_at)
+                    }
+                    Order::Inherited => true,
+                    Order::Recording(_) | Order::Sending | Order::Unclear(_) => false,
+                };
+                let mut running = answer.running.iter();
+                is_over && !running.any(|entry| entry.run == placed.run && entry.task == **id)
+            })
+        };
+        let Some(worker) = self.workers.get(worker_id) else {
+            return;
+        };
+        let gone: Vec<TaskId> = worker.placed.iter().filter(is_gone).cloned().collect();
+        for id in gone {
+            self.requeue(&id, now, "not_listed");
         }
     }
 }
--- a/rhubarbfall-runs/src/scheduler/intake.rs
+++ b/rhubarbfall-runs/src/scheduler/intake.rs
@@ -10,24 +10,8 @@
 /// How many seconds of its rate a customer may hand in at once: a second, as the platform counts it.
 const ARRIVAL_BURST: Duration = Duration::from_secs(1);
 
-/// What becomes of a submission that is handed in.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Intake {
-    /// It is new; it is accepted once this version of the job is stored.
-    New(u64),
-    /// It was handed in before; it is accepted once this version of the job is stored.
-    Known(u64),
-}
-
-impl Intake {
-    /// Returns the version of the job that has to be stored.
-    #[must_use]
-    pub const fn version(self) -> u64 {
-        match self {
-            Self::New(version) | Self::Known(version) => version,
-        }
-    }
-}
+/// The version of a job that has to be stored for its submission to be accepted.
+const ACCEPTED_VERSION: u64 = 1;
 
 /// The state of a submission as callers see it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -45,11 +29,12 @@
 }
 
 impl Scheduler {
-    /// Takes a submission.
-    pub fn submit(&mut self, submission: Submission, now: BootTime) -> Intake {
+    /// Takes a submission, unless it is known, and returns the version of its job that has to be
+    /// stored for it to be accepted.
+    pub fn submit(&mut self, submission: Submission, now: BootTime) -> u64 {
         let id = submission.id.clone();
         if self.jobs.get(&id).is_some() {
-            return Intake::Known(1);
+            return ACCEPTED_VERSION;
         }
         let is_excess = !self.is_within_weight(&submission, now);
         if let Some(queue) = self.config.queue(&submission.queue).filter(|_| !is_excess) {
@@ -69,7 +54,7 @@
         self.jobs.insert(id.clone(), Box::new(job));
         self.mark_dirty(&id);
         self.has_news = true;
-        Intake::New(1)
+        ACCEPTED_VERSION
     }
 
     /// Forgets a submission that was never part of a batch. Returns whether it surely never runs:
@@ -103,13 +88,10 @@
             return true;
         };
         let rate_per_s = f64::from(weight);
-        if self.arrivals.get(customer).is_none() {
-            let full = TokenBucket::new(rate_per_s, ARRIVAL_BURST, now);
-            self.arrivals.insert(customer.clone(), full);
-        }
         self.arrivals
-            .get_mut(customer)
-            .is_none_or(|bucket| bucket.admit(rate_per_s, now))
+            .entry(customer.clone())
+            .or_insert_with(|| TokenBucket::new(rate_per_s, ARRIVAL_BURST, now))
+            .admit(rate_per_s, now)
     }
 
     /// Returns whether a version of a job is stored, or `None` for an unknown submission.
@@ -167,7 +149,7 @@
             now.since(job.accepted_at).as_millis(),
             job.was_given_up,
             job.is_excess,
-            job.submission.critical_path().as_millis()
+            job.critical_path.as_millis()
         );
         let placed = job.tasks_where(|task| task.placement().is_some());
         for task in &placed {
--- a/rhubarbfall-runs/src/scheduler/interruptions.rs
+++ b/rhubarbfall-runs/src/scheduler/interruptions.rs
@@ -46,7 +46,7 @@
         let Some(job) = self.jobs.get(&id.submission) else {
             return false;
         };
-        let step = &job.submission.steps[usize::from(id.step)];
+        let step = job.step(id);
         let is_at_work = |task: &crate::Task| {
             task.placement().is_some_and(|placed| {
                 matches!(placed.order, Order::Accepted(_))
--- a/rhubarbfall-runs/src/scheduler/listing.rs
+++ b/rhubarbfall-runs/src/scheduler/listing.rs
@@ -55,12 +55,11 @@
                 let Some(job) = self.jobs.get(&task.submission) else {
                     continue;
                 };
-                let is_lasting = job.submission.steps[usize::from(task.step)].is_lasting;
                 let is_running = job
                     .task(task)
                     .and_then(|task| task.placement())
                     .is_some_and(|placed| matches!(placed.order, Order::Accepted(_)));
-                if is_lasting && is_running {
+                if job.step(task).is_lasting && is_running {
                     leaving.push(task.clone());
                 }
             }
--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -17,19 +17,20 @@
 mod storing;
 mod token_bucket;
 mod upkeep;
+mod wave_choice;
 mod waves;
 
 use std::sync::Arc;
 
 use litemap::LiteMap;
-use rhubarbfall_core::{BootTime, CustomerId, FencingNumber, SubmissionId, WorkerId};
+use rhubarbfall_core::{BootTime, CustomerId, SubmissionId, WorkerId};
 
 use crate::{FleetConfig, Job, Order, Phase, Placement, Resources, TaskId, Worker};
 
 pub use action::{Action, PaceOrder, StartOrder, StopOrder};
 pub use advice::AdviceAnswer;
 pub use holds::HoldOrder;
-pub use intake::{CallerState, Intake};
+pub use intake::CallerState;
 pub use pools::{PoolLoad, plan_moves};
 pub use recovery::StoredJob;
 pub use settings::SchedulerSettings;
@@ -41,7 +42,6 @@
 #[derive(Debug)]
 pub struct Scheduler {
     settings: SchedulerSettings,
-    fencing_number: FencingNumber,
     config: Arc<FleetConfig>,
     jobs: LiteMap<SubmissionId, Box<Job>>,
     workers: LiteMap<WorkerId, Worker>,
@@ -76,10 +76,9 @@
 impl Scheduler {
     /// Creates the state of an owner that starts with nothing.
     #[must_use]
-    pub fn new(settings: SchedulerSettings, fencing_number: FencingNumber) -> Self {
+    pub fn new(settings: SchedulerSettings) -> Self {
         Self {
             settings,
-            fencing_number,
             config: Arc::new(FleetConfig::default()),
             jobs: LiteMap::new(),
             workers: LiteMap::new(),
@@ -102,12 +101,6 @@
         }
     }
 
-    /// Returns the number that workers fence orders by.
-    #[must_use]
-    pub const fn fencing_number(&self) -> FencingNumber {
-        self.fencing_number
-    }
-
     /// Takes a newer configuration.
     pub fn set_config(&mut self, config: Arc<FleetConfig>) {
         self.config = config;
@@ -189,7 +182,7 @@
         let Some(placement) = job.task(id).and_then(|task| task.placement()) else {
             return;
         };
-        let step = &job.submission.steps[usize::from(id.step)];
+        let step = job.step(id);
         if let Some(worker) = self.workers.get_mut(&placement.worker) {
             worker.remove(id, step);
             worker.idle_since = now;
@@ -207,15 +200,12 @@
         let Some(job) = self.jobs.get(&id.submission) else {
             return;
         };
-        let step = &job.submission.steps[usize::from(id.step)];
+        let step = job.step(id);
         if let Some(worker) = self.workers.get_mut(worker) {
             worker.add(id.clone(), step);
         }
         if let Some(customer) = &job.submission.customer {
-            match self.used.get_mut(customer) {
-                Some(used) => *used += step.demand,
-                None => drop(self.used.insert(customer.clone(), step.demand)),
-            }
+            *self.used.entry(customer.clone()).or_default() += step.demand;
         }
     }
 
@@ -253,6 +243,12 @@
         }
     }
 
+    /// Returns whether a task runs until its submission is cancelled.
+    fn is_lasting(&self, id: &TaskId) -> bool {
+        let job = self.jobs.get(&id.submission);
+        job.is_some_and(|job| job.step(id).is_lasting)
+    }
+
     fn placement(&self, id: &TaskId) -> Option<&Placement> {
         self.jobs.get(&id.submission)?.task(id)?.placement()
     }
--- a/rhubarbfall-runs/src/scheduler/ordering.rs
+++ b/rhubarbfall-runs/src/scheduler/ordering.rs
@@ -36,8 +36,7 @@
 /// can only be late. When a queue asks for more than its pool holds, work that missed its time does
 /// not delay work that can make it.
 pub(super) fn rank(job: &Job, queue: &Queue, now: BootTime) -> Rank {
-    let path = job.submission.critical_path();
-    let objective = path.mul_f64(queue.stretch.max(1.0)) + queue.objective;
+    let objective = job.critical_path.mul_f64(queue.stretch.max(1.0)) + queue.objective;
     let left = remaining_path(job);
     let latest = |allowed: Duration| job.accepted_at + allowed.saturating_sub(left);
     let (in_time, late) = (latest(objective), latest(objective * LATE_FACTOR));
@@ -148,22 +147,7 @@
 
 /// Returns the estimated length of the longest chain of steps that are not done.
 fn remaining_path(job: &Job) -> Duration {
-    let steps = &job.submission.steps;
     let current = job.occurrences.last();
-    let mut ends: Vec<Duration> = Vec::with_capacity(steps.len());
-    for (number, step) in steps.iter().enumerate() {
-        let is_done = current.is_some_and(|occurrence| occurrence.steps[number].is_done());
-        let begin = step
-            .after
-            .iter()
-            .map(|earlier| ends[usize::from(*earlier)])
-            .max();
-        let own = if is_done {
-            Duration::ZERO
-        } else {
-            step.estimate
-        };
-        ends.push(begin.unwrap_or_default() + own);
-    }
-    ends.into_iter().max().unwrap_or_default()
+    job.submission
+        .longest_path(|number| current.is_some_and(|current| current.steps[number].is_done()))
 }
--- a/rhubarbfall-runs/src/scheduler/orders.rs
+++ b/rhubarbfall-runs/src/scheduler/orders.rs
@@ -138,15 +138,9 @@
             Order::Stopping { confirmed_at, .. } => confirmed_at,
             _ => None,
         };
-        let Some(worker) = self.workers.get(&worker_id) else {
+        if !self.order_stop(&worker_id, id, run) {
             return;
-        };
-        let stop = StopOrder {
-            worker: worker_id,
-            address: worker.report.address,
-            task: id.clone(),
-            run,
-        };
+        }
         self.set_order(
             id,
             Order::Stopping {
@@ -154,7 +148,20 @@
                 confirmed_at,
             },
         );
-        self.actions.push(Action::Stop(stop));
+    }
+
+    /// Orders a worker to stop a run, and returns whether the worker is known.
+    pub(super) fn order_stop(&mut self, worker: &WorkerId, task: &TaskId, run: u64) -> bool {
+        let Some(known) = self.workers.get(worker) else {
+            return false;
+        };
+        self.actions.push(Action::Stop(StopOrder {
+            worker: worker.clone(),
+            address: known.report.address,
+            task: task.clone(),
+            run,
+        }));
+        true
     }
 
     /// Gives up the runs of workers whose leases have surely lapsed.
@@ -228,10 +235,9 @@
     fn placed_where(&self, select: impl Fn(&Step, &Task) -> bool) -> Vec<TaskId> {
         let placed = self.workers().flat_map(|worker| &worker.placed);
         let is_selected = |id: &&TaskId| {
-            self.jobs.get(&id.submission).is_some_and(|job| {
-                let step = &job.submission.steps[usize::from(id.step)];
-                job.task(id).is_some_and(|task| select(step, task))
-            })
+            self.jobs
+                .get(&id.submission)
+                .is_some_and(|job| job.task(id).is_some_and(|task| select(job.step(id), task)))
         };
         placed.filter(is_selected).cloned().collect()
     }
--- a/rhubarbfall-runs/src/scheduler/pacing.rs
+++ b/rhubarbfall-runs/src/scheduler/pacing.rs
@@ -70,7 +70,7 @@
 
     fn is_filler(&self, id: &TaskId) -> bool {
         let job = self.jobs.get(&id.submission);
-        job.is_some_and(|job| job.submission.steps[usize::from(id.step)].is_filler)
+        job.is_some_and(|job| job.step(id).is_filler)
     }
 
     /// Returns the largest tail against its target, or zero when no task has one.
--- a/rhubarbfall-runs/src/scheduler/placing.rs
+++ b/rhubarbfall-runs/src/scheduler/placing.rs
@@ -28,10 +28,10 @@
 #[derive(Debug)]
 struct Group {
     rank: Rank,
-    submission: SubmissionId,
+    step: StepId,
     service: ServiceId,
-    occurrence: u32,
-    step: u16,
+    /// Whether a start carries a ticket of the advice service.
+    needs_ticket: bool,
     indexes: Vec<u32>,
 }
 
@@ -66,11 +66,8 @@
             if is_cordoned || !worker.takes_work(now, silent_after) {
                 continue;
             }
-            let service = &worker.report.service;
-            match pass.usable.get_mut(service) {
-                Some(indexes) => indexes.push(index),
-                None => drop(pass.usable.insert(service.clone(), vec![index])),
-            }
+            let service = worker.report.service.clone();
+            pass.usable.entry(service).or_default().push(index);
         }
         pass
     }
@@ -86,13 +83,13 @@
             for group in groups.iter().filter(of_service) {
                 let is_listed = candidates
                     .last()
-                    .is_some_and(|last| last.id == group.submission);
+                    .is_some_and(|last| last.id == group.step.submission);
                 if !group.rank.is_new_in_time() || is_listed {
                     continue;
                 }
-                if let Some(job) = self.jobs.get(&group.submission) {
+                if let Some(job) = self.jobs.get(&group.step.submission) {
                     candidates.push(Candidate {
-                        id: group.submission.clone(),
+                        id: group.step.submission.clone(),
                         latest_start: group.rank.latest_start(),
                         load_s: load_s(job, size),
                     });
@@ -109,7 +106,7 @@
                 .iter_mut()
                 .filter(|group| group.service == service.id)
             {
-                if given_up.binary_search(&group.submission).is_ok() {
+                if given_up.binary_search(&group.step.submission).is_ok() {
                     group.rank.demote();
                 }
             }
@@ -169,32 +166,30 @@
             let Some(queue) = self.config.queue(&job.submission.queue) else {
                 continue;
             };
-            for occurrence in &job.occurrences {
-                for (number, step) in job.submission.steps.iter().enumerate() {
-                    if occurrence.steps[number].is_done() || !occurrence.is_unblocked(&step.after) {
+            for (occurrence, number, _, run) in job.open_steps() {
+                let mut indexes = Vec::new();
+                for (index, task) in run.tasks.iter().enumerate() {
+                    if task.phase != Phase::Waiting {
                         continue;
                     }
-                    let mut indexes = Vec::new();
-                    for (index, task) in occurrence.steps[number].tasks.iter().enumerate() {
-                        if task.phase != Phase::Waiting {
-                            continue;
-                        }
-                        if task.not_before <= now {
-                            indexes.push(index as u32);
-                        } else {
-                            waits_for_time = true;
-                        }
+                    if task.not_before <= now {
+                        indexes.push(index as u32);
+                    } else {
+                        waits_for_time = true;
                     }
-                    if !indexes.is_empty() {
-                        groups.push(Group {
-                            rank: rank(job, queue, now),
+                }
+                if !indexes.is_empty() {
+                    groups.push(Group {
+                        rank: rank(job, queue, now),
+                        step: StepId {
                             submission: id.clone(),
-                            service: queue.service.clone(),
-                            occurrence: occurrence.number,
+                            occurrence,
                             step: number as u16,
-                            indexes,
-                        });
-                    }
+                        },
+                        service: queue.service.clone(),
+                        needs_ticket: queue.advice.is_some(),
+                        indexes,
+                    });
                 }
             }
         }
@@ -203,63 +198,51 @@
     }
 
     fn place_group(&mut self, group: &Group, pass: &mut Pass, now: BootTime) {
-        let Some(job) = self.jobs.get(&group.submission) else {
+        let Some(job) = self.jobs.get(&group.step.submission) else {
             return;
         };
-        let step = job.submission.steps[usize::from(group.step)].clone();
-        let task_id = |index: u32| TaskId {
-            submission: group.submission.clone(),
-            occurrence: group.occurrence,
-            step: group.step,
-            index,
+        let step = job.submission.steps[usize::from(group.step.step)].clone();
+        let tasks = group.indexes.iter().map(|index| group.step.task(*index));
+        let are_placed = if step.is_gang {
+            self.place_gang(group, &step, &tasks.collect::<Vec<_>>(), pass, now)
+        } else {
+            self.place_each(group, &step, tasks, pass, now)
         };
-        let step_id = StepId {
-            submission: group.submission.clone(),
-            occurrence: group.occurrence,
-            step: group.step,
-        };
-        let needs_ticket = self.config.needs_ticket(&job.submission.queue);
-        if step.is_gang {
-            let tasks: Vec<TaskId> = group.indexes.iter().map(|index| task_id(*index)).collect();
-            let is_placed = self.place_gang(&step, &group.service, &tasks, pass, now);
-            if !is_placed && needs_ticket {
-                self.ask_for_group(&step_id, &step, &group.service, pass, now);
-            }
-            return;
+        if !are_placed && group.needs_ticket {
+            let usable = pass.usable.get(&group.service);
+            let usable = usable.map_or(&[][..], Vec::as_slice);
+            self.ask_advice(&group.step, &step, usable, now);
         }
-        for index in &group.indexes {
+    }
+
+    /// Places tasks one by one, and returns whether each found a worker, but for those beyond the most
+    /// starts on their way.
+    fn place_each(
+        &mut self,
+        group: &Group,
+        step: &Step,
+        tasks: impl Iterator<Item = TaskId>,
+        pass: &mut Pass,
+        now: BootTime,
+    ) -> bool {
+        for id in tasks {
             if self.starting.len() >= self.settings.max_starting {
-                return;
+                return true;
             }
-            let id = task_id(*index);
-            let Some(worker) = self.choose_worker(&id, &step, &group.service, pass) else {
-                if needs_ticket {
-                    self.ask_for_group(&step_id, &step, &group.service, pass, now);
-                }
-                return;
+            let Some(worker) = self.choose_worker(&id, step, group, pass) else {
+                return false;
             };
             let run = self.next_run(&id);
             self.place(&id, &worker, run, now);
         }
-    }
-
-    fn ask_for_group(
-        &mut self,
-        id: &StepId,
-        step: &Step,
-        service: &ServiceId,
-        pass: &Pass,
-        now: BootTime,
-    ) {
-        let usable = pass.usable.get(service).cloned().unwrap_or_default();
-        self.ask_advice(id, step, &usable, now);
+        true
     }
 
     /// Places all members of a gang, or none, and returns whether they are placed.
     fn place_gang(
         &mut self,
+        group: &Group,
         step: &Step,
-        service: &ServiceId,
         tasks: &[TaskId],
         pass: &mut Pass,
         now: BootTime,
@@ -270,7 +253,7 @@
         let run = tasks.iter().map(|id| self.next_run(id)).max().unwrap_or(1);
         let mut placed: Vec<(TaskId, WorkerId)> = Vec::new();
         for id in tasks {
-            let Some(worker) = self.choose_worker(id, step, service, pass) else {
+            let Some(worker) = self.choose_worker(id, step, group, pass) else {
                 break;
             };
             self.place(id, &worker, run, now);
@@ -304,7 +287,7 @@
         &self,
         id: &TaskId,
         step: &Step,
-        service: &ServiceId,
+        group: &Group,
         pass: &mut Pass,
     ) -> Option<WorkerId> {
         let job = self.jobs.get(&id.submission)?;
@@ -313,13 +296,11 @@
             return None;
         }
         let reserved = step.reserved();
-        let needs_ticket = self.config.needs_ticket(&job.submission.queue);
-        let step_id = StepId::of(id);
-        let blocked = pass.blocked.get(service);
+        let blocked = pass.blocked.get(&group.service);
         if blocked.is_some_and(|blocked| blocked.iter().any(|least| least.fits_in(reserved))) {
             return None;
         }
-        let usable = pass.usable.get(service)?;
+        let usable = pass.usable.get(&group.service)?;
         let fitting = usable
             .iter()
             .filter_map(|index| self.workers.get_indexed(*index).map(|(_, worker)| worker))
@@ -329,9 +310,10 @@
             .inspect(|_| has_room = true)
             .filter(|worker| has_label(worker, step))
             .filter(|worker| {
-                !needs_ticket || self.advice.ticket(&step_id, worker, pass.now).is_some()
+                let ticket = || self.advice.ticket(&group.step, worker, pass.now);
+                !group.needs_ticket || ticket().is_some()
             })
-            .filter(|worker| !Self::is_step_full(worker, id, step))
+            .filter(|worker| !is_step_full(worker, &group.step, step))
             .min_by_key(|worker| {
                 let is_avoided = task.avoid.as_ref() == Some(&worker.report.id);
                 let is_suspect = !worker.failed.is_empty();
@@ -353,10 +335,8 @@
             })
             .map(|worker| worker.report.id.clone());
         if !has_room {
-            match pass.blocked.get_mut(service) {
-                Some(blocked) => blocked.push(reserved),
-                None => drop(pass.blocked.insert(service.clone(), vec![reserved])),
-            }
+            let blocked = pass.blocked.entry(group.service.clone());
+            blocked.or_default().push(reserved);
         }
         chosen
     }
@@ -370,19 +350,6 @@
         (used + demand).is_within_limit(customer.limit)
     }
 
-    /// Returns whether a worker has as many tasks of a step as the step allows.
-    fn is_step_full(worker: &Worker, id: &TaskId, step: &Step) -> bool {
-        let Some(most) = step.max_per_worker else {
-            return false;
-        };
-        let is_same_step = |placed: &&TaskId| {
-            placed.submission == id.submission
-                && placed.occurrence == id.occurrence
-                && placed.step == id.step
-        };
-        worker.placed.iter().filter(is_same_step).count() >= most as usize
-    }
-
     fn place(&mut self, id: &TaskId, worker_id: &WorkerId, run: u64, now: BootTime) {
         let Some(worker) = self.workers.get(worker_id) else {
             return;
@@ -418,3 +385,12 @@
         .as_ref()
         .is_none_or(|needed| worker.report.labels.contains(needed))
 }
+
+/// Returns whether a worker has as many tasks of a step as the step allows.
+fn is_step_full(worker: &Worker, id: &StepId, step: &Step) -> bool {
+    let Some(most) = step.max_per_worker else {
+        return false;
+    };
+    let placed = worker.placed.iter().filter(|task| id.has(task));
+    placed.count() >= most as usize
+}
--- a/rhubarbfall-runs/src/scheduler/pools.rs
+++ b/rhubarbfall-runs/src/scheduler/pools.rs
@@ -9,7 +9,7 @@
 use super::ordering::is_worth_capacity;
 use super::token_bucket::TokenBucket;
 use super::upkeep::{VmState, VmTask};
-use crate::{JobState, Phase, Resources, WorkerState};
+use crate::{JobState, Resources, WorkerState};
 
 /// Room beyond the sum of the demands: tasks of several sizes do not fill a worker.
 const PACKING_RESERVE: f64 = 1.15;
@@ -239,20 +239,11 @@
             if queue.service != *service || !is_worth_capacity(job, queue, now) {
                 continue;
             }
-            for occurrence in &job.occurrences {
-                for (step, step_run) in job.submission.steps.iter().zip(&occurrence.steps) {
-                    if step_run.is_done() || !occurrence.is_unblocked(&step.after) {
-                        continue;
-                    }
-                    let open = step_run
-                        .tasks
-                        .iter()
-                        .filter(|task| task.phase != Phase::Done)
-                        .count();
-                    demand += step.reserved().times(open as u64);
-                    if let Some(most) = step.max_per_worker {
-                        spread = spread.max(open.div_ceil(most.max(1) as usize));
-                    }
+            for (_, _, step, run) in job.open_steps() {
+                let open = run.tasks.len() - run.done as usize;
+                demand += step.reserved().times(open as u64);
+                if let Some(most) = step.max_per_worker {
+                    spread = spread.max(open.div_ceil(most.max(1) as usize));
                 }
             }
         }
--- a/rhubarbfall-runs/src/scheduler/recovery.rs
+++ b/rhubarbfall-runs/src/scheduler/recovery.rs
@@ -65,10 +65,7 @@
         if self.workers.get(&worker).is_some() {
             return;
         }
-        match self.unadopted.get_mut(&worker) {
-            Some(tasks) => tasks.push(task),
-            None => drop(self.unadopted.insert(worker, vec![task])),
-        }
+        self.unadopted.entry(worker).or_default().push(task);
     }
 
     /// Counts what an earlier owner placed on a worker against its room.
@@ -82,7 +79,7 @@
                 .and_then(Task::placement)
                 .is_some_and(|placed| placed.worker == *id);
             if let Some(worker) = self.workers.get_mut(id).filter(|_| is_here) {
-                let step = &job.submission.steps[usize::from(task.step)];
+                let step = job.step(&task);
                 worker.add(task, step);
             }
         }
--- a/rhubarbfall-runs/src/scheduler/storing.rs
+++ b/rhubarbfall-runs/src/scheduler/storing.rs
@@ -102,9 +102,8 @@
             }
             taken += 1;
         }
-        let taken: Vec<SubmissionId> = self.dirty.drain(..taken).collect();
-        if let Some(last) = taken.last() {
-            self.stored_last = Some(last.clone());
+        if let Some(last) = self.dirty.drain(..taken).next_back() {
+            self.stored_last = Some(last);
         }
         self.dirty.sort_unstable();
         (!rows.is_empty() || !waves.is_empty()).then_some(Batch { rows, waves })
--- a/rhubarbfall-runs/src/scheduler/upkeep.rs
+++ b/rhubarbfall-runs/src/scheduler/upkeep.rs
@@ -9,7 +9,7 @@
 use super::action::Action;
 use super::token_bucket::TokenBucket;
 use super::waves::WaveRun;
-use crate::{Resources, TaskId, WorkerState};
+use crate::{Resources, WorkerState};
 
 /// How long a call without an answer rests before it is repeated; a repeat is harmless.
 const REPEAT_AFTER: Duration = Duration::from_millis(600);
@@ -80,6 +80,13 @@
     pub(super) worker: Option<WorkerId>,
 }
 
+impl VmWork {
+    /// Returns whether the VM is to be maintained for this wave.
+    pub(super) fn is_for_wave(&self, wave: &WaveId) -> bool {
+        matches!(&self.task, VmTask::Maintain(of) if of == wave)
+    }
+}
+
 /// What is known of VMs and what is being done with them.
 #[derive(Debug, Default)]
 pub(super) struct Upkeep {
@@ -248,16 +255,9 @@
     fn call_for_empty(&mut self, now: BootTime) {
         let mut ready = Vec::new();
         for (vm, work) in self.upkeep.work.iter() {
-            let worker = work.worker.as_ref().and_then(|id| self.workers.get(id));
-            let is_empty = self.is_surely_empty(work.worker.as_ref());
-            let is_pressing = match &work.task {
-                VmTask::Maintain(wave) => self.is_behind(wave, now),
-                VmTask::Move(_) => false,
-            };
-            let may_be_cut = worker.is_some_and(|worker| {
-                worker.state == WorkerState::InTouch && !self.has_lasting(&worker.placed)
-            });
-            if work.phase == VmPhase::Emptying && (is_empty || (is_pressing && may_be_cut)) {
+            if work.phase == VmPhase::Emptying
+                && (self.is_surely_empty(work.worker.as_ref()) || self.may_be_cut(work, now))
+            {
                 ready.push(vm.clone());
             }
         }
@@ -266,6 +266,16 @@
         }
     }
 
+    /// Returns whether a VM may go down with tasks on it: they end by themselves, and its wave is late.
+    fn may_be_cut(&self, work: &VmWork, now: BootTime) -> bool {
+        let worker = work.worker.as_ref().and_then(|id| self.workers.get(id));
+        let may_end = worker.is_some_and(|worker| {
+            worker.state == WorkerState::InTouch
+                && !worker.placed.iter().any(|task| self.is_lasting(task))
+        });
+        may_end && matches!(&work.task, VmTask::Maintain(wave) if self.is_behind(wave, now))
+    }
+
     /// Returns whether nothing runs on a VM with this worker. One that is not known or has not
     /// answered may still run what an earlier owner started.
     fn is_surely_empty(&self, worker: Option<&WorkerId>) -> bool {
@@ -278,26 +288,14 @@
         }
     }
 
-    fn has_lasting(&self, tasks: &[TaskId]) -> bool {
-        tasks.iter().any(|id| {
-            self.jobs
-                .get(&id.submission)
-                .is_some_and(|job| job.submission.steps[usize::from(id.step)].is_lasting)
-        })
-    }
-
     pub(super) fn call(&mut self, vm: &VmId) {
         let Some(work) = self.upkeep.work.get_mut(vm) else {
             return;
         };
         work.phase = VmPhase::Calling;
-        let vm = vm.clone();
-        self.actions.push(match &work.task {
-            VmTask::Move(to) => Action::Move { vm, to: to.clone() },
-            VmTask::Maintain(wave) => Action::Maintain {
-                vm,
-                wave: wave.clone(),
-            },
+        self.actions.push(Action::Vm {
+            vm: vm.clone(),
+            task: work.task.clone(),
         });
     }
 }
--- a/rhubarbfall-runs/src/scheduler/waves.rs
+++ b/rhubarbfall-runs/src/scheduler/waves.rs
@@ -6,8 +6,8 @@
 
 use super::Scheduler;
 use super::storing::WaveRow;
-use super::upkeep::{VmPhase, VmRow, VmState, VmTask, VmWork};
-use crate::{StepId, TaskId, encode_wave};
+use super::upkeep::{VmPhase, VmTask, VmWork};
+use crate::encode_wave;
 
 /// How long a VM is under way: until its tasks have ended or lasting ones have moved one by one, and
 /// its maintenance.
@@ -37,10 +37,17 @@
 pub struct WaveProgress {
     /// When it was first seen, in milliseconds since 1970.
     pub first_seen_unix_ms: u64,
-    /// The VMs whose maintenance was called for.
+    /// The VMs whose maintenance was called for, sorted.
     pub called: Vec<CalledVm>,
 }
 
+impl WaveProgress {
+    /// Finds a VM among those called for, or where it belongs among them.
+    fn position(&self, vm: &VmId) -> Result<usize, usize> {
+        self.called.binary_search_by(|called| called.vm.cmp(vm))
+    }
+}
+
 /// A VM whose maintenance was called for.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CalledVm {
@@ -75,37 +82,46 @@
 
 /// How many VMs of a wave may be under way at the same time.
 #[derive(Debug, Clone, Copy)]
-struct WavePace {
+pub(super) struct WavePace {
     /// When the next one runs tasks.
-    used: usize,
+    pub(super) used: usize,
     /// When the next one runs nothing.
-    unused: usize,
+    pub(super) unused: usize,
 }
 
 impl WaveRun {
+    /// Returns the VMs whose maintenance has not begun.
+    pub(super) fn waiting(&self) -> impl Iterator<Item = &VmId> {
+        self.wave.vms.iter().filter(|vm| !self.has_begun(vm))
+    }
+
     fn has_begun(&self, vm: &VmId) -> bool {
-        self.progress
-            .called
-            .iter()
-            .any(|called| called.has_begun && called.vm == *vm)
+        let position = self.progress.position(vm);
+        position.is_ok_and(|index| self.progress.called[index].has_begun)
     }
 
     /// Returns how many VMs may be under way at the same time: as many as it takes to be in time,
     /// and more of those that nobody uses.
-    fn pace(&self, now: BootTime) -> WavePace {
+    pub(super) fn pace(&self, now: BootTime) -> WavePace {
         let most = self.wave.max_down.max(1);
         let usable = self.wave.duration.mul_f64(1.0 - WAVE_RESERVE);
         let left = usable.saturating_sub(now.since(self.since)).max(VM_CYCLE);
-        let waiting = self.wave.vms.len().saturating_sub(self.begun());
-        let needed = (waiting as f64 * VM_CYCLE.div_duration_f64(left)).ceil() as usize;
+        let needed =
+            (self.waiting().count() as f64 * VM_CYCLE.div_duration_f64(left)).ceil() as usize;
         WavePace {
             used: needed.clamp(1, most),
             unused: (needed * UNUSED_FACTOR).clamp(1, most),
         }
     }
 
-    fn begun(&self) -> usize {
-        self.wave.vms.iter().filter(|vm| self.has_begun(vm)).count()
+    /// Returns whether one more VM may go down while this many are.
+    pub(super) fn has_room(&self, down: usize) -> bool {
+        down < self.wave.max_down.max(1)
+    }
+
+    /// Returns whether nothing is left to do, and operators know.
+    pub(super) fn is_over(&self) -> bool {
+        self.reported == Some(WaveState::Completed)
     }
 }
 
@@ -129,7 +145,7 @@
             wave.duration,
             stored.is_some()
         );
-        let (progress, row) = stored.map_or_else(
+        let (mut progress, row) = stored.map_or_else(
             || {
                 (
                     WaveProgress {
@@ -141,6 +157,8 @@
             },
             |(progress, row)| (progress, Some(row)),
         );
+        // Earlier versions stored them in the order of their calls.
+        progress.called.sort_by(|one, other| one.vm.cmp(&other.vm));
         let age_ms = unix_ms.saturating_sub(progress.first_seen_unix_ms);
         for called in &progress.called {
             // A call without an answer is made again, once the VM is empty: it may never have been
@@ -196,7 +214,7 @@
             .upkeep
             .work
             .iter()
-            .filter(|(_, work)| work.task == VmTask::Maintain(stored.id.clone()))
+            .filter(|(_, work)| work.is_for_wave(&stored.id))
             .filter(|(_, work)| {
                 matches!(work.phase, VmPhase::Recording(version) if version <= stored.version)
             })
@@ -213,8 +231,9 @@
         self.upkeep
             .waves
             .iter()
-            .filter(|(_, run)| run.reported != Some(self.wave_state(run)))
-            .map(|(id, run)| (id.clone(), self.wave_state(run)))
+            .map(|(id, run)| (id, run, self.wave_state(run)))
+            .filter(|(_, run, state)| run.reported != Some(*state))
+            .map(|(id, _, state)| (id.clone(), state))
             .collect()
     }
 
@@ -228,12 +247,7 @@
 
     fn wave_state(&self, run: &WaveRun) -> WaveState {
         let has_left = |vm: &VmId| !self.upkeep.vms.is_empty() && self.upkeep.vms.get(vm).is_none();
-        if run
-            .wave
-            .vms
-            .iter()
-            .all(|vm| run.has_begun(vm) || has_left(vm))
-        {
+        if run.waiting().all(has_left) {
             WaveState::Completed
         } else {
             WaveState::Running
@@ -243,13 +257,9 @@
     /// Notes that the maintenance of a VM has begun.
     pub(super) fn note_begun(&mut self, vm: &VmId, wave: &WaveId) {
         if let Some(run) = self.upkeep.waves.get_mut(wave)
-            && let Some(called) = run
-                .progress
-                .called
-                .iter_mut()
-                .find(|called| called.vm == *vm)
+            && let Ok(index) = run.progress.position(vm)
         {
-            called.has_begun = true;
+            run.progress.called[index].has_begun = true;
             run.version += 1;
         }
     }
@@ -263,126 +273,6 @@
         }
     }
 
-    /// Takes the next VMs of each wave out of service. Those with lasting tasks begin first and at
-    /// their own pace: each step lets only few of its tasks go at a time, which takes the longest.
-    pub(super) fn start_emptying(&mut self, now: BootTime) {
-        let waves: Vec<WaveId> = self.upkeep.waves.iter().map(|(id, _)| id.clone()).collect();
-        for wave in waves {
-            for vm in self.next_of_wave(&wave, now) {
-                self.begin_emptying(&vm, VmTask::Maintain(wave.clone()));
-            }
-        }
-    }
-
-    fn next_of_wave(&self, id: &WaveId, now: BootTime) -> Vec<VmId> {
-        let Some(run) = self.upkeep.waves.get(id) else {
-            return Vec::new();
-        };
-        let pace = run.pace(now);
-        let mut leaving = self.leaving_steps();
-        let mut under_way = self.under_way_without_lasting(id);
-        let mut waiting: Vec<(u64, &VmId, Vec<StepId>)> = run
-            .wave
-            .vms
-            .iter()
-            .filter(|vm| !run.has_begun(vm) && self.upkeep.work.get(*vm).is_none())
-            .filter_map(|vm| {
-                let row = self.upkeep.vms.get(vm)?;
-                let steps = self.lasting_steps_on(row.worker.as_ref());
-                (row.state == VmState::Up).then(|| (self.load_of(row), vm, steps))
-            })
-            .collect();
-        waiting.sort();
-        let mut chosen = Vec::new();
-        for (load, vm, steps) in waiting {
-            if steps.is_empty() {
-                let limit = if load == 0 { pace.unused } else { pace.used };
-                if under_way < limit {
-                    under_way += 1;
-                    chosen.push(vm.clone());
-                }
-            } else if steps.iter().any(|step| self.may_leave(step, &leaving)) {
-                leaving.extend(steps);
-                chosen.push(vm.clone());
-            }
-        }
-        chosen
-    }
-
-    /// Counts the VMs of a wave that are under way, less those that lasting tasks still leave.
-    fn under_way_without_lasting(&self, id: &WaveId) -> usize {
-        let is_counted = |work: &VmWork| {
-            work.task == VmTask::Maintain(id.clone())
-                && (work.phase != VmPhase::Emptying
-                    || self.lasting_steps_on(work.worker.as_ref()).is_empty())
-        };
-        let works = self.upkeep.work.iter();
-        works.filter(|(_, work)| is_counted(work)).count()
-    }
-
-    /// Returns the steps of the lasting tasks on VMs that run empty, once a task.
-    fn leaving_steps(&self) -> Vec<StepId> {
-        let works = self.upkeep.work.iter().map(|(_, work)| work);
-        works
-            .filter(|work| work.phase == VmPhase::Emptying)
-            .flat_map(|work| self.lasting_steps_on(work.worker.as_ref()))
-            .collect()
-    }
-
-    fn lasting_steps_on(&self, worker: Option<&WorkerId>) -> Vec<StepId> {
-        let Some(worker) = worker.and_then(|id| self.workers.get(id)) else {
-            return Vec::new();
-        };
-        let is_lasting = |task: &&TaskId| {
-            let job = self.jobs.get(&task.submission);
-            job.is_some_and(|job| job.submission.steps[usize::from(task.step)].is_lasting)
-        };
-        let lasting = worker.placed.iter().filter(is_lasting);
-        lasting.map(StepId::of).collect()
-    }
-
-    /// Returns whether fewer tasks of a step are about to leave than it may miss.
-    fn may_leave(&self, step: &StepId, leaving: &[StepId]) -> bool {
-        let may_miss = self.jobs.get(&step.submission).map_or(1, |job| {
-            job.submission.steps[usize::from(step.step)].may_miss
-        });
-        leaving.iter().filter(|other| *other == step).count() < may_miss.max(1) as usize
-    }
-
-    /// Returns the workers whose VMs a wave has not taken yet, sorted.
-    pub(super) fn workers_due(&self) -> Vec<WorkerId> {
-        let is_due = |run: &WaveRun, vm: &VmId| !run.has_begun(vm);
-        let mut due: Vec<WorkerId> = self
-            .upkeep
-            .waves
-            .iter()
-            .filter(|(_, run)| run.reported != Some(WaveState::Completed))
-            .flat_map(|(_, run)| run.wave.vms.iter().filter(|vm| is_due(run, vm)))
-            .filter_map(|vm| self.upkeep.vms.get(vm)?.worker.clone())
-            .collect();
-        due.sort();
-        due
-    }
-
-    fn load_of(&self, row: &VmRow) -> u64 {
-        row.worker
-            .as_ref()
-            .and_then(|id| self.workers.get(id))
-            .map_or(0, |worker| worker.placed.len() as u64)
-    }
-
-    /// Returns whether one more VM of a wave may go down: emptied ones wait for their turn.
-    pub(super) fn has_room_in_wave(&self, id: &WaveId) -> bool {
-        let is_down = |work: &VmWork| {
-            work.task == VmTask::Maintain(id.clone()) && work.phase != VmPhase::Emptying
-        };
-        let down = self.upkeep.work.iter().filter(|(_, work)| is_down(work));
-        self.upkeep
-            .waves
-            .get(id)
-            .is_some_and(|run| down.count() < run.wave.max_down.max(1))
-    }
-
     /// Returns whether a wave has less of its VMs begun, or about to, than of its time passed.
     pub(super) fn is_behind(&self, wave: &WaveId, now: BootTime) -> bool {
         let Some(run) = self.upkeep.waves.get(wave) else {
@@ -390,7 +280,9 @@
         };
         let usable = run.wave.duration.mul_f64(1.0 - WAVE_RESERVE);
         let passed = now.since(run.since).as_secs_f64() / usable.as_secs_f64().max(0.001);
-        let begun = (run.begun() + run.wave.max_down) as f64 / run.wave.vms.len().max(1) as f64;
+        let vms = run.wave.vms.len();
+        let begun = vms - run.waiting().count();
+        let begun = (begun + run.wave.max_down) as f64 / vms.max(1) as f64;
         passed > begun
     }
 
@@ -413,13 +305,13 @@
         ) else {
             return;
         };
-        if !run.progress.called.iter().any(|called| called.vm == *vm) {
-            let worker = work.worker.clone();
-            run.progress.called.push(CalledVm {
+        if let Err(index) = run.progress.position(vm) {
+            let called = CalledVm {
                 vm: vm.clone(),
-                worker,
+                worker: work.worker.clone(),
                 has_begun: false,
-            });
+            };
+            run.progress.called.insert(index, called);
         }
         run.version += 1;
         work.phase = VmPhase::Recording(run.version);
--- a/rhubarbfall-runs/src/step_id.rs
+++ b/rhubarbfall-runs/src/step_id.rs
@@ -50,6 +50,25 @@
             step: task.step,
         }
     }
+
+    /// Returns the task of the step with this index.
+    #[must_use]
+    pub fn task(&self, index: u32) -> TaskId {
+        TaskId {
+            submission: self.submission.clone(),
+            occurrence: self.occurrence,
+            step: self.step,
+            index,
+        }
+    }
+
+    /// Returns whether a task is one of the step.
+    #[must_use]
+    pub fn has(&self, task: &TaskId) -> bool {
+        self.step == task.step
+            && self.occurrence == task.occurrence
+            && self.submission == task.submission
+    }
 }
 
 impl fmt::Display for StepId {
--- a/rhubarbfall-runs/src/submission.rs
+++ b/rhubarbfall-runs/src/submission.rs
@@ -167,27 +167,23 @@
     /// Returns the estimated length of the longest chain of steps.
     #[must_use]
     pub fn critical_path(&self) -> Duration {
+        self.longest_path(|_| false)
+    }
+
+    /// Returns the estimated length of the longest chain of steps, without those that are done by
+    /// their number.
+    pub(crate) fn longest_path(&self, is_done: impl Fn(usize) -> bool) -> Duration {
         let mut ends: Vec<Duration> = Vec::with_capacity(self.steps.len());
-        for step in &self.steps {
-            let begin = step
-                .after
-                .iter()
-                .map(|earlier| ends[usize::from(*earlier)])
-                .max();
-            ends.push(begin.unwrap_or_default() + step.estimate);
+        for (number, step) in self.steps.iter().enumerate() {
+            let earlier = step.after.iter().map(|earlier| ends[usize::from(*earlier)]);
+            let begin = earlier.max().unwrap_or_default();
+            let own = if is_done(number) {
+                Duration::ZERO
+            } else {
+                step.estimate
+            };
+            ends.push(begin + own);
         }
         ends.into_iter().max().unwrap_or_default()
     }
-
-    /// Returns the estimated core-seconds of one occurrence.
-    #[must_use]
-    pub fn work_core_s(&self) -> f64 {
-        self.steps
-            .iter()
-            .map(|step| {
-                let cores = step.demand.cpu_millis as f64 / 1_000.0;
-                cores * f64::from(step.tasks) * step.estimate.as_secs_f64()
-            })
-            .sum()
-    }
 }
--- a/rhubarbfall-runs/tests/faults.rs
+++ b/rhubarbfall-runs/tests/faults.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use model::{Model, step, submission};
-use rhubarbfall_core::{BootTime, FencingNumber, RowVersion};
-use rhubarbfall_runs::scheduler::{SchedulerSettings, VmRow, VmState, Wave};
+use rhubarbfall_core::{BootTime, RowVersion};
+use rhubarbfall_runs::scheduler::{Action, SchedulerSettings, VmRow, VmState, VmTask, Wave};
 use rhubarbfall_runs::{JobState, Resources, Scheduler, Step};
 
 const LASTING: Duration = Duration::from_secs(100_000);
@@ -26,11 +26,7 @@
     model.submit(submission(1, "labels", lasting(1, 1)), LASTING);
     model.run_for(Duration::from_secs(1));
     let first = model.runs_of(1);
-    let worker = model
-        .workers
-        .iter_mut()
-        .find(|worker| worker.report.id == first[0].0);
-    worker.expect("the worker that runs the task").is_cut_off = true;
+    model.cut_off(&first[0].0);
     model.run_for(Duration::from_secs(6));
     let second = model.runs_of(1);
     assert_eq!(second.len(), 1, "{second:?}");
@@ -100,7 +96,7 @@
 #[test]
 fn a_batch_fits_into_one_transaction() {
     let settings = SchedulerSettings::default();
-    let mut scheduler = Scheduler::new(settings, FencingNumber::new(1));
+    let mut scheduler = Scheduler::new(settings);
     let now = BootTime::default();
     for number in 0..200 {
         scheduler.submit(submission(number, "labels", step(1, 1_000)), now);
@@ -145,7 +141,7 @@
 #[test]
 fn a_wave_is_called_for_only_once_that_is_stored_and_a_successor_knows_it() {
     let now = BootTime::new(Duration::from_secs(50));
-    let mut scheduler = Scheduler::new(SchedulerSettings::default(), FencingNumber::new(1));
+    let mut scheduler = Scheduler::new(SchedulerSettings::default());
     scheduler.wave_requested(wave(2, 5), None, now, 1_000);
     scheduler.vms_listed(vm_rows(5), now, now);
     scheduler.tick(now, 1_000);
@@ -159,7 +155,7 @@
     assert_eq!(scheduler.take_actions().len(), 2);
 
     let stored = rhubarbfall_runs::decode_wave(&batch.waves[0].progress).expect("a wave's row");
-    let mut successor = Scheduler::new(SchedulerSettings::default(), FencingNumber::new(2));
+    let mut successor = Scheduler::new(SchedulerSettings::default());
     successor.wave_requested(wave(2, 5), Some((stored, RowVersion::new(7))), now, 2_000);
     successor.vms_listed(vm_rows(5), now, now);
     successor.tick(now, 2_000);
@@ -193,7 +189,7 @@
 #[test]
 fn a_new_owner_sends_no_vm_down_whose_worker_it_has_not_heard() {
     let now = BootTime::new(Duration::from_secs(50));
-    let mut scheduler = Scheduler::new(SchedulerSettings::default(), FencingNumber::new(2));
+    let mut scheduler = Scheduler::new(SchedulerSettings::default());
     scheduler.recover(Vec::new(), now + Duration::from_secs(10), now, 0);
     scheduler.wave_requested(wave(2, 5), None, now, 1_000);
     scheduler.vms_listed(vm_rows(5), now, now);
@@ -278,11 +274,7 @@
     model.fail_over();
     model.run_for(Duration::from_secs(1));
     let first = model.runs_of(1);
-    let worker = model
-        .workers
-        .iter_mut()
-        .find(|worker| worker.report.id == first[0].0);
-    worker.expect("the worker that runs the task").is_cut_off = true;
+    model.cut_off(&first[0].0);
     model.run_for(Duration::from_secs(5));
     let second = model.runs_of(1);
     assert!(
@@ -302,7 +294,7 @@
         submission: rhubarbfall_runs::decode_submission(&bytes).expect("a stored submission"),
         progress: None,
     };
-    let mut scheduler = Scheduler::new(SchedulerSettings::default(), FencingNumber::new(2));
+    let mut scheduler = Scheduler::new(SchedulerSettings::default());
     scheduler.recover([stored], now, now, 12_500);
     let ages: Vec<Duration> = scheduler
         .jobs()
@@ -339,7 +331,7 @@
 #[test]
 fn a_refused_call_about_a_vm_is_not_repeated_many_times_a_second() {
     let now = BootTime::new(Duration::from_secs(50));
-    let mut scheduler = Scheduler::new(SchedulerSettings::default(), FencingNumber::new(1));
+    let mut scheduler = Scheduler::new(SchedulerSettings::default());
     scheduler.wave_requested(wave(2, 5), None, now, 1_000);
     scheduler.vms_listed(vm_rows(5), now, now);
     let mut calls = 0;
@@ -350,7 +342,11 @@
             scheduler.batch_stored(&batch, RowVersion::new(7), now);
         }
         for action in scheduler.take_actions() {
-            if let rhubarbfall_runs::scheduler::Action::Maintain { vm, .. } = action {
+            if let Action::Vm {
+                vm,
+                task: VmTask::Maintain(_),
+            } = action
+            {
                 calls += 1;
                 scheduler.vm_answered(&vm, Some(false), now);
             }
@@ -383,7 +379,7 @@
 #[test]
 fn a_refused_call_is_not_repeated_by_a_new_owner() {
     let now = BootTime::new(Duration::from_secs(50));
-    let mut scheduler = Scheduler::new(SchedulerSettings::default(), FencingNumber::new(1));
+    let mut scheduler = Scheduler::new(SchedulerSettings::default());
     scheduler.wave_requested(wave(1, 1), None, now, 1_000);
     scheduler.vms_listed(vm_rows(1), now, now);
     scheduler.tick(now, 1_000);
@@ -400,7 +396,7 @@
 #[test]
 fn an_owner_knows_how_long_earlier_leases_may_last() {
     let now = BootTime::new(Duration::from_secs(50));
-    let mut scheduler = Scheduler::new(SchedulerSettings::default(), FencingNumber::new(3));
+    let mut scheduler = Scheduler::new(SchedulerSettings::default());
     assert_eq!(scheduler.inheritance_left(now), Duration::ZERO);
     scheduler.recover(Vec::new(), now + Duration::from_secs(9), now, 0);
     let later = now + Duration::from_secs(2);
--- a/rhubarbfall-runs/tests/model/mod.rs
+++ b/rhubarbfall-runs/tests/model/mod.rs
@@ -7,9 +7,9 @@
 
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use rhubarbfall_core::{BootTime, FencingNumber, RowVersion, SubmissionId, WorkerId};
+use rhubarbfall_core::{BootTime, RowVersion, SubmissionId, WorkerId};
 use rhubarbfall_runs::scheduler::{
-    Action, AdviceAnswer, Batch, SchedulerSettings, StartOrder, StoredJob, VmRow, VmState,
+    Action, AdviceAnswer, Batch, SchedulerSettings, StartOrder, StoredJob, VmRow, VmState, VmTask,
 };
 use rhubarbfall_runs::{
     Customer, FleetConfig, HoldAnswer, JobState, Queue, Resources, RunEnd, RunEndKind, RunningRun,
@@ -184,7 +184,7 @@
         let names: Vec<&str> = pools.iter().map(|(name, _)| *name).collect();
         let config = config(&names);
         let mut model = Self {
-            scheduler: Scheduler::new(SchedulerSettings::default(), FencingNumber::new(1)),
+            scheduler: Scheduler::new(SchedulerSettings::default()),
             now: BootTime::new(Duration::from_secs(100)),
             workers: Vec::new(),
             store: ModelStore::default(),
@@ -452,14 +452,14 @@
                     let at = self.now + ADVICE_TAKES;
                     self.advice.push((at, step, workers, answer));
                 }
-                Action::Move { vm, to } => {
-                    self.moves += 1;
-                    self.take_away(vm.as_str(), to.as_str());
-                    self.scheduler.vm_answered(&vm, Some(true), self.now);
-                }
-                Action::Maintain { vm, .. } => {
-                    let index = vm_index(vm.as_str());
-                    let pool = self.vms[index].pool.clone();
+                Action::Vm { vm, task } => {
+                    let pool = match task {
+                        VmTask::Move(to) => {
+                            self.moves += 1;
+                            to.to_string()
+                        }
+                        VmTask::Maintain(_) => self.vms[vm_index(vm.as_str())].pool.clone(),
+                    };
                     self.take_away(vm.as_str(), &pool);
                     self.scheduler.vm_answered(&vm, Some(true), self.now);
                 }
@@ -549,8 +549,7 @@
     /// Replaces the owner by one that knows only what is stored.
     pub(crate) fn fail_over(&mut self) {
         self.fence += 1;
-        let fence = FencingNumber::new(self.fence);
-        self.scheduler = Scheduler::new(SchedulerSettings::default(), fence);
+        self.scheduler = Scheduler::new(SchedulerSettings::default());
         self.scheduler.set_config(self.config.clone().into());
         let stored = self.store.submissions.iter().map(|(id, bytes)| StoredJob {
             submission: decode_submission(bytes).expect("a stored submission"),
@@ -619,6 +618,15 @@
             .count()
     }
 
+    /// Cuts off the worker with this name.
+    pub(crate) fn cut_off(&mut self, id: &WorkerId) {
+        let worker = self
+            .workers
+            .iter_mut()
+            .find(|worker| worker.report.id == *id);
+        worker.expect("the worker").is_cut_off = true;
+    }
+
     /// Returns whether any worker runs this task.
     pub(crate) fn runs_of(&self, submission: u64) -> Vec<(WorkerId, u64)> {
         let id = format!("{submission:016x}");
--- a/rhubarbfall-scheduler/src/beacon.rs
+++ b/rhubarbfall-scheduler/src/beacon.rs
@@ -89,25 +89,9 @@
     }
 }
 
-/// Asks the owner whether it is there.
+/// Asks the owner whether it is there and can store what it takes.
 pub(crate) async fn probe(node: &Node, address: SocketAddr) -> bool {
-    let request = BeaconRequest {
-        config_version: node.config.borrow().version,
-    };
-    match peer::beacon(node, address, &request, PROBE_TIMEOUT).await {
-        Ok(answer) => {
-            let is_acting = answer.is_acting;
-            if is_acting {
-                node.owner_heard_at.set(node.now());
-            }
-            take(node, answer);
-            is_acting
-        }
-        Err(error) => {
-            log::debug!("event=owner_unreachable peer={address} error={error:?}");
-            false
-        }
-    }
+    exchange(node, address, PROBE_TIMEOUT).await
 }
 
 /// Asks the owner, or the seeds in turn while it does not answer.
@@ -118,33 +102,41 @@
         let seeds = &node.settings.seeds;
         let seed = seeds.get(turn % seeds.len().max(1)).copied();
         let owner = node.other_owner();
-        let is_silent = node.now().since(node.owner_heard_at.get()) > INTERVAL * 2;
+        let is_silent = node.owner_silence() > INTERVAL * 2;
         let asked = if is_silent && turn.is_multiple_of(2) {
             seed.or(owner)
         } else {
             owner.or(seed)
         };
         turn += 1;
-        if owner.is_some()
-            && asked == owner
-            && node.now().since(node.owner_heard_at.get()) < INTERVAL
-        {
-            continue;
-        }
+        let was_just_heard = asked == owner && node.owner_silence() < INTERVAL;
         let Some(address) = asked.filter(|address| *address != node.settings.peers) else {
             continue;
         };
-        let request = BeaconRequest {
-            config_version: node.config.borrow().version,
-        };
-        match peer::beacon(&node, address, &request, TIMEOUT).await {
-            Ok(answer) => {
-                if Some(address) == owner && answer.is_acting {
-                    node.owner_heard_at.set(node.now());
-                }
-                take(&node, answer);
+        if !was_just_heard {
+            exchange(&node, address, TIMEOUT).await;
+        }
+    }
+}
+
+/// Asks another entry what it knows, and returns whether it is the owner at work.
+async fn exchange(node: &Node, address: SocketAddr, timeout: Duration) -> bool {
+    let is_owner = node.other_owner() == Some(address);
+    let request = BeaconRequest {
+        config_version: node.config.borrow().version,
+    };
+    match peer::beacon(node, address, &request, timeout).await {
+        Ok(answer) => {
+            let is_at_work = is_owner && answer.is_acting;
+            if is_at_work {
+                node.owner_heard_at.set(node.now());
             }
-            Err(error) => log::debug!("event=beacon_failed peer={address} error={error:?}"),
+            take(node, answer);
+            is_at_work
+        }
+        Err(error) => {
+            log::debug!("event=beacon_failed peer={address} error={error:?}");
+            false
         }
     }
 }
--- a/rhubarbfall-scheduler/src/callers.rs
+++ b/rhubarbfall-scheduler/src/callers.rs
@@ -1,6 +1,5 @@
 //! Serves callers: checks the key, finds the queue, and asks the owner.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,7 +12,7 @@
 
 use crate::beacon;
 use crate::http_server::{Answer, Request};
-use crate::node::Node;
+use crate::node::{Node, OwnerAt};
 use crate::owner::{Submitted, read_stored_state};
 use crate::peer;
 use crate::telemetry;
@@ -199,7 +198,7 @@
         node.now().since(began_at).as_millis(),
         limit.as_millis(),
         node.belief.borrow().fencing_number,
-        node.now().since(node.owner_heard_at.get()).as_millis(),
+        node.owner_silence().as_millis(),
         node.config.borrow().version
     );
     outcome_answer(outcome)
@@ -251,12 +250,14 @@
 }
 
 async fn ask_to_submit(node: &Node, submission: &Submission, timeout: Duration) -> Submitted {
-    if let Some(owner) = node.acting_owner() {
-        let waited = tokio::time::timeout(timeout, owner.submit(node, submission.clone())).await;
-        return waited.unwrap_or(Submitted::Unknown);
-    }
     match reachable_owner(node).await {
-        Some(address) => peer::submit(node, address, submission, timeout)
+        Some(OwnerAt::Here(owner)) => {
+            let stored = owner.submit(node, submission.clone());
+            tokio::time::timeout(timeout, stored)
+                .await
+                .unwrap_or(Submitted::Unknown)
+        }
+        Some(OwnerAt::Peer(address)) => peer::submit(node, address, submission, timeout)
             .await
             .into(),
         None => Submitted::NoOwner,
@@ -264,21 +265,26 @@
 }
 
 async fn ask_to_cancel(node: &Node, id: &SubmissionId, timeout: Duration) -> Submitted {
-    if let Some(owner) = node.acting_owner() {
-        let waited = tokio::time::timeout(timeout, owner.cancel(node, id)).await;
-        return waited.unwrap_or(Submitted::Unknown);
-    }
     match reachable_owner(node).await {
-        Some(address) => peer::cancel(node, address, id, timeout).await.into(),
+        Some(OwnerAt::Here(owner)) => tokio::time::timeout(timeout, owner.cancel(node, id))
+            .await
+            .unwrap_or(Submitted::Unknown),
+        Some(OwnerAt::Peer(address)) => peer::cancel(node, address, id, timeout).await.into(),
         None => Submitted::NoOwner,
     }
 }
 
-/// Returns the owner's address, unless it is silent: what is sent to an owner out of reach could
-/// only be answered with "unknown".
-async fn reachable_owner(node: &Node) -> Option<SocketAddr> {
-    let address = node.other_owner()?;
-    (!node.is_owner_silent() || beacon::probe(node, address).await).then_some(address)
+/// Returns where the owner is, unless it is silent: what is sent to an owner out of reach could only be
+/// answered with "unknown".
+async fn reachable_owner(node: &Node) -> Option<OwnerAt> {
+    let owner = node.find_owner()?;
+    if let OwnerAt::Peer(address) = &owner
+        && node.is_owner_silent()
+        && !beacon::probe(node, *address).await
+    {
+        return None;
+    }
+    Some(owner)
 }
 
 fn outcome_answer(outcome: Submitted) -> Answer {
@@ -291,14 +297,12 @@
 }
 
 async fn state(node: &Rc<Node>, id: &SubmissionId) -> Answer {
-    let told = if let Some(owner) = node.acting_owner() {
-        Ok(owner.with(|scheduler| scheduler.caller_state(id)))
-    } else if let Some(address) = node.other_owner() {
-        peer::state(node, address, id, STATE_TIMEOUT)
+    let told = match node.find_owner() {
+        Some(OwnerAt::Here(owner)) => Ok(owner.with(|scheduler| scheduler.caller_state(id))),
+        Some(OwnerAt::Peer(address)) => peer::state(node, address, id, STATE_TIMEOUT)
             .await
-            .map_err(|error| format!("{error:?}"))
-    } else {
-        Err("no owner".to_owned())
+            .map_err(|error| format!("{error:?}")),
+        None => Err("no owner".to_owned()),
     };
     let told = match told {
         Ok(told) => Ok(told),
@@ -321,14 +325,12 @@
 }
 
 async fn pending(node: &Rc<Node>, queue: &QueueId) -> Answer {
-    let told = if let Some(owner) = node.acting_owner() {
-        Some(owner.with(|scheduler| scheduler.pending(queue)) as u64)
-    } else if let Some(address) = node.other_owner() {
-        peer::pending(node, address, queue, STATE_TIMEOUT)
+    let told = match node.find_owner() {
+        Some(OwnerAt::Here(owner)) => Some(owner.with(|scheduler| scheduler.pending(queue)) as u64),
+        Some(OwnerAt::Peer(address)) => peer::pending(node, address, queue, STATE_TIMEOUT)
             .await
-            .ok()
-    } else {
-        None
+            .ok(),
+        None => None,
     };
     match told {
         Some(pending) => Answer::new(StatusCode::OK, encode_pending(pending)),
--- a/rhubarbfall-scheduler/src/lib.rs
+++ b/rhubarbfall-scheduler/src/lib.rs
@@ -16,6 +16,7 @@
 mod peer;
 mod readiness;
 mod settings;
+mod table_feed;
 mod telemetry;
 
 pub use lifecycle::run;
--- a/rhubarbfall-scheduler/src/node.rs
+++ b/rhubarbfall-scheduler/src/node.rs
@@ -80,6 +80,15 @@
     pub(crate) incarnation: u64,
 }
 
+/// Where the owner is asked.
+#[derive(Debug)]
+pub(crate) enum OwnerAt {
+    /// In this process.
+    Here(Rc<Owner>),
+    /// At another entry.
+    Peer(SocketAddr),
+}
+
 impl Node {
     pub(crate) fn new(
         settings: ScheduleSettings,
@@ -132,9 +141,22 @@
         self.now().since(heard_at) > ALONE_AFTER
     }
 
+    /// Returns for how long no owner at work has answered.
+    pub(crate) fn owner_silence(&self) -> Duration {
+        self.now().since(self.owner_heard_at.get())
+    }
+
     /// Returns whether the owner has not answered for so long that it may be out of reach.
     pub(crate) fn is_owner_silent(&self) -> bool {
-        self.now().since(self.owner_heard_at.get()) > OWNER_SILENT_AFTER
+        self.owner_silence() > OWNER_SILENT_AFTER
+    }
+
+    /// Returns where the owner is to be asked: here while this entry may act, or at another entry.
+    pub(crate) fn find_owner(&self) -> Option<OwnerAt> {
+        match self.acting_owner() {
+            Some(owner) => Some(OwnerAt::Here(owner)),
+            None => self.other_owner().map(OwnerAt::Peer),
+        }
     }
 
     /// Returns the address of another entry that owns the submissions.
--- a/rhubarbfall-scheduler/src/operator_feed.rs
+++ b/rhubarbfall-scheduler/src/operator_feed.rs
@@ -4,12 +4,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use rhubarbfall_core::RowVersion;
-use rhubarbfall_site::{
-    Feed, OPERATOR_TABLE, OperatorRow, StoreError, StoredRow, read_operator_row,
-};
+use rhubarbfall_site::{OPERATOR_TABLE, OperatorRow, StoreError, StoredRow, read_operator_row};
 
 use crate::node::Node;
+use crate::table_feed::{TableFeed, TableNews};
 
 /// How long the store may hold a call: a silent connection is noticed well within the bound for a
 /// new configuration.
@@ -20,32 +18,23 @@
 
 /// Follows the operators' table for the life of the process.
 pub(crate) async fn run(node: Rc<Node>) {
-    let mut version = None;
+    let mut feed = TableFeed::new(OPERATOR_TABLE, "");
     loop {
-        if let Err(error) = follow(&node, &mut version).await {
+        if let Err(error) = follow(&node, &mut feed).await {
             log::debug!("event=operator_feed_failed error={error}");
             tokio::time::sleep(RETRY_PAUSE).await;
         }
     }
 }
 
-async fn follow(node: &Node, version: &mut Option<RowVersion>) -> Result<(), StoreError> {
-    let Some(after) = *version else {
-        let (rows, as_of) = node.store.read_all(OPERATOR_TABLE, "").await?;
-        node.store_heard_at.set(node.now());
-        take(node, &rows);
-        *version = Some(as_of);
-        return Ok(());
-    };
-    match node.store.feed(OPERATOR_TABLE, after, WAIT).await? {
-        Feed::Changes(rows, newest) => {
+async fn follow(node: &Node, feed: &mut TableFeed) -> Result<(), StoreError> {
+    match feed.next(&node.store, WAIT).await? {
+        TableNews::All(rows) | TableNews::Changes(rows) => {
             node.store_heard_at.set(node.now());
             take(node, &rows);
-            *version = Some(newest.max(after));
         }
-        Feed::HistoryLost => {
+        TableNews::HistoryLost(after) => {
             log::warn!("event=operator_history_lost after={after}");
-            *version = None;
         }
     }
     Ok(())
--- a/rhubarbfall-scheduler/src/owner/mod.rs
+++ b/rhubarbfall-scheduler/src/owner/mod.rs
@@ -119,13 +119,13 @@
         confirmed_at: BootTime,
         tenure: Duration,
     ) -> Rc<Self> {
-        let scheduler = Scheduler::new(node.settings.scheduler(), fencing_number);
+        let scheduler = Scheduler::new(node.settings.scheduler());
         let owner = Self {
             scheduler: RefCell::new(scheduler),
             fencing_number,
             row_version: owner_row,
-            confirmed_at: Cell::new(confirmed_at),
-            tenure: Cell::new(tenure),
+            confirmed_at: Cell::default(),
+            tenure: Cell::default(),
             next_tenure: Cell::new(tenure),
             round_trip: Cell::default(),
             is_batch_under_way: Cell::default(),
@@ -265,8 +265,8 @@
     pub(crate) async fn submit(&self, node: &Node, submission: Submission) -> Submitted {
         let id = submission.id.clone();
         let now = node.now();
-        let intake = self.with(|scheduler| scheduler.submit(submission, now));
-        let stored = self.wait_stored(id.clone(), intake.version());
+        let version = self.with(|scheduler| scheduler.submit(submission, now));
+        let stored = self.wait_stored(id.clone(), version);
         tokio::pin!(stored);
         // While the store does not answer, what it was never sent is given back to its caller.
         if let Ok(outcome) = tokio::time::timeout(TAKE_BACK_AFTER, &mut stored).await {
@@ -402,9 +402,8 @@
             Action::Stop(order) => worker_loop::stop_run(node, owner, order),
             Action::Pace(order) => worker_loop::pace_run(owner, order),
             Action::Advise { step, workers } => advice_loop::ask(node, owner, step, workers),
-            Action::Move { .. } | Action::Maintain { .. } => {
-                vm_loop::order(node, owner, action, may_act);
-            }
+            Action::Vm { vm, task } if may_act => vm_loop::order(node, owner, vm, task),
+            Action::Vm { vm, .. } => vm_loop::not_ordered(owner, &vm, now),
         }
     }
 }
--- a/rhubarbfall-scheduler/src/owner/state_rows.rs
+++ b/rhubarbfall-scheduler/src/owner/state_rows.rs
@@ -10,6 +10,7 @@
 
 use crate::node::Node;
 use crate::owner::Owner;
+use crate::ownership::owner_transaction;
 
 /// The part that holds a cell's rows. All services are one cell: an owner of today's fleets uses a
 /// small part of a core.
@@ -79,11 +80,8 @@
 }
 
 /// Prepares the transaction that stores a batch, conditioned on the ownership.
-pub(super) fn transaction(owner: &Owner, owner_key: RowKey, batch: &Batch) -> Transaction {
-    let mut transaction = Transaction {
-        expected: vec![(owner_key, Some(owner.owner_row()))],
-        ..Transaction::default()
-    };
+pub(super) fn transaction(owner: &Owner, batch: &Batch) -> Transaction {
+    let mut transaction = owner_transaction(owner);
     for row in &batch.rows {
         if let Some(submission) = &row.submission {
             let key = submission_row(&row.id);
--- a/rhubarbfall-scheduler/src/owner/store_loop.rs
+++ b/rhubarbfall-scheduler/src/owner/store_loop.rs
@@ -11,7 +11,7 @@
 
 use super::{Owner, state_rows};
 use crate::node::Node;
-use crate::ownership::{owner_row_key, renewal_row_key, renewal_write};
+use crate::ownership::renewal_write;
 use crate::telemetry;
 
 /// The pause before a transaction without an answer is repeated.
@@ -44,15 +44,12 @@
 
 /// Stores a batch, whatever it takes. Returns `None` when the ownership has ended.
 async fn store(node: &Node, owner: &Owner, batch: &Batch) -> Option<RowVersion> {
-    let mut transaction = state_rows::transaction(owner, owner_row_key(), batch);
+    let mut transaction = state_rows::transaction(owner, batch);
     let mut may_be_stored = false;
     while !owner.has_ended() {
         let sent_at = node.now();
         // The store takes one transaction of a part after the other: a batch renews as well, when it
         // is time to.
-        transaction
-            .writes
-            .retain(|(key, _)| *key != renewal_row_key());
         let renews = owner.is_renewal_due(sent_at);
         if renews {
             let tenure = owner.ask_tenure();
@@ -63,6 +60,9 @@
         let timeout = owner.commit_timeout();
         let outcome = node.store.commit_within(&transaction, timeout).await;
         owner.is_batch_under_way.set(false);
+        if renews {
+            transaction.writes.pop();
+        }
         let took = node.now().since(sent_at);
         owner.note_round_trip(took);
         match outcome {
@@ -109,8 +109,7 @@
         return None;
     }
     let mut version = None;
-    let renewal = renewal_row_key();
-    for (key, value) in transaction.writes.iter().filter(|(key, _)| *key != renewal) {
+    for (key, value) in &transaction.writes {
         let row = current(key).filter(|row| row.value == *value)?;
         version = Some(row.version);
     }
--- a/rhubarbfall-scheduler/src/owner/vm_loop.rs
+++ b/rhubarbfall-scheduler/src/owner/vm_loop.rs
@@ -3,7 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use rhubarbfall_runs::scheduler::Action;
+use rhubarbfall_core::{BootTime, VmId};
+use rhubarbfall_runs::scheduler::VmTask;
 use rhubarbfall_site::VmOrderOutcome;
 
 use super::Owner;
@@ -25,23 +26,13 @@
 }
 
 /// Gives an order about a VM.
-pub(super) fn order(node: &Rc<Node>, owner: &Rc<Owner>, action: Action, may_act: bool) {
+pub(super) fn order(node: &Rc<Node>, owner: &Rc<Owner>, vm: VmId, task: VmTask) {
     let (node, owner) = (Rc::clone(node), Rc::clone(owner));
     tokio::task::spawn_local(async move {
         let fence = owner.fencing_number();
-        let (vm, outcome) = match action {
-            Action::Move { vm, .. } | Action::Maintain { vm, .. } if !may_act => {
-                (vm, VmOrderOutcome::NotNow)
-            }
-            Action::Move { vm, to } => {
-                let outcome = node.vm_service.move_vm(&vm, &to, fence).await;
-                (vm, outcome)
-            }
-            Action::Maintain { vm, wave } => {
-                let outcome = node.vm_service.maintain(&vm, &wave, fence).await;
-                (vm, outcome)
-            }
-            Action::Start(_) | Action::Stop(_) | Action::Pace(_) | Action::Advise { .. } => return,
+        let outcome = match &task {
+            VmTask::Move(to) => node.vm_service.move_vm(&vm, to, fence).await,
+            VmTask::Maintain(wave) => node.vm_service.maintain(&vm, wave, fence).await,
         };
         let is_done = match outcome {
             VmOrderOutcome::Done => Some(true),
@@ -56,3 +47,8 @@
         owner.with(|scheduler| scheduler.vm_answered(&vm, is_done, now));
     });
 }
+
+/// Gives an order back that was not sent.
+pub(super) fn not_ordered(owner: &Owner, vm: &VmId, now: BootTime) {
+    owner.with(|scheduler| scheduler.vm_answered(vm, Some(false), now));
+}
--- a/rhubarbfall-scheduler/src/owner/worker_list.rs
+++ b/rhubarbfall-scheduler/src/owner/worker_list.rs
@@ -3,11 +3,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use rhubarbfall_core::{RowVersion, WorkerId};
-use rhubarbfall_site::{Feed, StoreError, StoredRow, WORKER_TABLE, read_worker_entry};
+use rhubarbfall_core::WorkerId;
+use rhubarbfall_site::{StoreError, StoredRow, WORKER_TABLE, read_worker_entry};
 
 use super::{Owner, worker_loop};
 use crate::node::Node;
+use crate::table_feed::{TableFeed, TableNews};
 
 /// How long the store may hold a call for changes.
 const WAIT: Duration = Duration::from_secs(1);
@@ -20,9 +21,9 @@
 
 /// Follows the list until the ownership ends.
 pub(super) async fn run(node: Rc<Node>, owner: Rc<Owner>) {
-    let mut version = None;
+    let mut feed = TableFeed::new(WORKER_TABLE, "");
     while !owner.has_ended() {
-        match follow(&node, &owner, &mut version).await {
+        match follow(&node, &owner, &mut feed).await {
             Ok(()) => tokio::time::sleep(PAUSE).await,
             Err(error) => {
                 log::debug!("event=worker_feed_failed error={error}");
@@ -35,21 +36,15 @@
 async fn follow(
     node: &Rc<Node>,
     owner: &Rc<Owner>,
-    version: &mut Option<RowVersion>,
+    feed: &mut TableFeed,
 ) -> Result<(), StoreError> {
-    let Some(after) = *version else {
-        let (rows, as_of) = node.store.read_all(WORKER_TABLE, "").await?;
-        unlist_missing(owner, &rows);
-        take(node, owner, &rows);
-        *version = Some(as_of);
-        return Ok(());
-    };
-    match node.store.feed(WORKER_TABLE, after, WAIT).await? {
-        Feed::Changes(rows, newest) => {
+    match feed.next(&node.store, WAIT).await? {
+        TableNews::All(rows) => {
+            unlist_missing(owner, &rows);
             take(node, owner, &rows);
-            *version = Some(newest.max(after));
         }
-        Feed::HistoryLost => *version = None,
+        TableNews::Changes(rows) => take(node, owner, &rows),
+        TableNews::HistoryLost(after) => log::debug!("event=worker_history_lost after={after}"),
     }
     Ok(())
 }
--- a/rhubarbfall-scheduler/src/owner/worker_loop.rs
+++ b/rhubarbfall-scheduler/src/owner/worker_loop.rs
@@ -157,14 +157,7 @@
     let (node, owner) = (Rc::clone(node), Rc::clone(owner));
     tokio::task::spawn_local(async move {
         let is_confirmed = calls.stop(&order, owner.fencing_number()).await;
-        telemetry::count_worker_call(
-            "stop",
-            if is_confirmed {
-                "confirmed"
-            } else {
-                "unconfirmed"
-            },
-        );
+        telemetry::count_worker_order("stop", is_confirmed);
         let now = node.now();
         owner.with(|scheduler| {
             scheduler.stop_answered(&order.task, &order.worker, order.run, is_confirmed, now);
@@ -181,13 +174,6 @@
     let owner = Rc::clone(owner);
     tokio::task::spawn_local(async move {
         let is_confirmed = calls.pace(&order, owner.fencing_number()).await;
-        telemetry::count_worker_call(
-            "pace",
-            if is_confirmed {
-                "confirmed"
-            } else {
-                "unconfirmed"
-            },
-        );
+        telemetry::count_worker_order("pace", is_confirmed);
     });
 }
--- a/rhubarbfall-scheduler/src/ownership.rs
+++ b/rhubarbfall-scheduler/src/ownership.rs
@@ -7,11 +7,12 @@
 use prost::Message;
 use rand::RngExt;
 use rhubarbfall_core::{BootTime, FencingNumber, RowVersion};
-use rhubarbfall_site::{CommitOutcome, Feed, RowKey, StoreError, StoredRow, Transaction};
+use rhubarbfall_site::{CommitOutcome, RowKey, StoreError, StoredRow, Transaction};
 
 use crate::beacon::HolderMessage;
 use crate::node::{Holder, Node, OwnerBelief};
 use crate::owner::{self, CELL_PART, Owner};
+use crate::table_feed::{TableFeed, TableNews};
 use crate::telemetry;
 
 /// The table with the ownership of the cells.
@@ -99,9 +100,9 @@
 }
 
 /// What an entry has seen of the ownership rows.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Watch {
-    after: Option<RowVersion>,
+    feed: TableFeed,
     owner_row: Option<RowVersion>,
     renewal_row: Option<RowVersion>,
     /// How long the newest renewal keeps others from taking over.
@@ -115,6 +116,19 @@
 }
 
 impl Watch {
+    /// Begins without knowing anything.
+    fn new(now: BootTime) -> Self {
+        Self {
+            feed: TableFeed::new(CELL_TABLE, CELL_PART),
+            owner_row: None,
+            renewal_row: None,
+            tenure: Duration::ZERO,
+            handed_back: None,
+            heard_at: now,
+            answers_since: None,
+        }
+    }
+
     /// Returns how long the store may hold a call, so that the end of the owner's time is seen soon.
     fn wait(&self, now: BootTime) -> Duration {
         let tenure = self.tenure.max(MIN_TENURE);
@@ -126,19 +140,13 @@
 
 /// Watches the ownership, takes it over when it is free, and renews it while held.
 pub(crate) async fn run(node: Rc<Node>) {
-    let mut watch = Watch {
-        heard_at: node.now(),
-        ..Watch::default()
-    };
+    let mut watch = Watch::new(node.now());
     loop {
         let owner = node.owner.borrow().clone();
         if let Some(owner) = owner {
             keep(&node, &owner).await;
             // The rows have changed by this entry's own writes.
-            watch = Watch {
-                heard_at: node.now(),
-                ..Watch::default()
-            };
+            watch = Watch::new(node.now());
         } else {
             observe(&node, &mut watch).await;
         }
@@ -176,9 +184,8 @@
     let sent_at = node.now();
     let renewal = renewal_write(owner.fencing_number(), sent_at, owner.ask_tenure());
     let transaction = Transaction {
-        expected: vec![(cell_row(OWNER_KEY), Some(owner.owner_row()))],
         writes: vec![renewal],
-        removed: Vec::new(),
+        ..owner_transaction(owner)
     };
     let timeout = owner.commit_timeout();
     let outcome = node.store.commit_within(&transaction, timeout).await;
@@ -215,7 +222,7 @@
         return;
     }
     if node.config.borrow().version == 0 {
-        watch.after = None;
+        watch.feed.restart();
         tokio::time::sleep(CONFIG_PAUSE).await;
         return;
     }
@@ -230,7 +237,7 @@
     if is_free || was_me || is_silent {
         tokio::time::sleep(takeover_delay(node.settings.cpu_share)).await;
         take_over(node, watch, &belief).await;
-    } else if node.now().since(node.owner_heard_at.get()) < OWNER_AT_WORK {
+    } else if node.owner_silence() < OWNER_AT_WORK {
         tokio::time::sleep(follow_pause(node.settings.cpu_share)).await;
     }
 }
@@ -249,29 +256,14 @@
 }
 
 async fn follow(node: &Node, watch: &mut Watch) -> Result<(), StoreError> {
-    let rows = match watch.after {
-        None => {
-            let (rows, as_of) = node.store.read_all(CELL_TABLE, CELL_PART).await?;
-            watch.after = Some(as_of);
-            rows
-        }
-        Some(after) => match node
-            .store
-            .feed(CELL_TABLE, after, watch.wait(node.now()))
-            .await?
-        {
-            Feed::Changes(rows, newest) => {
-                watch.after = Some(newest.max(after));
-                rows
-            }
-            Feed::HistoryLost => {
-                watch.after = None;
-                return Ok(());
+    let wait = watch.wait(node.now());
+    match watch.feed.next(&node.store, wait).await? {
+        TableNews::All(rows) | TableNews::Changes(rows) => {
+            for row in &rows {
+                take_row(node, watch, row);
             }
-        },
-    };
-    for row in rows.iter().filter(|row| *row.key.part == *CELL_PART) {
-        take_row(node, watch, row);
+        }
+        TableNews::HistoryLost(after) => log::debug!("event=cell_history_lost after={after}"),
     }
     Ok(())
 }
@@ -372,9 +364,8 @@
         inherited_ms: inherited.as_millis() as u64,
     };
     let transaction = Transaction {
-        expected: vec![(cell_row(OWNER_KEY), Some(owner.owner_row()))],
         writes: vec![(cell_row(OWNER_KEY), row.encode_to_vec())],
-        removed: Vec::new(),
+        ..owner_transaction(&owner)
     };
     match node.store.commit(&transaction).await {
         Ok(_) => node.accept_belief(owner.fencing_number(), None),
@@ -386,14 +377,12 @@
     RowKey::new(CELL_TABLE, CELL_PART, key)
 }
 
-/// Returns the key of the row by which the owner keeps others from taking over.
-pub(crate) fn renewal_row_key() -> RowKey {
-    cell_row(RENEWAL_KEY)
-}
-
-/// Returns the key of the row that every write of an owner is conditioned on.
-pub(crate) fn owner_row_key() -> RowKey {
-    cell_row(OWNER_KEY)
+/// Returns a transaction without writes that takes effect only while this is still the owner.
+pub(crate) fn owner_transaction(owner: &Owner) -> Transaction {
+    Transaction {
+        expected: vec![(cell_row(OWNER_KEY), Some(owner.owner_row()))],
+        ..Transaction::default()
+    }
 }
 
 #[cfg(test)]
--- a/rhubarbfall-scheduler/src/telemetry.rs
+++ b/rhubarbfall-scheduler/src/telemetry.rs
@@ -30,6 +30,16 @@
     metrics::histogram!("store_call_seconds", "call" => call).record(took.as_secs_f64());
 }
 
+/// Counts an order to a worker that it confirmed or did not.
+pub(crate) fn count_worker_order(call: &'static str, is_confirmed: bool) {
+    let result = if is_confirmed {
+        "confirmed"
+    } else {
+        "unconfirmed"
+    };
+    count_worker_call(call, result);
+}
+
 /// Counts a call to a worker.
 pub(crate) fn count_worker_call(call: &'static str, result: &'static str) {
     metrics::counter!("worker_calls_total", "call" => call, "result" => result).increment(1);
