--- a/rhubarbfall-runs/tests/model/mod.rs
+++ b/rhubarbfall-runs/tests/model/mod.rs
@@ -2,6 +2,9 @@
 //! fences, VMs that move, and a store. It judges what the workers saw.
 #![allow(dead_code, reason = "each test file uses a part of the model")]
 
+mod inputs;
+mod worker;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
@@ -12,11 +15,14 @@
     Action, AdviceAnswer, Batch, SchedulerSettings, StartOrder, StoredJob, VmRow, VmState, VmTask,
 };
 use rhubarbfall_runs::{
-    Customer, FleetConfig, HoldAnswer, JobState, Queue, Resources, RunEnd, RunEndKind, RunningRun,
-    Scheduler, Service, StartOutcome, Step, StepId, Submission, TaskId, WorkerReport,
-    decode_progress, decode_submission,
+    FleetConfig, HoldAnswer, JobState, Resources, RunEndKind, Scheduler, StartOutcome, StepId,
+    Submission, TaskId, WorkerReport, decode_progress, decode_submission,
 };
 
+pub(crate) use inputs::{WORKER_SIZE, config, step, submission};
+pub(crate) use worker::{ModelRun, ModelWorker};
+use worker::{end, listed, start};
+
 /// How far one step of the model goes.
 pub(crate) const STEP: Duration = Duration::from_millis(20);
 
@@ -29,41 +35,6 @@
 /// How long a call for advice takes.
 const ADVICE_TAKES: Duration = Duration::from_millis(120);
 
-/// A worker's room, as on the users' platform.
-pub(crate) const WORKER_SIZE: Resources = Resources {
-    cpu_millis: 64_000,
-    memory_mb: 131_072,
-    gpus: 0,
-};
-
-#[derive(Debug, Clone)]
-pub(crate) struct ModelRun {
-    pub(crate) task: TaskId,
-    pub(crate) run: u64,
-    pub(crate) left: Duration,
-    pub(crate) length: Duration,
-    pub(crate) demand: Resources,
-}
-
-#[derive(Debug, Clone)]
-pub(crate) struct ModelWorker {
-    pub(crate) report: WorkerReport,
-    pub(crate) vm: usize,
-    pub(crate) runs: Vec<ModelRun>,
-    pub(crate) ends: Vec<RunEnd>,
-    pub(crate) next_end: u64,
-    pub(crate) fence: u64,
-    pub(crate) lease_until: BootTime,
-    pub(crate) held_at: BootTime,
-    /// Answers nothing, and runs on.
-    pub(crate) is_cut_off: bool,
-    /// Fails whatever it starts.
-    pub(crate) fails_all: bool,
-    /// Leaves orders to start unanswered and carries them out after this time.
-    pub(crate) starts_late_by: Option<Duration>,
-    pub(crate) late: Vec<(BootTime, StartOrder, u64)>,
-}
-
 #[derive(Debug, Clone)]
 struct ModelVm {
     pool: String,
@@ -116,69 +87,6 @@
     config: FleetConfig,
 }
 
-/// A configuration with these services, the last one spare, and a queue for each of the others.
-pub(crate) fn config(services: &[&str]) -> FleetConfig {
-    let service = |index: usize, name: &str| Service {
-        id: name.parse().expect("a service's name"),
-        guards_capacity: false,
-        is_spare: index + 1 == services.len(),
-    };
-    let queue = |name: &&str| Queue {
-        id: name.parse().expect("a queue's name"),
-        host: "labels.example".into(),
-        path_prefix: format!("/{name}/").into(),
-        service: name.parse().expect("a service's name"),
-        priority: 0,
-        max_attempts: 3,
-        stretch: 1.6,
-        objective: Duration::from_millis(600),
-        is_public: false,
-        advice: None,
-    };
-    FleetConfig {
-        version: 1,
-        queues: services.iter().map(queue).collect(),
-        services: services
-            .iter()
-            .enumerate()
-            .map(|(index, name)| service(index, name))
-            .collect(),
-        customers: vec![Customer {
-            id: "house-a".parse().expect("a customer's name"),
-            keys: vec!["key".into()],
-            weight: 1_000,
-            limit: Resources::default(),
-        }],
-    }
-}
-
-/// A submission with one step.
-pub(crate) fn submission(number: u64, queue: &str, step: Step) -> Submission {
-    Submission {
-        id: format!("{number:016x}").parse().expect("an identifier"),
-        queue: queue.parse().expect("a queue's name"),
-        customer: Some("house-a".parse().expect("a customer's name")),
-        program: "print".into(),
-        steps: vec![step],
-        schedule: None,
-        received_unix_ms: 0,
-    }
-}
-
-/// A step of tasks that take a second on a few cores.
-pub(crate) fn step(tasks: u32, cpu_millis: u64) -> Step {
-    Step {
-        tasks,
-        demand: Resources {
-            cpu_millis,
-            memory_mb: cpu_millis * 2,
-            gpus: 0,
-        },
-        estimate: Duration::from_secs(1),
-        ..Step::default()
-    }
-}
-
 impl Model {
     pub(crate) fn new(pools: &[(&str, usize)], seed: u64) -> Self {
         let names: Vec<&str> = pools.iter().map(|(name, _)| *name).collect();
@@ -652,59 +560,6 @@
     }
 }
 
-fn start(
-    worker: &mut ModelWorker,
-    order: &StartOrder,
-    length: Duration,
-    scheduler: &Scheduler,
-    now: BootTime,
-) {
-    let until = BootTime::new(Duration::from_millis(order.lease_deadline_ms));
-    if until < now {
-        return;
-    }
-    worker.lease_until = worker.lease_until.max(until);
-    let demand = scheduler
-        .jobs()
-        .find(|job| job.submission.id == order.task.submission)
-        .map(|job| job.submission.steps[usize::from(order.task.step)].reserved());
-    worker.runs.push(ModelRun {
-        task: order.task.clone(),
-        run: order.run,
-        left: length,
-        length,
-        demand: demand.unwrap_or_default(),
-    });
-}
-
-fn end(worker: &mut ModelWorker, task: TaskId, run: u64, kind: RunEndKind) {
-    let number = worker.next_end;
-    worker.next_end += 1;
-    worker.ends.push(RunEnd {
-        number,
-        task,
-        run,
-        kind,
-        checkpoint: None,
-    });
-}
-
-fn listed(run: &ModelRun, tail_ms: u64, warm_up: Duration) -> RunningRun {
-    let worked = run.length.saturating_sub(run.left);
-    let done = worked.as_secs_f64() / run.length.as_secs_f64();
-    RunningRun {
-        task: run.task.clone(),
-        run: run.run,
-        checkpoint: None,
-        percent: if run.length > Duration::from_hours(1) {
-            if worked >= warm_up { 100 } else { 50 }
-        } else {
-            (done * 100.0) as u8
-        },
-        figure: Some(tail_ms),
-    }
-}
-
 fn vm_index(vm: &str) -> usize {
     vm.trim_start_matches("vm-").parse().expect("a VM's number")
 }
--- /dev/null
+++ b/rhubarbfall-runs/tests/model/worker.rs
@@ -0,0 +1,90 @@
+//! A worker of the model and what runs on it.
+
+use std::time::Duration;
+
+use rhubarbfall_core::BootTime;
+use rhubarbfall_runs::scheduler::StartOrder;
+use rhubarbfall_runs::{
+    Resources, RunEnd, RunEndKind, RunningRun, Scheduler, TaskId, WorkerReport,
+};
+
+#[derive(Debug, Clone)]
+pub(crate) struct ModelRun {
+    pub(crate) task: TaskId,
+    pub(crate) run: u64,
+    pub(crate) left: Duration,
+    pub(crate) length: Duration,
+    pub(crate) demand: Resources,
+}
+
+#[derive(Debug, Clone)]
+pub(crate) struct ModelWorker {
+    pub(crate) report: WorkerReport,
+    pub(crate) vm: usize,
+    pub(crate) runs: Vec<ModelRun>,
+    pub(crate) ends: Vec<RunEnd>,
+    pub(crate) next_end: u64,
+    pub(crate) fence: u64,
+    pub(crate) lease_until: BootTime,
+    pub(crate) held_at: BootTime,
+    /// Answers nothing, and runs on.
+    pub(crate) is_cut_off: bool,
+    /// Fails whatever it starts.
+    pub(crate) fails_all: bool,
+    /// Leaves orders to start unanswered and carries them out after this time.
+    pub(crate) starts_late_by: Option<Duration>,
+    pub(crate) late: Vec<(BootTime, StartOrder, u64)>,
+}
+
+pub(super) fn start(
+    worker: &mut ModelWorker,
+    order: &StartOrder,
+    length: Duration,
+    scheduler: &Scheduler,
+    now: BootTime,
+) {
+    let until = BootTime::new(Duration::from_millis(order.lease_deadline_ms));
+    if until < now {
+        return;
+    }
+    worker.lease_until = worker.lease_until.max(until);
+    let demand = scheduler
+        .jobs()
+        .find(|job| job.submission.id == order.task.submission)
+        .map(|job| job.submission.steps[usize::from(order.task.step)].reserved());
+    worker.runs.push(ModelRun {
+        task: order.task.clone(),
+        run: order.run,
+        left: length,
+        length,
+        demand: demand.unwrap_or_default(),
+    });
+}
+
+pub(super) fn end(worker: &mut ModelWorker, task: TaskId, run: u64, kind: RunEndKind) {
+    let number = worker.next_end;
+    worker.next_end += 1;
+    worker.ends.push(RunEnd {
+        number,
+        task,
+        run,
+        kind,
+        checkpoint: None,
+    });
+}
+
+pub(super) fn listed(run: &ModelRun, tail_ms: u64, warm_up: Duration) -> RunningRun {
+    let worked = run.length.saturating_sub(run.left);
+    let done = worked.as_secs_f64() / run.length.as_secs_f64();
+    RunningRun {
+        task: run.task.clone(),
+        run: run.run,
+        checkpoint: None,
+        percent: if run.length > Duration::from_hours(1) {
+            if worked >= warm_up { 100 } else { 50 }
+        } else {
+            (done * 100.0) as u8
+        },
+        figure: Some(tail_ms),
+    }
+}
--- a/rhubarbfall/tests/soak/entry.rs
+++ b/rhubarbfall/tests/soak/entry.rs
@@ -7,12 +7,12 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use rhubarbfall_testing::rig::free_address;
 use rhubarbfall_testing::{Relay, RelayMode};
 use rustix::process::{Pid, Signal, kill_process};
 use tempfile::TempDir;
 
 use crate::stand_in::StandInSite;
+use crate::support::EntryAddresses;
 
 /// An entry stops by itself after this time, also when the soak is killed.
 const RUN_FOR: &str = "3m";
@@ -47,30 +47,17 @@
             .prefix(&format!("soak-{seed}-"))
             .tempdir()
             .expect("a directory");
-        let peers: Vec<SocketAddr> = (0..count).map(|_| free_address()).collect();
-        let seeds: Vec<String> = peers
-            .iter()
-            .take(3)
-            .map(|seed| format!("\"{seed}\""))
-            .collect();
+        let addresses: Vec<EntryAddresses> = (0..count).map(|_| EntryAddresses::free()).collect();
+        let seeds: Vec<SocketAddr> = addresses.iter().take(3).map(|entry| entry.peers).collect();
         let mut all = Vec::new();
-        for (index, peers) in peers.iter().enumerate() {
+        for (index, addresses) in addresses.iter().enumerate() {
             let store = Relay::start(site.store).await.expect("a relay");
-            let callers = free_address();
-            let text = format!(
-                "entry = \"entry-{index}\"\navailability_zone = \"zone-a\"\ncallers = \"{callers}\"\n\
-                 readiness = \"{}\"\npeers = \"{peers}\"\nmetrics = \"{}\"\nseeds = [{}]\n\
-                 store = \"{}\"\nvm_service = \"{}\"\nmax_lease_ms = 10000\nstop_grace_s = 6\n",
-                free_address(),
-                free_address(),
-                seeds.join(", "),
-                store.address(),
-                site.vm_service,
-            );
-            let settings = directory.path().join(format!("entry-{index}.toml"));
+            let name = format!("entry-{index}");
+            let text = addresses.settings(&name, &seeds, store.address(), site.vm_service);
+            let settings = directory.path().join(format!("{name}.toml"));
             std::fs::write(&settings, text).expect("the settings are written");
             all.push(Entry {
-                callers,
+                callers: addresses.callers,
                 store,
                 settings,
                 child: Mutex::default(),
--- a/rhubarbfall/tests/soak/main.rs
+++ b/rhubarbfall/tests/soak/main.rs
@@ -10,6 +10,8 @@
 mod judge;
 #[path = "../../../platform/tests/stand_in/mod.rs"]
 mod stand_in;
+#[path = "../support/mod.rs"]
+mod support;
 
 use std::process::ExitCode;
 use std::sync::Arc;
--- a/rhubarbfall/tests/submissions.rs
+++ b/rhubarbfall/tests/submissions.rs
@@ -2,6 +2,7 @@
 
 #[path = "../../platform/tests/stand_in/mod.rs"]
 mod stand_in;
+mod support;
 
 use std::fs::File;
 use std::net::SocketAddr;
@@ -14,9 +15,9 @@
 use http_body_util::{BodyExt, Full};
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
-use rhubarbfall_testing::rig::free_address;
 use rhubarbfall_testing::{Relay, RelayMode};
 use stand_in::StandInSite;
+use support::EntryAddresses;
 
 /// How long a test waits for what has to come: several takeovers.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -59,16 +60,8 @@
     name: &str,
     seeds: &[SocketAddr],
 ) -> EntryProcess {
-    let (callers, peers, readiness) = (free_address(), free_address(), free_address());
-    let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
-    let settings = format!(
-        "entry = \"{name}\"\navailability_zone = \"zone-a\"\ncallers = \"{callers}\"\n\
-         readiness = \"{readiness}\"\npeers = \"{peers}\"\nmetrics = \"{}\"\nseeds = [{}]\n\
-         store = \"{store}\"\nvm_service = \"{}\"\nmax_lease_ms = 10000\nstop_grace_s = 6\n",
-        free_address(),
-        seeds.join(", "),
-        site.vm_service,
-    );
+    let addresses = EntryAddresses::free();
+    let settings = addresses.settings(name, seeds, store, site.vm_service);
     let directory = tempfile::tempdir().expect("a directory");
     let directory = directory.keep();
     let (path, log) = (directory.join("entry.toml"), directory.join("entry.log"));
@@ -82,9 +75,9 @@
         .expect("the entry starts");
     EntryProcess {
         child,
-        callers,
-        readiness,
-        peers,
+        callers: addresses.callers,
+        readiness: addresses.readiness,
+        peers: addresses.peers,
         log,
     }
 }
--- /dev/null
+++ b/rhubarbfall/tests/support/mod.rs
@@ -0,0 +1,48 @@
+//! The settings of an entry that a test starts as a process.
+
+use std::net::SocketAddr;
+
+use rhubarbfall_testing::rig::free_address;
+
+/// Where an entry listens.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct EntryAddresses {
+    pub(crate) callers: SocketAddr,
+    pub(crate) readiness: SocketAddr,
+    pub(crate) peers: SocketAddr,
+}
+
+impl EntryAddresses {
+    /// Takes addresses that are free.
+    pub(crate) fn free() -> Self {
+        Self {
+            callers: free_address(),
+            readiness: free_address(),
+            peers: free_address(),
+        }
+    }
+
+    /// Returns the settings of an entry with this name.
+    pub(crate) fn settings(
+        &self,
+        name: &str,
+        seeds: &[SocketAddr],
+        store: SocketAddr,
+        vm_service: SocketAddr,
+    ) -> String {
+        let Self {
+            callers,
+            readiness,
+            peers,
+        } = self;
+        let metrics = free_address();
+        let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+        let seeds = seeds.join(", ");
+        format!(
+            "entry = \"{name}\"\navailability_zone = \"zone-a\"\ncallers = \"{callers}\"\n\
+             readiness = \"{readiness}\"\npeers = \"{peers}\"\nmetrics = \"{metrics}\"\n\
+             seeds = [{seeds}]\nstore = \"{store}\"\nvm_service = \"{vm_service}\"\n\
+             max_lease_ms = 10000\nstop_grace_s = 6\n"
+        )
+    }
+}
