feat(runs): log the stop of each run and when an ended job has no run left

Cause: the logs could not tell the three hypotheses on UNASKED apart: neither the sending nor the confirmation of a stop was logged, nor when the last run of a cancelled submission had ended. Result: no decision changes; the tests of the package pass.

--- a/rhubarbfall-runs/src/job.rs
+++ b/rhubarbfall-runs/src/job.rs
@@ -44,6 +44,10 @@
     pub is_accepted: bool,
     /// The version of the progress row, if the row exists.
     pub progress_row: Option<RowVersion>,
+    /// When this owner decided or recovered the final state, which may not be stored yet.
+    pub finished_at: Option<BootTime>,
+    /// Whether no run of the job was left after its final state was decided.
+    pub is_cleared: bool,
     /// When the final state was stored, or recovered by this owner.
     pub ended_at: Option<BootTime>,
 }
@@ -156,6 +160,8 @@
             was_sent: false,
             is_accepted: false,
             progress_row: None,
+            finished_at: None,
+            is_cleared: false,
             ended_at: None,
         }
     }
--- a/rhubarbfall-runs/src/scheduler/intake.rs
+++ b/rhubarbfall-runs/src/scheduler/intake.rs
@@ -143,6 +143,7 @@
             return;
         };
         job.state = state;
+        job.finished_at = Some(now);
         let waited = job
             .placed_at
             .map(|placed_at| placed_at.since(job.accepted_at).as_millis());
@@ -169,6 +170,7 @@
         }
         self.mark_dirty(id);
         self.needs_placement = true;
+        self.record_cleared(id, now);
     }
 
     /// Begins the occurrences that are due.
--- a/rhubarbfall-runs/src/scheduler/lease_renewal.rs
+++ b/rhubarbfall-runs/src/scheduler/lease_renewal.rs
@@ -3,6 +3,7 @@
 use rhubarbfall_core::{BootTime, SubmissionId, WorkerId};
 
 use super::Scheduler;
+use super::clearing::log_late_run;
 use crate::{
     JobState, LeaseRenewalResponse, Resources, RunEnd, RunEndKind, RunState, Step, TaskId,
     TaskPhase, WorkerState,
@@ -132,6 +133,7 @@
         if is_current || (is_waiting && end.kind == RunEndKind::Done) {
             self.apply_run_end(worker_id, end, now);
         }
+        self.record_cleared(submission, now);
         let version = self.jobs.get(submission).map_or(0, |job| job.version);
         if let Some(worker) = self.workers.get_mut(worker_id) {
             worker.last_processed_end = end.number;
@@ -239,9 +241,10 @@
         let mut unexpected_load = Resources::default();
         for running in &answer.running {
             let Some(job) = self.jobs.get_mut(&running.task.submission) else {
-                self.push_stop(worker_id, &running.task, running.run);
+                self.push_stop(worker_id, &running.task, running.run, "unknown_job");
                 continue;
             };
+            log_late_run(job, running, worker_id, now);
             let step = job.submission.steps.get(usize::from(running.task.step));
             let reserved = step.map(Step::reserved).unwrap_or_default();
             let current = job
@@ -254,7 +257,7 @@
                     running.task,
                     running.run
                 );
-                self.push_stop(worker_id, &running.task, running.run);
+                self.push_stop(worker_id, &running.task, running.run, "unexpected_run");
                 continue;
             };
             if running.checkpoint.is_some() {
--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -2,6 +2,7 @@
 
 mod action;
 mod advice;
+mod clearing;
 mod intake;
 mod interruptions;
 mod lease_renewal;
@@ -29,6 +30,7 @@
 
 pub use action::{Action, PaceOrder, StartOrder, StopOrder};
 pub use advice::AdviceResponse;
+pub use clearing::ClearedJob;
 pub use intake::SubmissionState;
 pub use lease_renewal::LeaseRenewalRequest;
 pub use pools::{PoolLoad, plan_moves};
@@ -65,6 +67,8 @@
     needs_placement: bool,
     vm_ops: vm_operations::VmOperations,
     advice: advice::Advice,
+    /// The jobs whose last run has ended since they were last taken.
+    cleared_jobs: Vec<ClearedJob>,
     /// The placed tasks whose start has not been answered yet, sorted.
     pending_starts: Vec<TaskId>,
     pools_logged_at: BootTime,
@@ -96,6 +100,7 @@
             needs_placement: true,
             vm_ops: vm_operations::VmOperations::default(),
             advice: advice::Advice::default(),
+            cleared_jobs: Vec::new(),
             pending_starts: Vec::new(),
             pools_logged_at: BootTime::default(),
             checked_at: BootTime::default(),
@@ -230,6 +235,7 @@
         }
         task.requeue(now, delay);
         self.mark_dirty(&id.submission);
+        self.record_cleared(&id.submission, now);
     }
 
     fn set_run_state(&mut self, id: &TaskId, state: RunState) {
--- a/rhubarbfall-runs/src/scheduler/orders.rs
+++ b/rhubarbfall-runs/src/scheduler/orders.rs
@@ -97,6 +97,15 @@
         let placed = task
             .filter(|task| task.is_run(worker, run))
             .and_then(Task::placement);
+        let event = if is_confirmed {
+            "run_stop_confirmed"
+        } else {
+            "run_stop_unconfirmed"
+        };
+        log::info!(
+            "event={event} id={id} run={run} worker={worker} current={}",
+            placed.is_some()
+        );
         // Only the first confirmation counts: a renewal sent after it reports what is still
         // running.
         if let Some(RunState::Stopping {
@@ -141,7 +150,12 @@
             RunState::Stopping { confirmed_at, .. } => confirmed_at,
             _ => None,
         };
-        if !self.push_stop(&worker_id, id, run) {
+        let reason = match state {
+            RunState::Unconfirmed(_) => "start_unconfirmed",
+            RunState::Stopping { asked_at: None, .. } => "requested",
+            _ => "repeated",
+        };
+        if !self.push_stop(&worker_id, id, run, reason) {
             return;
         }
         self.set_run_state(
@@ -154,10 +168,17 @@
     }
 
     /// Queues a command to stop a run, and returns whether the worker is known.
-    pub(super) fn push_stop(&mut self, worker: &WorkerId, task: &TaskId, run: u64) -> bool {
+    pub(super) fn push_stop(
+        &mut self,
+        worker: &WorkerId,
+        task: &TaskId,
+        run: u64,
+        reason: &str,
+    ) -> bool {
         let Some(known) = self.workers.get(worker) else {
             return false;
         };
+        log::info!("event=run_stop_sent id={task} run={run} worker={worker} reason={reason}");
         self.actions.push(Action::Stop(StopOrder {
             worker: worker.clone(),
             address: known.report.address,
--- a/rhubarbfall-runs/src/scheduler/recovery.rs
+++ b/rhubarbfall-runs/src/scheduler/recovery.rs
@@ -124,6 +124,7 @@
     job.has_begun = progress.has_begun;
     job.has_started = progress.has_begun;
     if progress.state.is_final() {
+        job.finished_at = Some(now);
         job.ended_at = Some(now);
     }
     let state = if progress.state.is_final() {
--- a/rhubarbfall-scheduler/src/owner/mod.rs
+++ b/rhubarbfall-scheduler/src/owner/mod.rs
@@ -26,6 +26,7 @@
 use crate::ownership::{
     MAX_OWNERSHIP_LEASE, MIN_OWNERSHIP_LEASE, OWNERSHIP_LEASE_ROUND_TRIPS, RENEWAL_INTERVAL,
 };
+use crate::telemetry;
 use round_trip::RoundTripEstimate;
 
 pub(crate) use state_rows::{CELL_PART, read_stored_state};
@@ -404,6 +405,9 @@
             owner.scheduler.borrow_mut().tick(now, unix_ms);
         }
         dispatch(&node, &owner, now);
+        for cleared in owner.scheduler.borrow_mut().take_cleared_jobs() {
+            telemetry::record_cleared_job(&cleared);
+        }
         owner.wake_store.notify_one();
         let due = node.now() + MIN_TICK_INTERVAL;
         tokio::time::sleep(MIN_TICK_INTERVAL).await;
--- a/rhubarbfall-scheduler/src/telemetry.rs
+++ b/rhubarbfall-scheduler/src/telemetry.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
+use rhubarbfall_runs::scheduler::ClearedJob;
 
 /// Upper bounds of the latency histograms, in seconds: from a call within one zone to the longest
 /// time limit of a caller.
@@ -30,6 +31,12 @@
     metrics::histogram!("store_call_seconds", "call" => call).record(took.as_secs_f64());
 }
 
+/// Records the time from the end of a job to the end of its last run.
+pub(crate) fn record_cleared_job(job: &ClearedJob) {
+    let state = job.state.to_string();
+    metrics::histogram!("job_clearing_seconds", "state" => state).record(job.took.as_secs_f64());
+}
+
 /// Counts an order to a worker as confirmed or unconfirmed.
 pub(crate) fn count_worker_order(call: &'static str, is_confirmed: bool) {
     let result = if is_confirmed {
