feat(scheduler): log the method of a refused request

Cause: event=refused could not tell a cancel from a repeated submission; hypothesis 1 needs to know whether cancels are refused for good after a change of keys or routes. Change: the line has method=.

--- a/rhubarbfall-scheduler/src/callers.rs
+++ b/rhubarbfall-scheduler/src/callers.rs
@@ -93,7 +93,8 @@
         }
         Err(code) => {
             log::info!(
-                "event=refused path={} code={code} config={}",
+                "event=refused method={} path={} code={code} config={}",
+                request.method,
                 request.path,
                 node.config.borrow().version
             );
