--- a/rhubarbfall-scheduler/src/owner/store_loop.rs
+++ b/rhubarbfall-scheduler/src/owner/store_loop.rs
@@ -141,3 +141,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/rhubarbfall/tests/submissions.rs
+++ b/rhubarbfall/tests/submissions.rs
@@ -354,3 +354,186 @@
             .is_empty()
     );
 }
+
+// Cancellations: a submission whose cancellation was answered with 200 or 410 does not run.
+
+const LONG_RUNNING_BODY: &str = r#"{"spec":"print","steps":[{"count":3,"cpu":1000,"mem_mb":100,
+    "estimate_ms":200,"long_running":true}]}"#;
+
+/// Covers several placements and batches.
+const SETTLING_TIME: Duration = Duration::from_secs(2);
+
+/// Returns how many runs of a submission were started.
+fn starts_of(site: &StandInSite, id: &str) -> usize {
+    let started = site.started();
+    started.iter().filter(|(task, _)| task.contains(id)).count()
+}
+
+/// Returns how many runs of a submission have not ended.
+fn active_runs_of(site: &StandInSite, id: &str) -> usize {
+    let spans = site.spans().into_iter();
+    spans
+        .filter(|span| span.task.contains(id) && span.to_ms.is_none())
+        .count()
+}
+
+async fn status_of(entry: &SchedulerEntry, method: Method, id: &str, body: &str) -> u16 {
+    let answer = call(entry, method, &format!("/print/{id}"), body).await;
+    answer.map_or(0, |(status, _)| status.as_u16())
+}
+
+/// Submits a long-running submission and waits until its tasks run.
+async fn submit_long_running(site: &StandInSite, entry: &SchedulerEntry, id: &str) {
+    let deadline = Instant::now() + WAIT_TIMEOUT;
+    while active_runs_of(site, id) < 3 {
+        status_of(entry, Method::POST, id, LONG_RUNNING_BODY).await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert!(Instant::now() < deadline, "{id} did not start in time");
+    }
+}
+
+/// The `POST` can wait at one entry while the `DELETE` reaches the owner through another one.
+#[tokio::test(flavor = "multi_thread")]
+async fn submission_that_is_overtaken_by_its_cancellation_never_runs() {
+    let site = StandInSite::start(2, WAIT_TIMEOUT).await;
+    let first = start_entry(&site, "entry-1", &[]);
+    submit(&[&first], "00000000000000a1").await;
+    let second = start_entry(&site, "entry-2", &[first.peers]);
+    submit(&[&second], "00000000000000a2").await;
+    let id = "00000000000000a3";
+    assert_eq!(status_of(&second, Method::DELETE, id, "").await, 410);
+    assert_eq!(status_of(&second, Method::GET, id, "").await, 410);
+    status_of(&first, Method::POST, id, LONG_RUNNING_BODY).await;
+    tokio::time::sleep(SETTLING_TIME).await;
+    assert_eq!(starts_of(&site, id), 0);
+}
+
+/// The copy of the `POST` reaches the successor of the owner that answered the `DELETE`.
+#[tokio::test(flavor = "multi_thread")]
+async fn submission_overtaken_by_its_cancellation_never_runs_at_the_next_owner() {
+    let site = StandInSite::start(2, WAIT_TIMEOUT).await;
+    let mut first = start_entry(&site, "entry-1", &[]);
+    submit(&[&first], "00000000000000b1").await;
+    let id = "00000000000000b2";
+    assert_eq!(status_of(&first, Method::DELETE, id, "").await, 410);
+    first.child.kill().expect("the owner is killed");
+    let second = start_entry(&site, "entry-2", &[]);
+    submit(&[&second], "00000000000000b3").await;
+    status_of(&second, Method::POST, id, LONG_RUNNING_BODY).await;
+    tokio::time::sleep(SETTLING_TIME).await;
+    assert_eq!(starts_of(&site, id), 0);
+}
+
+/// A submission that waits for the store is cancelled, and withdrawn when its caller is told that
+/// it has not run. The platform delivers a copy of its request later.
+#[tokio::test(flavor = "multi_thread")]
+async fn submission_cancelled_while_it_waits_for_the_store_never_runs() {
+    let site = StandInSite::start(2, WAIT_TIMEOUT).await;
+    let relay = Relay::start(site.store).await.expect("the relay starts");
+    let entry = start_entry_with_store(&site, relay.address(), "entry-1", &[]);
+    submit(&[&entry], "00000000000000c1").await;
+    relay.set_mode(RelayMode::Silent);
+    let (id, path) = ("00000000000000c3", "/print/00000000000000c3");
+    let in_flight = call(&entry, Method::POST, "/print/00000000000000c2", BODY);
+    let waiting = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        call_within(&entry, Method::POST, path, LONG_RUNNING_BODY, 900).await
+    };
+    let cancelled = async {
+        tokio::time::sleep(Duration::from_millis(250)).await;
+        status_of(&entry, Method::DELETE, id, "").await
+    };
+    let restored = async {
+        tokio::time::sleep(Duration::from_millis(1_000)).await;
+        relay.set_mode(RelayMode::Pass);
+    };
+    let (_, _, mut cancelled, ()) = tokio::join!(in_flight, waiting, cancelled, restored);
+    let deadline = Instant::now() + WAIT_TIMEOUT;
+    while cancelled != 200 && cancelled != 410 {
+        assert!(Instant::now() < deadline, "last answer: {cancelled}");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        cancelled = status_of(&entry, Method::DELETE, id, "").await;
+    }
+    status_of(&entry, Method::POST, id, LONG_RUNNING_BODY).await;
+    tokio::time::sleep(SETTLING_TIME).await;
+    assert_eq!(active_runs_of(&site, id), 0);
+}
+
+/// Cancels a running submission, replaces the value of its progress row and lets another entry take
+/// over.
+async fn take_over_with_progress_value(value: &str) {
+    let site = StandInSite::start(2, WAIT_TIMEOUT).await;
+    let mut first = start_entry(&site, "entry-1", &[]);
+    let id = "00000000000000d1";
+    submit_long_running(&site, &first, id).await;
+    assert_eq!(status_of(&first, Method::DELETE, id, "").await, 200);
+    let starts = starts_of(&site, id);
+    first.child.kill().expect("the owner is killed");
+    site.replace_value("progress", "c0", id, value);
+    let second = start_entry(&site, "entry-2", &[]);
+    submit(&[&second], "00000000000000d2").await;
+    tokio::time::sleep(SETTLING_TIME).await;
+    assert_eq!(starts_of(&site, id), starts);
+    assert_eq!(status_of(&second, Method::DELETE, id, "").await, 200);
+    status_of(&second, Method::POST, id, LONG_RUNNING_BODY).await;
+    submit(&[&second], "00000000000000d3").await;
+    assert_eq!(second.event_names(&["event=ownership_lost"]).len(), 0);
+    assert_eq!(starts_of(&site, id), starts);
+}
+
+/// A progress row that is not a valid record leaves the outcome of the submission unknown. It must
+/// neither start from the beginning nor keep the other submissions from being stored.
+#[tokio::test(flavor = "multi_thread")]
+async fn cancelled_submission_with_a_malformed_progress_row_never_runs_again() {
+    take_over_with_progress_value("/////w==").await;
+}
+
+/// A value that is not base64 is read as empty, which is a valid record of a job without progress.
+#[tokio::test(flavor = "multi_thread")]
+async fn cancelled_submission_with_an_undecodable_progress_row_never_runs_again() {
+    take_over_with_progress_value("?").await;
+}
+
+/// An entry must not go on with a submission whose caller has closed its connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn waiting_submission_is_dropped_when_its_caller_closes_the_connection() {
+    let site = StandInSite::start(2, WAIT_TIMEOUT).await;
+    let mut first = start_entry(&site, "entry-1", &[]);
+    submit(&[&first], "00000000000000e1").await;
+    let second = start_entry(&site, "entry-2", &[first.peers]);
+    submit(&[&second], "00000000000000e2").await;
+    first.child.kill().expect("the owner is killed");
+    let id = "00000000000000e3";
+    // The entry waits for an owner, which takes longer than this caller does.
+    let path = format!("/print/{id}");
+    let answer = tokio::time::timeout(
+        Duration::from_millis(300),
+        call(&second, Method::POST, &path, LONG_RUNNING_BODY),
+    );
+    answer.await.expect_err("no answer without an owner");
+    submit(&[&second], "00000000000000e4").await;
+    tokio::time::sleep(SETTLING_TIME).await;
+    assert_eq!(starts_of(&site, id), 0);
+    assert_eq!(status_of(&second, Method::GET, id, "").await, 410);
+}
+
+/// A cancellation that is refused changes nothing, and none is confirmed while it is not stored.
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_cancellation_leaves_the_submission_as_it_was() {
+    let site = StandInSite::start(2, WAIT_TIMEOUT).await;
+    let entry = start_entry(&site, "entry-1", &[]);
+    let id = "00000000000000f1";
+    submit_long_running(&site, &entry, id).await;
+    let elsewhere = call(&entry, Method::DELETE, &format!("/other/{id}"), "").await;
+    assert_eq!(elsewhere.map(|(status, _)| status.as_u16()), Some(404));
+    site.set_store_down(true);
+    let refused = status_of(&entry, Method::DELETE, id, "").await;
+    assert!(matches!(refused, 503 | 504), "{refused}");
+    site.set_store_down(false);
+    let deadline = Instant::now() + WAIT_TIMEOUT;
+    while status_of(&entry, Method::DELETE, id, "").await != 200 {
+        assert!(Instant::now() < deadline, "the cancellation is not stored");
+    }
+    tokio::time::sleep(SETTLING_TIME).await;
+    assert_eq!(active_runs_of(&site, id), 0);
+}
