fix: a cancel holds for a submission that comes after it

An owner answered a cancel of a submission that it did not know with 410 and forgot it: a submission that its cancel overtook ran, for ever if it was long-running. A submission that waited for the store was cancelled and then withdrawn, which removed the cancel with the job: a copy of its request ran, and its versions could confirm the cancel of the withdrawn job (200).

The owner keeps a cancel of an unknown submission and stores it before the 410, in a table of its own that is conditioned only on the ownership; its successors load it. A submission that comes later is accepted as cancelled. 10,000 are kept at most, for 150 s each; then their rows are removed. A submission that has been cancelled is not withdrawn. A conflict is compared only with the rows that the batch is conditioned on, since the store answers with no others.

A separate table, not the progress row: a cancel of a submission that ended long ago would conflict with its rows and cost the ownership. Refusing the submission (503) was weighed: its caller would come back until the cancel is no longer kept.

--- a/rhubarbfall-runs/src/scheduler/intake.rs
+++ b/rhubarbfall-runs/src/scheduler/intake.rs
@@ -31,14 +31,20 @@
 
 impl Scheduler {
     /// Adds a submission unless it is known, and returns the job version that must be stored for it
-    /// to be accepted.
+    /// to be accepted. A submission whose cancellation came first is accepted as cancelled.
     pub fn submit(&mut self, submission: Submission, now: BootTime) -> u64 {
         let id = submission.id.clone();
         if self.jobs.get(&id).is_some() {
             return ACCEPTED_VERSION;
         }
+        let is_cancelled = self.early_cancellations.contains(&id);
         let is_excess = !self.is_within_weight(&submission, now);
-        if let Some(queue) = self.config.queue(&submission.queue).filter(|_| !is_excess) {
+        let is_expected_to_run = !is_excess && !is_cancelled;
+        if let Some(queue) = self
+            .config
+            .queue(&submission.queue)
+            .filter(|_| is_expected_to_run)
+        {
             self.recent_work.add(&queue.service, &submission, now);
         }
         let mut job = Job::new(Arc::new(submission), now);
@@ -54,18 +60,23 @@
         // Occurrences that are due later begin in `tick`.
         begin_due_of(&mut job, 0);
         self.jobs.insert(id.clone(), Box::new(job));
-        self.mark_dirty(&id);
+        if is_cancelled {
+            self.finish(&id, JobState::Cancelled, now);
+        } else {
+            self.mark_dirty(&id);
+        }
         self.needs_placement = true;
         ACCEPTED_VERSION
     }
 
     /// Removes a submission that was never part of a batch. Returns whether it will certainly never
-    /// run, which is false if the store may contain it.
+    /// run, which is false if the store may contain it. A submission that has been cancelled is not
+    /// removed, because its cancellation applies to later copies of its request as well.
     pub fn withdraw(&mut self, id: &SubmissionId, now: BootTime) -> bool {
         let Some(job) = self.jobs.get(id) else {
             return true;
         };
-        if job.was_sent {
+        if job.was_sent || job.state.is_final() {
             return false;
         }
         for task in job.tasks_where(|task| task.placement().is_some()) {
@@ -97,10 +108,14 @@
             .admit(rate_per_s, now)
     }
 
-    /// Returns whether a version of a job is stored, or `None` for an unknown submission.
+    /// Returns whether a version of a job is stored, or the cancellation of a submission that has not
+    /// arrived. Returns `None` if there is neither.
     #[must_use]
     pub fn is_stored(&self, id: &SubmissionId, version: u64) -> Option<bool> {
-        self.jobs.get(id).map(|job| job.stored_version >= version)
+        match self.jobs.get(id) {
+            Some(job) => Some(job.stored_version >= version),
+            None => self.early_cancellations.is_stored(id),
+        }
     }
 
     /// Returns the stored state of a submission, or `None` if the submission is unknown or not
@@ -126,10 +141,14 @@
             .count()
     }
 
-    /// Cancels a submission and returns the job version that must be stored, or `None` for an
-    /// unknown submission.
+    /// Cancels a submission and returns the job version that must be stored. The cancellation of an
+    /// unknown submission is kept for the case that the submission arrives later; returns `None` if
+    /// too many are kept.
     pub fn cancel(&mut self, id: &SubmissionId, now: BootTime) -> Option<u64> {
-        let job = self.jobs.get(id)?;
+        let Some(job) = self.jobs.get(id) else {
+            let is_kept = self.early_cancellations.keep(id, now);
+            return is_kept.then_some(ACCEPTED_VERSION);
+        };
         if job.state.is_final() {
             return Some(job.version);
         }
--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -2,6 +2,7 @@
 
 mod action;
 mod advice;
+mod early_cancellations;
 mod intake;
 mod interruptions;
 mod lease_renewal;
@@ -29,6 +30,7 @@
 
 pub use action::{Action, PaceOrder, StartOrder, StopOrder};
 pub use advice::AdviceResponse;
+pub use early_cancellations::encode_early_cancellation;
 pub use intake::SubmissionState;
 pub use lease_renewal::LeaseRenewalRequest;
 pub use pools::{PoolLoad, plan_moves};
@@ -45,6 +47,7 @@
     settings: SchedulerSettings,
     config: Arc<FleetConfig>,
     jobs: LiteMap<SubmissionId, Box<Job>>,
+    early_cancellations: early_cancellations::EarlyCancellations,
     workers: LiteMap<WorkerId, Worker>,
     customer_usage: LiteMap<CustomerId, Resources>,
     arrival_limits: LiteMap<CustomerId, token_bucket::TokenBucket>,
@@ -83,6 +86,7 @@
             settings,
             config: Arc::new(FleetConfig::default()),
             jobs: LiteMap::new(),
+            early_cancellations: early_cancellations::EarlyCancellations::new(),
             workers: LiteMap::new(),
             customer_usage: LiteMap::new(),
             arrival_limits: LiteMap::new(),
@@ -144,6 +148,7 @@
             self.requeue_unreachable_inherited(now);
             self.stop_stalled(now);
             self.remove_ended_jobs(now);
+            self.expire_early_cancellations(now);
             self.stop_long_running_on_draining();
             self.begin_due(unix_ms);
             self.tick_vm_operations(now);
--- a/rhubarbfall-runs/src/scheduler/storing.rs
+++ b/rhubarbfall-runs/src/scheduler/storing.rs
@@ -21,6 +21,10 @@
     pub rows: Vec<BatchRow>,
     /// The waves with changed progress.
     pub waves: Vec<WaveRow>,
+    /// The cancellations of submissions that have not arrived.
+    pub early_cancellations: Vec<SubmissionId>,
+    /// The kept cancellations to be removed.
+    pub expired_cancellations: Vec<SubmissionId>,
 }
 
 /// The progress of a wave to be stored.
@@ -83,8 +87,11 @@
     /// is taken.
     pub fn next_batch(&mut self) -> Option<Batch> {
         let waves = self.changed_waves();
+        let early_cancellations = self.early_cancellations.to_store();
+        let expired_cancellations = self.early_cancellations.to_remove();
         let mut rows = Vec::new();
-        let (mut entries, mut bytes, mut taken) = (2 * waves.len(), 0, 0);
+        let mut entries = 2 * waves.len() + early_cancellations.len() + expired_cancellations.len();
+        let (mut bytes, mut taken) = (0, 0);
         // Jobs after the last one of the previous batch have waited longest.
         let first = self
             .last_batched_job
@@ -108,7 +115,13 @@
             self.last_batched_job = Some(last);
         }
         self.dirty.sort_unstable();
-        (!rows.is_empty() || !waves.is_empty()).then_some(Batch { rows, waves })
+        let batch = Batch {
+            rows,
+            waves,
+            early_cancellations,
+            expired_cancellations,
+        };
+        (batch != Batch::default()).then_some(batch)
     }
 
     /// Records that a batch was stored under `row_version`, and continues the starts and calls that
@@ -137,6 +150,9 @@
                 self.send_start(&task, now);
             }
         }
+        let cancellations = &mut self.early_cancellations;
+        cancellations.stored(&batch.early_cancellations);
+        cancellations.removed(&batch.expired_cancellations);
         for wave in &batch.waves {
             self.wave_stored(wave, row_version);
         }
--- a/rhubarbfall-runs/tests/cancellations.rs
+++ b/rhubarbfall-runs/tests/cancellations.rs
@@ -289,6 +289,60 @@
     assert_eq!(state, Some(SubmissionState::Cancelled));
 }
 
+/// The submission of a kept cancellation arrives before the cancellation is stored, and after: both
+/// callers are answered only by what the next owner finds.
+#[test]
+fn submission_of_a_kept_cancellation_is_cancelled_at_each_time_of_its_arrival() {
+    for seed in 0..40 {
+        let mut model = model(seed);
+        let starts = model.starts;
+        model.is_store_blocked = true;
+        let version = cancel(&mut model, 1).expect("the cancellation is kept");
+        let in_flight = (seed % 2 == 0).then(|| model.scheduler.next_batch());
+        let accepted = model.scheduler.submit(long_running(1), model.now);
+        assert!(!model.scheduler.withdraw(&id(1), model.now));
+        assert!(!is_stored(&model, 1, version) && !is_stored(&model, 1, accepted));
+        if let Some(batch) = in_flight.flatten() {
+            model.store(&batch);
+            assert!(!is_stored(&model, 1, accepted), "no row of the submission");
+        }
+        if seed % 4 < 2 {
+            model.fail_over();
+            model.submit(long_running(1), UNBOUNDED);
+            cancel(&mut model, 1).expect("the cancellation is kept");
+        }
+        model.is_store_blocked = false;
+        model.run_for(Duration::from_secs(1));
+        assert!(is_stored(&model, 1, version) && is_stored(&model, 1, accepted));
+        let state = model.scheduler.submission_state(&id(1));
+        assert_eq!(state, Some(SubmissionState::Cancelled), "seed {seed}");
+        model.fail_over();
+        model.run_for(LONG);
+        assert_eq!(model.starts, starts, "seed {seed}");
+    }
+}
+
+/// Cancellations of submissions that never come must not fill the memory or the store.
+#[test]
+fn kept_cancellations_are_bounded_in_number_and_in_time() {
+    let mut model = model(11);
+    let kept = (1..=20_000)
+        .take_while(|number| cancel(&mut model, BACKGROUND + number).is_some())
+        .count();
+    assert_eq!(kept, 10_000);
+    let again = cancel(&mut model, BACKGROUND + 1);
+    assert!(again.is_some(), "a repetition needs no room");
+    model.run_for(Duration::from_secs(1));
+    assert_eq!(model.store.early_cancellations.len(), kept);
+    model.fail_over();
+    assert_eq!(cancel(&mut model, 1), None);
+    model.run_for(Duration::from_secs(152));
+    assert_eq!(model.store.early_cancellations.len(), 0);
+    cancel(&mut model, 1).expect("there is room again");
+    model.run_for(Duration::from_millis(100));
+    assert_eq!(model.store.early_cancellations.len(), 1);
+}
+
 /// A value that the store client cannot decode is empty, and every field of an empty record has its
 /// default, which would make an ended job active again.
 #[test]
--- a/rhubarbfall-runs/tests/model/mod.rs
+++ b/rhubarbfall-runs/tests/model/mod.rs
@@ -5,7 +5,7 @@
 mod inputs;
 mod worker;
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use rand::{Rng, RngExt, SeedableRng};
@@ -50,6 +50,7 @@
     pub(crate) version: u64,
     pub(crate) submissions: BTreeMap<SubmissionId, Vec<u8>>,
     pub(crate) progress: BTreeMap<SubmissionId, (Vec<u8>, u64)>,
+    pub(crate) early_cancellations: BTreeSet<SubmissionId>,
 }
 
 pub(crate) struct Model {
@@ -470,6 +471,11 @@
                     .insert(row.id.clone(), (progress.clone(), version));
             }
         }
+        for id in &batch.expired_cancellations {
+            self.store.early_cancellations.remove(id);
+        }
+        let kept = batch.early_cancellations.iter().cloned();
+        self.store.early_cancellations.extend(kept);
         self.scheduler
             .batch_stored(batch, RowVersion::new(version), self.now);
     }
@@ -492,6 +498,8 @@
         let inherited_lease_expiry = self.now + Duration::from_secs(10);
         self.scheduler
             .recover(stored, inherited_lease_expiry, self.now, 0);
+        let kept = self.store.early_cancellations.iter().cloned();
+        self.scheduler.recover_early_cancellations(kept, self.now);
         for worker in &self.workers {
             self.scheduler
                 .worker_listed(worker.report.clone(), self.now);
--- a/rhubarbfall-scheduler/src/owner/mod.rs
+++ b/rhubarbfall-scheduler/src/owner/mod.rs
@@ -304,12 +304,18 @@
             .then_some(RequestOutcome::NoOwner)
     }
 
-    /// Cancels a submission and waits until the cancellation is stored.
+    /// Cancels a submission and waits until the cancellation is stored, also if the submission has
+    /// not arrived.
     pub(crate) async fn cancel(&self, node: &Node, id: &SubmissionId) -> RequestOutcome {
         let now = node.now();
-        match self.with(|scheduler| scheduler.cancel(id, now)) {
-            Some(version) => self.wait_until_stored(id.clone(), version).await,
-            None => RequestOutcome::NotFound,
+        let Some(version) = self.with(|scheduler| scheduler.cancel(id, now)) else {
+            return RequestOutcome::NoOwner;
+        };
+        let outcome = self.wait_until_stored(id.clone(), version).await;
+        let is_known = self.scheduler.borrow().submission_state(id).is_some();
+        match outcome {
+            RequestOutcome::Stored if !is_known => RequestOutcome::NotFound,
+            outcome => outcome,
         }
     }
 
@@ -353,7 +359,11 @@
 /// Loads the state stored by earlier owners and starts the background loops.
 pub(crate) async fn start(node: &Rc<Node>, owner: Rc<Owner>, inherited_until: BootTime) {
     let loaded = state_rows::load(node).await;
-    let state_rows::LoadedState { jobs, mut waves } = match loaded {
+    let state_rows::LoadedState {
+        jobs,
+        mut waves,
+        early_cancellations,
+    } = match loaded {
         Ok(loaded) => loaded,
         Err(error) => {
             log::warn!("event=load_failed error={error}");
@@ -375,6 +385,7 @@
     owner.with(|scheduler| {
         scheduler.set_config(config);
         scheduler.recover(jobs, inherited_until, now, unix_ms);
+        scheduler.recover_early_cancellations(early_cancellations, now);
         for wave in requested {
             let stored = waves.remove(&wave.id);
             scheduler.wave_requested(wave, stored, now, unix_ms);
--- a/rhubarbfall-scheduler/src/owner/state_rows.rs
+++ b/rhubarbfall-scheduler/src/owner/state_rows.rs
@@ -4,7 +4,9 @@
 
 use litemap::LiteMap;
 use rhubarbfall_core::{RowVersion, SubmissionId, WaveId};
-use rhubarbfall_runs::scheduler::{Batch, StoredJob, SubmissionState, WaveProgress};
+use rhubarbfall_runs::scheduler::{
+    Batch, StoredJob, SubmissionState, WaveProgress, encode_early_cancellation,
+};
 use rhubarbfall_runs::{JobProgress, JobState, decode_progress, decode_submission, decode_wave};
 use rhubarbfall_site::{RowKey, StoreError, StoredRow, Transaction};
 
@@ -22,6 +24,9 @@
 /// Table of the progress of submissions.
 const PROGRESS_TABLE: &str = "progress";
 
+/// Table of the cancellations of submissions that have not arrived.
+const CANCELLATION_TABLE: &str = "cancellation";
+
 /// Table of the progress of waves.
 const WAVE_TABLE: &str = "wave";
 
@@ -30,6 +35,7 @@
 pub(super) struct LoadedState {
     pub(super) jobs: Vec<StoredJob>,
     pub(super) waves: LiteMap<WaveId, (WaveProgress, RowVersion)>,
+    pub(super) early_cancellations: Vec<SubmissionId>,
 }
 
 /// Reads the state stored by earlier owners. Malformed rows are logged and skipped, except that a
@@ -56,7 +62,12 @@
         }
     }
     let waves = load_waves(node).await?;
-    Ok(LoadedState { jobs, waves })
+    let early_cancellations = load_early_cancellations(node).await?;
+    Ok(LoadedState {
+        jobs,
+        waves,
+        early_cancellations,
+    })
 }
 
 /// Decodes the progress of a job. A job whose progress is malformed may have ended, and the numbers
@@ -72,6 +83,18 @@
     })
 }
 
+async fn load_early_cancellations(node: &Node) -> Result<Vec<SubmissionId>, StoreError> {
+    let (rows, _) = node.store.read_all(CANCELLATION_TABLE, CELL_PART).await?;
+    let mut ids = Vec::with_capacity(rows.len());
+    for row in rows {
+        match row.key.key.parse() {
+            Ok(id) => ids.push(id),
+            Err(error) => log::error!("event=cancellation_row_malformed error={error}"),
+        }
+    }
+    Ok(ids)
+}
+
 async fn load_waves(
     node: &Node,
 ) -> Result<LiteMap<WaveId, (WaveProgress, RowVersion)>, StoreError> {
@@ -108,9 +131,19 @@
         transaction.expected.push((key.clone(), wave.replaces));
         transaction.writes.push((key, wave.progress.clone()));
     }
+    for id in &batch.early_cancellations {
+        let value = encode_early_cancellation();
+        transaction.writes.push((cancellation_row(id), value));
+    }
+    let expired = batch.expired_cancellations.iter();
+    transaction.removed.extend(expired.map(cancellation_row));
     transaction
 }
 
+fn cancellation_row(id: &SubmissionId) -> RowKey {
+    RowKey::new(CANCELLATION_TABLE, CELL_PART, id.as_str())
+}
+
 fn submission_row(id: &SubmissionId) -> RowKey {
     RowKey::new(SUBMISSION_TABLE, CELL_PART, id.as_str())
 }
--- a/rhubarbfall-scheduler/src/owner/store_loop.rs
+++ b/rhubarbfall-scheduler/src/owner/store_loop.rs
@@ -102,7 +102,8 @@
 }
 
 /// Returns the version of an earlier attempt that was stored: the owner row is unchanged and the
-/// rows hold the written values.
+/// rows that the transaction is conditioned on hold the written values. Other rows are not part of
+/// the response.
 fn find_earlier_commit(transaction: &Transaction, rows: &[StoredRow]) -> Option<RowVersion> {
     let current = |key: &RowKey| rows.iter().find(|row| row.key == *key && !row.is_removed);
     let (owner_key, owner_version) = transaction.expected.first()?;
@@ -110,7 +111,9 @@
         return None;
     }
     let mut version = None;
-    for (key, value) in &transaction.writes {
+    let is_conditional = |key: &RowKey| transaction.expected.iter().any(|(row, _)| row == key);
+    let writes = transaction.writes.iter();
+    for (key, value) in writes.filter(|(key, _)| is_conditional(key)) {
         let row = current(key).filter(|row| row.value == *value)?;
         version = Some(row.version);
     }
--- a/rhubarbfall-scheduler/src/owner/store_loop/tests.rs
+++ b/rhubarbfall-scheduler/src/owner/store_loop/tests.rs
@@ -87,3 +87,20 @@
     ];
     assert_eq!(find_earlier_commit(&batch(), &rows), None);
 }
+
+/// The store answers a conflict only with the rows that the transaction is conditioned on.
+#[test]
+fn write_without_a_condition_hides_no_earlier_commit() {
+    let mut batch = batch();
+    batch.writes.push((key("c"), b"cancelled".to_vec()));
+    let rows = [
+        row("owner", b"", 5),
+        row("a", b"cancelled", 9),
+        row("b", b"new", 9),
+    ];
+    let found = find_earlier_commit(&batch, &rows);
+    assert_eq!(found, Some(RowVersion::new(9)));
+    batch.expected.truncate(1);
+    batch.writes.drain(..2);
+    assert_eq!(find_earlier_commit(&batch, &rows), None);
+}
