--- a/rhubarbfall/tests/submissions.rs
+++ b/rhubarbfall/tests/submissions.rs
@@ -537,3 +537,34 @@
     tokio::time::sleep(SETTLING_TIME).await;
     assert_eq!(active_runs_of(&site, id), 0);
 }
+
+/// The owner ends at each time between the arrival of a cancellation and its answer. The caller
+/// reaches it through another entry, which goes on at the next owner.
+#[tokio::test(flavor = "multi_thread")]
+async fn cancellation_confirmed_while_the_owner_ends_is_kept_by_the_next_one() {
+    for delay_ms in [0, 1, 2, 4, 8, 16] {
+        let site = StandInSite::start(2, WAIT_TIMEOUT).await;
+        let mut first = start_entry(&site, "entry-1", &[]);
+        let id = "00000000000000f2";
+        submit_long_running(&site, &first, id).await;
+        let second = start_entry(&site, "entry-2", &[first.peers]);
+        submit(&[&second], "00000000000000f3").await;
+        let cancelled = status_of(&second, Method::DELETE, id, "");
+        let ended = async {
+            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+            first.child.kill().expect("the owner is killed");
+        };
+        let (mut cancelled, ()) = tokio::join!(cancelled, ended);
+        let deadline = Instant::now() + WAIT_TIMEOUT;
+        while cancelled != 200 && cancelled != 410 {
+            assert!(Instant::now() < deadline, "last answer: {cancelled}");
+            cancelled = status_of(&second, Method::DELETE, id, "").await;
+        }
+        let starts = starts_of(&site, id);
+        submit(&[&second], "00000000000000f4").await;
+        tokio::time::sleep(SETTLING_TIME).await;
+        assert_eq!(cancelled, 200, "after {delay_ms} ms");
+        assert_eq!(active_runs_of(&site, id), 0, "after {delay_ms} ms");
+        assert_eq!(starts_of(&site, id), starts, "after {delay_ms} ms");
+    }
+}
