test: a late copy of a submission whose row exists costs the ownership

A submission that the owner does not know is stored on the condition that its row does not exist. Where the row exists (it cannot be read, or its job ended more than 150 s ago), the batch conflicts and the owner gives up the ownership; with a row that cannot be read, each owner in turn.

--- a/rhubarbfall/tests/submissions.rs
+++ b/rhubarbfall/tests/submissions.rs
@@ -494,6 +494,26 @@
     take_over_with_progress_value("?").await;
 }
 
+/// A submission that its owner has forgotten, or whose row cannot be read, keeps its row. A late copy
+/// of its request meets that row, which must not cost the ownership.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_copy_of_a_forgotten_submission_costs_no_ownership() {
+    let site = StandInSite::start(2, WAIT_TIMEOUT).await;
+    let mut first = start_entry(&site, "entry-1", &[]);
+    let id = "00000000000000d4";
+    submit_long_running(&site, &first, id).await;
+    assert_eq!(status_of(&first, Method::DELETE, id, "").await, 200);
+    let starts = starts_of(&site, id);
+    first.child.kill().expect("the owner is killed");
+    site.replace_value("submission", "c0", id, "/////w==");
+    let second = start_entry(&site, "entry-2", &[]);
+    submit(&[&second], "00000000000000d5").await;
+    status_of(&second, Method::POST, id, LONG_RUNNING_BODY).await;
+    tokio::time::sleep(SETTLING_TIME).await;
+    assert_eq!(starts_of(&site, id), starts);
+    assert_eq!(second.event_names(&["event=ownership_lost"]).len(), 0);
+}
+
 /// An entry must not go on with a submission whose caller has closed its connection.
 #[tokio::test(flavor = "multi_thread")]
 async fn waiting_submission_is_dropped_when_its_caller_closes_the_connection() {
