--- a/rhubarbfall-scheduler/src/owner/state_rows.rs
+++ b/rhubarbfall-scheduler/src/owner/state_rows.rs
@@ -4,9 +4,11 @@
 
 use litemap::LiteMap;
 use rhubarbfall_core::{RowVersion, SubmissionId, WaveId};
-use rhubarbfall_runs::scheduler::{Batch, StoredJob, SubmissionState, WaveProgress};
+use rhubarbfall_runs::scheduler::{
+    Batch, StoredJob, SubmissionState, WaveProgress, encode_early_cancellation,
+};
 use rhubarbfall_runs::{JobProgress, JobState, decode_progress, decode_submission, decode_wave};
-use rhubarbfall_site::{RowKey, StoreError, Transaction};
+use rhubarbfall_site::{RowKey, StoreError, StoredRow, Transaction};
 
 use crate::node::Node;
 use crate::owner::Owner;
@@ -22,6 +24,9 @@
 /// Table of the progress of submissions.
 const PROGRESS_TABLE: &str = "progress";
 
+/// Table of the cancellations of submissions that have not arrived.
+const CANCELLATION_TABLE: &str = "cancellation";
+
 /// Table of the progress of waves.
 const WAVE_TABLE: &str = "wave";
 
@@ -30,21 +35,18 @@
 pub(super) struct LoadedState {
     pub(super) jobs: Vec<StoredJob>,
     pub(super) waves: LiteMap<WaveId, (WaveProgress, RowVersion)>,
+    pub(super) early_cancellations: Vec<SubmissionId>,
 }
 
-/// Reads the state stored by earlier owners. Malformed rows are logged and skipped.
+/// Reads the state stored by earlier owners. Malformed rows are logged and skipped, except that a
+/// job with malformed progress has failed.
 pub(super) async fn load(node: &Node) -> Result<LoadedState, StoreError> {
     let (submissions, _) = node.store.read_all(SUBMISSION_TABLE, CELL_PART).await?;
     let (progress_rows, _) = node.store.read_all(PROGRESS_TABLE, CELL_PART).await?;
     let mut progress: LiteMap<Arc<str>, (JobProgress, RowVersion)> = LiteMap::new();
     for row in progress_rows {
-        match decode_progress(&row.value) {
-            Ok(decoded) => drop(progress.insert(row.key.key.clone(), (decoded, row.version))),
-            Err(error) => log::error!(
-                "event=progress_row_malformed id={} error={error}",
-                row.key.key
-            ),
-        }
+        let decoded = read_progress(&row);
+        progress.insert(row.key.key, (decoded, row.version));
     }
     let mut jobs = Vec::with_capacity(submissions.len());
     for row in submissions {
@@ -60,7 +62,37 @@
         }
     }
     let waves = load_waves(node).await?;
-    Ok(LoadedState { jobs, waves })
+    let early_cancellations = load_early_cancellations(node).await?;
+    Ok(LoadedState {
+        jobs,
+        waves,
+        early_cancellations,
+    })
+}
+
+/// Decodes the progress of a job. A job whose progress is malformed may have ended, and the numbers
+/// of its runs are unknown, so that it counts as failed and nothing of it starts again.
+fn read_progress(row: &StoredRow) -> JobProgress {
+    decode_progress(&row.value).unwrap_or_else(|error| {
+        let id = &row.key.key;
+        log::error!("event=progress_row_malformed id={id} error={error}");
+        JobProgress {
+            state: JobState::Failed,
+            ..JobProgress::default()
+        }
+    })
+}
+
+async fn load_early_cancellations(node: &Node) -> Result<Vec<SubmissionId>, StoreError> {
+    let (rows, _) = node.store.read_all(CANCELLATION_TABLE, CELL_PART).await?;
+    let mut ids = Vec::with_capacity(rows.len());
+    for row in rows {
+        match row.key.key.parse() {
+            Ok(id) => ids.push(id),
+            Err(error) => log::error!("event=cancellation_row_malformed error={error}"),
+        }
+    }
+    Ok(ids)
 }
 
 async fn load_waves(
@@ -99,9 +131,19 @@
         transaction.expected.push((key.clone(), wave.replaces));
         transaction.writes.push((key, wave.progress.clone()));
     }
+    for id in &batch.early_cancellations {
+        let value = encode_early_cancellation();
+        transaction.writes.push((cancellation_row(id), value));
+    }
+    let expired = batch.expired_cancellations.iter();
+    transaction.removed.extend(expired.map(cancellation_row));
     transaction
 }
 
+fn cancellation_row(id: &SubmissionId) -> RowKey {
+    RowKey::new(CANCELLATION_TABLE, CELL_PART, id.as_str())
+}
+
 fn submission_row(id: &SubmissionId) -> RowKey {
     RowKey::new(SUBMISSION_TABLE, CELL_PART, id.as_str())
 }
@@ -116,10 +158,7 @@
         .read_row(PROGRESS_TABLE, CELL_PART, id.as_str())
         .await?;
     if let Some(row) = progress {
-        return match decode_progress(&row.value) {
-            Ok(progress) => Ok(Some(submission_state(&progress))),
-            Err(error) => Err(StoreError::Unknown(error.to_string())),
-        };
+        return Ok(Some(submission_state(&read_progress(&row))));
     }
     let submission = node
         .store
