test(soak): cancelled work stops; workers that leave, come, restart and answer late

Change: cancels are repeated until they are answered; further callers cancel long-running submissions late, promptly after the answer, and without having waited for the answer, with a late copy of the request in some cases. The check "cancelled work stops" holds the platform's 4 s and 0.9 s wherever nothing excuses, and over every calm stretch of 4.9 s.

--- a/rhubarbfall/tests/soak/callers.rs
+++ b/rhubarbfall/tests/soak/callers.rs
@@ -14,6 +14,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::cancels::cancel_until_answered;
 use crate::entry::Entries;
 
 /// The time for which a caller waits for a response.
@@ -25,7 +26,7 @@
 /// The time for which the platform allows an accepted submission to be unknown to the entries.
 const MAX_VISIBILITY_DELAY: Duration = Duration::from_secs(3);
 
-const BODY: &str = r#"{"spec":"print","steps":[{"count":3,"cpu":4000,"mem_mb":100,"estimate_ms":600},
+pub(crate) const BODY: &str = r#"{"spec":"print","steps":[{"count":3,"cpu":4000,"mem_mb":100,"estimate_ms":600},
     {"count":2,"cpu":4000,"mem_mb":100,"estimate_ms":600,"after":[0]}]}"#;
 
 /// What callers know of one submission from the responses.
@@ -34,7 +35,12 @@
     pub(crate) accepted_at: Option<Instant>,
     /// Whether any attempt ended without telling whether the submission was accepted or cancelled.
     pub(crate) is_outcome_unknown: bool,
+    /// Whether the submission runs until it is cancelled.
+    pub(crate) is_endless: bool,
+    pub(crate) is_cancel_sent: bool,
+    /// When a cancel was answered for the first time, with `cancel_status`.
     pub(crate) cancelled_at: Option<Instant>,
+    pub(crate) cancel_status: Option<StatusCode>,
     pub(crate) reported_completed_at: Option<Instant>,
     /// Reported states that contradict a guarantee.
     pub(crate) violations: Vec<String>,
@@ -54,7 +60,7 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn update(&self, id: &str, change: impl FnOnce(&mut SubmissionRecord)) {
+    pub(crate) fn update(&self, id: &str, change: impl FnOnce(&mut SubmissionRecord)) {
         change(self.submissions().entry(id.to_owned()).or_default());
     }
 
@@ -62,6 +68,33 @@
         self.is_stopped.store(true, Ordering::Relaxed);
     }
 
+    pub(crate) fn is_stopped(&self) -> bool {
+        self.is_stopped.load(Ordering::Relaxed)
+    }
+
+    /// Returns when the last cancel was answered.
+    pub(crate) fn last_cancel(&self) -> Option<Instant> {
+        let submissions = self.submissions();
+        submissions
+            .values()
+            .filter_map(|record| record.cancelled_at)
+            .max()
+    }
+
+    pub(crate) fn was_accepted(&self, id: &str) -> bool {
+        let submissions = self.submissions();
+        submissions
+            .get(id)
+            .is_some_and(|record| record.accepted_at.is_some())
+    }
+
+    pub(crate) fn was_rejected(&self, id: &str) -> bool {
+        let submissions = self.submissions();
+        submissions
+            .get(id)
+            .is_some_and(SubmissionRecord::was_rejected)
+    }
+
     pub(crate) fn summary(&self) -> String {
         let submissions = self.submissions();
         let count = |predicate: fn(&SubmissionRecord) -> bool| {
@@ -89,22 +122,26 @@
 }
 
 /// A caller with its own connections, each used until it breaks.
-struct SoakCaller {
+pub(crate) struct SoakCaller {
     client: Client<HttpConnector, Full<Bytes>>,
-    rng: ChaCha8Rng,
+    pub(crate) rng: ChaCha8Rng,
 }
 
 impl SoakCaller {
-    fn new(seed: u64) -> Self {
+    pub(crate) fn new(seed: u64) -> Self {
         Self {
             client: Client::builder(TokioExecutor::new()).build_http(),
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
     }
 
+    pub(crate) fn new_id(&mut self) -> String {
+        format!("{:016x}", self.rng.random::<u64>())
+    }
+
     /// Sends one request to a random entry. Without a response, the error is whether the request
     /// may have reached the entry.
-    async fn call(
+    pub(crate) async fn call(
         &mut self,
         entries: &Entries,
         method: Method,
@@ -142,12 +179,12 @@
 /// Sends submissions one after the other until the history is stopped.
 pub(crate) async fn run(seed: u64, entries: Arc<Entries>, history: Arc<CallerHistory>) {
     let mut caller = SoakCaller::new(seed);
-    while !history.is_stopped.load(Ordering::Relaxed) {
-        let id = format!("{:016x}", caller.rng.random::<u64>());
+    while !history.is_stopped() {
+        let id = caller.new_id();
         history.update(&id, |_| {});
-        if submit(&mut caller, &entries, &history, &id).await {
+        if submit(&mut caller, &entries, &history, &id, BODY).await {
             if caller.rng.random_bool(0.15) {
-                cancel(&mut caller, &entries, &history, &id).await;
+                cancel_until_answered(&mut caller, &entries, &history, &id).await;
             }
             for _ in 0..3 {
                 pause(&mut caller, 400).await;
@@ -158,20 +195,21 @@
     }
 }
 
-async fn pause(caller: &mut SoakCaller, max_ms: u64) {
+pub(crate) async fn pause(caller: &mut SoakCaller, max_ms: u64) {
     let ms = caller.rng.random_range(0..max_ms);
     tokio::time::sleep(Duration::from_millis(ms)).await;
 }
 
-async fn submit(
+pub(crate) async fn submit(
     caller: &mut SoakCaller,
     entries: &Entries,
     history: &CallerHistory,
     id: &str,
+    body: &'static str,
 ) -> bool {
     let attempts = caller.rng.random_range(1..=MAX_ATTEMPTS);
     for _ in 0..attempts {
-        match caller.call(entries, Method::POST, id, BODY).await {
+        match caller.call(entries, Method::POST, id, body).await {
             Ok((StatusCode::OK, _)) => {
                 history.update(id, |record| record.accepted_at = Some(Instant::now()));
                 return true;
@@ -185,16 +223,6 @@
     false
 }
 
-async fn cancel(caller: &mut SoakCaller, entries: &Entries, history: &CallerHistory, id: &str) {
-    let answer = caller.call(entries, Method::DELETE, id, "").await;
-    match answer {
-        Ok((StatusCode::OK | StatusCode::GONE, _)) => {
-            history.update(id, |record| record.cancelled_at = Some(Instant::now()));
-        }
-        Ok(_) | Err(_) => history.update(id, |record| record.is_outcome_unknown = true),
-    }
-}
-
 async fn query(caller: &mut SoakCaller, entries: &Entries, history: &CallerHistory, id: &str) {
     let queried_at = Instant::now();
     let Ok((status, body)) = caller.call(entries, Method::GET, id, "").await else {
@@ -205,7 +233,7 @@
             .accepted_at
             .map(|at| queried_at.saturating_duration_since(at));
         let is_known = accepted_for.is_some_and(|age| age > MAX_VISIBILITY_DELAY);
-        let is_cancelled = record.cancelled_at.is_some() || record.is_outcome_unknown;
+        let is_cancelled = record.is_cancel_sent || record.is_outcome_unknown;
         if status == StatusCode::GONE && is_known && !is_cancelled {
             record
                 .violations
@@ -226,7 +254,7 @@
     let mut caller = SoakCaller::new(0);
     let is_pending = |record: &SubmissionRecord| {
         record.accepted_at.is_some()
-            && record.cancelled_at.is_none()
+            && !record.is_cancel_sent
             && !record.is_outcome_unknown
             && record.reported_completed_at.is_none()
     };
--- /dev/null
+++ b/rhubarbfall/tests/soak/cancels.rs
@@ -0,0 +1,140 @@
+//! Callers that cancel: late, promptly after the answer, and without having waited for the answer.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use http::{Method, StatusCode};
+use rand::RngExt;
+
+use crate::callers::{BODY, CallerHistory, SoakCaller, pause, submit};
+use crate::entry::Entries;
+
+/// A submission that runs until it is cancelled.
+const ENDLESS_BODY: &str = r#"{"spec":"endless","steps":[{"count":2,"cpu":4000,"mem_mb":100,
+    "estimate_ms":600,"long_running":true,"may_miss":1}]}"#;
+
+/// The time for which a caller repeats a cancel that is not answered; it covers all faults.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(40);
+
+/// The longest time for which a submission runs before its late cancel.
+const MAX_LATE_CANCEL_MS: u64 = 9_000;
+
+/// The longest delay of a copy of a request.
+const MAX_COPY_DELAY_MS: u64 = 3_000;
+
+/// Submits and cancels until the history is stopped.
+pub(crate) async fn run(seed: u64, entries: Arc<Entries>, history: Arc<CallerHistory>) {
+    let mut caller = SoakCaller::new(seed);
+    while !history.is_stopped() {
+        let id = caller.new_id();
+        let is_endless = caller.rng.random_bool(0.75);
+        let body = if is_endless { ENDLESS_BODY } else { BODY };
+        history.update(&id, |record| record.is_endless = is_endless);
+        match caller.rng.random_range(0..10) {
+            0..4 => cancel_late(&mut caller, &entries, &history, &id, body).await,
+            4..7 => cancel_promptly(&mut caller, &entries, &history, &id, body).await,
+            _ => give_up(&mut caller, &entries, &history, &id, body).await,
+        }
+        pause(&mut caller, 500).await;
+    }
+}
+
+async fn cancel_late(
+    caller: &mut SoakCaller,
+    entries: &Arc<Entries>,
+    history: &CallerHistory,
+    id: &str,
+    body: &'static str,
+) {
+    submit(caller, entries, history, id, body).await;
+    let hold = Duration::from_millis(caller.rng.random_range(300..MAX_LATE_CANCEL_MS));
+    let until = Instant::now() + hold;
+    while Instant::now() < until && !history.is_stopped() {
+        pause(caller, 200).await;
+    }
+    cancel_unless_rejected(caller, entries, history, id).await;
+}
+
+async fn cancel_promptly(
+    caller: &mut SoakCaller,
+    entries: &Arc<Entries>,
+    history: &CallerHistory,
+    id: &str,
+    body: &'static str,
+) {
+    submit(caller, entries, history, id, body).await;
+    pause(caller, 100).await;
+    cancel_unless_rejected(caller, entries, history, id).await;
+    if caller.rng.random_bool(0.2) && history.was_accepted(id) {
+        send_copy(caller, entries, id, body);
+    }
+}
+
+/// Submits without waiting for the answer, and cancels. A copy of the request may arrive after the
+/// cancel was answered.
+async fn give_up(
+    caller: &mut SoakCaller,
+    entries: &Arc<Entries>,
+    history: &CallerHistory,
+    id: &str,
+    body: &'static str,
+) {
+    history.update(id, |record| record.is_outcome_unknown = true);
+    let patience = Duration::from_millis(caller.rng.random_range(0..300));
+    // The answer is ignored, as the caller has given up by then.
+    let _ = tokio::time::timeout(patience, caller.call(entries, Method::POST, id, body)).await;
+    let is_copied = caller.rng.random_bool(0.5);
+    let is_copy_early = caller.rng.random_bool(0.5);
+    if is_copied && is_copy_early {
+        send_copy(caller, entries, id, body);
+    }
+    cancel_until_answered(caller, entries, history, id).await;
+    if is_copied && !is_copy_early {
+        send_copy(caller, entries, id, body);
+    }
+}
+
+/// Lets a copy of a request arrive later, at any entry.
+fn send_copy(caller: &mut SoakCaller, entries: &Arc<Entries>, id: &str, body: &'static str) {
+    let delay = Duration::from_millis(caller.rng.random_range(0..MAX_COPY_DELAY_MS));
+    let mut copying = SoakCaller::new(caller.rng.random());
+    let (entries, id) = (Arc::clone(entries), id.to_owned());
+    tokio::spawn(async move {
+        tokio::time::sleep(delay).await;
+        // The caller does not learn of the answer.
+        let _ = copying.call(&entries, Method::POST, &id, body).await;
+    });
+}
+
+async fn cancel_unless_rejected(
+    caller: &mut SoakCaller,
+    entries: &Entries,
+    history: &CallerHistory,
+    id: &str,
+) {
+    if !history.was_rejected(id) {
+        cancel_until_answered(caller, entries, history, id).await;
+    }
+}
+
+/// Cancels until an entry answers that the submission is cancelled or unknown.
+pub(crate) async fn cancel_until_answered(
+    caller: &mut SoakCaller,
+    entries: &Entries,
+    history: &CallerHistory,
+    id: &str,
+) {
+    history.update(id, |record| record.is_cancel_sent = true);
+    let deadline = Instant::now() + CANCEL_TIMEOUT;
+    while Instant::now() < deadline {
+        let answer = caller.call(entries, Method::DELETE, id, "").await;
+        if let Ok((status @ (StatusCode::OK | StatusCode::GONE), _)) = answer {
+            return history.update(id, |record| {
+                record.cancelled_at = Some(Instant::now());
+                record.cancel_status = Some(status);
+            });
+        }
+        history.update(id, |record| record.is_outcome_unknown = true);
+        pause(caller, 400).await;
+    }
+}
--- a/rhubarbfall/tests/soak/checker.rs
+++ b/rhubarbfall/tests/soak/checker.rs
@@ -1,9 +1,11 @@
 //! Checks the history of the callers against the runs on the workers.
 
 use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
 
 use crate::callers::{CallerHistory, SubmissionRecord};
-use crate::stand_in::Span;
+use crate::disturbances::DisturbanceLog;
+use crate::stand_in::{Span, StandInSite};
 
 /// The number of the soak's tasks that fit on a worker at once.
 const WORKER_TASK_SLOTS: i32 = 4;
@@ -11,6 +13,18 @@
 /// The number of tasks of a submission, in both of its steps.
 const TASK_COUNT: usize = 5;
 
+/// The time after the answer to a cancel in which the platform allows tasks to start.
+const CANCEL_BOUND: Duration = Duration::from_secs(4);
+
+/// The further time that the platform allows for a task to stop.
+const STOP_BOUND: Duration = Duration::from_millis(900);
+
+/// The time for which a disturbance excuses starts after its end.
+const CONTACT_BOUND: Duration = Duration::from_secs(4);
+
+/// The time after the last disturbance and the last cancel in which everything cancelled must end.
+pub(crate) const SETTLE_TIME: Duration = Duration::from_millis(5_200);
+
 /// The checks that were made, and the violations that they found.
 #[derive(Debug, Default)]
 pub(crate) struct SoakVerdict {
@@ -27,9 +41,10 @@
     }
 
     pub(crate) fn summary(&self) -> String {
-        const ALL: [&str; 7] = [
+        const ALL: [&str; 8] = [
             "accepted work is completed",
             "rejected work never runs",
+            "cancelled work stops",
             "one run at a time",
             "no start after completion",
             "steps in order",
@@ -54,22 +69,28 @@
 }
 
 /// Checks all guarantees for one seed.
-pub(crate) fn check_history(history: &CallerHistory, spans: &[Span]) -> SoakVerdict {
+pub(crate) fn check_history(
+    history: &CallerHistory,
+    site: &StandInSite,
+    disturbances: &DisturbanceLog,
+) -> SoakVerdict {
+    let spans = site.spans();
     let mut verdict = SoakVerdict::default();
     let mut by_task: BTreeMap<&str, Vec<&Span>> = BTreeMap::new();
-    for span in spans {
+    for span in &spans {
         by_task.entry(&span.task).or_default().push(span);
     }
     let submissions = history.submissions();
     for (id, record) in submissions.iter() {
         check_submission(&mut verdict, id, record, &by_task);
+        check_cancel(&mut verdict, id, record, &spans, site, disturbances);
     }
     for (task, spans) in &mut by_task {
         spans.sort_by_key(|span| span.from_ms);
         check_task_runs(&mut verdict, task, spans);
     }
     check_step_order(&mut verdict, &by_task);
-    check_worker_capacity(&mut verdict, spans);
+    check_worker_capacity(&mut verdict, &spans);
     verdict
 }
 
@@ -92,7 +113,7 @@
             )
         });
     }
-    if record.accepted_at.is_some() && record.cancelled_at.is_none() && !record.is_outcome_unknown {
+    if record.accepted_at.is_some() && !record.is_cancel_sent && !record.is_outcome_unknown {
         verdict.check(
             "accepted work is completed",
             done == TASK_COUNT && record.reported_completed_at.is_some(),
@@ -114,6 +135,60 @@
     });
 }
 
+/// Checks that nothing of a cancelled submission starts later than `CANCEL_BOUND` after the answer,
+/// or runs on `STOP_BOUND` after that. A start is excused by a disturbance of its worker in the
+/// `CONTACT_BOUND` before it, and if the worker carried the order out late. A run is excused as long
+/// as no stretch of both bounds is calm; that of an order carried out late counts from its start.
+fn check_cancel(
+    verdict: &mut SoakVerdict,
+    id: &str,
+    record: &SubmissionRecord,
+    spans: &[Span],
+    site: &StandInSite,
+    disturbances: &DisturbanceLog,
+) {
+    const GUARANTEE: &str = "cancelled work stops";
+    let Some(cancelled_at) = record.cancelled_at else {
+        verdict.check(GUARANTEE, !record.is_cancel_sent, || {
+            format!("{id}: no cancel was answered")
+        });
+        return;
+    };
+    let answer = || {
+        let cancelled_ms = site.clock_ms_at(cancelled_at);
+        let status = record.cancel_status.map_or(0, |status| status.as_u16());
+        format!("cancel answered {status} at {cancelled_ms} ms")
+    };
+    let prefix = format!("{id}.");
+    for span in spans.iter().filter(|span| span.task.starts_with(&prefix)) {
+        let from = site.instant_of(span.from_ms);
+        let to = span
+            .to_ms
+            .map_or_else(Instant::now, |ms| site.instant_of(ms));
+        let touch_from = from.checked_sub(CONTACT_BOUND).unwrap_or(from);
+        let is_undisturbed =
+            disturbances.calm_stretches(span.worker, touch_from, from) == [(touch_from, from)];
+        let is_late_start = from > cancelled_at + CANCEL_BOUND && !span.is_late && is_undisturbed;
+        verdict.check(GUARANTEE, !is_late_start, || {
+            format!("started late, {}: {span:?}", answer())
+        });
+        let due_from = if span.is_late {
+            cancelled_at.max(from)
+        } else {
+            cancelled_at
+        };
+        let runs_on = disturbances
+            .calm_stretches(span.worker, due_from, to.max(due_from))
+            .into_iter()
+            .any(|(calm_from, calm_to)| {
+                calm_to > from && calm_to - calm_from > CANCEL_BOUND + STOP_BOUND
+            });
+        verdict.check(GUARANTEE, !runs_on, || {
+            format!("runs on, {}: {span:?}", answer())
+        });
+    }
+}
+
 /// Checks that runs of a task do not overlap, and that none starts after one was done. By the
 /// platform's rules a run whose end was not acknowledged before the worker's leases expired does
 /// not count as done, since its worker was unreachable.
--- a/rhubarbfall/tests/soak/entry.rs
+++ b/rhubarbfall/tests/soak/entry.rs
@@ -4,13 +4,14 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use rhubarbfall_testing::{Relay, RelayMode};
 use rustix::process::{Pid, Signal, kill_process};
 use tempfile::TempDir;
 
+use crate::disturbances::{DisturbanceLog, DisturbanceScope};
 use crate::stand_in::StandInSite;
 use crate::support::EntryAddresses;
 
@@ -29,6 +30,7 @@
     settings: PathBuf,
     child: Mutex<Option<Child>>,
     start_count: Mutex<u32>,
+    disturbances: Arc<DisturbanceLog>,
 }
 
 /// All entries of one seed.
@@ -42,7 +44,12 @@
 }
 
 impl Entries {
-    pub(crate) async fn start(site: &StandInSite, seed: u64, count: usize) -> Self {
+    pub(crate) async fn start(
+        site: &StandInSite,
+        seed: u64,
+        count: usize,
+        disturbances: &Arc<DisturbanceLog>,
+    ) -> Self {
         let directory = tempfile::Builder::new()
             .prefix(&format!("soak-{seed}-"))
             .tempdir()
@@ -63,6 +70,7 @@
                 settings,
                 child: Mutex::default(),
                 start_count: Mutex::default(),
+                disturbances: Arc::clone(disturbances),
             });
         }
         for entry in &processes {
@@ -116,6 +124,8 @@
         if child.as_mut().is_some_and(is_running) {
             return;
         }
+        self.disturbances
+            .add(DisturbanceScope::AllWorkers, Duration::ZERO);
         let mut start_count = lock(&self.start_count);
         *start_count += 1;
         let log = File::create(self.settings.with_extension(format!("{start_count}.log")));
--- a/rhubarbfall/tests/soak/faults.rs
+++ b/rhubarbfall/tests/soak/faults.rs
@@ -8,6 +8,7 @@
 use rustix::process::Signal;
 use tokio::time::Instant;
 
+use crate::disturbances::{DisturbanceLog, DisturbanceScope};
 use crate::entry::Entries;
 use crate::stand_in::StandInSite;
 
@@ -42,6 +43,13 @@
     StoreDown,
 }
 
+impl Fault {
+    /// Returns whether the fault excuses no late stop of cancelled work but on its own worker.
+    pub(crate) fn excuses_one_worker_at_most(&self) -> bool {
+        disturbed(self.kind) != Some(DisturbanceScope::AllWorkers)
+    }
+}
+
 /// Generates the faults of a seed, ordered by start.
 pub(crate) fn schedule(
     rng: &mut ChaCha8Rng,
@@ -87,6 +95,7 @@
     entries: &Entries,
     site: &StandInSite,
     workers: &[Relay],
+    disturbances: &DisturbanceLog,
 ) {
     let started_at = Instant::now();
     // (time, fault, whether the fault starts)
@@ -102,10 +111,22 @@
     changes.sort_by_key(|(at, ..)| *at);
     for (at, fault, is_start) in changes {
         tokio::time::sleep_until(started_at + at).await;
+        if let Some(scope) = disturbed(fault.kind).filter(|_| is_start) {
+            disturbances.add(scope, fault.length);
+        }
         apply(fault.kind, is_start, entries, site, workers);
     }
 }
 
+/// Returns what a fault disturbs, if anything.
+fn disturbed(kind: FaultKind) -> Option<DisturbanceScope> {
+    match kind {
+        FaultKind::Reload(_) => None,
+        FaultKind::WorkerPath(worker, _) => Some(DisturbanceScope::Worker(worker)),
+        _ => Some(DisturbanceScope::AllWorkers),
+    }
+}
+
 fn apply(
     kind: FaultKind,
     is_start: bool,
--- a/rhubarbfall/tests/soak/main.rs
+++ b/rhubarbfall/tests/soak/main.rs
@@ -2,12 +2,15 @@
 //! platform while faults are injected; the guarantees are checked at callers and workers.
 //!
 //! `cargo test --release -p rhubarbfall --test soak -- --seed 7` runs one seed, `--seeds 50` runs
-//! fifty from `--first`, and without either the regression seeds and two more are run.
+//! fifty from `--first`, and without either the regression seeds and three more are run.
 
 mod callers;
+mod cancels;
 mod checker;
+mod disturbances;
 mod entry;
 mod faults;
+mod fleet;
 #[path = "../../../platform/tests/stand_in/mod.rs"]
 mod stand_in;
 #[path = "../support/mod.rs"]
@@ -24,7 +27,11 @@
 use stand_in::StandInSite;
 
 use callers::CallerHistory;
+use checker::SETTLE_TIME;
+use disturbances::DisturbanceLog;
 use entry::Entries;
+use faults::Fault;
+use fleet::Fleet;
 
 /// Seeds that failed before, each with the cause. CI runs them every time.
 const REGRESSION_SEEDS: [(u64, &str); 2] = [
@@ -37,7 +44,7 @@
 ];
 
 /// Further seeds that CI runs.
-const CI_SEEDS: [u64; 2] = [1, 2];
+const CI_SEEDS: [u64; 3] = [1, 2, 3];
 
 /// The time for which faults are injected.
 const FAULT_DURATION: Duration = Duration::from_secs(12);
@@ -53,6 +60,17 @@
 /// Divides the number of callers if tasks are long, since workers complete a quarter as many then.
 const LONG_TASK_CALLER_DIVISOR: usize = 4;
 
+/// The number of workers that are away at first.
+const SPARE_WORKERS: usize = 2;
+
+/// The number of callers that cancel their submissions.
+const CANCELLING_CALLERS: usize = 4;
+
+/// Every fifth seed plays no faults of entries and of the store, so that nothing but the faults of
+/// its own worker excuses a run of cancelled work.
+const PLANNED_SEED_PERIOD: u64 = 5;
+const PLANNED_SEED_REMAINDER: u64 = 3;
+
 const TEST_NAME: &str = "soak_keeps_the_promises";
 
 /// The size of the fleet and the number of callers.
@@ -162,33 +180,52 @@
     } else {
         config.callers
     };
-    let site = StandInSite::start(config.workers, task_duration).await;
-    let mut worker_relays = Vec::new();
-    for index in 0..config.workers {
-        let relay = Relay::start(site.worker_address(index))
-            .await
-            .expect("the relay starts");
-        site.register(index, relay.address());
-        worker_relays.push(relay);
-    }
-    let entries = Arc::new(Entries::start(&site, seed, config.entries).await);
+    let site = StandInSite::start(config.workers + SPARE_WORKERS, task_duration).await;
+    let worker_relays = start_worker_relays(&site, config.workers + SPARE_WORKERS).await;
+    let disturbances = Arc::new(DisturbanceLog::default());
+    let fleet = Arc::new(Fleet::new(
+        site.clone(),
+        Arc::clone(&disturbances),
+        config.workers,
+        SPARE_WORKERS,
+    ));
+    let entries = Arc::new(Entries::start(&site, seed, config.entries, &disturbances).await);
     let history = Arc::new(CallerHistory::default());
-    let callers: Vec<_> = (0..callers)
+    let mut callers: Vec<_> = (0..callers)
         .map(|_| {
             let seed = rng.random();
             let (entries, history) = (Arc::clone(&entries), Arc::clone(&history));
             tokio::spawn(callers::run(seed, entries, history))
         })
         .collect();
-    let schedule = faults::schedule(&mut rng, FAULT_DURATION, config.entries, config.workers);
-    faults::inject(&schedule, &entries, &site, &worker_relays).await;
-    end_faults(&entries, &site, &worker_relays).await;
+    let is_planned = seed % PLANNED_SEED_PERIOD == PLANNED_SEED_REMAINDER;
+    let mut schedule = faults::schedule(&mut rng, FAULT_DURATION, config.entries, config.workers);
+    if is_planned {
+        schedule.retain(Fault::excuses_one_worker_at_most);
+    }
+    callers.extend((0..CANCELLING_CALLERS).map(|_| {
+        let seed = rng.random();
+        let (entries, history) = (Arc::clone(&entries), Arc::clone(&history));
+        tokio::spawn(cancels::run(seed, entries, history))
+    }));
+    let changes = fleet::schedule(&mut rng, FAULT_DURATION, worker_relays.len());
+    let faults_end = tokio::time::Instant::now() + FAULT_DURATION;
+    tokio::join!(
+        async {
+            faults::inject(&schedule, &entries, &site, &worker_relays, &disturbances).await;
+            tokio::time::sleep_until(faults_end).await;
+            end_faults(&entries, &site, &worker_relays).await;
+        },
+        fleet.play(&changes),
+    );
     history.stop();
     for caller in callers {
         caller.await.expect("the caller's task ends");
     }
     callers::wait_completed(&entries, &history, COMPLETION_TIMEOUT).await;
-    let verdict = checker::check_history(&history, &site.spans());
+    let last_event = disturbances.last_end().max(history.last_cancel());
+    tokio::time::sleep_until((last_event.unwrap_or(started_at) + SETTLE_TIME).into()).await;
+    let verdict = checker::check_history(&history, &site, &disturbances);
     let elapsed = started_at.elapsed();
     println!(
         "seed {seed}: {} in {elapsed:.1?}; {}",
@@ -202,6 +239,9 @@
         for fault in &schedule {
             println!("  fault: {fault:?}");
         }
+        for change in &changes {
+            println!("  change: {change:?}");
+        }
         println!("  logs: {}", entries.keep_logs().display());
         println!("  again: cargo test --release -p rhubarbfall --test soak -- --seed {seed}");
     }
@@ -209,6 +249,19 @@
     verdict.violations.is_empty()
 }
 
+/// Starts a relay in front of each worker and registers the worker under its address.
+async fn start_worker_relays(site: &StandInSite, workers: usize) -> Vec<Relay> {
+    let mut relays = Vec::new();
+    for index in 0..workers {
+        let relay = Relay::start(site.worker_address(index))
+            .await
+            .expect("the relay starts");
+        site.register(index, relay.address());
+        relays.push(relay);
+    }
+    relays
+}
+
 async fn end_faults(entries: &Entries, site: &StandInSite, workers: &[Relay]) {
     site.set_store_down(false);
     for relay in workers {
--- a/rhubarbfall/tests/submissions.rs
+++ b/rhubarbfall/tests/submissions.rs
@@ -17,6 +17,7 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
 use rhubarbfall_testing::{Relay, RelayMode};
+use rustix::process::{Pid, Signal, kill_process};
 use stand_in::StandInSite;
 use support::EntryAddresses;
 
@@ -213,6 +214,67 @@
     assert!(first.iter().all(|(_, run)| *run == 1), "{first:?}");
 }
 
+const ENDLESS_BODY: &str = r#"{"spec":"endless","steps":[{"count":2,"cpu":1000,"mem_mb":100,
+    "estimate_ms":200,"long_running":true}]}"#;
+
+/// Cancels a submission and returns the status of the answer.
+async fn cancel(entry: &SchedulerEntry, id: &str) -> Option<StatusCode> {
+    let answer = call(entry, Method::DELETE, &format!("/print/{id}"), "").await;
+    answer.map(|(status, _)| status)
+}
+
+/// Asserts that nothing of a submission runs once the platform's bounds after its cancel have
+/// passed: 4 s in which its tasks may start, and 0.9 s to stop them.
+async fn assert_nothing_runs_on(site: &StandInSite, id: &str) {
+    tokio::time::sleep(Duration::from_millis(4_900)).await;
+    let mut spans = site.spans();
+    spans.retain(|span| span.task.starts_with(id) && span.to_ms.is_none());
+    assert!(spans.is_empty(), "cancelled work runs on: {spans:?}");
+}
+
+/// A caller that has given up cancels at an entry that does not know the submission yet, and a
+/// copy of its request arrives later.
+#[tokio::test(flavor = "multi_thread")]
+async fn submission_that_arrives_after_its_cancel_does_not_run_on() {
+    let site = StandInSite::start(2, Duration::from_millis(150)).await;
+    let first = start_entry(&site, "entry-1", &[]);
+    submit(&[&first], "00000000000001a1").await;
+    let id = "00000000000001a2";
+    assert_eq!(cancel(&first, id).await, Some(StatusCode::GONE));
+    let _ = call(&first, Method::POST, &format!("/print/{id}"), ENDLESS_BODY).await;
+    assert_nothing_runs_on(&site, id).await;
+}
+
+/// An entry is suspended when it receives a submission, and its caller cancels at another entry.
+/// The entry reads the submission when it is resumed.
+#[tokio::test(flavor = "multi_thread")]
+async fn submission_held_up_in_a_suspended_entry_does_not_run_on_after_its_cancel() {
+    let site = StandInSite::start(2, Duration::from_millis(150)).await;
+    let first = start_entry(&site, "entry-1", &[]);
+    submit(&[&first], "00000000000001b1").await;
+    let second = start_entry(&site, "entry-2", &[first.peers]);
+    submit(&[&second], "00000000000001b2").await;
+    let id = "00000000000001b3";
+    let path = format!("/print/{id}");
+    signal(&second, Signal::STOP);
+    let submission = call(&second, Method::POST, &path, ENDLESS_BODY);
+    let cancelled = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let status = cancel(&first, id).await;
+        signal(&second, Signal::CONT);
+        status
+    };
+    // The caller still waits for the answer to its submission when its cancel is answered.
+    let (_, status) = tokio::join!(submission, cancelled);
+    assert_eq!(status, Some(StatusCode::GONE));
+    assert_nothing_runs_on(&site, id).await;
+}
+
+fn signal(entry: &SchedulerEntry, signal: Signal) {
+    let id = Pid::from_raw(entry.child.id().cast_signed()).expect("the process has an identifier");
+    kill_process(id, signal).expect("the signal is sent");
+}
+
 async fn is_ready(entry: &SchedulerEntry) -> bool {
     let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
     let uri = format!("http://{}/-/ready", entry.readiness);
