test(runs): a waiting start must not be sent to a worker that drains

The test fails in virtual time, for finite and for long-running tasks: the draining worker starts the task.

--- /dev/null
+++ b/rhubarbfall-runs/tests/waiting_starts.rs
@@ -0,0 +1,72 @@
+//! A start waits until its placement is stored, up to seconds while the store is slow. What the
+//! placement was decided on may change meanwhile; the order to start must then not be sent.
+
+mod model;
+
+use std::time::Duration;
+
+use model::{Model, step, submission};
+use rhubarbfall_core::WorkerId;
+use rhubarbfall_runs::Step;
+
+const RUN_TIME: Duration = Duration::from_secs(30);
+
+/// Returns a model in which the tasks of submission 1 are placed and wait for the store.
+fn with_waiting_start(workers: usize, step: Step) -> Model {
+    let mut model = Model::new(&[("labels", workers), ("spare", 0)], 1);
+    model.run_for(Duration::from_millis(300));
+    model.is_store_blocked = true;
+    model.submit(submission(1, "labels", step), RUN_TIME);
+    model.run_for(Duration::from_millis(100));
+    assert_eq!(model.starts, 0, "a start did not wait for the store");
+    model
+}
+
+/// Returns the worker on which a task is placed.
+fn chosen_worker(model: &Model) -> WorkerId {
+    let mut workers = model.scheduler.workers();
+    let chosen = workers.find(|worker| !worker.placed.is_empty());
+    chosen.expect("worker with a task").report.id.clone()
+}
+
+/// Lets the store answer and returns the workers that have started a task.
+fn workers_after_store(model: &mut Model) -> Vec<WorkerId> {
+    model.is_store_blocked = false;
+    model.run_for(Duration::from_millis(100));
+    assert_eq!(model.violations, Vec::<String>::new());
+    let runs = model.runs_of(1);
+    assert_eq!(
+        model.starts,
+        runs.len() as u64,
+        "an order was not carried out"
+    );
+    runs.into_iter().map(|(worker, _)| worker).collect()
+}
+
+fn set_draining(model: &mut Model, id: &WorkerId) {
+    let now = model.now;
+    let worker = model.workers.iter_mut().find(|of| of.report.id == *id);
+    let worker = worker.expect("worker in the model");
+    worker.report.is_draining = true;
+    model.scheduler.worker_listed(worker.report.clone(), now);
+}
+
+/// The owner learns that a worker drains while a placement on it waits for the store: the start
+/// reached the worker later than the platform allows after the announcement.
+#[test]
+fn a_waiting_start_is_not_sent_to_a_worker_that_drains() {
+    for is_long_running in [false, true] {
+        let mut model = with_waiting_start(
+            2,
+            Step {
+                is_long_running,
+                ..step(1, 3_000)
+            },
+        );
+        let draining = chosen_worker(&model);
+        set_draining(&mut model, &draining);
+        let started = workers_after_store(&mut model);
+        assert_eq!(started.len(), 1, "tasks started elsewhere: {started:?}");
+        assert_ne!(started[0], draining);
+    }
+}
