fix(runs): send no waiting start to a worker that accepts no work any more

The tasks were lost when the worker left.

When the placement was stored, only the lease, the worker's incarnation and the ticket were looked at again; that the worker drains, is no longer listed, is unreachable or quarantined was looked at when placing only.

Change: the condition with which placing chooses workers is also asked before the order. A task that fails it is requeued and placed anew. The order is built in a file of its own.

Evidence: the four tests fail on: the draining and the unlisted worker start the task, the quarantined one starts and fails it, the unreachable one is sent an order that nobody answers. All pass now, with the other tests of the package.

--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -15,6 +15,7 @@
 mod recent_work;
 mod recovery;
 mod settings;
+mod starting;
 mod storing;
 mod token_bucket;
 mod vm_operations;
--- /dev/null
+++ b/rhubarbfall-runs/src/scheduler/starting.rs
@@ -0,0 +1,76 @@
+//! Orders to start runs whose placements are stored.
+
+use rhubarbfall_core::BootTime;
+
+use super::Scheduler;
+use super::action::{Action, StartOrder};
+use crate::{RunState, StepId, TaskId};
+
+impl Scheduler {
+    /// Sends the starts whose placements are stored. What a placement was decided on may have
+    /// changed while it waited; such tasks are requeued.
+    pub(super) fn send_stored_starts(&mut self, ready: &[TaskId], now: BootTime) {
+        for id in ready {
+            match self.start_obstacle(id, now) {
+                Some(obstacle) => self.requeue(id, now, obstacle),
+                None => self.send_start(id, now),
+            }
+        }
+    }
+
+    /// Returns why a placed task may not start on its worker any more, or `None` if it may.
+    fn start_obstacle(&self, id: &TaskId, now: BootTime) -> Option<&'static str> {
+        let placement = self.placement(id)?;
+        let job = self.jobs.get(&id.submission)?;
+        let Some(worker) = self.workers.get(&placement.worker) else {
+            return Some("worker_gone");
+        };
+        if worker.report.incarnation_unix_ms != placement.incarnation_unix_ms {
+            return Some("worker_reborn");
+        }
+        if !worker.accepts_work(now, self.settings.unreachable_after) {
+            return Some("worker_unusable");
+        }
+        if self.max_lease_end <= now || worker.clock.is_none() {
+            return Some("no_lease");
+        }
+        let needs_ticket = self.config.needs_ticket(&job.submission.queue);
+        if needs_ticket && self.advice.ticket(&StepId::of(id), worker, now).is_none() {
+            return Some("ticket_expired");
+        }
+        None
+    }
+
+    fn send_start(&mut self, id: &TaskId, now: BootTime) {
+        let Some(placement) = self.placement(id) else {
+            return;
+        };
+        let (worker_id, run) = (placement.worker.clone(), placement.run);
+        let lease = (now + self.settings.lease).min(self.max_lease_end);
+        let (Some(job), Some(worker)) = (
+            self.jobs.get(&id.submission),
+            self.workers.get_mut(&worker_id),
+        ) else {
+            return;
+        };
+        let Some(lease_deadline_ms) = worker.grant_lease(lease) else {
+            return;
+        };
+        let needs_ticket = self.config.needs_ticket(&job.submission.queue);
+        let ticket = needs_ticket
+            .then(|| self.advice.ticket(&StepId::of(id), worker, now))
+            .flatten();
+        let order = StartOrder {
+            worker: worker_id,
+            address: worker.report.address,
+            task: id.clone(),
+            run,
+            program: job.submission.program.clone(),
+            checkpoint: job.task(id).and_then(|task| task.checkpoint.clone()),
+            lease_deadline_ms,
+            ticket,
+        };
+        self.set_run_state(id, RunState::Sending);
+        self.actions.push(Action::Start(order));
+    }
+}
--- a/rhubarbfall-runs/src/scheduler/storing.rs
+++ b/rhubarbfall-runs/src/scheduler/storing.rs
@@ -1,10 +1,7 @@
 use rhubarbfall_core::{BootTime, RowVersion, SubmissionId, WaveId};
 
 use super::Scheduler;
-use super::action::{Action, StartOrder};
-use crate::{
-    Job, JobProgress, JobState, RunState, StepId, TaskId, encode_progress, encode_submission,
-};
+use crate::{Job, JobProgress, JobState, RunState, encode_progress, encode_submission};
 
 /// The maximum number of entries in one transaction, as stated by the platform, less the condition
 /// on the ownership and its renewal.
@@ -133,9 +130,7 @@
                     |run| matches!(run.state, RunState::Storing(version) if version <= stored),
                 )
             });
-            for task in ready {
-                self.send_start(&task, now);
-            }
+            self.send_stored_starts(&ready, now);
         }
         for wave in &batch.waves {
             self.wave_stored(wave, row_version);
@@ -144,52 +139,6 @@
         self.needs_placement = true;
     }
 
-    fn send_start(&mut self, id: &TaskId, now: BootTime) {
-        let Some(placement) = self.placement(id) else {
-            return;
-        };
-        let (worker_id, run, born) = (
-            placement.worker.clone(),
-            placement.run,
-            placement.incarnation_unix_ms,
-        );
-        let lease = (now + self.settings.lease).min(self.max_lease_end);
-        let Some(worker) = self.workers.get_mut(&worker_id) else {
-            return self.requeue(id, now, "worker_gone");
-        };
-        let deadline = (lease > now && worker.report.incarnation_unix_ms == born)
-            .then(|| worker.grant_lease(lease))
-            .flatten();
-        let Some(lease_deadline_ms) = deadline else {
-            return self.requeue(id, now, "no_lease");
-        };
-        let address = worker.report.address;
-        let Some(job) = self.jobs.get(&id.submission) else {
-            return;
-        };
-        let needs_ticket = self.config.needs_ticket(&job.submission.queue);
-        let ticket = self
-            .workers
-            .get(&worker_id)
-            .filter(|_| needs_ticket)
-            .and_then(|worker| self.advice.ticket(&StepId::of(id), worker, now));
-        if needs_ticket && ticket.is_none() {
-            return self.requeue(id, now, "ticket_expired");
-        }
-        let order = StartOrder {
-            worker: worker_id,
-            address,
-            task: id.clone(),
-            run,
-            program: job.submission.program.clone(),
-            checkpoint: job.task(id).and_then(|task| task.checkpoint.clone()),
-            lease_deadline_ms,
-            ticket,
-        };
-        self.set_run_state(id, RunState::Sending);
-        self.actions.push(Action::Start(order));
-    }
-
     /// Advances the acknowledged run end of each worker as far as the jobs are stored.
     pub(super) fn acknowledge_stored(&mut self) {
         for (_, worker) in self.workers.iter_mut() {
--- a/rhubarbfall-runs/tests/waiting_starts.rs
+++ b/rhubarbfall-runs/tests/waiting_starts.rs
@@ -70,3 +70,48 @@
         assert_ne!(started[0], draining);
     }
 }
+
+#[test]
+fn a_waiting_start_is_not_sent_to_a_worker_that_is_no_longer_listed() {
+    let mut model = with_waiting_start(2, step(1, 3_000));
+    let unlisted = chosen_worker(&model);
+    model.scheduler.worker_unlisted(&unlisted);
+    let started = workers_after_store(&mut model);
+    assert_eq!(started.len(), 1, "tasks started elsewhere: {started:?}");
+    assert_ne!(started[0], unlisted);
+}
+
+#[test]
+fn a_waiting_start_is_not_sent_to_an_unreachable_worker() {
+    let mut model = with_waiting_start(2, step(1, 3_000));
+    // The idle worker stays in its pool.
+    model.update_config(|config| config.services[1].is_spare = false);
+    let unreachable = chosen_worker(&model);
+    model.cut_off(&unreachable);
+    model.run_for(Duration::from_millis(1_500));
+    let started = workers_after_store(&mut model);
+    assert_eq!(started.len(), 1, "tasks started elsewhere: {started:?}");
+    assert_ne!(started[0], unreachable);
+}
+
+#[test]
+fn a_waiting_start_is_not_sent_to_a_quarantined_worker() {
+    let mut model = Model::new(&[("labels", 2), ("spare", 0)], 2);
+    model.run_for(Duration::from_millis(300));
+    for number in 2..4 {
+        model.submit(submission(number, "labels", step(1, 3_000)), RUN_TIME);
+        model.run_for(Duration::from_millis(100));
+    }
+    model.is_store_blocked = true;
+    model.submit(submission(1, "labels", step(1, 3_000)), RUN_TIME);
+    model.run_for(Duration::from_millis(100));
+    let id = chosen_worker(&model);
+    let failing = model.workers.iter_mut().find(|of| of.report.id == id);
+    failing.expect("worker in the model").fails_all = true;
+    model.run_for(Duration::from_millis(200));
+    model.is_store_blocked = false;
+    model.run_for(Duration::from_millis(100));
+    let started: Vec<WorkerId> = model.runs_of(1).into_iter().map(|(id, _)| id).collect();
+    assert_eq!(started.len(), 1, "tasks started elsewhere: {started:?}");
+    assert_ne!(started[0], id);
+}
