fix(runs): send no waiting start to a VM that is drained meanwhile

What workers saw: a VM that a wave or a move had chosen while a placement on it waited for the store was still told to start the task. The VM was then held up by the run, or, with its wave behind schedule, taken down with it.

Cause: whether a VM is under an active operation was looked at when placing only.

Change: placing and sending ask one function whether tasks may start on a worker; it covers both what the worker says and the operations on its VM.

Evidence: the test fails on the commit before, where the VM's worker starts the task; now the task starts elsewhere and the VM's maintenance begins, for finite and for long-running tasks.

--- a/rhubarbfall-runs/src/scheduler/placing.rs
+++ b/rhubarbfall-runs/src/scheduler/placing.rs
@@ -55,7 +55,6 @@
     }
 
     fn new_pass(&self, now: BootTime) -> PlacementPass {
-        let unreachable_after = self.settings.unreachable_after;
         let cordoned = self.vm_ops.cordoned();
         let mut pass = PlacementPass {
             now,
@@ -63,8 +62,7 @@
             ..PlacementPass::default()
         };
         for (index, worker) in self.workers().enumerate() {
-            let is_cordoned = cordoned.binary_search(&worker.report.id).is_ok();
-            if is_cordoned || !worker.accepts_work(now, unreachable_after) {
+            if !self.is_usable(worker, &cordoned, now) {
                 continue;
             }
             let service = worker.report.service.clone();
@@ -73,6 +71,13 @@
         pass
     }
 
+    /// Returns whether tasks may start on a worker, given the sorted workers on VMs with an active
+    /// operation.
+    pub(super) fn is_usable(&self, worker: &Worker, cordoned: &[WorkerId], now: BootTime) -> bool {
+        cordoned.binary_search(&worker.report.id).is_err()
+            && worker.accepts_work(now, self.settings.unreachable_after)
+    }
+
     /// Ranks submissions that exceed the capacity with those that can only be late.
     fn demote_beyond_capacity(&mut self, waiting_steps: &mut [WaitingStep], now: BootTime) {
         let config = Arc::clone(&self.config);
--- a/rhubarbfall-runs/src/scheduler/starting.rs
+++ b/rhubarbfall-runs/src/scheduler/starting.rs
@@ -1,6 +1,6 @@
 //! Orders to start runs whose placements are stored.
 
-use rhubarbfall_core::BootTime;
+use rhubarbfall_core::{BootTime, WorkerId};
 
 use super::Scheduler;
 use super::action::{Action, StartOrder};
@@ -10,8 +10,9 @@
     /// Sends the starts whose placements are stored. What a placement was decided on may have
     /// changed while it waited; such tasks are requeued.
     pub(super) fn send_stored_starts(&mut self, ready: &[TaskId], now: BootTime) {
+        let cordoned = self.vm_ops.cordoned();
         for id in ready {
-            match self.start_obstacle(id, now) {
+            match self.start_obstacle(id, &cordoned, now) {
                 Some(obstacle) => self.requeue(id, now, obstacle),
                 None => self.send_start(id, now),
             }
@@ -19,7 +20,12 @@
     }
 
     /// Returns why a placed task may not start on its worker any more, or `None` if it may.
-    fn start_obstacle(&self, id: &TaskId, now: BootTime) -> Option<&'static str> {
+    fn start_obstacle(
+        &self,
+        id: &TaskId,
+        cordoned: &[WorkerId],
+        now: BootTime,
+    ) -> Option<&'static str> {
         let placement = self.placement(id)?;
         let job = self.jobs.get(&id.submission)?;
         let Some(worker) = self.workers.get(&placement.worker) else {
@@ -28,7 +34,7 @@
         if worker.report.incarnation_unix_ms != placement.incarnation_unix_ms {
             return Some("worker_reborn");
         }
-        if !worker.accepts_work(now, self.settings.unreachable_after) {
+        if !self.is_usable(worker, cordoned, now) {
             return Some("worker_unusable");
         }
         if self.max_lease_end <= now || worker.clock.is_none() {
--- a/rhubarbfall-runs/tests/waiting_starts.rs
+++ b/rhubarbfall-runs/tests/waiting_starts.rs
@@ -8,6 +8,7 @@
 use model::{Model, step, submission};
 use rhubarbfall_core::WorkerId;
 use rhubarbfall_runs::Step;
+use rhubarbfall_runs::scheduler::Wave;
 
 const RUN_TIME: Duration = Duration::from_secs(30);
 
@@ -115,3 +116,35 @@
     assert_eq!(started.len(), 1, "tasks started elsewhere: {started:?}");
     assert_ne!(started[0], id);
 }
+
+/// A wave chooses a VM while a placement on its worker waits for the store: the start would run on
+/// a VM that is drained, and could meet the call for its maintenance.
+#[test]
+fn a_waiting_start_is_not_sent_to_a_vm_that_is_drained() {
+    for is_long_running in [false, true] {
+        let mut model = with_waiting_start(
+            2,
+            Step {
+                is_long_running,
+                ..step(1, 3_000)
+            },
+        );
+        let chosen = chosen_worker(&model);
+        let vm = model.workers.iter().find(|of| of.report.id == chosen);
+        let vm = format!("vm-{}", vm.expect("worker in the model").vm);
+        let wave = Wave {
+            id: "1".parse().expect("valid wave name"),
+            vms: vec![vm.parse().expect("valid VM name")],
+            duration: Duration::from_secs(20),
+            max_down: 1,
+        };
+        model.scheduler.wave_requested(wave, None, model.now, 0);
+        model.run_for(Duration::from_millis(200));
+        let started = workers_after_store(&mut model);
+        assert_eq!(started.len(), 1, "tasks started elsewhere: {started:?}");
+        assert_ne!(started[0], chosen);
+        model.run_for(Duration::from_millis(200));
+        assert_eq!(model.vms_in_maintenance(), 1);
+        assert_eq!(model.violations, Vec::<String>::new());
+    }
+}
