fix(runs): send no waiting start to a service that its queue has left

What workers saw: after a configuration moved a queue to another service, or removed it, tasks that were placed before and waited for the store still started on workers of the old service.

Cause: the queue's service was looked at when placing only.

Change: a stored placement starts only if the current configuration sends the queue to the worker's service.

--- a/rhubarbfall-runs/src/scheduler/starting.rs
+++ b/rhubarbfall-runs/src/scheduler/starting.rs
@@ -37,10 +37,14 @@
         if !self.is_usable(worker, cordoned, now) {
             return Some("worker_unusable");
         }
+        let queue = self.config.queue(&job.submission.queue);
+        if queue.is_none_or(|queue| queue.service != worker.report.service) {
+            return Some("queue_moved");
+        }
         if self.max_lease_end <= now || worker.clock.is_none() {
             return Some("no_lease");
         }
-        let needs_ticket = self.config.needs_ticket(&job.submission.queue);
+        let needs_ticket = queue.is_some_and(|queue| queue.advice.is_some());
         if needs_ticket && self.advice.ticket(&StepId::of(id), worker, now).is_none() {
             return Some("ticket_expired");
         }
--- a/rhubarbfall-runs/tests/waiting_starts.rs
+++ b/rhubarbfall-runs/tests/waiting_starts.rs
@@ -148,3 +148,29 @@
         assert_eq!(model.violations, Vec::<String>::new());
     }
 }
+
+#[test]
+fn a_waiting_start_is_not_sent_after_its_queue_was_removed() {
+    let mut model = with_waiting_start(2, step(1, 3_000));
+    let mut removed = Vec::new();
+    model.update_config(|config| removed.append(&mut config.queues));
+    assert_eq!(workers_after_store(&mut model), vec![]);
+    model.update_config(|config| config.queues.append(&mut removed));
+    assert_eq!(workers_after_store(&mut model).len(), 1);
+}
+
+#[test]
+fn a_waiting_start_follows_its_queue_to_another_service() {
+    let mut model = Model::new(&[("labels", 2), ("permits", 2), ("spare", 0)], 3);
+    model.run_for(Duration::from_millis(300));
+    model.is_store_blocked = true;
+    model.submit(submission(1, "labels", step(1, 3_000)), RUN_TIME);
+    model.run_for(Duration::from_millis(100));
+    model.update_config(|config| {
+        config.queues[0].service = "permits".parse().expect("valid service name");
+    });
+    let started = workers_after_store(&mut model);
+    assert_eq!(started.len(), 1);
+    let worker = model.scheduler.worker(&started[0]).expect("known worker");
+    assert_eq!(worker.report.service.as_str(), "permits");
+}
