fix(runs): keep waiting starts within a limit that was lowered meanwhile

What workers saw: after a configuration lowered a customer's limit, all tasks that were placed before and waited for the store still started, however far beyond the new limit.

Cause: the limit was looked at when placing only.

Change: a stored placement starts only if the customer's tasks, this one among them, are within the current limit.

Evidence: the test fails on the commit before, where four of four tasks start under a limit of two; now two start.

--- a/rhubarbfall-runs/src/scheduler/placing.rs
+++ b/rhubarbfall-runs/src/scheduler/placing.rs
@@ -357,7 +357,12 @@
         chosen
     }
 
-    fn is_within_customer_limit(&self, customer: Option<&CustomerId>, demand: Resources) -> bool {
+    /// Returns whether a customer's limit allows it to use these resources more.
+    pub(super) fn is_within_customer_limit(
+        &self,
+        customer: Option<&CustomerId>,
+        demand: Resources,
+    ) -> bool {
         let Some(id) = customer else { return true };
         let Some(customer) = self.config.customer(id) else {
             return true;
--- a/rhubarbfall-runs/src/scheduler/starting.rs
+++ b/rhubarbfall-runs/src/scheduler/starting.rs
@@ -4,7 +4,7 @@
 
 use super::Scheduler;
 use super::action::{Action, StartOrder};
-use crate::{RunState, StepId, TaskId};
+use crate::{Resources, RunState, StepId, TaskId};
 
 impl Scheduler {
     /// Sends the starts whose placements are stored. What a placement was decided on may have
@@ -41,6 +41,11 @@
         if queue.is_none_or(|queue| queue.service != worker.report.service) {
             return Some("queue_moved");
         }
+        // The customer's usage already contains the task.
+        let customer = job.submission.customer.as_ref();
+        if !self.is_within_customer_limit(customer, Resources::default()) {
+            return Some("customer_limit");
+        }
         if self.max_lease_end <= now || worker.clock.is_none() {
             return Some("no_lease");
         }
--- a/rhubarbfall-runs/tests/waiting_starts.rs
+++ b/rhubarbfall-runs/tests/waiting_starts.rs
@@ -174,3 +174,10 @@
     let worker = model.scheduler.worker(&started[0]).expect("known worker");
     assert_eq!(worker.report.service.as_str(), "permits");
 }
+
+#[test]
+fn waiting_starts_keep_to_a_limit_that_was_lowered_meanwhile() {
+    let mut model = with_waiting_start(2, step(4, 3_000));
+    model.update_config(|config| config.customers[0].limit.cpu_millis = 6_000);
+    assert_eq!(workers_after_store(&mut model).len(), 2);
+}
