fix(runs): send no waiting start that exceeds what its worker can take

What workers saw: a worker that reported a run which the owner had given up, while another placement on it waited for the store, was sent that start as well; a worker that does not guard its capacity would have gone over it.

Cause: the load of such runs was looked at when placing only.

Change: a stored placement starts only if the placed tasks and the unexpected load fit the worker.

--- a/rhubarbfall-runs/src/scheduler/starting.rs
+++ b/rhubarbfall-runs/src/scheduler/starting.rs
@@ -37,6 +37,9 @@
         if !self.is_usable(worker, cordoned, now) {
             return Some("worker_unusable");
         }
+        if worker.is_overcommitted() {
+            return Some("no_room");
+        }
         let queue = self.config.queue(&job.submission.queue);
         if queue.is_none_or(|queue| queue.service != worker.report.service) {
             return Some("queue_moved");
--- a/rhubarbfall-runs/src/worker.rs
+++ b/rhubarbfall-runs/src/worker.rs
@@ -100,6 +100,12 @@
             .saturating_sub(self.unexpected_load)
     }
 
+    /// Returns whether the placed tasks and the unexpected load exceed the capacity.
+    #[must_use]
+    pub fn is_overcommitted(&self) -> bool {
+        !(self.reserved + self.unexpected_load).fits_in(self.report.capacity)
+    }
+
     /// Returns whether new tasks may be placed on the worker; it must have answered within the last
     /// `unreachable_after`.
     #[must_use]
--- a/rhubarbfall-runs/tests/waiting_starts.rs
+++ b/rhubarbfall-runs/tests/waiting_starts.rs
@@ -7,8 +7,8 @@
 
 use model::{Model, step, submission};
 use rhubarbfall_core::WorkerId;
-use rhubarbfall_runs::Step;
-use rhubarbfall_runs::scheduler::Wave;
+use rhubarbfall_runs::scheduler::{Action, Wave};
+use rhubarbfall_runs::{ActiveRun, LeaseRenewalResponse, Step, TaskId};
 
 const RUN_TIME: Duration = Duration::from_secs(30);
 
@@ -181,3 +181,47 @@
     model.update_config(|config| config.customers[0].limit.cpu_millis = 6_000);
     assert_eq!(workers_after_store(&mut model).len(), 2);
 }
+
+/// A run that the owner had given up is reported by the worker while another placement there waits
+/// for the store: both together exceed what the worker can take.
+#[test]
+fn a_waiting_start_is_not_sent_to_a_worker_that_has_no_room_for_it_any_more() {
+    let mut model = with_waiting_start(1, step(1, 30_000));
+    let id = chosen_worker(&model);
+    let other = submission(2, "labels", step(1, 40_000));
+    let task = TaskId {
+        submission: other.id.clone(),
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    };
+    model.submit(other, RUN_TIME);
+    let running = ActiveRun {
+        task,
+        run: 9,
+        checkpoint: None,
+        percent: 50,
+        tail_ms_or_cpu_millis: None,
+    };
+    let answer = LeaseRenewalResponse {
+        clock_ms: model.now.as_millis(),
+        incarnation_unix_ms: 1,
+        running: vec![running],
+        ended: vec![],
+    };
+    let now = model.now;
+    model
+        .scheduler
+        .lease_renewal_answered(&id, now, &answer, now);
+    assert_eq!(start_orders_after_store(&mut model), 0);
+}
+
+/// Lets the store answer and returns the number of orders to start.
+fn start_orders_after_store(model: &mut Model) -> usize {
+    while let Some(batch) = model.scheduler.next_batch() {
+        model.store(&batch);
+    }
+    let actions = model.scheduler.take_actions();
+    let starts = actions.iter().filter(|of| matches!(of, Action::Start(_)));
+    starts.count()
+}
