fix(runs): withdraw a start that was not carried out before its run was given up

What workers saw: a submission that was cancelled, or a worker that was seen to have restarted, between the storing of a placement and the owner's next round of actions still led to the order to start, followed or overtaken by the stop.

Cause: orders that wait in the list of actions were handed out whatever had become of their runs.

Change: starts of runs that are no longer to be sent are left out when the actions are taken.

A cancel while the placement still waits for the store was right before; a test keeps that.

--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -137,9 +137,15 @@
         self.workers.get(id)
     }
 
-    /// Returns and clears the actions to carry out.
+    /// Returns and clears the actions to carry out, without the starts of runs that are to be
+    /// stopped or are over.
     pub fn take_actions(&mut self) -> Vec<Action> {
-        std::mem::take(&mut self.actions)
+        let mut actions = std::mem::take(&mut self.actions);
+        actions.retain(|action| match action {
+            Action::Start(order) => self.is_to_be_sent(order),
+            _ => true,
+        });
+        actions
     }
 
     /// Runs the time-dependent checks if they are due, and places waiting tasks.
--- a/rhubarbfall-runs/src/scheduler/starting.rs
+++ b/rhubarbfall-runs/src/scheduler/starting.rs
@@ -59,6 +59,15 @@
         None
     }
 
+    /// Returns whether a start that was not carried out yet is still wanted.
+    pub(super) fn is_to_be_sent(&self, order: &StartOrder) -> bool {
+        self.placement(&order.task).is_some_and(|placed| {
+            placed.run == order.run
+                && placed.worker == order.worker
+                && placed.state == RunState::Sending
+        })
+    }
+
     fn send_start(&mut self, id: &TaskId, now: BootTime) {
         let Some(placement) = self.placement(id) else {
             return;
--- a/rhubarbfall-runs/tests/waiting_starts.rs
+++ b/rhubarbfall-runs/tests/waiting_starts.rs
@@ -218,10 +218,48 @@
 
 /// Lets the store answer and returns the number of orders to start.
 fn start_orders_after_store(model: &mut Model) -> usize {
+    store(model);
+    start_orders(model)
+}
+
+fn store(model: &mut Model) {
     while let Some(batch) = model.scheduler.next_batch() {
         model.store(&batch);
     }
+}
+
+/// Takes the actions and returns the number of orders to start among them.
+fn start_orders(model: &mut Model) -> usize {
     let actions = model.scheduler.take_actions();
     let starts = actions.iter().filter(|of| matches!(of, Action::Start(_)));
     starts.count()
 }
+
+#[test]
+fn a_waiting_start_is_not_sent_after_its_submission_was_cancelled() {
+    let mut model = with_waiting_start(2, step(3, 3_000));
+    let id = "0000000000000001".parse().expect("valid identifier");
+    let now = model.now;
+    model.scheduler.cancel(&id, now).expect("known submission");
+    assert_eq!(workers_after_store(&mut model), vec![]);
+    assert_eq!(model.starts, 0);
+    model.run_for(Duration::from_millis(300));
+    let placed = model.scheduler.workers().map(|worker| worker.placed.len());
+    assert_eq!(placed.sum::<usize>(), 0, "a cancelled task keeps its room");
+}
+
+/// The order to start waits until the owner carries out its actions, which takes long while its
+/// processor is short; the submission is cancelled in that time.
+#[test]
+fn an_order_that_was_not_carried_out_yet_is_withdrawn_when_its_submission_is_cancelled() {
+    let mut model = with_waiting_start(2, step(3, 3_000));
+    store(&mut model);
+    let id = "0000000000000001".parse().expect("valid identifier");
+    let now = model.now;
+    model.scheduler.cancel(&id, now).expect("known submission");
+    assert_eq!(start_orders(&mut model), 0);
+    assert_eq!(workers_after_store(&mut model), vec![]);
+    model.run_for(Duration::from_millis(300));
+    let placed = model.scheduler.workers().map(|worker| worker.placed.len());
+    assert_eq!(placed.sum::<usize>(), 0, "a cancelled task keeps its room");
+}
