fix(runs): start all members of a gang or none

What workers saw: if one member of a gang could not start any more when its placement was stored (its worker drained, had restarted, or had no ticket), the other members started, held their room and waited for it in vain until their workers gave up (`alone`).

Cause: each member's start was decided by itself.

Change: the members are looked at together; if one may not start, or is not among those that wait, all are requeued, and placed anew together under one run number.

Evidence: both tests fail on the commit before, where two of three members start; now all three start elsewhere under one number.

--- a/rhubarbfall-runs/src/scheduler/starting.rs
+++ b/rhubarbfall-runs/src/scheduler/starting.rs
@@ -8,17 +8,41 @@
 
 impl Scheduler {
     /// Sends the starts whose placements are stored. What a placement was decided on may have
-    /// changed while it waited; such tasks are requeued.
+    /// changed while it waited; such tasks are requeued. A gang starts with all its members or
+    /// none, because a member waits for the others.
     pub(super) fn send_stored_starts(&mut self, ready: &[TaskId], now: BootTime) {
         let cordoned = self.vm_ops.cordoned();
-        for id in ready {
-            match self.start_obstacle(id, &cordoned, now) {
-                Some(obstacle) => self.requeue(id, now, obstacle),
-                None => self.send_start(id, now),
+        let mut rest = ready;
+        while let Some(first) = rest.first() {
+            let members = self.gang_members(first);
+            let step = StepId::of(first);
+            let count = match members {
+                Some(_) => rest.iter().take_while(|id| step.contains(id)).count(),
+                None => 1,
+            };
+            let (group, later) = rest.split_at(count);
+            rest = later;
+            let obstacle = if members.is_some_and(|members| count < members) {
+                Some("gang_incomplete")
+            } else {
+                let mut obstacles = group.iter();
+                obstacles.find_map(|id| self.start_obstacle(id, &cordoned, now))
+            };
+            for id in group {
+                match obstacle {
+                    Some(obstacle) => self.requeue(id, now, obstacle),
+                    None => self.send_start(id, now),
+                }
             }
         }
     }
 
+    /// Returns the number of members of a task's gang, or `None` if it is in none.
+    fn gang_members(&self, id: &TaskId) -> Option<usize> {
+        let step = self.jobs.get(&id.submission)?.step(id);
+        step.is_gang.then_some(step.tasks as usize)
+    }
+
     /// Returns why a placed task may not start on its worker any more, or `None` if it may.
     fn start_obstacle(
         &self,
--- a/rhubarbfall-runs/tests/waiting_starts.rs
+++ b/rhubarbfall-runs/tests/waiting_starts.rs
@@ -263,3 +263,39 @@
     let placed = model.scheduler.workers().map(|worker| worker.placed.len());
     assert_eq!(placed.sum::<usize>(), 0, "a cancelled task keeps its room");
 }
+
+fn gang(members: u32) -> Step {
+    Step {
+        is_gang: true,
+        max_per_worker: Some(1),
+        ..step(members, 3_000)
+    }
+}
+
+/// A member that starts without the others waits for them in vain and keeps its room.
+#[test]
+fn no_member_of_a_gang_starts_if_the_worker_of_one_drains() {
+    let mut model = with_waiting_start(4, gang(3));
+    let draining = chosen_worker(&model);
+    set_draining(&mut model, &draining);
+    let started = workers_after_store(&mut model);
+    assert_eq!(started.len(), 3);
+    assert!(!started.contains(&draining));
+    let runs: Vec<u64> = model.runs_of(1).into_iter().map(|(_, run)| run).collect();
+    assert_eq!(runs, vec![2; 3], "the members are not of one run");
+}
+
+#[test]
+fn no_member_of_a_gang_starts_if_the_worker_of_one_has_restarted() {
+    let mut model = with_waiting_start(4, gang(3));
+    let id = chosen_worker(&model);
+    let worker = model.workers.iter_mut().find(|of| of.report.id == id);
+    let worker = worker.expect("worker in the model");
+    worker.report.incarnation_unix_ms += 1;
+    let (report, now) = (worker.report.clone(), model.now);
+    model.scheduler.worker_listed(report, now);
+    let started = workers_after_store(&mut model);
+    assert_eq!(started.len(), 3);
+    let runs: Vec<u64> = model.runs_of(1).into_iter().map(|(_, run)| run).collect();
+    assert_eq!(runs, vec![2; 3], "the members are not of one run");
+}
