fix(runs): stop the members of a gang if the start of one is refused

What workers saw: if a worker refused the start of one member of a gang, or the order was not sent, the other members stayed where they had started, waited in vain for the missing one and kept their room until their workers gave up (`alone`).

Cause: the refused member was requeued by itself; it is placed again only together with all others.

Change: a refused start stops the other members of that run; they are placed anew together.

Evidence: the test fails on the commit before: 600 ms after the refusal two members of run 1 still run; now all three run elsewhere under one number.

--- a/rhubarbfall-runs/src/scheduler/orders.rs
+++ b/rhubarbfall-runs/src/scheduler/orders.rs
@@ -80,7 +80,32 @@
         if outcome == StartOutcome::TicketRefused {
             self.advice.remove_ticket(&StepId::of(id), worker);
         }
+        let run = self.placement(id).map(|placed| placed.run);
         self.requeue(id, now, outcome.as_str());
+        if let Some(run) = run {
+            self.stop_rest_of_gang(id, run);
+        }
+    }
+
+    /// Stops the members of a task's gang in a run that the task will not join: they would wait for
+    /// it in vain.
+    fn stop_rest_of_gang(&mut self, id: &TaskId, run: u64) {
+        let Some(job) = self.jobs.get(&id.submission) else {
+            return;
+        };
+        if !job.step(id).is_gang {
+            return;
+        }
+        let is_left = |task: &Task| {
+            task.placement()
+                .is_some_and(|placed| placed.run == run && !placed.state.is_stopping())
+        };
+        let mut rest = job.tasks_where(is_left);
+        rest.retain(|task| StepId::of(id).contains(task));
+        for task in rest {
+            log::info!("event=run_stopped id={task} reason=gang_incomplete");
+            self.set_run_state(&task, RunState::STOP_REQUESTED);
+        }
     }
 
     /// Processes the outcome of a stop call; once confirmed, the run will not start on the worker
--- a/rhubarbfall-runs/tests/model/mod.rs
+++ b/rhubarbfall-runs/tests/model/mod.rs
@@ -160,6 +160,7 @@
             renewed_at: BootTime::default(),
             is_cut_off: false,
             fails_all: false,
+            refuses_starts: false,
             start_delay: None,
             delayed_starts: Vec::new(),
         });
@@ -427,6 +428,7 @@
             None => StartOutcome::NotSent,
             Some(worker) if worker.is_cut_off => StartOutcome::Unknown,
             Some(worker) if fence < worker.fence => StartOutcome::Fenced,
+            Some(worker) if worker.refuses_starts => StartOutcome::Refused,
             Some(worker) => {
                 if let Some(delay) = worker.start_delay {
                     worker
--- a/rhubarbfall-runs/tests/model/worker.rs
+++ b/rhubarbfall-runs/tests/model/worker.rs
@@ -29,6 +29,8 @@
     pub(crate) is_cut_off: bool,
     /// Every run on the worker fails.
     pub(crate) fails_all: bool,
+    /// The worker refuses start calls.
+    pub(crate) refuses_starts: bool,
     /// The worker leaves start calls unanswered and carries them out after this time.
     pub(crate) start_delay: Option<Duration>,
     pub(crate) delayed_starts: Vec<(BootTime, StartOrder, u64)>,
--- a/rhubarbfall-runs/tests/waiting_starts.rs
+++ b/rhubarbfall-runs/tests/waiting_starts.rs
@@ -299,3 +299,18 @@
     let runs: Vec<u64> = model.runs_of(1).into_iter().map(|(_, run)| run).collect();
     assert_eq!(runs, vec![2; 3], "the members are not of one run");
 }
+
+/// One member's start is refused after the others have started.
+#[test]
+fn the_members_of_a_gang_are_stopped_if_the_start_of_one_is_refused() {
+    let mut model = with_waiting_start(4, gang(3));
+    let refusing = chosen_worker(&model);
+    let worker = model.workers.iter_mut().find(|of| of.report.id == refusing);
+    worker.expect("worker in the model").refuses_starts = true;
+    model.is_store_blocked = false;
+    model.run_for(Duration::from_millis(600));
+    let runs = model.runs_of(1);
+    assert_eq!(runs.len(), 3, "{runs:?}");
+    assert!(runs.iter().all(|(worker, _)| *worker != refusing));
+    assert!(runs.iter().all(|(_, run)| *run == runs[0].1), "{runs:?}");
+}
