--- /dev/null
+++ b/rhubarbfall-runs/tests/placements.rs
@@ -0,0 +1,223 @@
+//! Hand-overs of a placed task that a simulation of `tests/cancellation.rs` found, each as its
+//! shortest sequence of events.
+
+mod model;
+
+use std::time::Duration;
+
+use model::{WORKER_CAPACITY, config, step, submission};
+use rhubarbfall_core::{BootTime, RowVersion, WorkerId};
+use rhubarbfall_runs::scheduler::{Action, SchedulerSettings, StartOrder, StoredJob};
+use rhubarbfall_runs::{
+    ActiveRun, JobProgress, JobState, LeaseRenewalResponse, OpenTask, PlacedRun, Resources, RunEnd,
+    RunEndKind, Scheduler, StartOutcome, Step, Submission, WorkerReport,
+};
+
+struct Owner {
+    scheduler: Scheduler,
+    now: BootTime,
+    rows: u64,
+}
+
+impl Owner {
+    fn new() -> Self {
+        let now = BootTime::new(Duration::from_secs(100));
+        let mut scheduler = Scheduler::new(SchedulerSettings::default());
+        scheduler.set_config(config(&["labels", "spare"]).into());
+        scheduler.confirm_ownership(now + Duration::from_secs(9));
+        Self {
+            scheduler,
+            now,
+            rows: 0,
+        }
+    }
+
+    fn list(&mut self, worker: &str) {
+        let report = WorkerReport {
+            id: id(worker),
+            address: "127.0.0.1:1".parse().expect("valid address"),
+            service: "labels".parse().expect("valid service name"),
+            availability_zone: "zone-a".parse().expect("valid availability zone name"),
+            capacity: WORKER_CAPACITY,
+            labels: vec!["a".into(), "r1".into()],
+            rack: Some("r1".parse().expect("valid rack name")),
+            is_draining: false,
+            incarnation_unix_ms: 1,
+        };
+        self.scheduler.worker_listed(report, self.now);
+    }
+
+    /// Passes a worker's response to a lease renewal to the scheduler.
+    fn answer(
+        &mut self,
+        worker: &str,
+        incarnation_unix_ms: u64,
+        running: Vec<ActiveRun>,
+        ended: Vec<RunEnd>,
+    ) {
+        let answer = LeaseRenewalResponse {
+            clock_ms: self.now.as_millis(),
+            incarnation_unix_ms,
+            running,
+            ended,
+        };
+        let sent_at = self.now.before(Duration::from_millis(1));
+        self.scheduler
+            .lease_renewal_answered(&id(worker), sent_at, &answer, self.now);
+    }
+
+    /// Places and stores, and returns the starts.
+    fn starts(&mut self) -> Vec<StartOrder> {
+        self.now = self.now + Duration::from_millis(100);
+        self.scheduler.tick(self.now, self.now.as_millis());
+        while let Some(batch) = self.scheduler.next_batch() {
+            self.rows += 1;
+            let version = RowVersion::new(self.rows);
+            self.scheduler.batch_stored(&batch, version, self.now);
+        }
+        let actions = self.scheduler.take_actions().into_iter();
+        let starts = actions.filter_map(|action| match action {
+            Action::Start(order) => Some(order),
+            _ => None,
+        });
+        starts.collect()
+    }
+
+    fn accept(&mut self, order: &StartOrder) {
+        let (task, worker) = (&order.task, &order.worker);
+        let outcome = StartOutcome::Accepted;
+        self.scheduler
+            .start_answered(task, worker, order.run, outcome, self.now);
+    }
+
+    fn reserved(&self) -> Vec<(WorkerId, Resources)> {
+        let workers = self.scheduler.workers();
+        let busy = workers.filter(|worker| !worker.placed.is_empty());
+        busy.map(|worker| (worker.report.id.clone(), worker.reserved))
+            .collect()
+    }
+}
+
+fn id(worker: &str) -> WorkerId {
+    worker.parse().expect("valid worker name")
+}
+
+/// A gang of two tasks, each of which needs more than half a worker, and a step after it.
+fn gang() -> Submission {
+    let gang = Step {
+        is_gang: true,
+        ..step(2, 40_000)
+    };
+    let last = Step {
+        after: vec![0],
+        ..step(1, 64_000)
+    };
+    let mut submission = submission(1, "labels", gang);
+    submission.steps.push(last);
+    submission
+}
+
+/// Starts the gang on two workers and reports it as done by one member's end.
+fn owner_with_finished_gang() -> Owner {
+    let mut owner = Owner::new();
+    for worker in ["w-1", "w-2"] {
+        owner.list(worker);
+        owner.answer(worker, 1, Vec::new(), Vec::new());
+    }
+    owner.scheduler.submit(gang(), owner.now);
+    let starts = owner.starts();
+    assert_eq!(starts.len(), 2);
+    for start in &starts {
+        owner.accept(start);
+    }
+    let end = RunEnd {
+        number: 1,
+        task: starts[0].task.clone(),
+        run: starts[0].run,
+        kind: RunEndKind::Done,
+        checkpoint: None,
+    };
+    let worker = starts[0].worker.to_string();
+    owner.answer(&worker, 1, Vec::new(), vec![end]);
+    owner
+}
+
+/// A gang whose end is reported by one member: the others keep their places for ever, since their
+/// own ends belong to no placed task any more.
+#[test]
+fn the_end_of_one_gang_member_frees_the_places_of_all() {
+    let owner = owner_with_finished_gang();
+    assert_eq!(owner.reserved(), vec![]);
+}
+
+/// A task of a finished gang that still has a place: when its worker starts again, the task counts
+/// as waiting, is stored as such, and a new owner runs the gang again.
+#[test]
+fn a_finished_gang_stays_finished_when_a_worker_starts_again() {
+    let mut owner = owner_with_finished_gang();
+    owner.answer("w-1", 2, Vec::new(), Vec::new());
+    owner.answer("w-2", 2, Vec::new(), Vec::new());
+    let job = owner.scheduler.jobs().next().expect("the gang's job");
+    assert_eq!(JobProgress::of(job).done, vec![(0, 0, 0), (0, 0, 1)]);
+}
+
+/// A worker that starts again under its name and carries out a start that was meant for its earlier
+/// life: the task is placed again while that run goes on.
+#[test]
+fn a_run_that_a_restarted_worker_lists_is_not_started_again() {
+    let mut owner = Owner::new();
+    owner.list("w-1");
+    owner.answer("w-1", 1, Vec::new(), Vec::new());
+    owner
+        .scheduler
+        .submit(submission(1, "labels", step(1, 4_000)), owner.now);
+    let starts = owner.starts();
+    owner.accept(&starts[0]);
+    let running = ActiveRun {
+        task: starts[0].task.clone(),
+        run: starts[0].run,
+        checkpoint: None,
+        percent: 0,
+        tail_ms_or_cpu_millis: None,
+    };
+    owner.answer("w-1", 2, vec![running], Vec::new());
+    assert_eq!(owner.starts(), vec![]);
+}
+
+/// A cancelled submission with a run on a worker that has gone when a new owner takes over: the
+/// task stays placed, and its customer's limit and its worker's VM stay taken.
+#[test]
+fn an_ended_submission_leaves_a_worker_that_never_answers() {
+    let mut owner = Owner::new();
+    let placed = PlacedRun {
+        worker: id("w-1"),
+        incarnation_unix_ms: 1,
+        run: 1,
+    };
+    let progress = JobProgress {
+        state: JobState::Cancelled,
+        has_begun: true,
+        done: Vec::new(),
+        open: vec![OpenTask {
+            position: (0, 0, 0),
+            failures: 0,
+            last_run: 1,
+            checkpoint: None,
+            placed: Some(placed),
+        }],
+    };
+    let stored = StoredJob {
+        submission: submission(1, "labels", step(1, 4_000)),
+        progress: Some((progress, RowVersion::new(1))),
+    };
+    let inherited = owner.now + Duration::from_secs(10);
+    owner
+        .scheduler
+        .recover([stored], inherited, owner.now, owner.now.as_millis());
+    owner.list("w-1");
+    owner.scheduler.worker_unlisted(&id("w-1"));
+    for _ in 0..110 {
+        owner.starts();
+    }
+    assert_eq!(owner.reserved(), vec![]);
+}
