test(runs): cancel in every state of a run; late answer of an earlier life

A table of every outcome of a start before and after a cancel (484 cases): each run that its worker lists is stopped repeatedly, and nothing stays placed.

--- a/rhubarbfall-runs/tests/placements.rs
+++ b/rhubarbfall-runs/tests/placements.rs
@@ -66,8 +66,8 @@
             .lease_renewal_answered(&id(worker), sent_at, &answer, self.now);
     }
 
-    /// Places and stores, and returns the starts.
-    fn starts(&mut self) -> Vec<StartOrder> {
+    /// Places and stores, and returns the actions.
+    fn actions(&mut self) -> Vec<Action> {
         self.now = self.now + Duration::from_millis(100);
         self.scheduler.tick(self.now, self.now.as_millis());
         while let Some(batch) = self.scheduler.next_batch() {
@@ -75,11 +75,25 @@
             let version = RowVersion::new(self.rows);
             self.scheduler.batch_stored(&batch, version, self.now);
         }
-        let actions = self.scheduler.take_actions().into_iter();
-        let starts = actions.filter_map(|action| match action {
-            Action::Start(order) => Some(order),
-            _ => None,
-        });
+        self.scheduler.take_actions()
+    }
+
+    /// Places and stores, and returns the number of stops.
+    fn stops(&mut self) -> usize {
+        let actions = self.actions();
+        let is_stop = |action: &&Action| matches!(action, Action::Stop(_));
+        actions.iter().filter(is_stop).count()
+    }
+
+    /// Places and stores, and returns the starts.
+    fn starts(&mut self) -> Vec<StartOrder> {
+        let starts = self
+            .actions()
+            .into_iter()
+            .filter_map(|action| match action {
+                Action::Start(order) => Some(order),
+                _ => None,
+            });
         starts.collect()
     }
 
@@ -98,6 +112,16 @@
     }
 }
 
+fn running(start: &StartOrder) -> ActiveRun {
+    ActiveRun {
+        task: start.task.clone(),
+        run: start.run,
+        checkpoint: None,
+        percent: 0,
+        tail_ms_or_cpu_millis: None,
+    }
+}
+
 fn id(worker: &str) -> WorkerId {
     worker.parse().expect("valid worker name")
 }
@@ -173,14 +197,7 @@
         .submit(submission(1, "labels", step(1, 4_000)), owner.now);
     let starts = owner.starts();
     owner.accept(&starts[0]);
-    let running = ActiveRun {
-        task: starts[0].task.clone(),
-        run: starts[0].run,
-        checkpoint: None,
-        percent: 0,
-        tail_ms_or_cpu_millis: None,
-    };
-    owner.answer("w-1", 2, vec![running], Vec::new());
+    owner.answer("w-1", 2, vec![running(&starts[0])], Vec::new());
     assert_eq!(owner.starts(), vec![]);
 }
 
@@ -221,3 +238,103 @@
     }
     assert_eq!(owner.reserved(), vec![]);
 }
+
+/// An answer of a worker's earlier life that arrives after the next life is listed and has
+/// answered: it returns the tasks of the present life to the queue while their runs go on.
+#[test]
+fn an_answer_of_an_earlier_life_requeues_nothing() {
+    let mut owner = Owner::new();
+    owner.list("w-1");
+    owner.answer("w-1", 2, Vec::new(), Vec::new());
+    owner
+        .scheduler
+        .submit(submission(1, "labels", step(1, 4_000)), owner.now);
+    let starts = owner.starts();
+    owner.accept(&starts[0]);
+    owner.answer("w-1", 1, Vec::new(), Vec::new());
+    owner.answer("w-1", 2, vec![running(&starts[0])], Vec::new());
+    assert_eq!(owner.starts(), vec![]);
+}
+
+/// Every state of a run at its submission's cancel, with every outcome of a start that is answered
+/// after it: a run that the worker lists is stopped again and again, and one that it does not list
+/// any more leaves nothing placed.
+#[test]
+fn a_cancel_in_every_state_of_a_run_stops_it() {
+    let outcomes = [
+        None,
+        Some(StartOutcome::Accepted),
+        Some(StartOutcome::Fenced),
+        Some(StartOutcome::RunTooOld),
+        Some(StartOutcome::LeaseTooOld),
+        Some(StartOutcome::NoRoom),
+        Some(StartOutcome::OtherWorker),
+        Some(StartOutcome::TicketRefused),
+        Some(StartOutcome::Refused),
+        Some(StartOutcome::NotSent),
+        Some(StartOutcome::Unknown),
+    ];
+    for before in outcomes {
+        for after in outcomes {
+            for is_stored_first in [false, true] {
+                for is_confirmed in [false, true] {
+                    cancel_between(before, after, is_stored_first, is_confirmed);
+                }
+            }
+        }
+    }
+}
+
+/// Cancels between two answers to the same start, and checks what follows.
+fn cancel_between(
+    before: Option<StartOutcome>,
+    after: Option<StartOutcome>,
+    is_stored_first: bool,
+    is_confirmed: bool,
+) {
+    let case = format!("{before:?}, cancel, {after:?}, {is_stored_first}, {is_confirmed}");
+    let mut owner = Owner::new();
+    owner.list("w-1");
+    owner.answer("w-1", 1, Vec::new(), Vec::new());
+    let submission = submission(1, "labels", step(1, 4_000));
+    let submission_id = submission.id.clone();
+    owner.scheduler.submit(submission, owner.now);
+    let start = owner.starts().remove(0);
+    let answer = |owner: &mut Owner, outcome: Option<StartOutcome>| {
+        if let Some(outcome) = outcome {
+            let (task, worker) = (&start.task, &start.worker);
+            owner
+                .scheduler
+                .start_answered(task, worker, start.run, outcome, owner.now);
+        }
+    };
+    answer(&mut owner, before);
+    owner.scheduler.cancel(&submission_id, owner.now);
+    if is_stored_first {
+        owner.stops();
+    }
+    answer(&mut owner, after);
+    // The worker has the run for two seconds, whatever was answered.
+    let mut stops = 0;
+    for _ in 0..20 {
+        owner.answer("w-1", 1, vec![running(&start)], Vec::new());
+        let ordered = owner.stops();
+        stops += usize::from(ordered > 0);
+        if is_confirmed && ordered > 0 {
+            let (task, worker) = (&start.task, &start.worker);
+            owner
+                .scheduler
+                .stop_answered(task, worker, start.run, true, owner.now);
+        }
+    }
+    assert!(stops >= 3, "{case}: {stops} stops in two seconds");
+    // A stop that was never confirmed is confirmed late; the run is gone then.
+    let (task, worker) = (&start.task, &start.worker);
+    owner
+        .scheduler
+        .stop_answered(task, worker, start.run, true, owner.now);
+    owner.now = owner.now + Duration::from_millis(100);
+    owner.answer("w-1", 1, Vec::new(), Vec::new());
+    assert_eq!(owner.reserved(), vec![], "{case}");
+    assert_eq!(owner.starts(), vec![], "{case}");
+}
