--- a/rhubarbfall-runs/tests/hostile/mod.rs
+++ b/rhubarbfall-runs/tests/hostile/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod checks;
 pub(crate) mod client;
 pub(crate) mod faults;
+mod former;
 mod network;
 mod places;
 mod scenario;
@@ -27,6 +28,7 @@
 
 use client::Client;
 use faults::Trouble;
+use former::Former;
 use network::{Message, RenewalLoop, Reply, SentCall};
 use places::Vm;
 use worker::Process;
@@ -102,6 +104,7 @@
     /// The loop whose client orders to a worker use.
     order_clients: BTreeMap<WorkerId, usize>,
     is_batch_in_flight: bool,
+    former: Option<Box<Former>>,
     paused_until: BootTime,
     next_tick: BootTime,
     store: Store,
@@ -139,6 +142,7 @@
             loops: Vec::new(),
             order_clients: BTreeMap::new(),
             is_batch_in_flight: false,
+            former: None,
             paused_until: BootTime::default(),
             next_tick: BootTime::default(),
             store: Store::default(),
@@ -243,7 +247,7 @@
             .filter(|first| first.key().0 <= now)
         {
             let event = entry.remove();
-            self.handle(event);
+            self.handle_of_either(event);
             self.check_books();
         }
         let is_active = self.paused_until <= now;
@@ -425,12 +429,8 @@
         {
             self.apply_batch(&batch);
         }
-        self.epoch += 1;
+        self.retire_owner();
         self.is_batch_in_flight = false;
-        self.loops.clear();
-        self.order_clients.clear();
-        self.calls.clear();
-        self.scheduler = Scheduler::new(SchedulerSettings::default());
         self.scheduler.set_config(self.config.clone().into());
         let stored = self.store.submissions.iter().map(|(id, bytes)| StoredJob {
             submission: decode_submission(bytes).expect("valid submission record"),
