--- a/rhubarbfall-runs/tests/hostile/checks.rs
+++ b/rhubarbfall-runs/tests/hostile/checks.rs
@@ -33,6 +33,15 @@
         if placed.windows(2).any(|pair| pair[0] == pair[1]) {
             return Some(format!("{id} has a task twice: {placed:?}"));
         }
+        let is_known = |task: &TaskId| {
+            scheduler
+                .jobs()
+                .any(|job| job.submission.id == task.submission)
+        };
+        if !placed.iter().all(is_known) {
+            // The task of an ended job that was removed; see `stuck_task`.
+            continue;
+        }
         for task in &placed {
             if placements.get(task) != Some(id) {
                 return Some(format!(
@@ -117,6 +126,19 @@
     calm_since: BootTime,
     now: BootTime,
 ) -> Option<String> {
+    for worker in scheduler.workers() {
+        let is_unknown = |task: &&TaskId| {
+            !scheduler
+                .jobs()
+                .any(|job| job.submission.id == task.submission)
+        };
+        if let Some(task) = worker.placed.iter().find(is_unknown) {
+            return Some(format!(
+                "{task} of a removed job is placed on {}",
+                worker.report.id
+            ));
+        }
+    }
     for client in clients {
         let Some(over) = client.over_since() else {
             continue;
