test(runs): a cancel acknowledged by a later job of its submission

A cancel waits for a version of its job. When the submission is withdrawn meanwhile and submitted again, the new job counts its versions from one, and the waiting cancel is acknowledged by the new job's placements: the job that nobody has cancelled runs on. The simulation looked at waiting callers at every step and so missed it; like the owner it now does when a batch was stored.

--- a/rhubarbfall-runs/tests/hostile/client.rs
+++ b/rhubarbfall-runs/tests/hostile/client.rs
@@ -58,6 +58,7 @@
         &mut self,
         scheduler: &mut Scheduler,
         epoch: u64,
+        has_stored: bool,
         now: BootTime,
     ) -> Option<String> {
         let id = self.submission.id.clone();
@@ -83,15 +84,17 @@
                 }
                 None => {}
             },
-            Cancel::Sent(of, version) => {
-                if of != epoch || scheduler.is_stored(&id, version).is_none() {
+            Cancel::Sent(of, _) if of != epoch => self.cancel = Cancel::Wanted,
+            // Waiting callers are looked at when a batch was stored.
+            Cancel::Sent(_, version) if has_stored => {
+                if scheduler.is_stored(&id, version).is_none() {
                     self.cancel = Cancel::Wanted;
                 } else if scheduler.is_stored(&id, version) == Some(true) {
                     self.cancel = Cancel::Acknowledged(now);
                     self.is_accepted = true;
                 }
             }
-            Cancel::None | Cancel::Acknowledged(_) => {}
+            Cancel::None | Cancel::Sent(..) | Cancel::Acknowledged(_) => {}
         }
         let stored = scheduler.jobs().find(|job| job.submission.id == id);
         // An ended job is removed after a time.
--- a/rhubarbfall-runs/tests/hostile/mod.rs
+++ b/rhubarbfall-runs/tests/hostile/mod.rs
@@ -112,6 +112,8 @@
     /// The loop whose client orders to a worker use.
     order_clients: BTreeMap<WorkerId, usize>,
     is_batch_in_flight: bool,
+    /// Whether a batch was stored since the waiting callers were looked at.
+    has_stored: bool,
     former: Option<Box<Former>>,
     paused_until: BootTime,
     next_tick: BootTime,
@@ -150,6 +152,7 @@
             loops: Vec::new(),
             order_clients: BTreeMap::new(),
             is_batch_in_flight: false,
+            has_stored: false,
             former: None,
             paused_until: BootTime::default(),
             next_tick: BootTime::default(),
@@ -265,9 +268,10 @@
         let is_active = self.paused_until <= now;
         if is_active {
             self.scheduler.confirm_ownership(now + MAX_LEASE);
+            let has_stored = std::mem::take(&mut self.has_stored);
             for index in 0..self.clients.len() {
                 let client = &mut self.clients[index];
-                if let Some(text) = client.step(&mut self.scheduler, self.epoch, now) {
+                if let Some(text) = client.step(&mut self.scheduler, self.epoch, has_stored, now) {
                     self.violation("answer", &text);
                 }
             }
--- a/rhubarbfall-runs/tests/hostile/network.rs
+++ b/rhubarbfall-runs/tests/hostile/network.rs
@@ -85,6 +85,7 @@
             Event::Wake(epoch, index) if epoch == self.epoch => self.renew(index),
             Event::BatchStored(epoch, batch) if epoch == self.epoch => {
                 self.is_batch_in_flight = false;
+                self.has_stored = true;
                 let version = self.apply_batch(&batch);
                 self.scheduler.batch_stored(&batch, version, self.now);
             }
--- a/rhubarbfall-runs/tests/placements.rs
+++ b/rhubarbfall-runs/tests/placements.rs
@@ -361,3 +361,48 @@
     assert_eq!(owner.reserved(), vec![], "{case}");
     assert_eq!(owner.starts(), vec![], "{case}");
 }
+
+/// A submission that is cancelled while the store is silent and then withdrawn: the cancel is
+/// forgotten with it and its repetition finds nothing, but the entry that took the submission
+/// repeats it too, and its runs start after the caller was told that there is none.
+#[test]
+fn a_withdrawn_submission_that_was_cancelled_does_not_start_when_it_is_repeated() {
+    let mut owner = Owner::new();
+    owner.list("w-1");
+    owner.answer("w-1", 1, Vec::new(), Vec::new());
+    let submission = submission(1, "labels", step(1, 4_000));
+    let id = submission.id.clone();
+    owner.scheduler.submit(submission.clone(), owner.now);
+    assert!(owner.scheduler.cancel(&id, owner.now).is_some());
+    assert!(owner.scheduler.withdraw(&id, owner.now));
+    let answer = owner.scheduler.cancel(&id, owner.now);
+    owner.scheduler.submit(submission, owner.now);
+    assert_eq!(
+        (answer.is_some(), owner.starts()),
+        (true, vec![]),
+        "(the cancel is known, starts)"
+    );
+}
+
+/// A cancel that waits for its version to be stored, of a submission that is withdrawn and
+/// submitted again meanwhile: the versions of the new job count from one, so that the cancel is
+/// acknowledged once the placements of a job that nobody has cancelled are stored.
+#[test]
+fn a_cancel_is_not_acknowledged_by_a_later_job_of_the_same_submission() {
+    let mut owner = Owner::new();
+    owner.list("w-1");
+    owner.answer("w-1", 1, Vec::new(), Vec::new());
+    let submission = submission(1, "labels", step(1, 4_000));
+    let id = submission.id.clone();
+    owner.scheduler.submit(submission.clone(), owner.now);
+    let version = owner.scheduler.cancel(&id, owner.now);
+    let version = version.expect("a known submission");
+    owner.scheduler.withdraw(&id, owner.now);
+    owner.scheduler.submit(submission, owner.now);
+    let starts = owner.starts().len();
+    let is_acknowledged = owner.scheduler.is_stored(&id, version) == Some(true);
+    assert!(
+        !(is_acknowledged && starts > 0),
+        "the cancel is acknowledged and {starts} run starts"
+    );
+}
