fix(runs): ignore a late answer of a worker's earlier life

What workers saw: an answer of a worker's earlier life that arrived after the present life was known put the worker back to the earlier life: the tasks of the present life were requeued while their runs went on, and started a second time. Cause: any other incarnation in an answer counted as a restart, also an older one; the worker list has ignored older entries all along. Change: an answer of an older incarnation is logged and ignored.

--- a/rhubarbfall-runs/src/scheduler/lease_renewal.rs
+++ b/rhubarbfall-runs/src/scheduler/lease_renewal.rs
@@ -63,7 +63,11 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        if worker.report.incarnation_unix_ms != answer.incarnation_unix_ms {
+        if answer.incarnation_unix_ms < worker.report.incarnation_unix_ms {
+            log::info!("event=renewal_answer_outdated worker={id}");
+            return;
+        }
+        if answer.incarnation_unix_ms > worker.report.incarnation_unix_ms {
             self.worker_restarted(id, answer.incarnation_unix_ms, now);
         }
         let Some(worker) = self.workers.get_mut(id) else {
