fix(runs): give up a stopping run on a worker that never answers a new owner

What callers saw: after a takeover, a run of an ended submission on a worker that the platform lists but that never answers stayed placed for ever: its customer's limit, its room and its VM stayed taken. Cause: runs that are being stopped were given up after the inherited leases only if the worker was unknown, and a worker lapses only once it has answered. Change: they are given up as well on a worker that has not answered this owner. Every lease of the earlier owners has lapsed by then.

--- a/rhubarbfall-runs/src/scheduler/recovery.rs
+++ b/rhubarbfall-runs/src/scheduler/recovery.rs
@@ -4,7 +4,9 @@
 use rhubarbfall_core::{BootTime, RowVersion, WorkerId};
 
 use super::Scheduler;
-use crate::{Job, JobProgress, Placement, RunState, Submission, Task, TaskId, TaskPhase};
+use crate::{
+    Job, JobProgress, Placement, RunState, Submission, Task, TaskId, TaskPhase, WorkerState,
+};
 
 /// The maximum age of a recovered submission; a higher age would not change its rank.
 const MAX_RECOVERED_AGE: Duration = Duration::from_mins(1);
@@ -104,7 +106,10 @@
         let is_stale = |task: &Task| {
             task.placement().is_some_and(|placed| match placed.state {
                 RunState::Inherited => true,
-                RunState::Stopping { .. } => self.workers.get(&placed.worker).is_none(),
+                RunState::Stopping { .. } => self
+                    .workers
+                    .get(&placed.worker)
+                    .is_none_or(|worker| worker.state == WorkerState::New),
                 _ => false,
             })
         };
