fix(runs): release the places of all members when a gang is done

What callers saw: after a gang had ended, the workers of all members but the reported one kept their room, their customer's limit and their VM for ever; when such a worker started again, its task counted as waiting, was stored so, and a new owner ran the gang again. Cause: one end stands for all members and marked all of them done, but released the place of its own task only. A task's phase and its worker's list of placed tasks disagreed, which nothing checked. Change: the end of a gang releases every member's place.

--- a/rhubarbfall-runs/src/scheduler/lease_renewal.rs
+++ b/rhubarbfall-runs/src/scheduler/lease_renewal.rs
@@ -159,6 +159,11 @@
     fn apply_run_end(&mut self, worker_id: &WorkerId, end: &RunEnd, now: BootTime) {
         let id = &end.task;
         let delay = self.settings.retry_delay;
+        let members = self.gang_members_done_with(end);
+        // The place of the reported member is already released.
+        for member in members.iter().filter(|member| *member != id) {
+            self.release(member, now);
+        }
         let Some(job) = self.jobs.get_mut(&id.submission) else {
             return;
         };
@@ -167,7 +172,7 @@
             .queue(&job.submission.queue)
             .map_or(u32::MAX, |queue| queue.max_attempts.max(1));
         let step = job.step(id);
-        let (is_long_running, is_gang, members) = (step.is_long_running, step.is_gang, step.tasks);
+        let (is_long_running, is_gang) = (step.is_long_running, step.is_gang);
         let Some(task) = job.task_mut(id) else { return };
         if end.checkpoint.is_some() {
             task.checkpoint.clone_from(&end.checkpoint);
@@ -176,11 +181,8 @@
         match end.kind {
             RunEndKind::Done if is_long_running => task.requeue(now, delay),
             RunEndKind::Done if is_gang => {
-                for index in 0..members {
-                    job.set_done(&TaskId {
-                        index,
-                        ..id.clone()
-                    });
+                for member in &members {
+                    job.set_done(member);
                 }
             }
             RunEndKind::Done => job.set_done(id),
@@ -212,6 +214,22 @@
         }
     }
 
+    /// Returns the members of the gang that a run end completes, including the reported one: one end
+    /// stands for all of them.
+    fn gang_members_done_with(&self, end: &RunEnd) -> Vec<TaskId> {
+        let step = self
+            .jobs
+            .get(&end.task.submission)
+            .map(|job| job.step(&end.task))
+            .filter(|step| step.is_gang && !step.is_long_running && end.kind == RunEndKind::Done);
+        let count = step.map_or(0, |step| step.tasks);
+        let member = |index| TaskId {
+            index,
+            ..end.task.clone()
+        };
+        (0..count).map(member).collect()
+    }
+
     /// Records a failed run of a submission and quarantines the worker if it fails different
     /// submissions.
     pub(super) fn record_failure(
