fix(runs): hear a worker that starts again with a lower incarnation

A worker whose VM's clock was set back before it started again has a lower number than its earlier life, so that all its answers were taken for late ones: it got no work, no leases and no stops for ever. Cause: the number alone decided what is late. A late answer belongs to a call that was sent before the present life was known. Change: the owner remembers when it learned of the incarnation; a lower one is outdated only if its call was sent before that. Evidence: a_worker_that_starts_again_with_a_lower_incarnation_is_heard failed before (0 starts) and passes. an_answer_of_an_earlier_life_requeues_nothing now sends the late call before the present life is known, as its name says: the old form answered, from the earlier life, a call that was sent after it had ended. It still fails without. Suspected, not shown: a lagging worker list that shows the earlier life's entry after such a start requeues the tasks once.

--- a/rhubarbfall-runs/src/scheduler/lease_renewal.rs
+++ b/rhubarbfall-runs/src/scheduler/lease_renewal.rs
@@ -63,11 +63,14 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        if answer.incarnation_unix_ms < worker.report.incarnation_unix_ms {
+        // A call that was sent earlier may have reached an earlier incarnation.
+        if answer.incarnation_unix_ms < worker.report.incarnation_unix_ms
+            && sent_at < worker.incarnation_known_since
+        {
             log::info!("event=renewal_answer_outdated worker={id}");
             return;
         }
-        if answer.incarnation_unix_ms > worker.report.incarnation_unix_ms {
+        if answer.incarnation_unix_ms != worker.report.incarnation_unix_ms {
             self.worker_restarted(id, answer.incarnation_unix_ms, now);
         }
         let Some(worker) = self.workers.get_mut(id) else {
--- a/rhubarbfall-runs/src/worker.rs
+++ b/rhubarbfall-runs/src/worker.rs
@@ -19,6 +19,8 @@
     pub report: WorkerReport,
     /// Whether the platform currently lists the worker.
     pub is_listed: bool,
+    /// When this owner learned of the worker's current incarnation.
+    pub incarnation_known_since: BootTime,
     /// Whether the worker answers lease renewals.
     pub state: WorkerState,
     /// The worker's clock in milliseconds, and when the answer that contained it arrived.
@@ -72,6 +74,7 @@
         Self {
             report,
             is_listed: true,
+            incarnation_known_since: now,
             state: WorkerState::New,
             clock: None,
             answered_at: BootTime::default(),
--- a/rhubarbfall-runs/tests/placements.rs
+++ b/rhubarbfall-runs/tests/placements.rs
@@ -54,6 +54,19 @@
         incarnation_unix_ms: u64,
         running: Vec<ActiveRun>,
         ended: Vec<RunEnd>,
+    ) {
+        let sent_at = self.now.before(Duration::from_millis(1));
+        self.answer_call_sent_at(sent_at, worker, incarnation_unix_ms, running, ended);
+    }
+
+    /// Passes a worker's response to a lease renewal that was sent at `sent_at` to the scheduler.
+    fn answer_call_sent_at(
+        &mut self,
+        sent_at: BootTime,
+        worker: &str,
+        incarnation_unix_ms: u64,
+        running: Vec<ActiveRun>,
+        ended: Vec<RunEnd>,
     ) {
         let answer = LeaseRenewalResponse {
             clock_ms: self.now.as_millis(),
@@ -61,7 +74,6 @@
             running,
             ended,
         };
-        let sent_at = self.now.before(Duration::from_millis(1));
         self.scheduler
             .lease_renewal_answered(&id(worker), sent_at, &answer, self.now);
     }
@@ -268,17 +280,38 @@
 fn an_answer_of_an_earlier_life_requeues_nothing() {
     let mut owner = Owner::new();
     owner.list("w-1");
+    let sent_at = owner.now;
+    owner.now = owner.now + Duration::from_millis(10);
     owner.answer("w-1", 2, Vec::new(), Vec::new());
     owner
         .scheduler
         .submit(submission(1, "labels", step(1, 4_000)), owner.now);
     let starts = owner.starts();
     owner.accept(&starts[0]);
-    owner.answer("w-1", 1, Vec::new(), Vec::new());
+    owner.answer_call_sent_at(sent_at, "w-1", 1, Vec::new(), Vec::new());
     owner.answer("w-1", 2, vec![running(&starts[0])], Vec::new());
     assert_eq!(owner.starts(), vec![]);
 }
 
+/// A worker starts again after its VM's clock was set back, so that its present life has a lower
+/// number than the earlier one: its answers must count, or it gets no work and no stops.
+#[test]
+fn a_worker_that_starts_again_with_a_lower_incarnation_is_heard() {
+    let mut owner = Owner::new();
+    owner.list("w-1");
+    owner.answer("w-1", 2, Vec::new(), Vec::new());
+    owner.now = owner.now + Duration::from_secs(2);
+    owner.answer("w-1", 1, Vec::new(), Vec::new());
+    owner
+        .scheduler
+        .submit(submission(1, "labels", step(1, 4_000)), owner.now);
+    let starts = owner.starts();
+    assert_eq!(starts.len(), 1);
+    owner.accept(&starts[0]);
+    owner.answer("w-1", 1, vec![running(&starts[0])], Vec::new());
+    assert_eq!(owner.starts(), vec![]);
+}
+
 /// Every state of a run at its submission's cancel, with every outcome of a start that is answered
 /// after it: a run that the worker lists is stopped again and again, and one that it does not list
 /// any more leaves nothing placed.
