fix(runs): keep a repeated early cancellation from its repetition on

What callers would see: a cancel of an unknown submission that was answered 410 a second time, shortly before the first one was dropped, held only for the rest of the first one's 150 s. Cause: a repetition of a kept cancel kept the time of the first. Change: it takes the time of the repetition. Evidence: repeated_cancellation_of_an_unknown_submission_is_kept_from_its_repetition_on failed before (the task ran) and passes.

--- a/rhubarbfall-runs/src/scheduler/early_cancellations.rs
+++ b/rhubarbfall-runs/src/scheduler/early_cancellations.rs
@@ -44,7 +44,8 @@
 
     /// Keeps a cancellation. Returns false if there are too many.
     pub(super) fn keep(&mut self, id: &SubmissionId, now: BootTime) -> bool {
-        if self.contains(id) {
+        if let Some(kept_since) = self.kept.get_mut(id) {
+            *kept_since = now;
             return true;
         }
         if self.kept.len() >= MAX_KEPT {
--- a/rhubarbfall-runs/tests/cancellations.rs
+++ b/rhubarbfall-runs/tests/cancellations.rs
@@ -343,6 +343,22 @@
     assert_eq!(model.store.early_cancellations.len(), 1);
 }
 
+/// A caller repeats its cancellation shortly before the first one is no longer kept, and a copy of
+/// the submission arrives afterwards.
+#[test]
+fn repeated_cancellation_of_an_unknown_submission_is_kept_from_its_repetition_on() {
+    let mut model = model(12);
+    let starts = model.starts;
+    cancel(&mut model, 1);
+    model.run_for(Duration::from_secs(140));
+    cancel(&mut model, 1);
+    model.run_for(Duration::from_secs(100));
+    model.submit(long_running(1), UNBOUNDED);
+    model.run_for(Duration::from_secs(2));
+    assert_eq!(model.runs_of(1), vec![]);
+    assert_eq!(model.starts, starts);
+}
+
 /// A value that the store client cannot decode is empty, and every field of an empty record has its
 /// default, which would make an ended job active again.
 #[test]
