fix(runs): do not confirm a withdrawn submission by a kept cancellation

`is_stored` answered for any version of an absent job from the kept cancellations. Change: the cancel of an absent submission waits for a version of its own, 0, which alone the kept cancellations answer; a job that arrives meanwhile answers it with its first stored version, which contains the cancel.

--- a/rhubarbfall-runs/src/scheduler/intake.rs
+++ b/rhubarbfall-runs/src/scheduler/intake.rs
@@ -14,6 +14,11 @@
 /// The job version that must be stored for its submission to count as accepted.
 const ACCEPTED_VERSION: u64 = 1;
 
+/// The version that stands for the cancellation of a submission that has not arrived. If the
+/// submission arrives before the cancellation is stored, every stored version of its job contains
+/// the cancellation.
+const EARLY_CANCELLATION_VERSION: u64 = 0;
+
 /// The state of a submission as reported to callers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SubmissionState {
@@ -113,8 +118,9 @@
     #[must_use]
     pub fn is_stored(&self, id: &SubmissionId, version: u64) -> Option<bool> {
         match self.jobs.get(id) {
-            Some(job) => Some(job.stored_version >= version),
-            None => self.early_cancellations.is_stored(id),
+            Some(job) => Some(job.stored_version >= version.max(ACCEPTED_VERSION)),
+            None if version == EARLY_CANCELLATION_VERSION => self.early_cancellations.is_stored(id),
+            None => None,
         }
     }
 
@@ -147,7 +153,7 @@
     pub fn cancel(&mut self, id: &SubmissionId, now: BootTime) -> Option<u64> {
         let Some(job) = self.jobs.get(id) else {
             let is_kept = self.early_cancellations.keep(id, now);
-            return is_kept.then_some(ACCEPTED_VERSION);
+            return is_kept.then_some(EARLY_CANCELLATION_VERSION);
         };
         if job.state.is_final() {
             return Some(job.version);
--- a/rhubarbfall-runs/tests/cancellations.rs
+++ b/rhubarbfall-runs/tests/cancellations.rs
@@ -359,6 +359,22 @@
     assert_eq!(model.starts, starts);
 }
 
+/// Two copies of a submission wait for the store, one of them withdraws it, and a cancellation
+/// follows: the other copy must not be answered as stored, since the submission has no row.
+#[test]
+fn kept_cancellation_does_not_confirm_a_withdrawn_submission() {
+    let mut model = model(13);
+    model.is_store_blocked = true;
+    let accepted = model.scheduler.submit(long_running(1), model.now);
+    assert!(model.scheduler.withdraw(&id(1), model.now));
+    let cancelled = cancel(&mut model, 1).expect("the cancellation is kept");
+    model.is_store_blocked = false;
+    model.run_for(Duration::from_secs(1));
+    assert!(is_stored(&model, 1, cancelled));
+    assert!(!is_stored(&model, 1, accepted));
+    assert!(!model.store.submissions.contains_key(&id(1)));
+}
+
 /// A value that the store client cannot decode is empty, and every field of an empty record has its
 /// default, which would make an ended job active again.
 #[test]
