--- a/rhubarbfall-scheduler/src/callers.rs
+++ b/rhubarbfall-scheduler/src/callers.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use http::{Method, StatusCode};
-use rhubarbfall_core::{CustomerId, QueueId, ResultCode, SubmissionId};
+use rhubarbfall_core::{BootTime, CustomerId, QueueId, ResultCode, SubmissionId};
 use rhubarbfall_runs::{FleetConfig, Queue, Submission};
 use rhubarbfall_site::{
     CUSTOMER_KEY_HEADER, DEADLINE_HEADER, decode_submission_request, encode_pending, encode_state,
@@ -54,6 +54,41 @@
     }
 }
 
+/// Logs that a request ended without an answer, unless it is marked as answered before it is
+/// dropped: the server drops a request when its caller closes the connection.
+struct AbandonmentLog {
+    node: Rc<Node>,
+    method: Method,
+    path: String,
+    began_at: BootTime,
+    is_answered: bool,
+}
+
+impl AbandonmentLog {
+    fn new(node: &Rc<Node>, request: &ServerRequest) -> Self {
+        Self {
+            node: Rc::clone(node),
+            method: request.method.clone(),
+            path: request.path.clone(),
+            began_at: node.now(),
+            is_answered: false,
+        }
+    }
+}
+
+impl Drop for AbandonmentLog {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            log::info!(
+                "event=request_abandoned method={} path={} took_ms={}",
+                self.method,
+                self.path,
+                self.node.now().since(self.began_at).as_millis()
+            );
+        }
+    }
+}
+
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
         self.0.in_flight.set(self.0.in_flight.get() - 1);
@@ -82,6 +117,7 @@
 /// Serves one request of a caller.
 pub(crate) async fn serve(node: Rc<Node>, request: ServerRequest) -> ServerResponse {
     let _in_flight = InFlightGuard::new(&node);
+    let mut abandonment = AbandonmentLog::new(&node, &request);
     let started = node.now();
     let (name, response) = match authorize(&node, &request) {
         Ok((operation, queue, customer)) => {
@@ -101,6 +137,7 @@
             ("unauthorized", error_response(code, None))
         }
     };
+    abandonment.is_answered = true;
     telemetry::count_answer(name, response.status.as_u16(), node.now().since(started));
     response
 }
