fix(scheduler): deliver a cancellation whose caller has left

What callers saw: a submission ran on although its caller had cancelled it. An entry that waited for an owner with a cancellation (a takeover takes up to 1.4 s), or for the owner's answer, dropped it when the caller closed its connection; after a 504 nobody but the caller knew of it. A caller that does not repeat a cancellation left a submission that everybody took for active. Cause: the server drops a request with its connection, which is right for a submission (nobody waits for it) and wrong for a cancellation, whose effect does not depend on who waits. Calls to the owner move to owner_call.rs.

--- a/rhubarbfall-scheduler/src/callers.rs
+++ b/rhubarbfall-scheduler/src/callers.rs
@@ -1,22 +1,21 @@
-//! Caller-facing API: authenticates the caller, resolves the queue and forwards the request to the
-//! owner.
+//! Caller-facing API: authenticates the caller, resolves the queue and answers the request.
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use http::{Method, StatusCode};
 use rhubarbfall_core::{BootTime, CustomerId, QueueId, ResultCode, SubmissionId};
-use rhubarbfall_runs::{FleetConfig, Queue, Submission};
+use rhubarbfall_runs::{FleetConfig, Queue};
 use rhubarbfall_site::{
     CUSTOMER_KEY_HEADER, DEADLINE_HEADER, decode_submission_request, encode_pending, encode_state,
 };
 
 use crate::http_server::{ServerRequest, ServerResponse};
-use crate::node::{Node, OwnerLocation};
+use crate::node::{InFlightGuard, Node, OwnerLocation};
 use crate::owner::{RequestOutcome, read_stored_state};
-use crate::peer;
-use crate::peer_status;
+use crate::owner_call::{retry_until_answered, submit_to_owner};
 use crate::telemetry;
+use crate::{cancel_delivery, peer};
 
 /// Time limit of a request without a deadline header.
 const DEFAULT_TIME_LIMIT: Duration = Duration::from_secs(3);
@@ -30,30 +29,6 @@
 /// Suggested retry delay when no owner is reachable: about the duration of a takeover.
 const NO_OWNER_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Time for which a request that was not sent to any owner waits for one. Most takeovers are
-/// shorter, and `retry-after` cannot be less than one second.
-const OWNER_WAIT_LIMIT: Duration = Duration::from_millis(1_400);
-
-/// Timeout of one call to the owner before a retry: several slow transactions.
-const OWNER_CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
-
-/// Shortest remaining time in which a request is still sent to the owner. With less time, the
-/// outcome would only be unknown.
-const MIN_OWNER_CALL_TIME: Duration = Duration::from_millis(50);
-
-/// Pause before a call to the owner is retried.
-const OWNER_RETRY_PAUSE: Duration = Duration::from_millis(60);
-
-/// Counts a request as in flight until it is dropped.
-struct InFlightGuard(Rc<Node>);
-
-impl InFlightGuard {
-    fn new(node: &Rc<Node>) -> Self {
-        node.in_flight.set(node.in_flight.get() + 1);
-        Self(Rc::clone(node))
-    }
-}
-
 /// Logs that a request ended without an answer, unless it is marked as answered before it is
 /// dropped: the server drops a request when its caller closes the connection.
 struct AbandonmentLog {
@@ -89,12 +64,6 @@
     }
 }
 
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        self.0.in_flight.set(self.0.in_flight.get() - 1);
-    }
-}
-
 /// Operation requested by a caller.
 enum Operation {
     Submit(SubmissionId),
@@ -249,91 +218,7 @@
 }
 
 async fn cancel(node: &Rc<Node>, id: &SubmissionId, request: &ServerRequest) -> ServerResponse {
-    let limit = time_limit(request);
-    let outcome = retry_until_answered(node, limit, async |timeout| {
-        cancel_at_owner(node, id, timeout).await
-    })
-    .await;
-    log::info!("event=cancel id={id} outcome={outcome:?}");
-    outcome_response(outcome)
-}
-
-/// Calls the owner until it answers or the caller's time limit is reached. Retries are safe,
-/// because the submission identifier makes them idempotent, and the ownership may be moving to
-/// another entry. A request that no owner has received is rejected earlier, so that the caller can
-/// retry at another entry.
-async fn retry_until_answered(
-    node: &Node,
-    limit: Duration,
-    call_owner: impl AsyncFn(Duration) -> RequestOutcome,
-) -> RequestOutcome {
-    let began_at = node.now();
-    let mut may_be_accepted = false;
-    if limit < MIN_OWNER_CALL_TIME || node.is_isolated() {
-        return RequestOutcome::NoOwner;
-    }
-    loop {
-        let remaining = limit.saturating_sub(node.now().since(began_at));
-        match call_owner(remaining.min(OWNER_CALL_TIMEOUT)).await {
-            RequestOutcome::Unknown => may_be_accepted = true,
-            RequestOutcome::NoOwner => {}
-            answered => return answered,
-        }
-        let waited = node.now().since(began_at);
-        if waited + OWNER_RETRY_PAUSE >= limit {
-            return if may_be_accepted {
-                RequestOutcome::Unknown
-            } else {
-                RequestOutcome::NoOwner
-            };
-        }
-        if !may_be_accepted && (waited >= OWNER_WAIT_LIMIT || node.is_isolated()) {
-            return RequestOutcome::NoOwner;
-        }
-        tokio::time::sleep(OWNER_RETRY_PAUSE).await;
-    }
-}
-
-async fn submit_to_owner(
-    node: &Node,
-    submission: &Submission,
-    timeout: Duration,
-) -> RequestOutcome {
-    match reachable_owner(node).await {
-        Some(OwnerLocation::Local(owner)) => {
-            let stored = owner.submit(node, submission.clone());
-            tokio::time::timeout(timeout, stored)
-                .await
-                .unwrap_or(RequestOutcome::Unknown)
-        }
-        Some(OwnerLocation::Peer(address)) => peer::submit(node, address, submission, timeout)
-            .await
-            .into(),
-        None => RequestOutcome::NoOwner,
-    }
-}
-
-async fn cancel_at_owner(node: &Node, id: &SubmissionId, timeout: Duration) -> RequestOutcome {
-    match reachable_owner(node).await {
-        Some(OwnerLocation::Local(owner)) => tokio::time::timeout(timeout, owner.cancel(node, id))
-            .await
-            .unwrap_or(RequestOutcome::Unknown),
-        Some(OwnerLocation::Peer(address)) => peer::cancel(node, address, id, timeout).await.into(),
-        None => RequestOutcome::NoOwner,
-    }
-}
-
-/// Returns the location of the owner, or `None` if it does not answer a probe. A request to an
-/// unreachable owner could only end with an unknown outcome.
-async fn reachable_owner(node: &Node) -> Option<OwnerLocation> {
-    let owner = node.find_owner()?;
-    if let OwnerLocation::Peer(address) = &owner
-        && node.is_owner_silent()
-        && !peer_status::probe(node, *address).await
-    {
-        return None;
-    }
-    Some(owner)
+    outcome_response(cancel_delivery::cancel(node, id, time_limit(request)).await)
 }
 
 fn outcome_response(outcome: RequestOutcome) -> ServerResponse {
--- a/rhubarbfall-scheduler/src/lib.rs
+++ b/rhubarbfall-scheduler/src/lib.rs
@@ -6,12 +6,14 @@
 //! of one core.
 
 mod callers;
+mod cancel_delivery;
 mod http_server;
 mod lifecycle;
 mod logging;
 mod node;
 mod operator_feed;
 mod owner;
+mod owner_call;
 mod ownership;
 mod peer;
 mod peer_status;
--- a/rhubarbfall-scheduler/src/node.rs
+++ b/rhubarbfall-scheduler/src/node.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use litemap::LiteMap;
 use metrics_exporter_prometheus::PrometheusHandle;
-use rhubarbfall_core::{BootTime, EntryId, FencingNumber, SharedClock, WaveId};
+use rhubarbfall_core::{BootTime, EntryId, FencingNumber, SharedClock, SubmissionId, WaveId};
 use rhubarbfall_runs::FleetConfig;
 use rhubarbfall_runs::scheduler::Wave;
 use rhubarbfall_site::{AdviceServiceClient, HttpClient, StoreClient, VmServiceClient};
@@ -63,6 +63,8 @@
     pub(crate) close_connections: Notify,
     /// Number of caller requests being served.
     pub(crate) in_flight: Cell<usize>,
+    /// Cancellations that this entry delivers to the owner while no caller waits, sorted.
+    pub(crate) unanswered_cancellations: RefCell<Vec<SubmissionId>>,
     peer_clients: RefCell<LiteMap<SocketAddr, Rc<HttpClient>>>,
 }
 
@@ -120,6 +122,7 @@
             is_stopping: Cell::default(),
             close_connections: Notify::new(),
             in_flight: Cell::default(),
+            unanswered_cancellations: RefCell::default(),
             peer_clients: RefCell::new(LiteMap::new()),
         }
     }
@@ -241,3 +244,19 @@
         }
     }
 }
+
+/// Counts a request as in flight until it is dropped.
+pub(crate) struct InFlightGuard(Rc<Node>);
+
+impl InFlightGuard {
+    pub(crate) fn new(node: &Rc<Node>) -> Self {
+        node.in_flight.set(node.in_flight.get() + 1);
+        Self(Rc::clone(node))
+    }
+}
+
+impl Drop for InFlightGuard {
+    fn drop(&mut self) {
+        self.0.in_flight.set(self.0.in_flight.get() - 1);
+    }
+}
--- /dev/null
+++ b/rhubarbfall/tests/cancel_delivery.rs
@@ -0,0 +1,64 @@
+//! Cancellations whose callers do not wait for the answer, or that an entry cannot pass on at once.
+
+mod scheduler_process;
+#[path = "../../platform/tests/stand_in/mod.rs"]
+mod stand_in;
+mod support;
+
+use std::time::Duration;
+
+use http::Method;
+use scheduler_process::{
+    SETTLING_TIME, WAIT_TIMEOUT, active_runs_of, start_entry, starts_of, status_of, submit,
+    submit_long_running,
+};
+use stand_in::StandInSite;
+
+/// A caller sends its cancellation once, while no entry is the owner, and leaves.
+#[tokio::test(flavor = "multi_thread")]
+async fn cancellation_whose_caller_leaves_stops_the_submission() {
+    let site = StandInSite::start(2, WAIT_TIMEOUT).await;
+    let mut first = start_entry(&site, "entry-1", &[]);
+    let id = "00000000000001c1";
+    submit_long_running(&site, &first, id).await;
+    let second = start_entry(&site, "entry-2", &[first.addresses.peers]);
+    submit(&[&second], "00000000000001c2").await;
+    first.child.kill().expect("the owner is killed");
+    let cancelled = status_of(&second, Method::DELETE, id, "");
+    tokio::time::timeout(Duration::from_millis(200), cancelled)
+        .await
+        .expect_err("no answer without an owner");
+    submit(&[&second], "00000000000001c3").await;
+    tokio::time::sleep(SETTLING_TIME).await;
+    assert_eq!(
+        active_runs_of(&site, id),
+        0,
+        "{} starts",
+        starts_of(&site, id)
+    );
+    assert!(!second.event_names(&["event=cancel ", id]).is_empty());
+}
+
+/// The owner ends before it has stored a cancellation, and the caller does not repeat it after an
+/// answer that leaves the outcome open.
+#[tokio::test(flavor = "multi_thread")]
+async fn cancellation_with_an_unknown_outcome_stops_the_submission() {
+    let site = StandInSite::start(2, WAIT_TIMEOUT).await;
+    let mut first = start_entry(&site, "entry-1", &[]);
+    let id = "00000000000001d1";
+    submit_long_running(&site, &first, id).await;
+    let second = start_entry(&site, "entry-2", &[first.addresses.peers]);
+    submit(&[&second], "00000000000001d2").await;
+    site.set_store_down(true);
+    let cancelled = status_of(&second, Method::DELETE, id, "");
+    let ended = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        first.child.kill().expect("the owner is killed");
+    };
+    let (cancelled, ()) = tokio::join!(cancelled, ended);
+    assert_eq!(cancelled, 504);
+    site.set_store_down(false);
+    submit(&[&second], "00000000000001d3").await;
+    tokio::time::sleep(SETTLING_TIME).await;
+    assert_eq!(active_runs_of(&site, id), 0);
+}
--- a/rhubarbfall/tests/scheduler_process/mod.rs
+++ b/rhubarbfall/tests/scheduler_process/mod.rs
@@ -20,8 +20,6 @@
 
 pub(crate) struct SchedulerEntry {
     pub(crate) child: Child,
-    pub(crate) callers: SocketAddr,
-    pub(crate) peers: SocketAddr,
     pub(crate) addresses: EntryAddresses,
     pub(crate) log: PathBuf,
 }
@@ -71,8 +69,6 @@
         .expect("the entry starts");
     SchedulerEntry {
         child,
-        callers: addresses.callers,
-        peers: addresses.peers,
         addresses,
         log,
     }
@@ -97,7 +93,7 @@
     let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
     let request = Request::builder()
         .method(method)
-        .uri(format!("http://{}{path}", entry.callers))
+        .uri(format!("http://{}{path}", entry.addresses.callers))
         .header("host", "labels.example")
         .header("api-key", "key-a")
         .header("x-deadline-ms", limit_ms)
--- a/rhubarbfall/tests/submissions.rs
+++ b/rhubarbfall/tests/submissions.rs
@@ -43,7 +43,7 @@
 async fn submission_completes_and_is_visible_through_any_entry() {
     let site = StandInSite::start(2, Duration::from_millis(150)).await;
     let first = start_entry(&site, "entry-1", &[]);
-    let second = start_entry(&site, "entry-2", &[first.peers]);
+    let second = start_entry(&site, "entry-2", &[first.addresses.peers]);
     submit(&[&first], "00000000000000a1").await;
     submit(&[&second], "00000000000000a2").await;
     wait_completed(&second, "00000000000000a1").await;
@@ -64,7 +64,7 @@
     let site = StandInSite::start(3, Duration::from_millis(700)).await;
     let mut first = start_entry(&site, "entry-1", &[]);
     submit(&[&first], "00000000000000b1").await;
-    let second = start_entry(&site, "entry-2", &[first.peers]);
+    let second = start_entry(&site, "entry-2", &[first.addresses.peers]);
     submit(&[&first], "00000000000000b2").await;
     tokio::time::sleep(Duration::from_millis(200)).await;
     first.child.kill().expect("the owner is killed");
@@ -137,7 +137,7 @@
     let site = StandInSite::start(2, Duration::from_millis(150)).await;
     let first = start_entry(&site, "entry-1", &[]);
     submit(&[&first], "00000000000001b1").await;
-    let second = start_entry(&site, "entry-2", &[first.peers]);
+    let second = start_entry(&site, "entry-2", &[first.addresses.peers]);
     submit(&[&second], "00000000000001b2").await;
     let id = "00000000000001b3";
     let path = format!("/print/{id}");
@@ -175,7 +175,8 @@
     let relay = Relay::start(site.store).await.expect("the relay starts");
     let first = start_entry_with_store(&site, relay.address(), "entry-1", &[]);
     submit(&[&first], "00000000000000d1").await;
-    let second = start_entry_with_store(&site, relay.address(), "entry-2", &[first.peers]);
+    let second =
+        start_entry_with_store(&site, relay.address(), "entry-2", &[first.addresses.peers]);
     submit(&[&second], "00000000000000d2").await;
     relay.set_mode(RelayMode::Silent);
     tokio::time::sleep(Duration::from_secs(3)).await;
@@ -310,7 +311,7 @@
     let site = StandInSite::start(2, WAIT_TIMEOUT).await;
     let first = start_entry(&site, "entry-1", &[]);
     submit(&[&first], "00000000000000a1").await;
-    let second = start_entry(&site, "entry-2", &[first.peers]);
+    let second = start_entry(&site, "entry-2", &[first.addresses.peers]);
     submit(&[&second], "00000000000000a2").await;
     let id = "00000000000000a3";
     assert_eq!(status_of(&second, Method::DELETE, id, "").await, 410);
@@ -432,7 +433,7 @@
     let site = StandInSite::start(2, WAIT_TIMEOUT).await;
     let mut first = start_entry(&site, "entry-1", &[]);
     submit(&[&first], "00000000000000e1").await;
-    let second = start_entry(&site, "entry-2", &[first.peers]);
+    let second = start_entry(&site, "entry-2", &[first.addresses.peers]);
     submit(&[&second], "00000000000000e2").await;
     first.child.kill().expect("the owner is killed");
     let id = "00000000000000e3";
@@ -479,7 +480,7 @@
         let mut first = start_entry(&site, "entry-1", &[]);
         let id = "00000000000000f2";
         submit_long_running(&site, &first, id).await;
-        let second = start_entry(&site, "entry-2", &[first.peers]);
+        let second = start_entry(&site, "entry-2", &[first.addresses.peers]);
         submit(&[&second], "00000000000000f3").await;
         let cancelled = status_of(&second, Method::DELETE, id, "");
         let ended = async {
