fix(scheduler): deliver a cancellation after every answer but a confirmation

What callers saw: a cancellation that met no owner was answered 503 and forgotten, so that the submission of a caller that did not come back ran on. Change: what no owner has confirmed within the caller's time limit is kept for a minute, at most 1,000, and delivered in rounds of eight calls; a repetition renews the minute, and a stopping entry finishes them. A DELETE runs as a task of its own from the arrival of its head on, so that nothing depends on its connection. A panic in one is answered 500.

--- a/rhubarbfall-scheduler/src/cancel_delivery.rs
+++ b/rhubarbfall-scheduler/src/cancel_delivery.rs
@@ -4,83 +4,108 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use rhubarbfall_core::SubmissionId;
-use tokio::sync::oneshot;
-use tokio::task::spawn_local;
+use litemap::LiteMap;
+use rhubarbfall_core::{BootTime, SubmissionId};
+use tokio::task::JoinSet;
 
-use crate::node::{InFlightGuard, Node};
+use crate::node::Node;
 use crate::owner::RequestOutcome;
 use crate::owner_call::{OWNER_CALL_TIMEOUT, cancel_at_owner, retry_until_answered};
 
-/// Time for which an entry tries to deliver a cancellation that no caller waits for; it covers
+/// Time for which an entry tries to deliver a cancellation after its caller's time limit; it covers
 /// outages of the store.
 const DELIVERY_TIMEOUT: Duration = Duration::from_mins(1);
 
-/// Pause between two attempts to deliver a cancellation that no caller waits for.
-const RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// Pause between two rounds of deliveries.
+const ROUND_PAUSE: Duration = Duration::from_millis(250);
 
-/// Maximum number of cancellations that are delivered while no caller waits, which bounds the calls
-/// to a new owner.
-const MAX_UNANSWERED: usize = 1_000;
+/// Maximum number of cancellations that an entry keeps for delivery, which bounds their memory.
+const MAX_UNDELIVERED: usize = 1_000;
 
-/// Cancels a submission and returns the outcome for the caller after at most `limit`. The delivery
-/// goes on if the outcome is unknown by then, or if the caller has left.
-pub(crate) async fn cancel(node: &Rc<Node>, id: &SubmissionId, limit: Duration) -> RequestOutcome {
-    let (caller, answer) = oneshot::channel();
-    spawn_local(deliver(Rc::clone(node), id.clone(), limit, caller));
-    answer.await.unwrap_or(RequestOutcome::Unknown)
-}
+/// Number of deliveries at once, which bounds the calls to a new owner.
+const MAX_CONCURRENT: usize = 8;
+
+/// Cancellations that no owner has confirmed within their callers' time limits, each with the time
+/// until which it is kept.
+pub(crate) type UndeliveredCancellations = LiteMap<SubmissionId, BootTime>;
 
-async fn deliver(
-    node: Rc<Node>,
-    id: SubmissionId,
-    limit: Duration,
-    caller: oneshot::Sender<RequestOutcome>,
-) {
-    let _in_flight = InFlightGuard::new(&node);
-    let outcome = retry_until_answered(&node, limit, async |timeout| {
-        cancel_at_owner(&node, &id, timeout).await
+/// Cancels a submission and returns the outcome for the caller after at most `limit`. Without a
+/// final outcome by then, the delivery goes on in [`run`].
+pub(crate) async fn cancel(node: &Node, id: &SubmissionId, limit: Duration) -> RequestOutcome {
+    let outcome = retry_until_answered(node, limit, async |timeout| {
+        cancel_at_owner(node, id, timeout).await
     })
     .await;
-    let is_answered = caller.send(outcome).is_ok();
-    log::info!("event=cancel id={id} outcome={outcome:?} is_answered={is_answered}");
-    match outcome {
-        RequestOutcome::Stored | RequestOutcome::NotFound => {}
-        // The caller was told that nothing was cancelled.
-        RequestOutcome::NoOwner if is_answered => {}
-        RequestOutcome::NoOwner | RequestOutcome::Unknown => deliver_unanswered(&node, &id).await,
+    log::info!("event=cancel id={id} outcome={outcome:?}");
+    if !is_final(outcome) {
+        keep(node, id);
     }
+    outcome
 }
 
-/// Delivers a cancellation that no caller waits for, unless this entry already does.
-async fn deliver_unanswered(node: &Node, id: &SubmissionId) {
-    {
-        let mut unanswered = node.unanswered_cancellations.borrow_mut();
-        let Err(index) = unanswered.binary_search(id) else {
-            return;
-        };
-        if unanswered.len() >= MAX_UNANSWERED {
-            log::warn!("event=cancel_not_delivered id={id} unanswered={MAX_UNANSWERED}");
-            return;
-        }
-        unanswered.insert(index, id.clone());
-    }
-    let outcome = retry_until_delivered(node, id).await;
-    log::info!("event=cancel_delivered id={id} outcome={outcome:?}");
-    let mut unanswered = node.unanswered_cancellations.borrow_mut();
-    if let Ok(index) = unanswered.binary_search(id) {
-        unanswered.remove(index);
+const fn is_final(outcome: RequestOutcome) -> bool {
+    matches!(outcome, RequestOutcome::Stored | RequestOutcome::NotFound)
+}
+
+fn keep(node: &Node, id: &SubmissionId) {
+    let mut undelivered = node.undelivered_cancellations.borrow_mut();
+    if undelivered.len() >= MAX_UNDELIVERED && !undelivered.contains_key(id) {
+        log::warn!("event=cancel_not_delivered id={id} reason=too_many kept={MAX_UNDELIVERED}");
+        return;
     }
+    undelivered.insert(id.clone(), node.now() + DELIVERY_TIMEOUT);
+    node.cancellation_kept.notify_one();
 }
 
-async fn retry_until_delivered(node: &Node, id: &SubmissionId) -> RequestOutcome {
-    let began_at = node.now();
+/// Delivers the cancellations that are kept until the process ends.
+pub(crate) async fn run(node: Rc<Node>) {
     loop {
-        let outcome = cancel_at_owner(node, id, OWNER_CALL_TIMEOUT).await;
-        let is_delivered = matches!(outcome, RequestOutcome::Stored | RequestOutcome::NotFound);
-        if is_delivered || node.now().since(began_at) >= DELIVERY_TIMEOUT {
-            return outcome;
+        if node.undelivered_cancellations.borrow().is_empty() {
+            node.cancellation_kept.notified().await;
+        }
+        deliver_round(&node).await;
+        drop_expired(&node);
+        tokio::time::sleep(ROUND_PAUSE).await;
+    }
+}
+
+/// Attempts to deliver each cancellation once, or until no owner is found.
+async fn deliver_round(node: &Rc<Node>) {
+    let ids: Vec<SubmissionId> = {
+        let undelivered = node.undelivered_cancellations.borrow();
+        undelivered.keys().cloned().collect()
+    };
+    for ids in ids.chunks(MAX_CONCURRENT) {
+        let mut calls = JoinSet::new();
+        for id in ids {
+            let (node, id) = (Rc::clone(node), id.clone());
+            calls.spawn_local(async move {
+                let outcome = cancel_at_owner(&node, &id, OWNER_CALL_TIMEOUT).await;
+                (id, outcome)
+            });
+        }
+        let mut has_owner = true;
+        for (id, outcome) in calls.join_all().await {
+            has_owner &= outcome != RequestOutcome::NoOwner;
+            if is_final(outcome) {
+                log::info!("event=cancel_delivered id={id} outcome={outcome:?}");
+                node.undelivered_cancellations.borrow_mut().remove(&id);
+            }
+        }
+        if !has_owner {
+            return;
         }
-        tokio::time::sleep(RETRY_PAUSE).await;
     }
 }
+
+fn drop_expired(node: &Node) {
+    let now = node.now();
+    let mut undelivered = node.undelivered_cancellations.borrow_mut();
+    undelivered.retain(|id, until| {
+        let is_kept = now < *until;
+        if !is_kept {
+            log::warn!("event=cancel_not_delivered id={id} reason=timeout");
+        }
+        is_kept
+    });
+}
--- a/rhubarbfall-scheduler/src/http_server.rs
+++ b/rhubarbfall-scheduler/src/http_server.rs
@@ -16,6 +16,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{JoinHandle, spawn_local};
 
 use crate::node::Node;
 
@@ -76,7 +77,7 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let node = Rc::clone(&node);
-                tokio::task::spawn_local(serve_connection(node, stream, handle.clone()));
+                spawn_local(serve_connection(node, stream, handle.clone()));
             }
             Err(error) => {
                 log::warn!("event=accept_failed error={error}");
@@ -95,10 +96,11 @@
         log::debug!("event=nodelay_failed error={error}");
     }
     let service_node = Rc::clone(&node);
-    let service = service_fn(move |request| {
-        let node = Rc::clone(&service_node);
-        let handle = handle.clone();
-        async move { Ok::<_, Infallible>(handle_request(node, request, handle).await) }
+    let service = service_fn(move |request: http::Request<Incoming>| {
+        let is_detached = request.method() == Method::DELETE;
+        let response = handle_request(Rc::clone(&service_node), request, handle.clone());
+        let execution = Execution::new(response, is_detached);
+        async move { Ok::<_, Infallible>(execution.response().await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -117,6 +119,44 @@
     }
 }
 
+/// How a request is executed.
+enum Execution<ResponseFuture> {
+    /// The request ends with its connection.
+    Attached(ResponseFuture),
+    /// The request takes effect even if its caller closes the connection.
+    Detached(JoinHandle<http::Response<Full<Bytes>>>),
+}
+
+impl<ResponseFuture> Execution<ResponseFuture>
+where
+    ResponseFuture: Future<Output = http::Response<Full<Bytes>>> + 'static,
+{
+    /// Starts a detached request at once: a connection that has ended does not poll its requests.
+    fn new(response: ResponseFuture, is_detached: bool) -> Self {
+        if is_detached {
+            Self::Detached(spawn_local(response))
+        } else {
+            Self::Attached(response)
+        }
+    }
+
+    async fn response(self) -> http::Response<Full<Bytes>> {
+        match self {
+            Self::Attached(response) => response.await,
+            Self::Detached(task) => task.await.unwrap_or_else(|error| {
+                log::error!("event=request_failed error={error}");
+                internal_error()
+            }),
+        }
+    }
+}
+
+fn internal_error() -> http::Response<Full<Bytes>> {
+    let mut response = http::Response::new(Full::default());
+    *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+    response
+}
+
 async fn handle_request<F, ResponseFuture>(
     node: Rc<Node>,
     request: http::Request<Incoming>,
@@ -158,6 +198,6 @@
         .body(Full::new(response.body))
         .unwrap_or_else(|error| {
             log::error!("event=answer_malformed error={error}");
-            http::Response::new(Full::default())
+            internal_error()
         })
 }
--- a/rhubarbfall-scheduler/src/lifecycle.rs
+++ b/rhubarbfall-scheduler/src/lifecycle.rs
@@ -14,8 +14,8 @@
 use crate::node::Node;
 use crate::settings::SchedulerProcessSettings;
 use crate::{
-    callers, http_server, logging, operator_feed, ownership, peer, peer_status, readiness,
-    telemetry,
+    callers, cancel_delivery, http_server, logging, operator_feed, ownership, peer, peer_status,
+    readiness, telemetry,
 };
 
 /// Part of the stop grace period that is left unused, so that the process exits before it is
@@ -75,6 +75,7 @@
         bind(settings.metrics).await?,
         readiness::serve_metrics,
     ));
+    spawn_local(cancel_delivery::run(Rc::clone(&node)));
     spawn_local(operator_feed::run(Rc::clone(&node)));
     spawn_local(peer_status::run(Rc::clone(&node)));
     spawn_local(ownership::run(Rc::clone(&node)));
@@ -104,7 +105,7 @@
 }
 
 /// Releases the ownership, waits until the load balancer has removed this entry, and finishes the
-/// requests in flight.
+/// requests in flight and the delivery of cancellations.
 async fn stop(node: &Rc<Node>) {
     let began_at = node.now();
     log::info!("event=stopping in_flight={}", node.in_flight.get());
@@ -114,12 +115,15 @@
     while node.now().since(began_at) < max_drain_time {
         if node.now().since(began_at) >= MIN_DRAIN_TIME {
             node.close_connections.notify_waiters();
-            if node.in_flight.get() == 0 {
+            if node.in_flight.get() == 0 && node.undelivered_cancellations.borrow().is_empty() {
                 break;
             }
         }
         tokio::time::sleep(IDLE_CHECK_INTERVAL).await;
     }
+    for id in node.undelivered_cancellations.borrow().keys() {
+        log::warn!("event=cancel_not_delivered id={id} reason=stopped");
+    }
     log::info!("event=stopped in_flight={}", node.in_flight.get());
     tokio::time::sleep(logging::FLUSH_INTERVAL * 2).await;
 }
--- a/rhubarbfall-scheduler/src/node.rs
+++ b/rhubarbfall-scheduler/src/node.rs
@@ -9,12 +9,13 @@
 use bytes::Bytes;
 use litemap::LiteMap;
 use metrics_exporter_prometheus::PrometheusHandle;
-use rhubarbfall_core::{BootTime, EntryId, FencingNumber, SharedClock, SubmissionId, WaveId};
+use rhubarbfall_core::{BootTime, EntryId, FencingNumber, SharedClock, WaveId};
 use rhubarbfall_runs::FleetConfig;
 use rhubarbfall_runs::scheduler::Wave;
 use rhubarbfall_site::{AdviceServiceClient, HttpClient, StoreClient, VmServiceClient};
 use tokio::sync::Notify;
 
+use crate::cancel_delivery::UndeliveredCancellations;
 use crate::owner::Owner;
 use crate::settings::SchedulerProcessSettings;
 
@@ -63,8 +64,9 @@
     pub(crate) close_connections: Notify,
     /// Number of caller requests being served.
     pub(crate) in_flight: Cell<usize>,
-    /// Cancellations that this entry delivers to the owner while no caller waits, sorted.
-    pub(crate) unanswered_cancellations: RefCell<Vec<SubmissionId>>,
+    pub(crate) undelivered_cancellations: RefCell<UndeliveredCancellations>,
+    /// Notifies the delivery of cancellations that there is one to deliver.
+    pub(crate) cancellation_kept: Notify,
     peer_clients: RefCell<LiteMap<SocketAddr, Rc<HttpClient>>>,
 }
 
@@ -122,7 +124,8 @@
             is_stopping: Cell::default(),
             close_connections: Notify::new(),
             in_flight: Cell::default(),
-            unanswered_cancellations: RefCell::default(),
+            undelivered_cancellations: RefCell::new(LiteMap::new()),
+            cancellation_kept: Notify::new(),
             peer_clients: RefCell::new(LiteMap::new()),
         }
     }
--- a/rhubarbfall/tests/cancel_delivery.rs
+++ b/rhubarbfall/tests/cancel_delivery.rs
@@ -5,11 +5,14 @@
 mod stand_in;
 mod support;
 
+use std::io::Write;
+use std::net::TcpStream;
 use std::time::Duration;
 
 use http::Method;
+use rustix::process::Signal;
 use scheduler_process::{
-    SETTLING_TIME, WAIT_TIMEOUT, active_runs_of, start_entry, starts_of, status_of, submit,
+    SETTLING_TIME, WAIT_TIMEOUT, active_runs_of, signal, start_entry, starts_of, status_of, submit,
     submit_long_running,
 };
 use stand_in::StandInSite;
@@ -62,3 +65,48 @@
     tokio::time::sleep(SETTLING_TIME).await;
     assert_eq!(active_runs_of(&site, id), 0);
 }
+
+/// The request and the end of its connection are queued while the entry is suspended.
+#[tokio::test(flavor = "multi_thread")]
+async fn cancellation_that_arrives_with_the_end_of_its_connection_stops_the_submission() {
+    let site = StandInSite::start(2, WAIT_TIMEOUT).await;
+    let entry = start_entry(&site, "entry-1", &[]);
+    let id = "00000000000001e1";
+    submit_long_running(&site, &entry, id).await;
+    signal(&entry, Signal::STOP);
+    let mut connection = TcpStream::connect(entry.addresses.callers).expect("the entry listens");
+    write!(
+        connection,
+        "DELETE /print/{id} HTTP/1.1\r\nhost: labels.example\r\napi-key: key-a\r\n\r\n"
+    )
+    .expect("the request is sent");
+    drop(connection);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    signal(&entry, Signal::CONT);
+    submit(&[&entry], "00000000000001e2").await;
+    tokio::time::sleep(SETTLING_TIME).await;
+    assert_eq!(active_runs_of(&site, id), 0);
+}
+
+/// A caller is told to come back, since there is no owner, and does not.
+#[tokio::test(flavor = "multi_thread")]
+async fn cancellation_without_an_owner_stops_the_submission() {
+    let site = StandInSite::start(2, WAIT_TIMEOUT).await;
+    let mut first = start_entry(&site, "entry-1", &[]);
+    let id = "00000000000001f1";
+    submit_long_running(&site, &first, id).await;
+    let second = start_entry(&site, "entry-2", &[first.addresses.peers]);
+    submit(&[&second], "00000000000001f2").await;
+    site.set_store_down(true);
+    first.child.kill().expect("the owner is killed");
+    assert_eq!(status_of(&second, Method::DELETE, id, "").await, 503);
+    site.set_store_down(false);
+    submit(&[&second], "00000000000001f3").await;
+    tokio::time::sleep(SETTLING_TIME).await;
+    assert_eq!(active_runs_of(&site, id), 0);
+    assert!(
+        !second
+            .event_names(&["event=cancel_delivered", id])
+            .is_empty()
+    );
+}
--- a/rhubarbfall/tests/scheduler_process/mod.rs
+++ b/rhubarbfall/tests/scheduler_process/mod.rs
@@ -11,6 +11,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
+use rustix::process::{Pid, Signal, kill_process};
 
 use crate::stand_in::StandInSite;
 use crate::support::EntryAddresses;
@@ -161,3 +162,9 @@
         assert!(Instant::now() < deadline, "{id} did not start in time");
     }
 }
+
+/// Sends a signal to an entry.
+pub(crate) fn signal(entry: &SchedulerEntry, signal: Signal) {
+    let id = Pid::from_raw(entry.child.id().cast_signed()).expect("the process has an identifier");
+    kill_process(id, signal).expect("the signal is sent");
+}
--- a/rhubarbfall/tests/submissions.rs
+++ b/rhubarbfall/tests/submissions.rs
@@ -14,10 +14,10 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
 use rhubarbfall_testing::{Relay, RelayMode};
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::Signal;
 use scheduler_process::{
     BODY, LONG_RUNNING_BODY, SETTLING_TIME, SchedulerEntry, WAIT_TIMEOUT, active_runs_of, call,
-    call_within, start_entry, start_entry_with_store, starts_of, status_of, submit,
+    call_within, signal, start_entry, start_entry_with_store, starts_of, status_of, submit,
     submit_long_running,
 };
 use stand_in::StandInSite;
@@ -155,11 +155,6 @@
     assert_nothing_runs_on(&site, id).await;
 }
 
-fn signal(entry: &SchedulerEntry, signal: Signal) {
-    let id = Pid::from_raw(entry.child.id().cast_signed()).expect("the process has an identifier");
-    kill_process(id, signal).expect("the signal is sent");
-}
-
 async fn is_ready(entry: &SchedulerEntry) -> bool {
     let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
     let uri = format!("http://{}/-/ready", entry.addresses.readiness);
