fix(scheduler): take no response without content for a confirmation

What callers would see: 200 to a submission or a cancellation that no owner has stored, 410 for an accepted submission, or no pending submissions, whenever a call between entries is answered 200 without a body, or with a number that this version does not know. Cause: the class of the incident: the default of the message stood for 'stored', 'unknown submission' and 'none pending'. Change: the default number confirms and denies nothing. Evidence: with the old number of 'stored' responses_without_content_or_with_unknown_numbers_confirm_nothing fails (outcome Stored for an empty body); it passes now, with the ten other tests of the package.

--- a/rhubarbfall-scheduler/src/peer.rs
+++ b/rhubarbfall-scheduler/src/peer.rs
@@ -39,25 +39,27 @@
     kind: i32,
 }
 
+/// No number stands for a confirmation by default: an empty or unknown message confirms nothing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, prost::Enumeration)]
 enum OutcomeKind {
-    Stored = 0,
+    Unspecified = 0,
     NoOwner = 1,
     Unknown = 2,
     NotFound = 3,
+    Stored = 4,
 }
 
 #[derive(Clone, PartialEq, Message)]
 struct StateMessage {
-    /// State number as in [`state_number`]; 0 if the submission is unknown.
+    /// State number as in [`state_number`].
     #[prost(uint32, tag = "1")]
     state: u32,
 }
 
 #[derive(Clone, PartialEq, Message)]
 struct PendingMessage {
-    #[prost(uint64, tag = "1")]
-    pending: u64,
+    #[prost(uint64, optional, tag = "1")]
+    pending: Option<u64>,
 }
 
 /// Forwards a submission to the owner at `address`.
@@ -96,14 +98,7 @@
     let path = format!("{STATE_PATH}{id}");
     let answer = call(node, address, Method::GET, &path, Bytes::new(), timeout).await?;
     let message: StateMessage = decode(&answer)?;
-    Ok(match message.state {
-        1 => Some(SubmissionState::Queued),
-        2 => Some(SubmissionState::Running),
-        3 => Some(SubmissionState::Completed),
-        4 => Some(SubmissionState::Failed),
-        5 => Some(SubmissionState::Cancelled),
-        _ => None,
-    })
+    message.submission_state()
 }
 
 /// Returns how many submissions of a queue have not started, from the owner at `address`.
@@ -116,7 +111,7 @@
     let path = format!("{PENDING_PATH}{queue}");
     let answer = call(node, address, Method::GET, &path, Bytes::new(), timeout).await?;
     let message: PendingMessage = decode(&answer)?;
-    Ok(message.pending)
+    message.pending.ok_or(PeerError::Unknown)
 }
 
 /// Requests the status of the entry at `address`.
@@ -199,7 +194,9 @@
         .and_then(|queue| queue.parse().ok())
     {
         let pending = owner.with(|scheduler| scheduler.pending(&queue)) as u64;
-        return respond(&PendingMessage { pending });
+        return respond(&PendingMessage {
+            pending: Some(pending),
+        });
     }
     ServerResponse::empty(StatusCode::NOT_FOUND)
 }
@@ -214,12 +211,30 @@
 
 const fn state_number(state: Option<SubmissionState>) -> u32 {
     match state {
-        None => 0,
         Some(SubmissionState::Queued) => 1,
         Some(SubmissionState::Running) => 2,
         Some(SubmissionState::Completed) => 3,
         Some(SubmissionState::Failed) => 4,
         Some(SubmissionState::Cancelled) => 5,
+        None => 6,
+    }
+}
+
+impl StateMessage {
+    /// Returns the state, or `None` if the submission is unknown to the owner.
+    fn submission_state(&self) -> Result<Option<SubmissionState>, PeerError> {
+        Ok(match self.state {
+            1 => Some(SubmissionState::Queued),
+            2 => Some(SubmissionState::Running),
+            3 => Some(SubmissionState::Completed),
+            4 => Some(SubmissionState::Failed),
+            5 => Some(SubmissionState::Cancelled),
+            6 => None,
+            number => {
+                log::error!("event=peer_answer_malformed state={number}");
+                return Err(PeerError::Unknown);
+            }
+        })
     }
 }
 
@@ -240,7 +255,7 @@
         match message.kind() {
             OutcomeKind::Stored => Self::Stored,
             OutcomeKind::NoOwner => Self::NoOwner,
-            OutcomeKind::Unknown => Self::Unknown,
+            OutcomeKind::Unspecified | OutcomeKind::Unknown => Self::Unknown,
             OutcomeKind::NotFound => Self::NotFound,
         }
     }
@@ -255,3 +270,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
