fix(scheduler): repeat stops of cancelled work without an ownership lease

What workers saw: a task ran on for up to 9.2 s after its submission's cancel was answered 200. The stop was lost, and the owner lost the store before it repeated the stop: it renewed the worker's leases, read its list with the run, and sent no stop. Cause: repeated stops are sent by the time-dependent checks, which run only while the ownership lease is valid. Change: stops of runs of cancelled jobs are sent and repeated by any owner that has not ended. Whoever owns the submissions, such a run is unwanted; a run that a later owner wants has a higher number.

--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -169,6 +169,15 @@
         self.place_waiting(now);
     }
 
+    /// Runs the checks that need no valid ownership lease if they are due: whoever owns the
+    /// submissions, a run of a cancelled job is unwanted.
+    pub fn tick_without_lease(&mut self, now: BootTime) {
+        if now.since(self.checked_at) >= self.settings.check_interval {
+            self.checked_at = now;
+            self.stop_cancelled(now);
+        }
+    }
+
     /// Increments the version of a job and queues it for the next batch.
     fn mark_dirty(&mut self, id: &SubmissionId) {
         if let Some(job) = self.jobs.get_mut(id) {
--- a/rhubarbfall-runs/src/scheduler/orders.rs
+++ b/rhubarbfall-runs/src/scheduler/orders.rs
@@ -4,7 +4,9 @@
 
 use super::Scheduler;
 use super::action::{Action, StopOrder};
-use crate::{Placement, RunState, StartOutcome, Step, StepId, Task, TaskId, WorkerState};
+use crate::{
+    Job, JobState, Placement, RunState, StartOutcome, Step, StepId, Task, TaskId, WorkerState,
+};
 
 /// The part of a task's estimate that may pass without progress, as a divisor: a long task may show
 /// no progress for a twentieth of its estimate.
@@ -152,20 +154,38 @@
 
     /// Stops runs whose start is unconfirmed for too long, and repeats stop calls.
     pub(super) fn stop_unconfirmed(&mut self, now: BootTime) {
-        let settings = self.settings.clone();
-        let is_due = |task: &Task| match task.placement().map(|placed| placed.state) {
-            Some(RunState::Unconfirmed(since)) => now.since(since) >= settings.unconfirmed_timeout,
-            Some(RunState::Stopping { asked_at, .. }) => {
-                asked_at.is_none_or(|asked_at| now.since(asked_at) >= settings.stop_retry_interval)
-            }
+        let timeout = self.settings.unconfirmed_timeout;
+        let is_unconfirmed = |task: &Task| match task.placement().map(|placed| placed.state) {
+            Some(RunState::Unconfirmed(since)) => now.since(since) >= timeout,
             _ => false,
         };
-        let due = self.placed_where(|_, task| is_due(task));
+        let due =
+            self.placed_where(|_, _, task| is_unconfirmed(task) || self.is_stop_due(task, now));
+        for id in due {
+            self.send_stop(&id, now);
+        }
+    }
+
+    /// Sends and repeats the stop calls for runs of cancelled jobs.
+    pub(super) fn stop_cancelled(&mut self, now: BootTime) {
+        let due = self.placed_where(|job, _, task| {
+            job.state == JobState::Cancelled && self.is_stop_due(task, now)
+        });
         for id in due {
             self.send_stop(&id, now);
         }
     }
 
+    /// Returns whether a run is being stopped and its stop call is to be sent or repeated.
+    fn is_stop_due(&self, task: &Task, now: BootTime) -> bool {
+        let Some(RunState::Stopping { asked_at, .. }) = task.placement().map(|placed| placed.state)
+        else {
+            return false;
+        };
+        let interval = self.settings.stop_retry_interval;
+        asked_at.is_none_or(|asked_at| now.since(asked_at) >= interval)
+    }
+
     fn send_stop(&mut self, id: &TaskId, now: BootTime) {
         let Some(placement) = self.placement(id) else {
             return;
@@ -262,7 +282,7 @@
                 worker.answered_at.since(placed.progress_at)
             })
         };
-        let stalled = self.placed_where(|step, task| {
+        let stalled = self.placed_where(|_, step, task| {
             let can_stall = !step.is_best_effort && !step.is_long_running && !step.is_gang;
             can_stall
                 && task.placement().is_some_and(|placed| {
@@ -283,12 +303,13 @@
     }
 
     /// Returns the tasks on known workers for which `select` returns true.
-    fn placed_where(&self, select: impl Fn(&Step, &Task) -> bool) -> Vec<TaskId> {
+    fn placed_where(&self, select: impl Fn(&Job, &Step, &Task) -> bool) -> Vec<TaskId> {
         let placed = self.workers().flat_map(|worker| &worker.placed);
         let is_selected = |id: &&TaskId| {
-            self.jobs
-                .get(&id.submission)
-                .is_some_and(|job| job.task(id).is_some_and(|task| select(job.step(id), task)))
+            self.jobs.get(&id.submission).is_some_and(|job| {
+                job.task(id)
+                    .is_some_and(|task| select(job, job.step(id), task))
+            })
         };
         placed.filter(is_selected).cloned().collect()
     }
--- a/rhubarbfall-scheduler/src/owner/mod.rs
+++ b/rhubarbfall-scheduler/src/owner/mod.rs
@@ -414,6 +414,8 @@
         if owner.is_active(now) {
             let unix_ms = node.unix_ms();
             owner.scheduler.borrow_mut().tick(now, unix_ms);
+        } else {
+            owner.scheduler.borrow_mut().tick_without_lease(now);
         }
         dispatch(&node, &owner, now);
         for cleared in owner.scheduler.borrow_mut().take_cleared_jobs() {
--- a/rhubarbfall-scheduler/src/peer/tests.rs
+++ b/rhubarbfall-scheduler/src/peer/tests.rs
@@ -22,10 +22,10 @@
     }
     let pending = decoded::<PendingMessage>(&[]).pending;
     lines.push(format!("[]: pending {pending:?}"));
-    expect![[r#"
+    expect![[r"
         []: outcome Unknown, state Err(Unknown)
         [8, 99]: outcome Unknown, state Err(Unknown)
-        []: pending None"#]]
+        []: pending None"]]
     .assert_eq(&lines.join("\n"));
 }
 
