feat(scheduler): log how long a cancellation took

Cause: the line of a cancellation says how it ended, not how long it took; a cancellation counts from its first request on. Change: took_ms and owner_silent_ms in event=cancel. Result: no decision changes.

--- a/rhubarbfall-scheduler/src/cancel_delivery.rs
+++ b/rhubarbfall-scheduler/src/cancel_delivery.rs
@@ -32,11 +32,17 @@
 /// Cancels a submission and returns the outcome for the caller after at most `limit`. Without a
 /// final outcome by then, the delivery goes on in [`run`].
 pub(crate) async fn cancel(node: &Node, id: &SubmissionId, limit: Duration) -> RequestOutcome {
+    let began_at = node.now();
     let outcome = retry_until_answered(node, limit, async |timeout| {
         cancel_at_owner(node, id, timeout).await
     })
     .await;
-    log::info!("event=cancel id={id} outcome={outcome:?}");
+    let took = node.now().since(began_at);
+    log::info!(
+        "event=cancel id={id} outcome={outcome:?} took_ms={} owner_silent_ms={}",
+        took.as_millis(),
+        node.owner_silence().as_millis()
+    );
     if !is_final(outcome) {
         keep(node, id);
     }
