fix(scheduler): get a configuration from peers only when the store is silent

What callers saw: while the configuration changed several times a second, an owner with a small link did not answer other entries, which refused submissions and cancellations (503). Cause: each status poll names the poller's configuration, and the answer has the whole text if the owner's is newer. Every change was sent by the owner to every entry that polled it before its own poll of the store, at four polls a second. Change: an entry whose poll of the configuration was answered by the store within 1.2 s asks its peers for none.

--- a/rhubarbfall-scheduler/src/node.rs
+++ b/rhubarbfall-scheduler/src/node.rs
@@ -49,6 +49,8 @@
     pub(crate) config: RefCell<Arc<FleetConfig>>,
     /// Encoded configuration as the operator wrote it, sent to peers that cannot reach the store.
     pub(crate) config_text: RefCell<Bytes>,
+    /// Time of the store's last answer to a poll of the configuration.
+    pub(crate) config_polled_at: Cell<BootTime>,
     /// Waves requested by operators.
     pub(crate) waves: RefCell<LiteMap<WaveId, Wave>>,
     /// Last known owner of the submissions.
@@ -116,6 +118,7 @@
             incarnation: rand::random(),
             config: RefCell::default(),
             config_text: RefCell::default(),
+            config_polled_at: Cell::default(),
             waves: RefCell::new(LiteMap::new()),
             known_owner: RefCell::default(),
             owner: RefCell::default(),
--- a/rhubarbfall-scheduler/src/operator_feed.rs
+++ b/rhubarbfall-scheduler/src/operator_feed.rs
@@ -34,6 +34,7 @@
     match feed.next(&node.store, LONG_POLL_TIMEOUT).await? {
         TableUpdate::Snapshot(rows) | TableUpdate::Changes(rows) => {
             node.last_store_contact.set(node.now());
+            node.config_polled_at.set(node.now());
             apply_rows(node, &rows);
         }
         TableUpdate::HistoryLost(after) => {
--- a/rhubarbfall-scheduler/src/peer_status.rs
+++ b/rhubarbfall-scheduler/src/peer_status.rs
@@ -23,9 +23,18 @@
 /// Timeout of a probe before a request is sent to the owner.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Time after the last answer to a poll of the configuration for which an entry asks no peer for a
+/// newer one: the store answers each poll within one second. A configuration is many times larger
+/// than a status, and each change would be sent to every entry that polls the owner.
+const CONFIG_CURRENT_FOR: Duration = Duration::from_millis(1_200);
+
+/// The version of an entry that wants no configuration.
+const NO_CONFIG_WANTED: u64 = u64::MAX;
+
 /// Request for a peer's status.
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct PeerStatusRequest {
+    /// The peer answers with its configuration if that is newer than this version.
     #[prost(uint64, tag = "1")]
     pub(crate) config_version: u64,
 }
@@ -124,7 +133,7 @@
 async fn poll_peer(node: &Node, address: SocketAddr, timeout: Duration) -> bool {
     let is_owner = node.other_owner() == Some(address);
     let request = PeerStatusRequest {
-        config_version: node.config.borrow().version,
+        config_version: known_config_version(node),
     };
     match peer::exchange_status(node, address, &request, timeout).await {
         Ok(response) => {
@@ -142,6 +151,14 @@
     }
 }
 
+fn known_config_version(node: &Node) -> u64 {
+    if node.now().since(node.config_polled_at.get()) <= CONFIG_CURRENT_FOR {
+        NO_CONFIG_WANTED
+    } else {
+        node.config.borrow().version
+    }
+}
+
 fn apply_response(node: &Node, response: PeerStatusResponse) {
     let holder = response.holder.as_ref().and_then(HolderMessage::to_holder);
     if response.fencing_number > node.known_owner.borrow().fencing_number.get() {
