fix(scheduler): store a cancellation that no owner answers in time

The owner held the ownership and renewed the workers' leases all the while; its link was too busy to answer other entries within 250 ms. Cause: a cancellation took effect only through the owner's answer to another entry. An owner that renews is not replaced, however little of it other entries reach, so that a liveness probe of the entry and the ownership lease disagree without end. Change: an entry that no owner answers in time stores the cancellation itself, as a row that the owner follows and a new owner reads; the caller is answered 200. The holder's row says whether the owner does so, since earlier versions do not. A cancellation between entries takes effect also if the calling entry does not wait for the answer. Why it works: the ack comes from the store, where every owner must read; whoever renews a worker's leases reads the store. Evidence: cancellation_answered_without_the_owner_is_kept_by_the_next_one (503 for 200) and owner_stops_a_submission_whose_cancellation_it_finds_in_the_store (three tasks run on) fail on the commit before and pass; so do two tests in virtual time of the new function.

--- a/rhubarbfall-runs/src/scheduler/early_cancellations.rs
+++ b/rhubarbfall-runs/src/scheduler/early_cancellations.rs
@@ -1,6 +1,8 @@
-//! Cancellations of submissions that the owner does not know. A cancellation can overtake its
-//! submission, or come after the submission was withdrawn and before its request arrives again, so
-//! that it is kept for the submission that may follow.
+//! Cancellations that are stored apart from the progress of their submissions.
+//!
+//! A cancellation can overtake its submission, or come after the submission was withdrawn and before
+//! its request arrives again, so that the owner keeps it for the submission that may follow. An entry
+//! that does not reach the owner stores a cancellation itself, and the owner reads it.
 
 use std::time::Duration;
 
@@ -59,6 +61,12 @@
         true
     }
 
+    /// Keeps a cancellation that is stored already, regardless of how many there are.
+    fn keep_stored(&mut self, id: SubmissionId, now: BootTime) {
+        self.expired.retain(|expired| *expired != id);
+        self.kept.insert(id, now);
+    }
+
     /// Returns whether a kept cancellation is stored, or `None` if it is not kept.
     pub(super) fn is_stored(&self, id: &SubmissionId) -> Option<bool> {
         self.contains(id).then(|| !self.unstored.contains(id))
@@ -116,24 +124,32 @@
 }
 
 impl Scheduler {
-    /// Takes over the kept cancellations of an earlier owner.
-    pub fn recover_early_cancellations(
+    /// Applies cancellations that an earlier owner or another entry has stored.
+    pub fn apply_stored_cancellations(
         &mut self,
         ids: impl IntoIterator<Item = SubmissionId>,
         now: BootTime,
     ) {
         for id in ids {
-            self.early_cancellations.kept.insert(id, now);
+            if self.early_cancellations.contains(&id) {
+                continue;
+            }
+            log::info!("event=stored_cancellation_read id={id}");
+            if self.jobs.get(&id).is_some_and(|job| !job.state.is_final()) {
+                self.finish(&id, JobState::Cancelled, now);
+            }
+            self.early_cancellations.keep_stored(id, now);
         }
     }
 
-    /// Drops kept cancellations after their retention time. One whose submission has arrived is
-    /// needed until the submission is stored as cancelled.
+    /// Drops kept cancellations after their retention time. One whose submission is known is needed
+    /// until the submission is stored as ended.
     pub(super) fn expire_early_cancellations(&mut self, now: BootTime) {
         let retention = self.settings.ended_retention;
         let jobs = &self.jobs;
         self.early_cancellations.expire(retention, now, |id| {
-            jobs.get(id).is_some_and(|job| !job.is_accepted)
+            jobs.get(id)
+                .is_some_and(|job| !job.is_accepted || !job.stored_state.is_final())
         });
     }
 }
--- a/rhubarbfall-runs/tests/cancellations.rs
+++ b/rhubarbfall-runs/tests/cancellations.rs
@@ -381,3 +381,52 @@
 fn empty_progress_record_is_malformed() {
     decode_progress(&[]).expect_err("an empty record");
 }
+
+/// An entry that does not reach the owner stores a cancellation itself. Each owner that reads it has to
+/// stop the submission, also one that has loaded the submission as active.
+#[test]
+fn cancellation_stored_by_another_entry_stops_the_submission() {
+    for fails_over in [false, true] {
+        let mut model = model(14);
+        model.submit(long_running(1), UNBOUNDED);
+        model.run_for(Duration::from_secs(1));
+        assert_eq!(model.runs_of(1).len(), 3);
+        model.store.early_cancellations.insert(id(1));
+        if fails_over {
+            model.fail_over();
+        } else {
+            model
+                .scheduler
+                .apply_stored_cancellations([id(1)], model.now);
+        }
+        model.run_for(Duration::from_secs(2));
+        assert_eq!(model.runs_of(1), vec![], "fails over: {fails_over}");
+        let state = model.scheduler.submission_state(&id(1));
+        assert_eq!(state, Some(SubmissionState::Cancelled));
+        let starts = model.starts;
+        model.fail_over();
+        model.run_for(LONG);
+        assert_eq!(model.starts, starts, "fails over: {fails_over}");
+    }
+}
+
+/// The row of a cancellation must outlast its retention time until the submission is stored as
+/// cancelled: it alone tells a later owner of the cancellation.
+#[test]
+fn stored_cancellation_is_kept_until_its_submission_is_stored_as_cancelled() {
+    let mut model = model(15);
+    model.submit(long_running(1), UNBOUNDED);
+    model.run_for(Duration::from_secs(1));
+    model.store.early_cancellations.insert(id(1));
+    model
+        .scheduler
+        .apply_stored_cancellations([id(1)], model.now);
+    model.is_store_blocked = true;
+    model.run_for(Duration::from_secs(152));
+    model.is_store_blocked = false;
+    model.fail_over();
+    model.run_for(LONG);
+    assert_eq!(model.runs_of(1), vec![]);
+    model.run_for(Duration::from_secs(152));
+    assert_eq!(model.store.early_cancellations.len(), 0);
+}
--- a/rhubarbfall-runs/tests/model/mod.rs
+++ b/rhubarbfall-runs/tests/model/mod.rs
@@ -501,7 +501,7 @@
         self.scheduler
             .recover(stored, inherited_lease_expiry, self.now, 0);
         let kept = self.store.early_cancellations.iter().cloned();
-        self.scheduler.recover_early_cancellations(kept, self.now);
+        self.scheduler.apply_stored_cancellations(kept, self.now);
         for worker in &self.workers {
             self.scheduler
                 .worker_listed(worker.report.clone(), self.now);
--- a/rhubarbfall-scheduler/src/cancel_delivery.rs
+++ b/rhubarbfall-scheduler/src/cancel_delivery.rs
@@ -1,5 +1,10 @@
-//! Delivery of cancellations to the owner. A caller may send a cancellation only once and leave, so
-//! that an entry that has read one delivers it whether the caller still waits or not.
+//! Delivery of cancellations to the owner, directly or through the store.
+//!
+//! An owner can hold the ownership and be out of another entry's reach, with a busy processor or
+//! link. What runs goes on meanwhile, so that a cancellation must not depend on that reach: an entry
+//! stores it itself, and the owner reads it from the store. A caller may also send a cancellation
+//! only once and leave, so that an entry that has read one delivers it whether the caller still waits
+//! or not.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,13 +14,17 @@
 use tokio::task::JoinSet;
 
 use crate::node::Node;
-use crate::owner::RequestOutcome;
+use crate::owner::{RequestOutcome, store_cancellation};
 use crate::owner_call::{OWNER_CALL_TIMEOUT, cancel_at_owner, retry_until_answered};
 
 /// Time for which an entry tries to deliver a cancellation after its caller's time limit; it covers
 /// outages of the store.
 const DELIVERY_TIMEOUT: Duration = Duration::from_mins(1);
 
+/// Part of the caller's time limit that is left to store a cancellation which no owner has confirmed:
+/// several transactions.
+const STORE_RESERVE: Duration = Duration::from_millis(500);
+
 /// Pause between two rounds of deliveries.
 const ROUND_PAUSE: Duration = Duration::from_millis(250);
 
@@ -33,14 +42,18 @@
 /// final outcome by then, the delivery goes on in [`run`].
 pub(crate) async fn cancel(node: &Node, id: &SubmissionId, limit: Duration) -> RequestOutcome {
     let began_at = node.now();
-    let outcome = retry_until_answered(node, limit, async |timeout| {
+    let owner_limit = limit.saturating_sub(STORE_RESERVE);
+    let mut outcome = retry_until_answered(node, owner_limit, async |timeout| {
         cancel_at_owner(node, id, timeout).await
     })
     .await;
-    let took = node.now().since(began_at);
+    if !is_final(outcome) && !node.is_isolated() {
+        let remaining = limit.saturating_sub(node.now().since(began_at));
+        outcome = store(node, id, remaining).await.unwrap_or(outcome);
+    }
     log::info!(
         "event=cancel id={id} outcome={outcome:?} took_ms={} owner_silent_ms={}",
-        took.as_millis(),
+        node.now().since(began_at).as_millis(),
         node.owner_silence().as_millis()
     );
     if !is_final(outcome) {
@@ -49,6 +62,32 @@
     outcome
 }
 
+/// Stores a cancellation for the owner to read, and returns the outcome if it is certainly stored.
+async fn store(node: &Node, id: &SubmissionId, timeout: Duration) -> Option<RequestOutcome> {
+    let is_read = {
+        let known_owner = node.known_owner.borrow();
+        let holder = known_owner.holder.as_ref();
+        holder.is_some_and(|holder| holder.reads_cancellations)
+    };
+    if !is_read {
+        return None;
+    }
+    match tokio::time::timeout(timeout, store_cancellation(node, id)).await {
+        Ok(Ok(())) => {
+            log::info!("event=cancel_stored id={id}");
+            Some(RequestOutcome::Stored)
+        }
+        Ok(Err(error)) => {
+            log::info!("event=cancel_store_failed id={id} error={error}");
+            None
+        }
+        Err(_) => {
+            log::info!("event=cancel_store_failed id={id} error=timeout");
+            None
+        }
+    }
+}
+
 const fn is_final(outcome: RequestOutcome) -> bool {
     matches!(outcome, RequestOutcome::Stored | RequestOutcome::NotFound)
 }
@@ -86,7 +125,11 @@
         for id in ids {
             let (node, id) = (Rc::clone(node), id.clone());
             calls.spawn_local(async move {
-                let outcome = cancel_at_owner(&node, &id, OWNER_CALL_TIMEOUT).await;
+                let mut outcome = cancel_at_owner(&node, &id, OWNER_CALL_TIMEOUT).await;
+                if !is_final(outcome) {
+                    let stored = store(&node, &id, OWNER_CALL_TIMEOUT).await;
+                    outcome = stored.unwrap_or(outcome);
+                }
                 (id, outcome)
             });
         }
--- a/rhubarbfall-scheduler/src/node.rs
+++ b/rhubarbfall-scheduler/src/node.rs
@@ -87,6 +87,8 @@
     pub(crate) entry: EntryId,
     pub(crate) address: SocketAddr,
     pub(crate) incarnation: u64,
+    /// Whether it reads cancellations that other entries store; earlier versions do not.
+    pub(crate) reads_cancellations: bool,
 }
 
 /// Location of the owner.
--- a/rhubarbfall-scheduler/src/owner/mod.rs
+++ b/rhubarbfall-scheduler/src/owner/mod.rs
@@ -1,6 +1,7 @@
 //! State and background loops of the entry that owns the submissions.
 
 mod advice_request;
+mod cancellation_feed;
 mod round_trip;
 mod state_rows;
 mod store_loop;
@@ -29,7 +30,7 @@
 use crate::telemetry;
 use round_trip::RoundTripEstimate;
 
-pub(crate) use state_rows::{CELL_PART, read_stored_state};
+pub(crate) use state_rows::{CELL_PART, read_stored_state, store_cancellation};
 
 /// Time before the end of the ownership lease at which the owner stops starting anything.
 const TAKEOVER_MARGIN: Duration = Duration::from_millis(200);
@@ -386,7 +387,7 @@
     owner.with(|scheduler| {
         scheduler.set_config(config);
         scheduler.recover(jobs, inherited_until, now, unix_ms);
-        scheduler.recover_early_cancellations(early_cancellations, now);
+        scheduler.apply_stored_cancellations(early_cancellations, now);
         for wave in requested {
             let stored = waves.remove(&wave.id);
             scheduler.wave_requested(wave, stored, now, unix_ms);
@@ -400,6 +401,7 @@
         Rc::clone(node),
         Rc::clone(&owner),
     ));
+    spawn_local(cancellation_feed::run(Rc::clone(node), Rc::clone(&owner)));
     spawn_local(worker_list::run(Rc::clone(node), Rc::clone(&owner)));
     spawn_local(vm_loop::run(Rc::clone(node), Rc::clone(&owner)));
     spawn_local(run_ticks(Rc::clone(node), owner));
--- a/rhubarbfall-scheduler/src/owner/state_rows.rs
+++ b/rhubarbfall-scheduler/src/owner/state_rows.rs
@@ -8,7 +8,7 @@
     Batch, StoredJob, SubmissionState, WaveProgress, encode_early_cancellation,
 };
 use rhubarbfall_runs::{JobProgress, JobState, decode_progress, decode_submission, decode_wave};
-use rhubarbfall_site::{RowKey, StoreError, StoredRow, Transaction};
+use rhubarbfall_site::{CommitOutcome, RowKey, StoreError, StoredRow, Transaction};
 
 use crate::node::Node;
 use crate::owner::Owner;
@@ -24,8 +24,8 @@
 /// Table of the progress of submissions.
 const PROGRESS_TABLE: &str = "progress";
 
-/// Table of the cancellations of submissions that have not arrived.
-const CANCELLATION_TABLE: &str = "cancellation";
+/// Table of the cancellations that are stored apart from the progress of their submissions.
+pub(super) const CANCELLATION_TABLE: &str = "cancellation";
 
 /// Table of the progress of waves.
 const WAVE_TABLE: &str = "wave";
@@ -85,14 +85,32 @@
 
 async fn load_early_cancellations(node: &Node) -> Result<Vec<SubmissionId>, StoreError> {
     let (rows, _) = node.store.read_all(CANCELLATION_TABLE, CELL_PART).await?;
+    Ok(read_cancellations(&rows))
+}
+
+/// Returns the submissions whose cancellations are stored.
+pub(super) fn read_cancellations(rows: &[StoredRow]) -> Vec<SubmissionId> {
     let mut ids = Vec::with_capacity(rows.len());
-    for row in rows {
+    for row in rows.iter().filter(|row| !row.is_removed) {
         match row.key.key.parse() {
             Ok(id) => ids.push(id),
             Err(error) => log::error!("event=cancellation_row_malformed error={error}"),
         }
     }
-    Ok(ids)
+    ids
+}
+
+/// Stores a cancellation for an owner that this entry does not reach. The write needs no condition:
+/// it is the same whoever repeats it.
+pub(crate) async fn store_cancellation(node: &Node, id: &SubmissionId) -> Result<(), StoreError> {
+    let transaction = Transaction {
+        writes: vec![(cancellation_row(id), encode_early_cancellation())],
+        ..Transaction::default()
+    };
+    match node.store.commit(&transaction).await? {
+        CommitOutcome::Stored(_) => Ok(()),
+        CommitOutcome::Conflict(_) => Err(StoreError::NotExecuted("conflict".to_owned())),
+    }
 }
 
 async fn load_waves(
--- a/rhubarbfall-scheduler/src/ownership.rs
+++ b/rhubarbfall-scheduler/src/ownership.rs
@@ -330,6 +330,7 @@
         entry: node.settings.entry.clone(),
         address: node.settings.peers,
         incarnation: node.incarnation,
+        reads_cancellations: true,
     };
     let owner_row = OwnerRow {
         fencing_number: fencing_number.get(),
--- a/rhubarbfall-scheduler/src/peer.rs
+++ b/rhubarbfall-scheduler/src/peer.rs
@@ -83,7 +83,8 @@
     timeout: Duration,
 ) -> Result<RequestOutcome, PeerError> {
     let path = format!("{CANCEL_PATH}{id}");
-    let answer = call(node, address, Method::POST, &path, Bytes::new(), timeout).await?;
+    // The server carries out a DELETE also if this entry does not wait for the answer.
+    let answer = call(node, address, Method::DELETE, &path, Bytes::new(), timeout).await?;
     let outcome: OutcomeMessage = decode(&answer)?;
     Ok(outcome.into())
 }
--- a/rhubarbfall-scheduler/src/peer_status.rs
+++ b/rhubarbfall-scheduler/src/peer_status.rs
@@ -63,6 +63,8 @@
     pub(crate) address: String,
     #[prost(uint64, tag = "3")]
     pub(crate) incarnation: u64,
+    #[prost(bool, tag = "4")]
+    pub(crate) reads_cancellations: bool,
 }
 
 impl From<&Holder> for HolderMessage {
@@ -71,6 +73,7 @@
             entry: holder.entry.to_string(),
             address: holder.address.to_string(),
             incarnation: holder.incarnation,
+            reads_cancellations: holder.reads_cancellations,
         }
     }
 }
@@ -82,6 +85,7 @@
             entry: self.entry.parse().ok()?,
             address: self.address.parse().ok()?,
             incarnation: self.incarnation,
+            reads_cancellations: self.reads_cancellations,
         })
     }
 }
--- a/rhubarbfall/tests/cancel_delivery.rs
+++ b/rhubarbfall/tests/cancel_delivery.rs
@@ -1,4 +1,5 @@
-//! Cancellations whose callers do not wait for the answer, or that an entry cannot pass on at once.
+//! Cancellations that an entry cannot pass on to the owner at once, or whose callers do not wait for the
+//! answer.
 
 mod scheduler_process;
 #[path = "../../platform/tests/stand_in/mod.rs"]
@@ -10,6 +11,7 @@
 use std::time::Duration;
 
 use http::Method;
+use rhubarbfall_site::{RowKey, StoreClient, Transaction};
 use rhubarbfall_testing::{Relay, RelayMode};
 use rustix::process::Signal;
 use scheduler_process::{
@@ -135,3 +137,41 @@
     tokio::time::sleep(SETTLING_TIME).await;
     assert_eq!(active_runs_of(&site, id), 0);
 }
+
+/// The entry does not reach the owner, and cannot become the owner itself because it is being stopped.
+#[tokio::test(flavor = "multi_thread")]
+async fn cancellation_answered_without_the_owner_is_kept_by_the_next_one() {
+    let site = StandInSite::start(2, WAIT_TIMEOUT).await;
+    let mut first = start_entry(&site, "entry-1", &[]);
+    let id = "00000000000002b1";
+    submit_long_running(&site, &first, id).await;
+    let second = start_entry(&site, "entry-2", &[first.addresses.peers]);
+    submit(&[&second], "00000000000002b2").await;
+    first.child.kill().expect("the owner is killed");
+    signal(&second, Signal::TERM);
+    assert_eq!(status_of(&second, Method::DELETE, id, "").await, 200);
+    let third = start_entry(&site, "entry-3", &[]);
+    submit(&[&third], "00000000000002b3").await;
+    tokio::time::sleep(SETTLING_TIME).await;
+    assert_eq!(active_runs_of(&site, id), 0);
+}
+
+/// Another entry stores a cancellation because it does not reach the owner.
+#[tokio::test(flavor = "multi_thread")]
+async fn owner_stops_a_submission_whose_cancellation_it_finds_in_the_store() {
+    let site = StandInSite::start(2, WAIT_TIMEOUT).await;
+    let entry = start_entry(&site, "entry-1", &[]);
+    let id = "00000000000002c1";
+    submit_long_running(&site, &entry, id).await;
+    let cancellation = Transaction {
+        writes: vec![(RowKey::new("cancellation", "c0", id), vec![8, 3])],
+        ..Transaction::default()
+    };
+    let store = StoreClient::new(site.store, WAIT_TIMEOUT);
+    store
+        .commit(&cancellation)
+        .await
+        .expect("the row is stored");
+    tokio::time::sleep(SETTLING_TIME).await;
+    assert_eq!(active_runs_of(&site, id), 0);
+}
