fix(runs): stop no unconfirmed start before its worker's list is heard

A start call without an answer may have been carried out. Its run was stopped 400 ms after the call had failed, whatever else of its step was away, and again every 500 ms, also after the worker had listed it. A long poll of 700 ms was often on its way, and a silent worker was not heard for seconds, so that a long-running task at work was ended while 12 to 26 others of its step were away (3 to 5 allowed).

Now the worker's list decides. A list that contains the run: it is accepted, also while a stop of it is not confirmed. A list that was requested after the start had failed and does not contain the run: a stop revokes the start, since it may still be carried out; the stop is repeated only after another such list; the task starts elsewhere once the stop is confirmed and a later list does not contain the run. A worker that is not heard: nothing, until its leases have lapsed, as before. While a start on a worker is unconfirmed, its renewals wait 100 ms at most. Runs of ended jobs, of incomplete gangs and on draining workers and VMs keep their own stops. The fixed time of 400 ms goes.

Left: a stop that a worker carries out seconds late can end a run that was accepted meanwhile.

--- a/rhubarbfall-runs/src/scheduler/lease_renewal.rs
+++ b/rhubarbfall-runs/src/scheduler/lease_renewal.rs
@@ -24,6 +24,8 @@
     pub acknowledged: u64,
     /// Whether tasks are placed on the worker.
     pub is_busy: bool,
+    /// Whether it is not known if a run that was to start on the worker has started.
+    pub has_unconfirmed_starts: bool,
 }
 
 impl Scheduler {
@@ -34,6 +36,7 @@
         now: BootTime,
     ) -> Option<LeaseRenewalRequest> {
         let lease = (now + self.settings.lease).min(self.max_lease_end);
+        let has_unconfirmed_starts = self.has_unconfirmed_starts(worker);
         let worker = self.workers.get_mut(worker)?;
         let is_busy = !worker.placed.is_empty();
         // The leases of an unreachable worker must expire so that its tasks can start elsewhere.
@@ -49,6 +52,7 @@
             },
             acknowledged: worker.last_stored_end,
             is_busy,
+            has_unconfirmed_starts,
         })
     }
 
@@ -293,16 +297,31 @@
                     placement.progress_percent = running.percent;
                     placement.progress_at = now;
                 }
-                if matches!(
-                    placement.state,
-                    RunState::Unconfirmed(_) | RunState::Inherited
-                ) {
-                    placement.state = RunState::Accepted(now);
-                    placement.progress_at = now;
+                match placement.state {
+                    RunState::Unconfirmed(_)
+                    | RunState::Inherited
+                    | RunState::RevokingStart {
+                        confirmed_at: None, ..
+                    } => {
+                        placement.state = RunState::Accepted(now);
+                        placement.progress_at = now;
+                    }
+                    // The stop call has reached the run.
+                    RunState::RevokingStart {
+                        asked_at,
+                        confirmed_at,
+                    } => {
+                        placement.state = RunState::Stopping {
+                            asked_at: Some(asked_at),
+                            confirmed_at,
+                        };
+                    }
+                    _ => {}
                 }
                 job.has_started = true;
             }
         }
+        self.revoke_unlisted_starts(worker_id, sent_at, now);
         self.requeue_unlisted(worker_id, sent_at, answer, now);
         if let Some(worker) = self.workers.get_mut(worker_id) {
             self.needs_placement |= worker.unexpected_load != unexpected_load;
@@ -322,7 +341,8 @@
             self.placement(id).is_some_and(|placed| {
                 let is_over = match placed.state {
                     RunState::Accepted(at) => at < sent_at,
-                    RunState::Stopping { confirmed_at, .. } => {
+                    RunState::Stopping { confirmed_at, .. }
+                    | RunState::RevokingStart { confirmed_at, .. } => {
                         confirmed_at.is_some_and(|at| at < sent_at)
                     }
                     RunState::Inherited => true,
--- a/rhubarbfall-runs/src/scheduler/orders.rs
+++ b/rhubarbfall-runs/src/scheduler/orders.rs
@@ -133,30 +133,75 @@
         );
         // Only the first confirmation counts: a renewal sent after it reports what is still
         // running.
-        if let Some(RunState::Stopping {
-            asked_at,
-            confirmed_at: None,
-        }) = placed.map(|placed| placed.state)
-            && is_confirmed
-        {
-            let confirmed_at = Some(now);
-            self.set_run_state(
-                id,
-                RunState::Stopping {
-                    asked_at,
-                    confirmed_at,
-                },
-            );
+        let confirmed_at = Some(now);
+        let state = match placed.map(|placed| placed.state).filter(|_| is_confirmed) {
+            Some(RunState::Stopping {
+                asked_at,
+                confirmed_at: None,
+            }) => RunState::Stopping {
+                asked_at,
+                confirmed_at,
+            },
+            Some(RunState::RevokingStart {
+                asked_at,
+                confirmed_at: None,
+            }) => RunState::RevokingStart {
+                asked_at,
+                confirmed_at,
+            },
+            _ => return,
+        };
+        self.set_run_state(id, state);
+    }
+
+    /// Returns whether a worker is to be asked soon for its list of runs, because a start is
+    /// unconfirmed or being revoked.
+    pub(super) fn has_unconfirmed_starts(&self, worker: &WorkerId) -> bool {
+        self.workers.get(worker).is_some_and(|worker| {
+            worker.placed.iter().any(|id| {
+                self.placement(id).is_some_and(|placed| {
+                    matches!(
+                        placed.state,
+                        RunState::Unconfirmed(_) | RunState::RevokingStart { .. }
+                    )
+                })
+            })
+        })
+    }
+
+    /// Revokes unconfirmed starts that the response to a renewal sent at `sent_at` does not list.
+    /// A start whose run may be at work is not revoked: each stop call, also a repeated one,
+    /// follows a list that was requested after the previous call.
+    pub(super) fn revoke_unlisted_starts(
+        &mut self,
+        worker: &WorkerId,
+        sent_at: BootTime,
+        now: BootTime,
+    ) {
+        let retry_interval = self.settings.stop_retry_interval;
+        let is_due = |id: &&TaskId| match self.placement(id).map(|placed| placed.state) {
+            Some(RunState::Unconfirmed(failed_at)) => failed_at < sent_at,
+            Some(RunState::RevokingStart {
+                asked_at,
+                confirmed_at: None,
+            }) => asked_at < sent_at && now.since(asked_at) >= retry_interval,
+            _ => false,
+        };
+        let Some(known) = self.workers.get(worker) else {
+            return;
+        };
+        let due: Vec<TaskId> = known.placed.iter().filter(is_due).cloned().collect();
+        for id in due {
+            self.send_stop(&id, now);
         }
     }
 
-    /// Stops runs whose start is unconfirmed for too long, and repeats stop calls.
+    /// Sends requested stop calls, and repeats those whose runs are not over.
     pub(super) fn stop_unconfirmed(&mut self, now: BootTime) {
-        let settings = self.settings.clone();
+        let retry_interval = self.settings.stop_retry_interval;
         let is_due = |task: &Task| match task.placement().map(|placed| placed.state) {
-            Some(RunState::Unconfirmed(since)) => now.since(since) >= settings.unconfirmed_timeout,
             Some(RunState::Stopping { asked_at, .. }) => {
-                asked_at.is_none_or(|asked_at| now.since(asked_at) >= settings.stop_retry_interval)
+                asked_at.is_none_or(|asked_at| now.since(asked_at) >= retry_interval)
             }
             _ => false,
         };
@@ -171,10 +216,6 @@
             return;
         };
         let (worker_id, run, state) = (placement.worker.clone(), placement.run, placement.state);
-        let confirmed_at = match state {
-            RunState::Stopping { confirmed_at, .. } => confirmed_at,
-            _ => None,
-        };
         let reason = match state {
             RunState::Unconfirmed(_) => "start_unconfirmed",
             RunState::Stopping { asked_at: None, .. } => "requested",
@@ -183,13 +224,17 @@
         if !self.push_stop(&worker_id, id, run, reason) {
             return;
         }
-        self.set_run_state(
-            id,
-            RunState::Stopping {
+        let state = match state {
+            RunState::Stopping { confirmed_at, .. } => RunState::Stopping {
                 asked_at: Some(now),
                 confirmed_at,
             },
-        );
+            _ => RunState::RevokingStart {
+                asked_at: now,
+                confirmed_at: None,
+            },
+        };
+        self.set_run_state(id, state);
     }
 
     /// Queues a command to stop a run, and returns whether the worker is known.
--- a/rhubarbfall-runs/src/scheduler/settings.rs
+++ b/rhubarbfall-runs/src/scheduler/settings.rs
@@ -9,8 +9,6 @@
     /// How long a worker may go without an answer before it gets no new work: one lease renewal
     /// that waits its full time, and one lost answer.
     pub unreachable_after: Duration,
-    /// How long an unconfirmed start may stay unreported by its worker before it is stopped.
-    pub unconfirmed_timeout: Duration,
     /// The interval at which stop calls are repeated.
     pub stop_retry_interval: Duration,
     /// How long a run may show no progress before it counts as stalled.
@@ -45,7 +43,6 @@
         Self {
             lease: Duration::from_millis(2_500),
             unreachable_after: Duration::from_millis(1_300),
-            unconfirmed_timeout: Duration::from_millis(400),
             stop_retry_interval: Duration::from_millis(500),
             stall_timeout: Duration::from_millis(1_500),
             quarantine_duration: Duration::from_secs(4),
--- a/rhubarbfall-runs/src/task.rs
+++ b/rhubarbfall-runs/src/task.rs
@@ -63,6 +63,14 @@
     /// The start call got no answer; the worker may still carry it out. Holds the time of the
     /// failure.
     Unconfirmed(BootTime),
+    /// The worker did not list the run after its start call had failed; a stop call revokes the
+    /// start, because it may still be carried out.
+    RevokingStart {
+        /// When the stop call was last sent.
+        asked_at: BootTime,
+        /// When the worker first confirmed that the run will not start any more.
+        confirmed_at: Option<BootTime>,
+    },
     /// An earlier owner placed the run, and the worker has not reported yet.
     Inherited,
     /// The run is being stopped.
--- a/rhubarbfall-runs/tests/hostile/network.rs
+++ b/rhubarbfall-runs/tests/hostile/network.rs
@@ -21,6 +21,9 @@
 /// The time for which a worker without runs may hold a lease renewal.
 const IDLE_WAIT: Duration = Duration::from_millis(900);
 
+/// The time for which a worker with unconfirmed starts may hold a lease renewal.
+const UNCONFIRMED_WAIT: Duration = Duration::from_millis(100);
+
 /// Added to the wait of a lease renewal to get its timeout.
 const WAIT_MARGIN: Duration = Duration::from_millis(450);
 
@@ -137,6 +140,7 @@
             .is_some_and(|worker| worker.clock.is_some());
         let wait = match (is_clock_known, order.is_busy) {
             (false, _) => Duration::ZERO,
+            (true, _) if order.has_unconfirmed_starts => UNCONFIRMED_WAIT,
             (true, true) => BUSY_WAIT,
             (true, false) => IDLE_WAIT,
         };
--- a/rhubarbfall-scheduler/src/owner/worker_loop.rs
+++ b/rhubarbfall-scheduler/src/owner/worker_loop.rs
@@ -24,6 +24,10 @@
 /// Time for which a worker without runs may hold a lease renewal.
 const IDLE_LONG_POLL_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Time for which a worker may hold a lease renewal while it is not known whether a run that was to
+/// start on it has started.
+const UNCONFIRMED_LONG_POLL_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Pause after a failed lease renewal.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
@@ -68,6 +72,7 @@
             .is_some_and(|worker| worker.clock.is_some());
         let wait = match (is_clock_known, order.is_busy) {
             (false, _) => Duration::ZERO,
+            (true, _) if order.has_unconfirmed_starts => UNCONFIRMED_LONG_POLL_TIMEOUT,
             (true, true) => BUSY_LONG_POLL_TIMEOUT,
             (true, false) => IDLE_LONG_POLL_TIMEOUT,
         };
