--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -164,7 +164,7 @@
             self.stop_long_running_on_draining();
             self.begin_due(unix_ms);
             self.tick_vm_operations(now);
-            self.stop_unconfirmed(now);
+            self.send_due_stops(now);
         }
         self.place_waiting(now);
     }
