--- a/rhubarbfall-scheduler/src/operator_feed.rs
+++ b/rhubarbfall-scheduler/src/operator_feed.rs
@@ -16,10 +16,6 @@
 /// shortly afterwards, well within the time limit for applying a new configuration.
 const LONG_POLL_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Pause after a poll with changes, so that one poll returns several of them. Each change of the
-/// configuration contains all of it; the platform allows two seconds to apply one.
-const CHANGE_PAUSE: Duration = Duration::from_millis(400);
-
 /// Pause after a failed poll.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
@@ -40,9 +36,6 @@
             node.last_store_contact.set(node.now());
             node.config_polled_at.set(node.now());
             apply_rows(node, &rows);
-            if !rows.is_empty() {
-                tokio::time::sleep(CHANGE_PAUSE).await;
-            }
         }
         TableUpdate::HistoryLost(after) => {
             log::warn!("event=operator_history_lost after={after}");
