fix(runs): keep a start that may reach the next life of its worker

Cause: a worker that has started again was taken for one on which nothing of before can run. An order names the worker and not its life (X-Expect-Instance is the id), so that a start that is carried out late runs in the next life, with a lease that ends by the clock of the earlier one. The owner had requeued all tasks of the worker at once; a run that it then saw in the worker's list was stopped as unexpected while the task was placed again.

What workers saw: run 2 of a task beside run 1 (rule TWICE).

Change: on a restart, tasks whose start was not sent, or whose run the earlier life has listed, are requeued at once, before the present life answers. A start that no list has shown keeps its task, its room and its customer's limit until the present life lists its runs in answer to a call sent after the start's answer; without an answer, until it has confirmed a stop and then does not list the run. A stop that an earlier life has confirmed counts no more and is repeated; stop orders carry the incarnation that they are meant for. A silent worker keeps such a task for the longest lease that a worker grants (max_lease_ms) instead of the owner's own. The same for starts by an earlier owner. A listed run of an active submission whose task has no other run, or one that is not ordered yet, becomes the task's run and is counted as such; a gang's member is stopped first. Runs of ended submissions are stopped as before.

--- a/rhubarbfall-runs/src/scheduler/action.rs
+++ b/rhubarbfall-runs/src/scheduler/action.rs
@@ -57,6 +57,9 @@
 pub struct StopOrder {
     /// The worker that has the run.
     pub worker: WorkerId,
+    /// The worker's incarnation for which the order is meant; its confirmation says nothing about a
+    /// later one.
+    pub incarnation_unix_ms: u64,
     /// The address at which the worker accepts calls.
     pub address: SocketAddr,
     /// The task of the run.
--- a/rhubarbfall-runs/src/scheduler/lease_renewal.rs
+++ b/rhubarbfall-runs/src/scheduler/lease_renewal.rs
@@ -2,11 +2,11 @@
 
 use rhubarbfall_core::{BootTime, SubmissionId, WorkerId};
 
-use super::Scheduler;
 use super::clearing::log_late_run;
+use super::{Action, Scheduler};
 use crate::{
-    JobState, LeaseRenewalResponse, Resources, RunEnd, RunEndKind, RunState, Step, TaskId,
-    TaskPhase, WorkerState,
+    ActiveRun, JobState, LeaseRenewalResponse, Placement, Resources, RunEnd, RunEndKind, RunState,
+    Step, Task, TaskId, TaskPhase, WorkerState,
 };
 
 /// The number of different submissions with failures, and no success in between, after which a
@@ -73,6 +73,7 @@
         if answer.incarnation_unix_ms != worker.report.incarnation_unix_ms {
             self.worker_restarted(id, answer.incarnation_unix_ms, now);
         }
+        let has_earlier_start = self.has_start_for_earlier_incarnation(id);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -80,6 +81,10 @@
             // The renewal fenced off earlier owners, so their last lease was granted before it.
             worker.bound_inherited_lease(now, self.settings.lease);
         }
+        worker.may_have_earlier_starts = has_earlier_start;
+        if has_earlier_start {
+            worker.allow_foreign_lease(now, self.settings.max_lease);
+        }
         if worker.state != WorkerState::Reachable {
             log::info!("event=worker_reachable worker={id} was={:?}", worker.state);
             worker.state = WorkerState::Reachable;
@@ -103,20 +108,72 @@
         self.pace_best_effort(id, answer, now);
     }
 
-    /// Requeues the tasks of a worker's earlier incarnation and resets its state.
+    /// Resets the state of a worker that has started again. Tasks whose runs have certainly ended
+    /// with its earlier incarnation are requeued. An order names the worker but not its
+    /// incarnation, so that a start that no list of runs has shown yet may be carried out by the
+    /// present one: such a task stays placed until the worker's list or a stop shows what became of
+    /// it.
     pub(super) fn worker_restarted(
         &mut self,
         id: &WorkerId,
         incarnation_unix_ms: u64,
         now: BootTime,
     ) {
-        log::warn!("event=worker_reborn worker={id} incarnation_unix_ms={incarnation_unix_ms}");
-        self.requeue_tasks_of(id, now, "worker_reborn");
+        let placed = self.workers.get(id).map(|worker| worker.placed.clone());
+        let (may_go_on, over): (Vec<TaskId>, Vec<TaskId>) = placed
+            .unwrap_or_default()
+            .into_iter()
+            .partition(|task| self.may_start_on_next_incarnation(task));
+        log::warn!(
+            "event=worker_reborn worker={id} incarnation_unix_ms={incarnation_unix_ms} ended={} \
+             unclear={}",
+            over.len(),
+            may_go_on.len()
+        );
+        for task in &over {
+            self.requeue(task, now, "worker_reborn");
+        }
+        for task in &may_go_on {
+            // A confirmed stop holds for the incarnation that has confirmed it.
+            let state = self.placement(task).map(|placed| placed.state);
+            if state.is_some_and(RunState::is_stopping) {
+                self.set_run_state(task, RunState::STOP_REQUESTED);
+            }
+        }
         if let Some(worker) = self.workers.get_mut(id) {
-            let mut report = worker.report.clone();
-            report.incarnation_unix_ms = incarnation_unix_ms;
-            *worker = crate::Worker::new(report, now);
+            worker.restart(incarnation_unix_ms, now);
+            if !may_go_on.is_empty() {
+                worker.allow_foreign_lease(now, self.settings.max_lease);
+            }
         }
+        self.needs_placement = true;
+    }
+
+    /// Returns whether the next incarnation of a task's worker may have started its run, or may
+    /// still do so.
+    fn may_start_on_next_incarnation(&self, id: &TaskId) -> bool {
+        let is_unsent = || {
+            self.actions
+                .iter()
+                .any(|action| matches!(action, Action::Start(order) if order.task == *id))
+        };
+        self.placement(id).is_some_and(|placed| match placed.state {
+            RunState::Storing(_) => false,
+            RunState::Sending => !is_unsent(),
+            _ => !placed.is_listed,
+        })
+    }
+
+    /// Returns whether a worker has a task that was placed on another incarnation of it.
+    fn has_start_for_earlier_incarnation(&self, id: &WorkerId) -> bool {
+        let worker = self.workers.get(id);
+        worker
+            .filter(|worker| worker.may_have_earlier_starts)
+            .is_some_and(|worker| {
+                let present = worker.report.incarnation_unix_ms;
+                let mut placed = worker.placed.iter().filter_map(|task| self.placement(task));
+                placed.any(|placed| placed.incarnation_unix_ms != present)
+            })
     }
 
     fn process_run_end(&mut self, worker_id: &WorkerId, end: &RunEnd, now: BootTime) {
@@ -263,8 +320,10 @@
         answer: &LeaseRenewalResponse,
         now: BootTime,
     ) {
+        self.requeue_unlisted(worker_id, sent_at, answer, now);
         let mut unexpected_load = Resources::default();
         for running in &answer.running {
+            self.adopt_run(worker_id, answer.incarnation_unix_ms, running, now);
             let Some(job) = self.jobs.get_mut(&running.task.submission) else {
                 self.push_stop(worker_id, &running.task, running.run, "unknown_job");
                 continue;
@@ -288,7 +347,11 @@
             if running.checkpoint.is_some() {
                 task.checkpoint.clone_from(&running.checkpoint);
             }
+            let mut has_moved = false;
             if let Some(placement) = task.placement_mut() {
+                placement.is_listed = true;
+                has_moved = placement.incarnation_unix_ms != answer.incarnation_unix_ms;
+                placement.incarnation_unix_ms = answer.incarnation_unix_ms;
                 if placement.progress_percent != running.percent {
                     placement.progress_percent = running.percent;
                     placement.progress_at = now;
@@ -302,14 +365,68 @@
                 }
                 job.has_started = true;
             }
+            if has_moved {
+                self.mark_dirty(&running.task.submission);
+            }
         }
-        self.requeue_unlisted(worker_id, sent_at, answer, now);
         if let Some(worker) = self.workers.get_mut(worker_id) {
             self.needs_placement |= worker.unexpected_load != unexpected_load;
             worker.unexpected_load = unexpected_load;
         }
     }
 
+    /// Places a task on a worker that lists a run of it, if the task has no other run: it must not
+    /// start elsewhere while that run goes on. A gang's member is stopped, because the others do
+    /// not run with it.
+    fn adopt_run(
+        &mut self,
+        worker_id: &WorkerId,
+        incarnation_unix_ms: u64,
+        running: &ActiveRun,
+        now: BootTime,
+    ) {
+        let id = &running.task;
+        let Some(job) = self.jobs.get(&id.submission) else {
+            return;
+        };
+        let has_no_run = job.task(id).is_some_and(Task::has_no_run);
+        if job.state != JobState::Active || !has_no_run {
+            return;
+        }
+        log::warn!(
+            "event=run_adopted id={id} run={} worker={worker_id}",
+            running.run
+        );
+        let state = if job.step(id).is_gang {
+            RunState::STOP_REQUESTED
+        } else {
+            RunState::Accepted(now)
+        };
+        self.release(id, now);
+        self.reserve(id, worker_id);
+        if let Some(worker) = self.workers.get_mut(worker_id) {
+            worker.allow_foreign_lease(now, self.settings.max_lease);
+        }
+        if let Some(task) = self
+            .jobs
+            .get_mut(&id.submission)
+            .and_then(|job| job.task_mut(id))
+        {
+            task.last_run = task.last_run.max(running.run);
+            task.phase = TaskPhase::Placed(Placement {
+                worker: worker_id.clone(),
+                incarnation_unix_ms,
+                run: running.run,
+                state,
+                is_listed: true,
+                progress_percent: running.percent,
+                progress_at: now,
+                pace_percent: 100,
+            });
+        }
+        self.mark_dirty(&id.submission);
+    }
+
     /// Requeues runs that the worker does not report and can no longer start.
     fn requeue_unlisted(
         &mut self,
--- a/rhubarbfall-runs/src/scheduler/orders.rs
+++ b/rhubarbfall-runs/src/scheduler/orders.rs
@@ -4,7 +4,7 @@
 
 use super::Scheduler;
 use super::action::{Action, StopOrder};
-use crate::{Placement, RunState, StartOutcome, Step, StepId, Task, TaskId, WorkerState};
+use crate::{Placement, RunState, StartOutcome, Step, StepId, Task, TaskId, Worker, WorkerState};
 
 /// The part of a task's estimate that may pass without progress, as a divisor: a long task may show
 /// no progress for a twentieth of its estimate.
@@ -108,16 +108,20 @@
         }
     }
 
-    /// Processes the outcome of a stop call; once confirmed, the run will not start on the worker
-    /// any more.
-    pub fn stop_answered(
-        &mut self,
-        id: &TaskId,
-        worker: &WorkerId,
-        run: u64,
-        is_confirmed: bool,
-        now: BootTime,
-    ) {
+    /// Processes the outcome of a stop call; once confirmed, the run will not start on this
+    /// incarnation of the worker any more.
+    pub fn stop_answered(&mut self, order: &StopOrder, is_confirmed: bool, now: BootTime) {
+        let StopOrder {
+            worker,
+            task: id,
+            run,
+            ..
+        } = order;
+        let run = *run;
+        let is_of_this_life = self
+            .workers
+            .get(worker)
+            .is_some_and(|worker| worker.report.incarnation_unix_ms == order.incarnation_unix_ms);
         let task = self.jobs.get(&id.submission).and_then(|job| job.task(id));
         let placed = task
             .filter(|task| task.is_run(worker, run))
@@ -138,6 +142,7 @@
             confirmed_at: None,
         }) = placed.map(|placed| placed.state)
             && is_confirmed
+            && is_of_this_life
         {
             let confirmed_at = Some(now);
             self.set_run_state(
@@ -206,6 +211,7 @@
         log::info!("event=run_stop_sent id={task} run={run} worker={worker} reason={reason}");
         self.actions.push(Action::Stop(StopOrder {
             worker: worker.clone(),
+            incarnation_unix_ms: known.report.incarnation_unix_ms,
             address: known.report.address,
             task: task.clone(),
             run,
@@ -215,9 +221,14 @@
 
     /// Requeues the tasks of unreachable workers whose leases have certainly expired.
     pub(super) fn drop_expired_workers(&mut self, now: BootTime) {
+        let may_hold_runs = |worker: &&Worker| match worker.state {
+            WorkerState::New => !worker.placed.is_empty(),
+            WorkerState::Reachable => true,
+            WorkerState::Lapsed => false,
+        };
         let expired: Vec<WorkerId> = self
             .workers()
-            .filter(|worker| worker.state == WorkerState::Reachable && worker.lease_expiry < now)
+            .filter(|worker| may_hold_runs(worker) && worker.lease_expiry < now)
             .filter(|worker| now.since(worker.answered_at) > self.settings.unreachable_after)
             .map(|worker| worker.report.id.clone())
             .collect();
--- a/rhubarbfall-runs/src/scheduler/placing.rs
+++ b/rhubarbfall-runs/src/scheduler/placing.rs
@@ -390,6 +390,7 @@
                 incarnation_unix_ms,
                 run,
                 state,
+                is_listed: false,
                 progress_percent: 0,
                 progress_at: now,
                 pace_percent: 100,
--- a/rhubarbfall-runs/src/scheduler/recovery.rs
+++ b/rhubarbfall-runs/src/scheduler/recovery.rs
@@ -5,7 +5,7 @@
 
 use super::Scheduler;
 use crate::{
-    Job, JobProgress, Placement, RunState, Submission, Task, TaskId, TaskPhase, WorkerState,
+    Job, JobProgress, Placement, RunState, Submission, Task, TaskId, TaskPhase, Worker, WorkerState,
 };
 
 /// The maximum age of a recovered submission; a higher age would not change its rank.
@@ -104,13 +104,19 @@
         }
         self.inherited_lease_expiry = None;
         let is_stale = |task: &Task| {
-            task.placement().is_some_and(|placed| match placed.state {
-                RunState::Inherited => true,
-                RunState::Stopping { .. } => self
-                    .workers
-                    .get(&placed.worker)
-                    .is_none_or(|worker| worker.state == WorkerState::New),
-                _ => false,
+            task.placement().is_some_and(|placed| {
+                let worker = self.workers.get(&placed.worker);
+                // A worker that has started again since may hold a longer lease.
+                let may_hold_lease = |worker: &Worker| {
+                    worker.state == WorkerState::New && now <= worker.lease_expiry
+                };
+                let is_silent = worker.is_none_or(|worker| worker.state == WorkerState::New);
+                let is_of_earlier_owner = match placed.state {
+                    RunState::Inherited => true,
+                    RunState::Stopping { .. } => is_silent,
+                    _ => false,
+                };
+                is_of_earlier_owner && !worker.is_some_and(may_hold_lease)
             })
         };
         let mut stale = Vec::new();
@@ -152,6 +158,7 @@
                 incarnation_unix_ms: placed.incarnation_unix_ms,
                 run: placed.run,
                 state,
+                is_listed: false,
                 progress_percent: 0,
                 progress_at: now,
                 pace_percent: 100,
--- a/rhubarbfall-runs/src/scheduler/settings.rs
+++ b/rhubarbfall-runs/src/scheduler/settings.rs
@@ -6,6 +6,8 @@
     /// The length of a worker's leases, which is the longest time that a run on an unreachable
     /// worker delays its successor.
     pub lease: Duration,
+    /// The longest lease that a worker grants, whatever an order states.
+    pub max_lease: Duration,
     /// How long a worker may go without an answer before it gets no new work: one lease renewal
     /// that waits its full time, and one lost answer.
     pub unreachable_after: Duration,
@@ -44,6 +46,7 @@
     fn default() -> Self {
         Self {
             lease: Duration::from_millis(2_500),
+            max_lease: Duration::from_secs(10),
             unreachable_after: Duration::from_millis(1_300),
             unconfirmed_timeout: Duration::from_millis(400),
             stop_retry_interval: Duration::from_millis(500),
--- a/rhubarbfall-runs/src/task.rs
+++ b/rhubarbfall-runs/src/task.rs
@@ -43,6 +43,8 @@
     pub run: u64,
     /// How far the start or stop of the run has come.
     pub state: RunState,
+    /// Whether this incarnation of the worker has listed the run.
+    pub is_listed: bool,
     /// The last reported progress in percent.
     pub progress_percent: u8,
     /// When the reported progress last changed.
@@ -106,6 +108,16 @@
         }
     }
 
+    /// Returns whether no run of the task was ordered or may be in progress.
+    #[must_use]
+    pub const fn has_no_run(&self) -> bool {
+        match &self.phase {
+            TaskPhase::Waiting => true,
+            TaskPhase::Placed(placement) => matches!(placement.state, RunState::Storing(_)),
+            TaskPhase::Done => false,
+        }
+    }
+
     /// Returns whether the run with this number is placed on this worker.
     #[must_use]
     pub fn is_run(&self, worker: &WorkerId, run: u64) -> bool {
--- a/rhubarbfall-runs/src/worker.rs
+++ b/rhubarbfall-runs/src/worker.rs
@@ -33,6 +33,8 @@
     pub reserved: Resources,
     /// The tasks placed on the worker.
     pub placed: Vec<TaskId>,
+    /// Whether a placed task may have been ordered to start on an earlier incarnation.
+    pub may_have_earlier_starts: bool,
     /// The number of placed tasks that have a tail latency target.
     pub latency_sensitive_tasks: u32,
     /// The number of placed best-effort tasks.
@@ -81,6 +83,7 @@
             lease_expiry: BootTime::default(),
             reserved: Resources::default(),
             placed: Vec::new(),
+            may_have_earlier_starts: true,
             latency_sensitive_tasks: 0,
             best_effort_tasks: 0,
             unexpected_load: Resources::default(),
@@ -140,6 +143,24 @@
         self.lease_expiry = self.lease_expiry.min(expiry);
     }
 
+    /// Allows for a lease of this length that an order for an earlier incarnation may grant from
+    /// `now` on: the end that it states is a time on the clock of that incarnation.
+    pub fn allow_foreign_lease(&mut self, now: BootTime, longest: Duration) {
+        let expiry = now + longest.div_f64(MIN_CLOCK_RATE) + LEASE_EXPIRY_MARGIN;
+        self.lease_expiry = self.lease_expiry.max(expiry);
+    }
+
+    /// Resets the state after the worker has started again, except for the tasks placed on it.
+    pub fn restart(&mut self, incarnation_unix_ms: u64, now: BootTime) {
+        let mut report = self.report.clone();
+        report.incarnation_unix_ms = incarnation_unix_ms;
+        let earlier = std::mem::replace(self, Self::new(report, now));
+        self.reserved = earlier.reserved;
+        self.placed = earlier.placed;
+        self.latency_sensitive_tasks = earlier.latency_sensitive_tasks;
+        self.best_effort_tasks = earlier.best_effort_tasks;
+    }
+
     /// Adds a task and reserves the resources of its step.
     pub fn add(&mut self, task: TaskId, step: &Step) {
         self.placed.push(task);
--- a/rhubarbfall-runs/tests/hostile/network.rs
+++ b/rhubarbfall-runs/tests/hostile/network.rs
@@ -278,13 +278,7 @@
             }
             (Message::Stop(order), reply) => {
                 let is_confirmed = matches!(reply, Reply::Stop(true));
-                self.scheduler.stop_answered(
-                    &order.task,
-                    &order.worker,
-                    order.run,
-                    is_confirmed,
-                    now,
-                );
+                self.scheduler.stop_answered(order, is_confirmed, now);
             }
             (Message::Renew { from, .. }, Reply::Renewal(response)) => {
                 self.scheduler
@@ -309,8 +303,7 @@
                     .start_answered(&order.task, &order.worker, order.run, outcome, now);
             }
             Message::Stop(order) => {
-                self.scheduler
-                    .stop_answered(&order.task, &order.worker, order.run, false, now);
+                self.scheduler.stop_answered(order, false, now);
             }
             Message::Renew { from, .. } => {
                 self.at(now + RETRY_PAUSE, Event::Wake(self.epoch, *from));
--- a/rhubarbfall-runs/tests/model/mod.rs
+++ b/rhubarbfall-runs/tests/model/mod.rs
@@ -360,9 +360,7 @@
                         worker.runs.swap_remove(index);
                         end(worker, order.task.clone(), order.run, RunEndKind::Stopped);
                     }
-                    let (task, worker, run) = (&order.task, &order.worker, order.run);
-                    self.scheduler
-                        .stop_answered(task, worker, run, true, self.now);
+                    self.scheduler.stop_answered(&order, true, self.now);
                 }
                 Action::Advise { step, workers } => {
                     self.advice_asked.push(workers.len());
--- a/rhubarbfall-scheduler/src/owner/worker_loop.rs
+++ b/rhubarbfall-scheduler/src/owner/worker_loop.rs
@@ -166,7 +166,7 @@
         telemetry::count_worker_order("stop", is_confirmed);
         let now = node.now();
         owner.with(|scheduler| {
-            scheduler.stop_answered(&order.task, &order.worker, order.run, is_confirmed, now);
+            scheduler.stop_answered(&order, is_confirmed, now);
         });
     });
 }
--- a/rhubarbfall-scheduler/src/settings.rs
+++ b/rhubarbfall-scheduler/src/settings.rs
@@ -102,6 +102,7 @@
     #[must_use]
     pub fn scheduler(&self) -> SchedulerSettings {
         SchedulerSettings {
+            max_lease: self.max_lease(),
             vm_moves_per_s: self.vm_calls_per_s * VM_MOVE_SHARE,
             ..SchedulerSettings::default()
         }
