fix(scheduler): resolve a conflict on the row of a submission taken for new

Cause: an owner does not hold every stored submission: it skips rows that it cannot read and forgets submissions that ended 150 s ago. A late copy of such a submission looked new; its row was stored on the condition that it does not exist, the batch met the row, and every conflict was taken for a lost ownership. The entries repeat a request until it is answered, so that each owner in turn gave up.

What callers saw: 503 and 504 for all submissions and cancels of the batch, as long as the copy was repeated.

Change: a conflict under an unchanged owner row that shows a row of a submission taken for new is resolved: the submission is taken out of the batch, the rest is stored with its versions and waiters as they were, and the owner reads what the rows hold. An ended submission is confirmed with its state and does not run again; an active one is taken over with its placements, and a cancel of the copy applies to it. A submission that cannot be read is neither run, confirmed nor given back as one that has not run: its callers are told 504, and later copies are answered without a transaction, also by owners that meet the row when they load. Every row that is written afterwards replaces the version that was read. A conflict on any other row, or under another owner row, ends the ownership as before. Beside it: an earlier attempt is recognised as stored only if all its rows have one version, and one that is newer than the last stored batch. A copy with the same bytes as a forgotten submission could have been taken for such an attempt.

--- a/rhubarbfall-runs/src/scheduler/intake.rs
+++ b/rhubarbfall-runs/src/scheduler/intake.rs
@@ -36,10 +36,11 @@
 
 impl Scheduler {
     /// Adds a submission unless it is known, and returns the job version that must be stored for it
-    /// to be accepted. A submission whose cancellation came first is accepted as cancelled.
+    /// to be accepted. A submission whose cancellation came first is accepted as cancelled; one whose
+    /// stored row cannot be read is not added, and no version of it is ever stored.
     pub fn submit(&mut self, submission: Submission, now: BootTime) -> u64 {
         let id = submission.id.clone();
-        if self.jobs.get(&id).is_some() {
+        if self.jobs.get(&id).is_some() || self.is_unreadable(&id) {
             return ACCEPTED_VERSION;
         }
         let is_cancelled = self.early_cancellations.contains(&id);
@@ -79,7 +80,7 @@
     /// removed, because its cancellation applies to later copies of its request as well.
     pub fn withdraw(&mut self, id: &SubmissionId, now: BootTime) -> bool {
         let Some(job) = self.jobs.get(id) else {
-            return true;
+            return !self.is_unreadable(id);
         };
         if job.was_sent || job.state.is_final() {
             return false;
--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -51,6 +51,8 @@
     config: Arc<FleetConfig>,
     jobs: LiteMap<SubmissionId, Box<Job>>,
     early_cancellations: early_cancellations::EarlyCancellations,
+    /// The submissions whose stored rows cannot be read.
+    unreadable: Vec<SubmissionId>,
     workers: LiteMap<WorkerId, Worker>,
     customer_usage: LiteMap<CustomerId, Resources>,
     arrival_limits: LiteMap<CustomerId, token_bucket::TokenBucket>,
@@ -92,6 +94,7 @@
             config: Arc::new(FleetConfig::default()),
             jobs: LiteMap::new(),
             early_cancellations: early_cancellations::EarlyCancellations::new(),
+            unreadable: Vec::new(),
             workers: LiteMap::new(),
             customer_usage: LiteMap::new(),
             arrival_limits: LiteMap::new(),
--- a/rhubarbfall-runs/src/scheduler/recovery.rs
+++ b/rhubarbfall-runs/src/scheduler/recovery.rs
@@ -1,11 +1,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rhubarbfall_core::{BootTime, RowVersion, WorkerId};
+use rhubarbfall_core::{BootTime, RowVersion, SubmissionId, WorkerId};
 
 use super::Scheduler;
 use crate::{
-    Job, JobProgress, Placement, RunState, Submission, Task, TaskId, TaskPhase, Worker, WorkerState,
+    Job, JobProgress, JobState, Placement, RunState, Submission, Task, TaskId, TaskPhase, Worker,
+    WorkerState,
 };
 
 /// The maximum age of a recovered submission; a higher age would not change its rank.
@@ -32,31 +33,87 @@
     ) {
         self.inherited_lease_expiry = Some(inherited_lease_expiry);
         self.interrupt_after = now + self.settings.takeover_interrupt_delay;
-        for StoredJob {
-            submission,
-            progress,
-        } in stored
-        {
-            // The clocks of entries differ slightly and may step.
-            let age_ms = unix_ms.saturating_sub(submission.received_unix_ms);
-            let age = Duration::from_millis(age_ms).min(MAX_RECOVERED_AGE);
-            let mut job = Job::new(Arc::new(submission), now.before(age));
-            job.was_sent = true;
-            job.is_accepted = true;
-            job.stored_version = job.version;
-            if let Some((progress, row_version)) = progress {
-                restore(&mut job, &progress, now);
-                job.progress_row = Some(row_version);
+        for stored in stored {
+            self.insert_recovered(recovered_job(stored, now, unix_ms));
+        }
+    }
+
+    /// Records submissions whose rows cannot be read. They are neither run nor accepted.
+    pub fn recover_unreadable(&mut self, ids: Vec<SubmissionId>) {
+        self.unreadable.extend(ids);
+    }
+
+    /// Returns whether the store has a submission of this identifier that cannot be read.
+    #[must_use]
+    pub fn is_unreadable(&self, id: &SubmissionId) -> bool {
+        self.unreadable.contains(id)
+    }
+
+    /// Replaces a job that was taken for new, and of which nothing was stored, by what the store
+    /// holds for its submission: a job, or `None` if that cannot be read. A cancellation of the
+    /// replaced job applies to the stored one.
+    pub fn submission_found(
+        &mut self,
+        id: &SubmissionId,
+        stored: Option<StoredJob>,
+        now: BootTime,
+        unix_ms: u64,
+    ) {
+        match &stored {
+            Some(StoredJob { progress, .. }) => {
+                let state = progress.as_ref().map(|(progress, _)| progress.state);
+                let state = state.unwrap_or_default();
+                log::warn!("event=submission_found id={id} state={state}");
             }
-            let placed = job.tasks_where(|task| task.placement().is_some());
-            let id = job.submission.id.clone();
-            self.jobs.insert(id, Box::new(job));
-            for task in placed {
-                let worker = self.placement(&task).map(|placed| placed.worker.clone());
-                if let Some(worker) = worker {
-                    self.reserve(&task, &worker);
-                    self.add_inherited_on_unlisted(worker, task);
-                }
+            None => log::error!("event=submission_found id={id} state=unreadable"),
+        }
+        let placed = self
+            .jobs
+            .get(id)
+            .map(|job| job.tasks_where(|task| task.placement().is_some()));
+        for task in placed.unwrap_or_default() {
+            self.release(&task, now);
+        }
+        let replaced = self.jobs.remove(id);
+        self.dirty.retain(|dirty| dirty != id);
+        self.needs_placement = true;
+        let Some(stored) = stored else {
+            self.unreadable.push(id.clone());
+            return;
+        };
+        let mut job = recovered_job(stored, now, unix_ms);
+        // Callers wait for versions of the replaced job.
+        if let Some(replaced) = &replaced {
+            job.version = job.version.max(replaced.version);
+        }
+        let is_cancelled = replaced.is_some_and(|replaced| replaced.state == JobState::Cancelled);
+        let is_to_be_cancelled = is_cancelled && !job.state.is_final();
+        if !is_to_be_cancelled {
+            job.stored_version = job.version;
+        }
+        if !job
+            .tasks_where(|task| task.placement().is_some())
+            .is_empty()
+        {
+            let inherited = self.inherited_lease_expiry.unwrap_or_default();
+            self.inherited_lease_expiry = Some(inherited.max(self.max_lease_end));
+        }
+        self.insert_recovered(job);
+        if is_to_be_cancelled {
+            self.finish(id, JobState::Cancelled, now);
+        }
+    }
+
+    /// Adds a job that an earlier owner has stored, and reserves the resources of its placed tasks.
+    fn insert_recovered(&mut self, job: Job) {
+        let placed = job.tasks_where(|task| task.placement().is_some());
+        let id = job.submission.id.clone();
+        self.jobs.insert(id, Box::new(job));
+        for task in placed {
+            let worker = self.placement(&task).map(|placed| placed.worker.clone());
+            if let Some(worker) = worker {
+                self.reserve(&task, &worker);
+                self.add_inherited_on_unlisted(worker, task);
             }
         }
     }
@@ -129,6 +186,26 @@
     }
 }
 
+/// Creates a job from what an earlier owner has stored.
+fn recovered_job(stored: StoredJob, now: BootTime, unix_ms: u64) -> Job {
+    let StoredJob {
+        submission,
+        progress,
+    } = stored;
+    // The clocks of entries differ slightly and may step.
+    let age_ms = unix_ms.saturating_sub(submission.received_unix_ms);
+    let age = Duration::from_millis(age_ms).min(MAX_RECOVERED_AGE);
+    let mut job = Job::new(Arc::new(submission), now.before(age));
+    job.was_sent = true;
+    job.is_accepted = true;
+    job.stored_version = job.version;
+    if let Some((progress, row_version)) = progress {
+        restore(&mut job, &progress, now);
+        job.progress_row = Some(row_version);
+    }
+    job
+}
+
 fn restore(job: &mut Job, progress: &JobProgress, now: BootTime) {
     job.state = progress.state;
     job.stored_state = progress.state;
--- a/rhubarbfall-scheduler/src/owner/mod.rs
+++ b/rhubarbfall-scheduler/src/owner/mod.rs
@@ -282,6 +282,9 @@
         let id = submission.id.clone();
         let now = node.now();
         let version = self.with(|scheduler| scheduler.submit(submission, now));
+        if self.scheduler.borrow().is_unreadable(&id) {
+            return RequestOutcome::Unknown;
+        }
         let stored = self.wait_until_stored(id.clone(), version);
         tokio::pin!(stored);
         // If the store does not answer, a submission that was never sent to it is withdrawn, and
@@ -364,6 +367,7 @@
         jobs,
         mut waves,
         early_cancellations,
+        unreadable,
     } = match loaded {
         Ok(loaded) => loaded,
         Err(error) => {
@@ -387,6 +391,7 @@
         scheduler.set_config(config);
         scheduler.recover(jobs, inherited_until, now, unix_ms);
         scheduler.recover_early_cancellations(early_cancellations, now);
+        scheduler.recover_unreadable(unreadable);
         for wave in requested {
             let stored = waves.remove(&wave.id);
             scheduler.wave_requested(wave, stored, now, unix_ms);
--- a/rhubarbfall-scheduler/src/owner/state_rows.rs
+++ b/rhubarbfall-scheduler/src/owner/state_rows.rs
@@ -7,7 +7,9 @@
 use rhubarbfall_runs::scheduler::{
     Batch, StoredJob, SubmissionState, WaveProgress, encode_early_cancellation,
 };
-use rhubarbfall_runs::{JobProgress, JobState, decode_progress, decode_submission, decode_wave};
+use rhubarbfall_runs::{
+    JobProgress, JobState, Submission, decode_progress, decode_submission, decode_wave,
+};
 use rhubarbfall_site::{RowKey, StoreError, StoredRow, Transaction};
 
 use crate::node::Node;
@@ -36,6 +38,8 @@
     pub(super) jobs: Vec<StoredJob>,
     pub(super) waves: LiteMap<WaveId, (WaveProgress, RowVersion)>,
     pub(super) early_cancellations: Vec<SubmissionId>,
+    /// The submissions whose rows are malformed.
+    pub(super) unreadable: Vec<SubmissionId>,
 }
 
 /// Reads the state stored by earlier owners. Malformed rows are logged and skipped, except that a
@@ -49,16 +53,14 @@
         progress.insert(row.key.key, (decoded, row.version));
     }
     let mut jobs = Vec::with_capacity(submissions.len());
+    let mut unreadable = Vec::new();
     for row in submissions {
-        match decode_submission(&row.value) {
-            Ok(submission) => jobs.push(StoredJob {
+        match read_submission(&row) {
+            Some(submission) => jobs.push(StoredJob {
                 progress: progress.remove(&row.key.key),
                 submission,
             }),
-            Err(error) => log::error!(
-                "event=submission_row_malformed id={} error={error}",
-                row.key.key
-            ),
+            None => unreadable.extend(row.key.key.parse()),
         }
     }
     let waves = load_waves(node).await?;
@@ -67,9 +69,41 @@
         jobs,
         waves,
         early_cancellations,
+        unreadable,
     })
 }
 
+/// Reads a stored submission, or returns `None` if its row does not exist or is malformed.
+pub(super) async fn read_stored_job(
+    node: &Node,
+    id: &SubmissionId,
+) -> Result<Option<StoredJob>, StoreError> {
+    let key = id.as_str();
+    let submission = node
+        .store
+        .read_row(SUBMISSION_TABLE, CELL_PART, key)
+        .await?;
+    let Some(submission) = submission.as_ref().and_then(read_submission) else {
+        return Ok(None);
+    };
+    let progress = node.store.read_row(PROGRESS_TABLE, CELL_PART, key).await?;
+    Ok(Some(StoredJob {
+        submission,
+        progress: progress.map(|row| (read_progress(&row), row.version)),
+    }))
+}
+
+/// Decodes a submission, which must be the one that its row is named after.
+fn read_submission(row: &StoredRow) -> Option<Submission> {
+    let id = &row.key.key;
+    match decode_submission(&row.value) {
+        Ok(submission) if submission.id.as_str() == &**id => return Some(submission),
+        Ok(other) => log::error!("event=submission_row_malformed id={id} holds={}", other.id),
+        Err(error) => log::error!("event=submission_row_malformed id={id} error={error}"),
+    }
+    None
+}
+
 /// Decodes the progress of a job. A job whose progress is malformed may have ended, and the numbers
 /// of its runs are unknown, so that it counts as failed and nothing of it starts again.
 fn read_progress(row: &StoredRow) -> JobProgress {
@@ -121,7 +155,7 @@
             transaction.writes.push((key, submission.clone()));
         }
         if let Some(progress) = &row.progress {
-            let key = RowKey::new(PROGRESS_TABLE, CELL_PART, row.id.as_str());
+            let key = progress_row(&row.id);
             transaction.expected.push((key.clone(), row.replaces));
             transaction.writes.push((key, progress.clone()));
         }
@@ -148,6 +182,19 @@
     RowKey::new(SUBMISSION_TABLE, CELL_PART, id.as_str())
 }
 
+fn progress_row(id: &SubmissionId) -> RowKey {
+    RowKey::new(PROGRESS_TABLE, CELL_PART, id.as_str())
+}
+
+/// Returns the submissions that a batch stores as new and of which the store has a row.
+pub(super) fn already_stored(batch: &Batch, rows: &[StoredRow]) -> Vec<SubmissionId> {
+    let exists = |key: &RowKey| rows.iter().any(|row| row.key == *key && !row.is_removed);
+    let new = batch.rows.iter().filter(|row| row.submission.is_some());
+    new.map(|row| row.id.clone())
+        .filter(|id| exists(&submission_row(id)) || exists(&progress_row(id)))
+        .collect()
+}
+
 /// Reads a submission's state from the store, for use when no owner can be reached.
 pub(crate) async fn read_stored_state(
     node: &Node,
--- a/rhubarbfall-scheduler/src/owner/store_loop.rs
+++ b/rhubarbfall-scheduler/src/owner/store_loop.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use rhubarbfall_core::RowVersion;
+use rhubarbfall_core::{RowVersion, SubmissionId};
 use rhubarbfall_runs::scheduler::Batch;
 use rhubarbfall_site::{
     CommitOutcome, RowKey, STATUS_TABLE, StoredRow, Transaction, encode_wave_state, wave_status_key,
@@ -23,27 +23,69 @@
 /// Interval at which the owner checks for wave states to report.
 const WAVE_REPORT_INTERVAL: Duration = Duration::from_millis(200);
 
+/// The outcome of storing a batch.
+enum BatchOutcome {
+    /// The batch was stored under this version.
+    Stored(RowVersion),
+    /// Nothing was stored, because the store has rows of these submissions, which the batch
+    /// contains as new. Rows of submissions are never removed, so that no earlier attempt of the
+    /// batch can take effect any more.
+    AlreadyStored(Vec<SubmissionId>),
+    /// The ownership ended first.
+    OwnershipEnded,
+}
+
 /// Stores batches until the ownership ends.
 pub(super) async fn run(node: Rc<Node>, owner: Rc<Owner>) {
+    let mut newest = owner.owner_row_version();
     while !owner.has_ended() {
         let batch = owner.scheduler.borrow_mut().next_batch();
-        let Some(batch) = batch else {
+        let Some(mut batch) = batch else {
             owner.wake_store.notified().await;
             continue;
         };
-        let Some(version) = store(&node, &owner, &batch).await else {
-            return;
-        };
-        let now = node.now();
-        owner.with(|scheduler| scheduler.batch_stored(&batch, version, now));
-        owner.resolve_waiters();
+        while batch != Batch::default() {
+            match store(&node, &owner, &batch, newest).await {
+                BatchOutcome::Stored(version) => {
+                    newest = version;
+                    let now = node.now();
+                    owner.with(|scheduler| scheduler.batch_stored(&batch, version, now));
+                    batch = Batch::default();
+                }
+                BatchOutcome::AlreadyStored(ids) => {
+                    batch.rows.retain(|row| !ids.contains(&row.id));
+                    replace_by_stored(&node, &owner, &ids).await;
+                }
+                BatchOutcome::OwnershipEnded => return,
+            }
+            owner.resolve_waiters();
+        }
         owner.batch_stored.notify_waiters();
         tokio::time::sleep(BATCH_PAUSE).await;
     }
 }
 
-/// Stores a batch, with as many retries as needed. Returns `None` if the ownership ends first.
-async fn store(node: &Node, owner: &Owner, batch: &Batch) -> Option<RowVersion> {
+/// Reads submissions that the owner took for new, and passes them to the scheduler.
+async fn replace_by_stored(node: &Node, owner: &Owner, ids: &[SubmissionId]) {
+    for id in ids {
+        while !owner.has_ended() {
+            match state_rows::read_stored_job(node, id).await {
+                Ok(stored) => {
+                    let (now, unix_ms) = (node.now(), node.unix_ms());
+                    owner.with(|scheduler| scheduler.submission_found(id, stored, now, unix_ms));
+                    break;
+                }
+                Err(error) => {
+                    log::warn!("event=submission_read_failed id={id} error={error}");
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+    }
+}
+
+/// Stores a batch, with as many retries as needed. Versions up to `newest` were assigned before.
+async fn store(node: &Node, owner: &Owner, batch: &Batch, newest: RowVersion) -> BatchOutcome {
     let mut transaction = state_rows::transaction(owner, batch);
     let mut may_be_stored = false;
     while !owner.has_ended() {
@@ -72,20 +114,24 @@
                     owner.confirm_renewal(sent_at);
                 }
                 telemetry::count_store_call("batch", "stored", took);
-                return Some(version);
+                return BatchOutcome::Stored(version);
             }
             Ok(CommitOutcome::Conflict(rows)) => {
                 telemetry::count_store_call("batch", "conflict", took);
-                if let Some(version) =
-                    find_earlier_commit(&transaction, &rows).filter(|_| may_be_stored)
+                let earlier = find_earlier_commit(&transaction, &rows);
+                if let Some(version) = earlier.filter(|version| may_be_stored && *version > newest)
                 {
-                    return Some(version);
+                    return BatchOutcome::Stored(version);
+                }
+                let known = state_rows::already_stored(batch, &rows);
+                if is_owner_unchanged(&transaction, &rows) && !known.is_empty() {
+                    return BatchOutcome::AlreadyStored(known);
                 }
                 if !owner.has_ended() {
                     log::error!("event=batch_conflict rows={}", rows.len());
                     node.drop_ownership("batch_conflict");
                 }
-                return None;
+                return BatchOutcome::OwnershipEnded;
             }
             Err(error) => {
                 telemetry::count_store_call("batch", "failed", took);
@@ -98,23 +144,34 @@
             }
         }
     }
-    None
+    BatchOutcome::OwnershipEnded
+}
+
+fn current<'a>(rows: &'a [StoredRow], key: &RowKey) -> Option<&'a StoredRow> {
+    rows.iter().find(|row| row.key == *key && !row.is_removed)
+}
+
+/// Returns whether the row of a conflict that names the owner is still the expected one.
+fn is_owner_unchanged(transaction: &Transaction, rows: &[StoredRow]) -> bool {
+    let owner = transaction.expected.first();
+    owner.is_some_and(|(key, version)| current(rows, key).map(|row| row.version) == *version)
 }
 
 /// Returns the version of an earlier attempt that was stored: the owner row is unchanged and the
-/// rows that the transaction is conditioned on hold the written values. Other rows are not part of
-/// the response.
+/// rows that the transaction is conditioned on hold the written values, all under one version.
+/// Other rows are not part of the response.
 fn find_earlier_commit(transaction: &Transaction, rows: &[StoredRow]) -> Option<RowVersion> {
-    let current = |key: &RowKey| rows.iter().find(|row| row.key == *key && !row.is_removed);
-    let (owner_key, owner_version) = transaction.expected.first()?;
-    if current(owner_key).map(|row| row.version) != *owner_version {
+    if !is_owner_unchanged(transaction, rows) {
         return None;
     }
     let mut version = None;
     let is_conditional = |key: &RowKey| transaction.expected.iter().any(|(row, _)| row == key);
     let writes = transaction.writes.iter();
     for (key, value) in writes.filter(|(key, _)| is_conditional(key)) {
-        let row = current(key).filter(|row| row.value == *value)?;
+        let row = current(rows, key).filter(|row| row.value == *value)?;
+        if version.is_some_and(|version| version != row.version) {
+            return None;
+        }
         version = Some(row.version);
     }
     version
--- a/rhubarbfall-scheduler/src/owner/store_loop/tests.rs
+++ b/rhubarbfall-scheduler/src/owner/store_loop/tests.rs
@@ -4,7 +4,7 @@
 use rhubarbfall_core::RowVersion;
 use rhubarbfall_site::{RowKey, StoredRow, Transaction};
 
-use super::find_earlier_commit;
+use super::{find_earlier_commit, is_owner_unchanged};
 
 const OWNER_VERSION: RowVersion = RowVersion::new(5);
 
@@ -104,3 +104,27 @@
     batch.writes.drain(..2);
     assert_eq!(find_earlier_commit(&batch, &rows), None);
 }
+
+/// A transaction gives all of its rows one version.
+#[test]
+fn values_of_different_versions_are_no_earlier_commit() {
+    let rows = [
+        row("owner", b"", 5),
+        row("a", b"cancelled", 9),
+        row("b", b"new", 8),
+    ];
+    assert_eq!(find_earlier_commit(&batch(), &rows), None);
+}
+
+/// Only under an unchanged owner row may a conflict be resolved; otherwise the ownership has ended.
+#[test]
+fn conflict_tells_whether_the_owner_row_has_changed() {
+    assert!(is_owner_unchanged(&batch(), &[row("owner", b"", 5)]));
+    assert!(!is_owner_unchanged(&batch(), &[row("owner", b"", 6)]));
+    assert!(!is_owner_unchanged(&batch(), &[row("a", b"cancelled", 6)]));
+    let removed = StoredRow {
+        is_removed: true,
+        ..row("owner", b"", 5)
+    };
+    assert!(!is_owner_unchanged(&batch(), &[removed]));
+}
--- a/rhubarbfall/tests/submissions.rs
+++ b/rhubarbfall/tests/submissions.rs
@@ -12,6 +12,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use futures_util::future::join_all;
 use http::{Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper_util::client::legacy::Client;
@@ -576,6 +577,70 @@
     assert_eq!(second.event_names(&["event=ownership_lost"]).len(), 0);
 }
 
+/// Returns the owner after one that has completed a submission. The rows of that submission appear only
+/// after the present owner has read the others, as if it had forgotten them.
+async fn owner_that_has_forgotten(site: &StandInSite, id: &str) -> SchedulerEntry {
+    let mut first = start_entry(site, "entry-1", &[]);
+    submit(&[&first], id).await;
+    wait_completed(&first, id).await;
+    first.child.kill().expect("the owner is killed");
+    for table in ["submission", "progress"] {
+        site.set_hidden(table, "c0", id, true);
+    }
+    let second = start_entry(site, "entry-2", &[]);
+    submit(&[&second], "00000000000000d7").await;
+    for table in ["submission", "progress"] {
+        site.set_hidden(table, "c0", id, false);
+    }
+    second
+}
+
+/// A copy of an ended submission that its owner has forgotten is the same submission: it is
+/// confirmed with its state and does not run again, and the other submissions of its batch are
+/// stored.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_copy_of_an_ended_submission_is_confirmed_and_does_not_run_again() {
+    let site = StandInSite::start(2, Duration::from_millis(150)).await;
+    let id = "00000000000000d6";
+    let owner = owner_that_has_forgotten(&site, id).await;
+    let starts = starts_of(&site, id);
+    let others: Vec<String> = (0..8).map(|number| format!("{number:015x}d")).collect();
+    let copies = (0..3).map(|_| status_of(&owner, Method::POST, id, BODY));
+    let new = others
+        .iter()
+        .map(|other| status_of(&owner, Method::POST, other, BODY));
+    let (copies, new) = tokio::join!(join_all(copies), join_all(new));
+    assert_eq!(copies, [200; 3]);
+    assert_eq!(new, [200; 8]);
+    for other in &others {
+        wait_completed(&owner, other).await;
+    }
+    wait_completed(&owner, id).await;
+    tokio::time::sleep(SETTLING_TIME).await;
+    assert_eq!(starts_of(&site, id), starts);
+    assert_eq!(owner.event_names(&["event=ownership_lost"]).len(), 0);
+    assert_eq!(owner.event_names(&["event=submission_found", id]).len(), 1);
+}
+
+/// The same where the row that the copy meets cannot be read: the copy is not confirmed.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_copy_of_a_submission_that_cannot_be_read_is_not_confirmed() {
+    let site = StandInSite::start(2, Duration::from_millis(150)).await;
+    let id = "00000000000000d8";
+    let owner = owner_that_has_forgotten(&site, id).await;
+    let starts = starts_of(&site, id);
+    site.replace_value("submission", "c0", id, "/////w==");
+    for _ in 0..2 {
+        let copy = status_of(&owner, Method::POST, id, BODY);
+        let other = status_of(&owner, Method::POST, "00000000000000d9", BODY);
+        assert_eq!(tokio::join!(copy, other), (504, 200));
+    }
+    wait_completed(&owner, "00000000000000d9").await;
+    assert_eq!(starts_of(&site, id), starts);
+    assert_eq!(owner.event_names(&["event=ownership_lost"]).len(), 0);
+    assert_eq!(owner.event_names(&["event=submission_found", id]).len(), 1);
+}
+
 /// An entry must not go on with a submission whose caller has closed its connection.
 #[tokio::test(flavor = "multi_thread")]
 async fn waiting_submission_is_dropped_when_its_caller_closes_the_connection() {
