fix(scheduler): keep the ownership when a wave's row is not in memory

Cause: the same as with submissions: a wave whose row could not be read, or of whose request the owner learned after it had read the rows, was taken for new; its progress was stored on the condition that there is no row, and the conflict ended the ownership.

What callers saw, with a row that cannot be read: no owner stays, every submission is answered 503.

Change: the progress that was read is kept until its wave is requested. For a wave whose row cannot be read nothing is done and nothing is stored, since the VMs that are down for it are unknown; wave_ignored is logged as an error, and the wave stays incomplete.

--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -26,7 +26,7 @@
 use std::sync::Arc;
 
 use litemap::LiteMap;
-use rhubarbfall_core::{BootTime, CustomerId, SubmissionId, WorkerId};
+use rhubarbfall_core::{BootTime, CustomerId, RowVersion, SubmissionId, WaveId, WorkerId};
 
 use crate::{FleetConfig, Job, Placement, Resources, RunState, TaskId, TaskPhase, Worker};
 
@@ -72,6 +72,9 @@
     /// Whether a change since the last placement may let a waiting task start.
     needs_placement: bool,
     vm_ops: vm_operations::VmOperations,
+    /// The progress of waves that an earlier owner has stored and that are not requested yet; `None`
+    /// for a wave whose row cannot be read.
+    recovered_waves: LiteMap<WaveId, Option<(WaveProgress, RowVersion)>>,
     advice: advice::Advice,
     /// The jobs whose last run has ended since they were last taken.
     cleared_jobs: Vec<ClearedJob>,
@@ -107,6 +110,7 @@
             inherited_on_unlisted: LiteMap::new(),
             needs_placement: true,
             vm_ops: vm_operations::VmOperations::default(),
+            recovered_waves: LiteMap::new(),
             advice: advice::Advice::default(),
             cleared_jobs: Vec::new(),
             pending_starts: Vec::new(),
--- a/rhubarbfall-runs/src/scheduler/waves.rs
+++ b/rhubarbfall-runs/src/scheduler/waves.rs
@@ -128,6 +128,16 @@
 }
 
 impl Scheduler {
+    /// Records the progress of waves that an earlier owner has stored, with `None` for a row that
+    /// cannot be read. Nothing is done for such a wave, because the VMs that are down for it are
+    /// unknown.
+    pub fn recover_waves(
+        &mut self,
+        waves: impl IntoIterator<Item = (WaveId, Option<(WaveProgress, RowVersion)>)>,
+    ) {
+        self.recovered_waves.extend(waves);
+    }
+
     /// Adds a wave, with the progress that an earlier owner stored for it.
     pub fn wave_requested(
         &mut self,
@@ -139,6 +149,14 @@
         if self.vm_ops.waves.get(&wave.id).is_some() {
             return;
         }
+        let stored = match self.recovered_waves.get(&wave.id) {
+            Some(None) => {
+                log::error!("event=wave_ignored wave={}", wave.id);
+                return;
+            }
+            Some(Some(_)) => self.recovered_waves.remove(&wave.id).flatten(),
+            None => stored,
+        };
         log::info!(
             "event=wave_requested wave={} vms={} max_down={} duration={:?} is_inherited={}",
             wave.id,
--- a/rhubarbfall-runs/tests/faults.rs
+++ b/rhubarbfall-runs/tests/faults.rs
@@ -7,7 +7,9 @@
 
 use model::{Model, step, submission};
 use rhubarbfall_core::{BootTime, RowVersion};
-use rhubarbfall_runs::scheduler::{Action, SchedulerSettings, VmOperation, VmRow, VmState, Wave};
+use rhubarbfall_runs::scheduler::{
+    Action, CalledVm, SchedulerSettings, VmOperation, VmRow, VmState, Wave, WaveProgress,
+};
 use rhubarbfall_runs::{JobState, Resources, Scheduler, Step};
 
 const UNBOUNDED: Duration = Duration::from_secs(100_000);
@@ -176,6 +178,51 @@
     );
 }
 
+/// A new owner can read the stored progress of a wave before it learns that the wave is requested.
+/// The progress is that of the wave: stored as new, it would conflict with its own row.
+#[test]
+fn a_wave_that_is_requested_after_its_progress_was_read_goes_on_from_it() {
+    let now = BootTime::new(Duration::from_secs(50));
+    let called = CalledVm {
+        vm: "vm-0".parse().expect("valid VM name"),
+        worker: None,
+        has_begun: true,
+    };
+    let progress = WaveProgress {
+        first_seen_unix_ms: 1_000,
+        called: vec![called],
+    };
+    let mut scheduler = Scheduler::new(SchedulerSettings::default());
+    let requested = wave(2, 5);
+    scheduler.recover_waves([(requested.id.clone(), Some((progress, RowVersion::new(7))))]);
+    scheduler.wave_requested(requested, None, now, 2_000);
+    scheduler.vms_listed(vm_rows(5), now, now);
+    scheduler.tick(now, 2_000);
+    let batch = scheduler.next_batch().expect("batch with the wave row");
+    assert_eq!(batch.waves[0].replaces, Some(RowVersion::new(7)));
+    let stored = rhubarbfall_runs::decode_wave(&batch.waves[0].progress);
+    let stored = stored.expect("valid wave record");
+    assert_eq!(stored.first_seen_unix_ms, 1_000);
+    assert!(stored.called.iter().any(|called| called.has_begun));
+}
+
+/// The VMs that are down for a wave whose progress cannot be read are unknown.
+#[test]
+fn nothing_is_done_for_a_wave_whose_progress_cannot_be_read() {
+    let now = BootTime::new(Duration::from_secs(50));
+    let mut scheduler = Scheduler::new(SchedulerSettings::default());
+    let requested = wave(2, 5);
+    scheduler.recover_waves([(requested.id.clone(), None)]);
+    for _ in 0..2 {
+        scheduler.wave_requested(requested.clone(), None, now, 2_000);
+        scheduler.vms_listed(vm_rows(5), now, now);
+        scheduler.tick(now, 2_000);
+        assert_eq!(scheduler.next_batch(), None);
+        assert_eq!(scheduler.take_actions(), vec![]);
+        assert_eq!(scheduler.unreported_waves(), vec![]);
+    }
+}
+
 #[test]
 fn an_unexpected_answer_about_a_vm_ends_no_run() {
     let mut model = Model::new(&[("labels", 2), ("spare", 0)], 4);
--- a/rhubarbfall-scheduler/src/owner/mod.rs
+++ b/rhubarbfall-scheduler/src/owner/mod.rs
@@ -365,7 +365,7 @@
     let loaded = state_rows::load(node).await;
     let state_rows::LoadedState {
         jobs,
-        mut waves,
+        waves,
         early_cancellations,
         unreadable,
     } = match loaded {
@@ -392,9 +392,9 @@
         scheduler.recover(jobs, inherited_until, now, unix_ms);
         scheduler.recover_early_cancellations(early_cancellations, now);
         scheduler.recover_unreadable(unreadable);
+        scheduler.recover_waves(waves);
         for wave in requested {
-            let stored = waves.remove(&wave.id);
-            scheduler.wave_requested(wave, stored, now, unix_ms);
+            scheduler.wave_requested(wave, None, now, unix_ms);
         }
     });
     owner.is_loaded.set(true);
--- a/rhubarbfall-scheduler/src/owner/state_rows.rs
+++ b/rhubarbfall-scheduler/src/owner/state_rows.rs
@@ -36,14 +36,15 @@
 #[derive(Debug)]
 pub(super) struct LoadedState {
     pub(super) jobs: Vec<StoredJob>,
-    pub(super) waves: LiteMap<WaveId, (WaveProgress, RowVersion)>,
+    /// The progress of waves, or `None` where a row is malformed.
+    pub(super) waves: LiteMap<WaveId, Option<(WaveProgress, RowVersion)>>,
     pub(super) early_cancellations: Vec<SubmissionId>,
     /// The submissions whose rows are malformed.
     pub(super) unreadable: Vec<SubmissionId>,
 }
 
-/// Reads the state stored by earlier owners. Malformed rows are logged and skipped, except that a
-/// job with malformed progress has failed.
+/// Reads the state stored by earlier owners. Malformed rows are logged. A job with malformed progress
+/// has failed.
 pub(super) async fn load(node: &Node) -> Result<LoadedState, StoreError> {
     let (submissions, _) = node.store.read_all(SUBMISSION_TABLE, CELL_PART).await?;
     let (progress_rows, _) = node.store.read_all(PROGRESS_TABLE, CELL_PART).await?;
@@ -131,15 +132,16 @@
 
 async fn load_waves(
     node: &Node,
-) -> Result<LiteMap<WaveId, (WaveProgress, RowVersion)>, StoreError> {
+) -> Result<LiteMap<WaveId, Option<(WaveProgress, RowVersion)>>, StoreError> {
     let (rows, _) = node.store.read_all(WAVE_TABLE, CELL_PART).await?;
     let mut waves = LiteMap::new();
     for row in rows {
-        match (row.key.key.parse(), decode_wave(&row.value)) {
-            (Ok(id), Ok(progress)) => drop(waves.insert(id, (progress, row.version))),
-            (id, progress) => {
-                log::error!("event=wave_row_malformed id={id:?} progress={progress:?}");
-            }
+        let key = &row.key.key;
+        let progress = decode_wave(&row.value)
+            .inspect_err(|error| log::error!("event=wave_row_malformed id={key} error={error}"));
+        match key.parse() {
+            Ok(id) => drop(waves.insert(id, progress.ok().map(|wave| (wave, row.version)))),
+            Err(error) => log::error!("event=wave_row_malformed id={key} error={error}"),
         }
     }
     Ok(waves)
--- a/rhubarbfall/tests/submissions.rs
+++ b/rhubarbfall/tests/submissions.rs
@@ -641,6 +641,29 @@
     assert_eq!(owner.event_names(&["event=submission_found", id]).len(), 1);
 }
 
+/// A wave whose stored progress cannot be read: its row would be stored as a new one, and the conflict
+/// would cost each owner in turn its ownership.
+#[tokio::test(flavor = "multi_thread")]
+async fn wave_row_that_cannot_be_read_costs_no_ownership() {
+    let site = StandInSite::start(2, Duration::from_millis(150)).await;
+    let mut first = start_entry(&site, "entry-1", &[]);
+    submit(&[&first], "00000000000000da").await;
+    site.request_wave(1, "m-1");
+    let deadline = Instant::now() + WAIT_TIMEOUT;
+    while first.event_names(&["event=wave_reported"]).is_empty() {
+        assert!(Instant::now() < deadline, "the wave is not reported");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    first.child.kill().expect("the owner is killed");
+    site.replace_value("wave", "c0", "1", "/////w==");
+    let second = start_entry(&site, "entry-2", &[]);
+    submit(&[&second], "00000000000000db").await;
+    wait_completed(&second, "00000000000000db").await;
+    tokio::time::sleep(SETTLING_TIME).await;
+    assert_eq!(second.event_names(&["event=ownership_lost"]).len(), 0);
+    assert_eq!(second.event_names(&["event=wave_ignored"]).len(), 1);
+}
+
 /// An entry must not go on with a submission whose caller has closed its connection.
 #[tokio::test(flavor = "multi_thread")]
 async fn waiting_submission_is_dropped_when_its_caller_closes_the_connection() {
