--- a/rhubarbfall-runs/src/scheduler/intake.rs
+++ b/rhubarbfall-runs/src/scheduler/intake.rs
@@ -36,10 +36,11 @@
 
 impl Scheduler {
     /// Adds a submission unless it is known, and returns the job version that must be stored for it
-    /// to be accepted. A submission whose cancellation came first is accepted as cancelled.
+    /// to be accepted. A submission whose cancellation came first is accepted as cancelled; one whose
+    /// stored row cannot be read is not added, and no version of it is ever stored.
     pub fn submit(&mut self, submission: Submission, now: BootTime) -> u64 {
         let id = submission.id.clone();
-        if self.jobs.get(&id).is_some() {
+        if self.jobs.get(&id).is_some() || self.is_unreadable(&id) {
             return ACCEPTED_VERSION;
         }
         let is_cancelled = self.early_cancellations.contains(&id);
@@ -79,7 +80,7 @@
     /// removed, because its cancellation applies to later copies of its request as well.
     pub fn withdraw(&mut self, id: &SubmissionId, now: BootTime) -> bool {
         let Some(job) = self.jobs.get(id) else {
-            return true;
+            return !self.is_unreadable(id);
         };
         if job.was_sent || job.state.is_final() {
             return false;
@@ -205,12 +206,19 @@
         }
     }
 
-    /// Removes ended jobs after their retention time.
+    /// Removes ended jobs after their retention time. A job with a placed run stays, because the run
+    /// takes room until it has certainly ended.
     pub(super) fn remove_ended_jobs(&mut self, now: BootTime) {
         let keep = self.settings.ended_retention;
+        let has_placed = |job: &Job| {
+            let placed = job.tasks_where(|task| task.placement().is_some());
+            !placed.is_empty()
+        };
         let is_expired = |job: &Job| {
-            job.ended_at
-                .is_some_and(|ended_at| now.since(ended_at) > keep)
+            let is_due = job
+                .ended_at
+                .is_some_and(|ended_at| now.since(ended_at) > keep);
+            is_due && !has_placed(job)
         };
         let expired: Vec<SubmissionId> = self
             .jobs()
--- a/rhubarbfall-scheduler/src/owner/mod.rs
+++ b/rhubarbfall-scheduler/src/owner/mod.rs
@@ -283,6 +283,9 @@
         let id = submission.id.clone();
         let now = node.now();
         let version = self.with(|scheduler| scheduler.submit(submission, now));
+        if self.scheduler.borrow().is_unreadable(&id) {
+            return RequestOutcome::Unknown;
+        }
         let stored = self.wait_until_stored(id.clone(), version);
         tokio::pin!(stored);
         // If the store does not answer, a submission that was never sent to it is withdrawn, and
@@ -363,8 +366,9 @@
     let loaded = state_rows::load(node).await;
     let state_rows::LoadedState {
         jobs,
-        mut waves,
+        waves,
         early_cancellations,
+        unreadable,
     } = match loaded {
         Ok(loaded) => loaded,
         Err(error) => {
@@ -388,9 +392,10 @@
         scheduler.set_config(config);
         scheduler.recover(jobs, inherited_until, now, unix_ms);
         scheduler.apply_stored_cancellations(early_cancellations, now);
+        scheduler.recover_unreadable(unreadable);
+        scheduler.recover_waves(waves);
         for wave in requested {
-            let stored = waves.remove(&wave.id);
-            scheduler.wave_requested(wave, stored, now, unix_ms);
+            scheduler.wave_requested(wave, None, now, unix_ms);
         }
     });
     owner.is_loaded.set(true);
