feat(scheduler): log requests whose caller leaves before the response

Cause: a request is served inside its connection, and ends with it. A cancel that an entry has read and not passed on yet leaves no trace: `event=cancel` is written with the response only. Change: `event=request_abandoned` with method, path and the time since the request was read.

--- a/rhubarbfall-scheduler/src/callers.rs
+++ b/rhubarbfall-scheduler/src/callers.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use http::{Method, StatusCode};
-use rhubarbfall_core::{CustomerId, QueueId, ResultCode, SubmissionId};
+use rhubarbfall_core::{BootTime, CustomerId, QueueId, ResultCode, SubmissionId};
 use rhubarbfall_runs::{FleetConfig, Queue, Submission};
 use rhubarbfall_site::{
     CUSTOMER_KEY_HEADER, DEADLINE_HEADER, decode_submission_request, encode_pending, encode_state,
@@ -60,6 +60,28 @@
     }
 }
 
+/// Logs a request whose caller closed the connection before the response: the server then drops
+/// the future that serves it.
+struct AbandonedLog<'a> {
+    node: &'a Node,
+    request: &'a ServerRequest,
+    began_at: BootTime,
+    is_answered: bool,
+}
+
+impl Drop for AbandonedLog<'_> {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            log::info!(
+                "event=request_abandoned method={} path={} took_ms={}",
+                self.request.method,
+                self.request.path,
+                self.node.now().since(self.began_at).as_millis()
+            );
+        }
+    }
+}
+
 /// Operation requested by a caller.
 enum Operation {
     Submit(SubmissionId),
@@ -83,6 +105,12 @@
 pub(crate) async fn serve(node: Rc<Node>, request: ServerRequest) -> ServerResponse {
     let _in_flight = InFlightGuard::new(&node);
     let started = node.now();
+    let mut abandoned = AbandonedLog {
+        node: &node,
+        request: &request,
+        began_at: started,
+        is_answered: false,
+    };
     let (name, response) = match authorize(&node, &request) {
         Ok((operation, queue, customer)) => {
             let name = operation.name();
@@ -101,6 +129,7 @@
             ("unauthorized", error_response(code, None))
         }
     };
+    abandoned.is_answered = true;
     telemetry::count_answer(name, response.status.as_u16(), node.now().since(started));
     response
 }
