test(soak): callers that cancel and leave without the answer

Cause: a request is served inside its connection. Change: two callers send a whole DELETE and close the connection at once or within 40 ms, unless an answer arrives before. If the entry is neither killed nor told to stop, the cancel counts as due after 6 s without a disturbance of all workers, and "cancelled work stops" holds from then on. The check of answered cancels is unchanged.

--- a/rhubarbfall/tests/soak/callers.rs
+++ b/rhubarbfall/tests/soak/callers.rs
@@ -18,7 +18,7 @@
 use crate::entry::Entries;
 
 /// The time for which a caller waits for a response.
-const REQUEST_TIMEOUT: Duration = Duration::from_millis(1_500);
+pub(crate) const REQUEST_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// The maximum number of times that a caller sends the same submission.
 const MAX_ATTEMPTS: usize = 5;
@@ -41,6 +41,8 @@
     /// When a cancel was answered for the first time, with `cancel_status`.
     pub(crate) cancelled_at: Option<Instant>,
     pub(crate) cancel_status: Option<StatusCode>,
+    /// The entry to which a cancel was sent by a caller that left without the answer, and when.
+    pub(crate) cancel_left: Option<(usize, Instant)>,
     pub(crate) reported_completed_at: Option<Instant>,
     /// Reported states that contradict a guarantee.
     pub(crate) violations: Vec<String>,
@@ -81,6 +83,15 @@
             .max()
     }
 
+    /// Returns when the last cancel was sent by a caller that left without the answer.
+    pub(crate) fn last_left_cancel(&self) -> Option<Instant> {
+        let submissions = self.submissions();
+        submissions
+            .values()
+            .filter_map(|record| record.cancel_left.map(|(_, sent_at)| sent_at))
+            .max()
+    }
+
     pub(crate) fn was_accepted(&self, id: &str) -> bool {
         let submissions = self.submissions();
         submissions
@@ -104,12 +115,14 @@
                 .count()
         };
         format!(
-            "{} submissions, {} accepted, {} refused for sure, {} unclear, {} cancelled",
+            "{} submissions, {} accepted, {} refused for sure, {} unclear, {} cancelled, {} cancelled \
+             by callers that left",
             submissions.len(),
             count(|record| record.accepted_at.is_some()),
             count(SubmissionRecord::was_rejected),
             count(|record| record.accepted_at.is_none() && record.is_outcome_unknown),
             count(|record| record.cancelled_at.is_some()),
+            count(|record| record.cancel_left.is_some()),
         )
     }
 }
--- a/rhubarbfall/tests/soak/cancels.rs
+++ b/rhubarbfall/tests/soak/cancels.rs
@@ -1,13 +1,17 @@
-//! Callers that cancel: late, promptly after the answer, and without having waited for the answer.
+//! Callers that cancel: late, promptly after the answer, without having waited for the answer, and
+//! without waiting for the answer to the cancel.
 
+use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use http::{Method, StatusCode};
 use rand::RngExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
-use crate::callers::{BODY, CallerHistory, SoakCaller, pause, submit};
-use crate::entry::Entries;
+use crate::callers::{BODY, CallerHistory, REQUEST_TIMEOUT, SoakCaller, pause, submit};
+use crate::entry::{Entries, SchedulerEntry};
 
 /// A submission that runs until it is cancelled.
 const ENDLESS_BODY: &str = r#"{"spec":"endless","steps":[{"count":2,"cpu":4000,"mem_mb":100,
@@ -19,6 +23,12 @@
 /// The longest time for which a submission runs before its late cancel.
 const MAX_LATE_CANCEL_MS: u64 = 9_000;
 
+/// The longest time for which a submission runs before the cancel of a caller that leaves.
+const MAX_LEFT_CANCEL_MS: u64 = 3_000;
+
+/// The longest time for which a caller that leaves waits for the answer to its cancel.
+const MAX_STAY_MS: u64 = 40;
+
 /// The longest delay of a copy of a request.
 const MAX_COPY_DELAY_MS: u64 = 3_000;
 
@@ -138,3 +148,61 @@
         pause(caller, 400).await;
     }
 }
+
+/// Submits, and cancels without waiting for the answer, until the history is stopped.
+pub(crate) async fn run_leaving(seed: u64, entries: Arc<Entries>, history: Arc<CallerHistory>) {
+    let mut caller = SoakCaller::new(seed);
+    while !history.is_stopped() {
+        let id = caller.new_id();
+        history.update(&id, |record| record.is_endless = true);
+        if submit(&mut caller, &entries, &history, &id, ENDLESS_BODY).await {
+            pause(&mut caller, MAX_LEFT_CANCEL_MS).await;
+            cancel_and_leave(&mut caller, &entries, &history, &id).await;
+        } else {
+            cancel_unless_rejected(&mut caller, &entries, &history, &id).await;
+        }
+        pause(&mut caller, 500).await;
+    }
+}
+
+/// Sends a whole cancel to the first entry that takes the connection, and closes the connection
+/// unless an answer arrives before. A caller that has an answer, or whose connection the entry has
+/// closed, repeats the cancel.
+async fn cancel_and_leave(
+    caller: &mut SoakCaller,
+    entries: &Entries,
+    history: &CallerHistory,
+    id: &str,
+) {
+    history.update(id, |record| {
+        record.is_cancel_sent = true;
+        record.is_outcome_unknown = true;
+    });
+    loop {
+        let index = caller.rng.random_range(0..entries.processes.len());
+        let sent_at = Instant::now();
+        let Ok(connection) = send_cancel(&entries.processes[index], id).await else {
+            pause(caller, 100).await;
+            continue;
+        };
+        if caller.rng.random_bool(0.5) {
+            pause(caller, MAX_STAY_MS).await;
+        }
+        let received = connection.try_read(&mut [0]).map_err(|error| error.kind());
+        if received != Err(ErrorKind::WouldBlock) {
+            return cancel_until_answered(caller, entries, history, id).await;
+        }
+        return history.update(id, |record| record.cancel_left = Some((index, sent_at)));
+    }
+}
+
+async fn send_cancel(entry: &SchedulerEntry, id: &str) -> std::io::Result<TcpStream> {
+    let mut connection = TcpStream::connect(entry.caller_address).await?;
+    let request = format!(
+        "DELETE /print/{id} HTTP/1.1\r\nhost: labels.example\r\napi-key: key-a\r\n\
+         x-deadline-ms: {}\r\ncontent-length: 0\r\n\r\n",
+        REQUEST_TIMEOUT.as_millis()
+    );
+    connection.write_all(request.as_bytes()).await?;
+    Ok(connection)
+}
--- a/rhubarbfall/tests/soak/checker.rs
+++ b/rhubarbfall/tests/soak/checker.rs
@@ -5,6 +5,7 @@
 
 use crate::callers::{CallerHistory, SubmissionRecord};
 use crate::disturbances::DisturbanceLog;
+use crate::entry::Entries;
 use crate::stand_in::{Span, StandInSite};
 
 /// The number of the soak's tasks that fit on a worker at once.
@@ -13,6 +14,9 @@
 /// The number of tasks of a submission, in both of its steps.
 const TASK_COUNT: usize = 5;
 
+/// The time in steady state after which the platform counts an unanswered cancel as acknowledged.
+pub(crate) const ACK_BOUND: Duration = Duration::from_secs(6);
+
 /// The time after the answer to a cancel in which the platform allows tasks to start.
 const CANCEL_BOUND: Duration = Duration::from_secs(4);
 
@@ -22,6 +26,8 @@
 /// The time for which a disturbance excuses starts after its end.
 const CONTACT_BOUND: Duration = Duration::from_secs(4);
 
+const CANCELLED_STOPS: &str = "cancelled work stops";
+
 /// The time after the last disturbance and the last cancel in which everything cancelled must end.
 pub(crate) const SETTLE_TIME: Duration = Duration::from_millis(5_200);
 
@@ -44,7 +50,7 @@
         const ALL: [&str; 8] = [
             "accepted work is completed",
             "rejected work never runs",
-            "cancelled work stops",
+            CANCELLED_STOPS,
             "one run at a time",
             "no start after completion",
             "steps in order",
@@ -71,6 +77,7 @@
 /// Checks all guarantees for one seed.
 pub(crate) fn check_history(
     history: &CallerHistory,
+    entries: &Entries,
     site: &StandInSite,
     disturbances: &DisturbanceLog,
 ) -> SoakVerdict {
@@ -83,6 +90,16 @@
     let submissions = history.submissions();
     for (id, record) in submissions.iter() {
         check_submission(&mut verdict, id, record, &by_task);
+        if let Some((entry, sent_at)) = record.cancel_left {
+            // A process that lives on reads all that has been sent to it.
+            if entries.processes[entry].has_lived_since(sent_at) {
+                let due_at = disturbances.calm_for(sent_at, ACK_BOUND);
+                let cancel = format!("cancel left at entry {entry} is due at");
+                let cancel = (due_at, cancel.as_str());
+                check_cancelled(&mut verdict, id, cancel, &spans, site, disturbances);
+            }
+            continue;
+        }
         check_cancel(&mut verdict, id, record, &spans, site, disturbances);
     }
     for (task, spans) in &mut by_task {
@@ -135,10 +152,7 @@
     });
 }
 
-/// Checks that nothing of a cancelled submission starts later than `CANCEL_BOUND` after the answer,
-/// or runs on `STOP_BOUND` after that. A start is excused by a disturbance of its worker in the
-/// `CONTACT_BOUND` before it, and if the worker carried the order out late. A run is excused as long
-/// as no stretch of both bounds is calm; that of an order carried out late counts from its start.
+/// Checks an answered cancel, and that every cancel that callers repeated was answered.
 fn check_cancel(
     verdict: &mut SoakVerdict,
     id: &str,
@@ -147,17 +161,34 @@
     site: &StandInSite,
     disturbances: &DisturbanceLog,
 ) {
-    const GUARANTEE: &str = "cancelled work stops";
     let Some(cancelled_at) = record.cancelled_at else {
-        verdict.check(GUARANTEE, !record.is_cancel_sent, || {
+        verdict.check(CANCELLED_STOPS, !record.is_cancel_sent, || {
             format!("{id}: no cancel was answered")
         });
         return;
     };
+    let status = record.cancel_status.map_or(0, |status| status.as_u16());
+    let cancel = format!("cancel answered {status} at");
+    let cancel = (cancelled_at, cancel.as_str());
+    check_cancelled(verdict, id, cancel, spans, site, disturbances);
+}
+
+/// Checks that nothing of a cancelled submission starts later than `CANCEL_BOUND` after the answer,
+/// or after an unanswered cancel is due, or runs on `STOP_BOUND` after that. A start is excused by a
+/// disturbance of its worker in the `CONTACT_BOUND` before it, and if the worker carried the order
+/// out late. A run is excused as long as no stretch of both bounds is calm; that of an order carried
+/// out late counts from its start.
+fn check_cancelled(
+    verdict: &mut SoakVerdict,
+    id: &str,
+    (cancelled_at, cancel): (Instant, &str),
+    spans: &[Span],
+    site: &StandInSite,
+    disturbances: &DisturbanceLog,
+) {
     let answer = || {
         let cancelled_ms = site.clock_ms_at(cancelled_at);
-        let status = record.cancel_status.map_or(0, |status| status.as_u16());
-        format!("cancel answered {status} at {cancelled_ms} ms")
+        format!("{cancel} {cancelled_ms} ms")
     };
     let prefix = format!("{id}.");
     for span in spans.iter().filter(|span| span.task.starts_with(&prefix)) {
@@ -169,7 +200,7 @@
         let is_undisturbed =
             disturbances.calm_stretches(span.worker, touch_from, from) == [(touch_from, from)];
         let is_late_start = from > cancelled_at + CANCEL_BOUND && !span.is_late && is_undisturbed;
-        verdict.check(GUARANTEE, !is_late_start, || {
+        verdict.check(CANCELLED_STOPS, !is_late_start, || {
             format!("started late, {}: {span:?}", answer())
         });
         let due_from = if span.is_late {
@@ -183,7 +214,7 @@
             .any(|(calm_from, calm_to)| {
                 calm_to > from && calm_to - calm_from > CANCEL_BOUND + STOP_BOUND
             });
-        verdict.check(GUARANTEE, !runs_on, || {
+        verdict.check(CANCELLED_STOPS, !runs_on, || {
             format!("runs on, {}: {span:?}", answer())
         });
     }
--- a/rhubarbfall/tests/soak/disturbances.rs
+++ b/rhubarbfall/tests/soak/disturbances.rs
@@ -75,4 +75,23 @@
         }
         stretches
     }
+
+    /// Returns when `length` has passed since `from` without a disturbance of every worker.
+    pub(crate) fn calm_for(&self, from: Instant, length: Duration) -> Instant {
+        let disturbances = self.disturbances();
+        let mut near: Vec<(Instant, Instant)> = disturbances
+            .iter()
+            .filter(|entry| entry.scope == DisturbanceScope::AllWorkers && entry.to >= from)
+            .map(|entry| (entry.from, entry.to))
+            .collect();
+        near.sort_unstable();
+        let mut calm_from = from;
+        for (disturbed_from, disturbed_to) in near {
+            if disturbed_from >= calm_from + length {
+                break;
+            }
+            calm_from = calm_from.max(disturbed_to);
+        }
+        calm_from + length
+    }
 }
--- a/rhubarbfall/tests/soak/entry.rs
+++ b/rhubarbfall/tests/soak/entry.rs
@@ -5,7 +5,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rhubarbfall_testing::{Relay, RelayMode};
 use rustix::process::{Pid, Signal, kill_process};
@@ -30,6 +30,8 @@
     settings: PathBuf,
     child: Mutex<Option<Child>>,
     start_count: Mutex<u32>,
+    /// When the process was killed or told to stop.
+    ends: Mutex<Vec<Instant>>,
     disturbances: Arc<DisturbanceLog>,
 }
 
@@ -70,6 +72,7 @@
                 settings,
                 child: Mutex::default(),
                 start_count: Mutex::default(),
+                ends: Mutex::default(),
                 disturbances: Arc::clone(disturbances),
             });
         }
@@ -141,6 +144,7 @@
     /// Kills the process.
     pub(crate) fn kill(&self) {
         if let Some(mut child) = lock(&self.child).take() {
+            lock(&self.ends).push(Instant::now());
             // Errors are ignored, because the process may have exited already.
             let _ = child.kill();
             let _ = child.wait();
@@ -152,9 +156,17 @@
             && is_running(child)
             && let Some(id) = Pid::from_raw(child.id().cast_signed())
         {
+            if signal == Signal::TERM {
+                lock(&self.ends).push(Instant::now());
+            }
             kill_process(id, signal).expect("the signal is sent");
         }
     }
+
+    /// Returns whether the process was neither killed nor told to stop since `from`.
+    pub(crate) fn has_lived_since(&self, from: Instant) -> bool {
+        lock(&self.ends).iter().all(|end| *end < from)
+    }
 }
 
 fn is_running(child: &mut Child) -> bool {
--- a/rhubarbfall/tests/soak/main.rs
+++ b/rhubarbfall/tests/soak/main.rs
@@ -25,9 +25,10 @@
 use rand_chacha::ChaCha8Rng;
 use rhubarbfall_testing::{Relay, RelayMode};
 use stand_in::StandInSite;
+use tokio::task::JoinHandle;
 
 use callers::CallerHistory;
-use checker::SETTLE_TIME;
+use checker::{ACK_BOUND, SETTLE_TIME};
 use disturbances::DisturbanceLog;
 use entry::Entries;
 use faults::Fault;
@@ -71,6 +72,9 @@
 /// The number of callers that cancel their submissions.
 const CANCELLING_CALLERS: usize = 4;
 
+/// The number of callers that cancel and leave without the answer.
+const LEAVING_CALLERS: usize = 2;
+
 /// Every fifth seed plays no faults of entries and of the store, so that nothing but the faults of
 /// its own worker excuses a run of cancelled work.
 const PLANNED_SEED_PERIOD: u64 = 5;
@@ -196,24 +200,16 @@
     ));
     let entries = Arc::new(Entries::start(&site, seed, config.entries, &disturbances).await);
     let history = Arc::new(CallerHistory::default());
-    let mut callers: Vec<_> = (0..callers)
-        .map(|_| {
-            let seed = rng.random();
-            let (entries, history) = (Arc::clone(&entries), Arc::clone(&history));
-            tokio::spawn(callers::run(seed, entries, history))
-        })
-        .collect();
+    let shared = (Arc::clone(&entries), Arc::clone(&history));
+    let submitting = spawn_callers(callers, &mut rng, &shared, callers::run);
     let is_planned = seed % PLANNED_SEED_PERIOD == PLANNED_SEED_REMAINDER;
     let mut schedule = faults::schedule(&mut rng, FAULT_DURATION, config.entries, config.workers);
     if is_planned {
         schedule.retain(Fault::excuses_one_worker_at_most);
     }
-    callers.extend((0..CANCELLING_CALLERS).map(|_| {
-        let seed = rng.random();
-        let (entries, history) = (Arc::clone(&entries), Arc::clone(&history));
-        tokio::spawn(cancels::run(seed, entries, history))
-    }));
+    let cancelling = spawn_callers(CANCELLING_CALLERS, &mut rng, &shared, cancels::run);
     let changes = fleet::schedule(&mut rng, FAULT_DURATION, worker_relays.len());
+    let leaving = spawn_callers(LEAVING_CALLERS, &mut rng, &shared, cancels::run_leaving);
     let faults_end = tokio::time::Instant::now() + FAULT_DURATION;
     tokio::join!(
         async {
@@ -224,13 +220,19 @@
         fleet.play(&changes),
     );
     history.stop();
-    for caller in callers {
+    for caller in submitting.into_iter().chain(cancelling).chain(leaving) {
         caller.await.expect("the caller's task ends");
     }
     callers::wait_completed(&entries, &history, COMPLETION_TIMEOUT).await;
-    let last_event = disturbances.last_end().max(history.last_cancel());
+    let last_due = history
+        .last_left_cancel()
+        .map(|sent_at| disturbances.calm_for(sent_at, ACK_BOUND));
+    let last_event = disturbances
+        .last_end()
+        .max(history.last_cancel())
+        .max(last_due);
     tokio::time::sleep_until((last_event.unwrap_or(started_at) + SETTLE_TIME).into()).await;
-    let verdict = checker::check_history(&history, &site, &disturbances);
+    let verdict = checker::check_history(&history, &entries, &site, &disturbances);
     let elapsed = started_at.elapsed();
     println!(
         "seed {seed}: {} in {elapsed:.1?}; {}",
@@ -254,6 +256,24 @@
     verdict.violations.is_empty()
 }
 
+/// Spawns callers, each with a seed of its own.
+fn spawn_callers<F>(
+    count: usize,
+    rng: &mut ChaCha8Rng,
+    (entries, history): &(Arc<Entries>, Arc<CallerHistory>),
+    run: impl Fn(u64, Arc<Entries>, Arc<CallerHistory>) -> F,
+) -> Vec<JoinHandle<()>>
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    (0..count)
+        .map(|_| {
+            let seed = rng.random();
+            tokio::spawn(run(seed, Arc::clone(entries), Arc::clone(history)))
+        })
+        .collect()
+}
+
 /// Starts a relay in front of each worker and registers the worker under its address.
 async fn start_worker_relays(site: &StandInSite, workers: usize) -> Vec<Relay> {
     let mut relays = Vec::new();
