--- a/rhubarbfall/tests/soak/callers.rs
+++ b/rhubarbfall/tests/soak/callers.rs
@@ -15,7 +15,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::cancels::cancel_until_answered;
-use crate::entry::Entries;
+use crate::entry::{Entries, SchedulerEntry};
 
 /// The time for which a caller waits for a response.
 pub(crate) const REQUEST_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -162,6 +162,17 @@
         body: &'static str,
     ) -> Result<(StatusCode, String), bool> {
         let entry = &entries.processes[self.rng.random_range(0..entries.processes.len())];
+        self.call_entry(entry, method, id, body).await
+    }
+
+    /// Sends one request to an entry, as [`SoakCaller::call`] does.
+    pub(crate) async fn call_entry(
+        &self,
+        entry: &SchedulerEntry,
+        method: Method,
+        id: &str,
+        body: &'static str,
+    ) -> Result<(StatusCode, String), bool> {
         let request = Request::builder()
             .method(method)
             .uri(format!("http://{}/print/{id}", entry.caller_address))
