--- a/rhubarbfall-runs/src/scheduler/orders.rs
+++ b/rhubarbfall-runs/src/scheduler/orders.rs
@@ -121,7 +121,7 @@
             ..
         } = order;
         let run = *run;
-        let is_of_this_life = self
+        let is_current_incarnation = self
             .workers
             .get(worker)
             .is_some_and(|worker| worker.report.incarnation_unix_ms == order.incarnation_unix_ms);
@@ -143,7 +143,7 @@
         let confirmed_at = Some(now);
         let state = match placed
             .map(|placed| placed.state)
-            .filter(|_| is_confirmed && is_of_this_life)
+            .filter(|_| is_confirmed && is_current_incarnation)
         {
             Some(RunState::Stopping {
                 asked_at,
