--- a/rhubarbfall/tests/soak/main.rs
+++ b/rhubarbfall/tests/soak/main.rs
@@ -35,7 +35,7 @@
 use fleet::Fleet;
 
 /// Seeds that failed before, each with the cause. CI runs them every time.
-const REGRESSION_SEEDS: [(u64, &str); 3] = [
+const REGRESSION_SEEDS: [(u64, &str); 4] = [
     (
         104,
         "a worker's responses were dropped until its leases expired: the check counted a run as \
@@ -47,6 +47,10 @@
         "a cancel was answered as unknown, because its submission had not arrived yet; the \
          submission arrived later, was accepted and ran on",
     ),
+    (
+        3_008,
+        "an entry dropped a cancel whose caller had left, or whose delivery had found no owner",
+    ),
 ];
 
 /// Further seeds that CI runs.
