--- a/rhubarbfall-runs/src/scheduler/vm_operations.rs
+++ b/rhubarbfall-runs/src/scheduler/vm_operations.rs
@@ -98,6 +98,8 @@
     pub(super) move_bucket: Option<TokenBucket>,
     /// The earliest time at which another VM is drained after a refused call.
     backoff_until: BootTime,
+    /// The time until which an order of an earlier owner may still reach the VM service.
+    inherited_orders_until: BootTime,
 }
 
 impl VmOperations {
@@ -227,12 +229,22 @@
     /// Advances moves and maintenance waves.
     pub(super) fn tick_vm_operations(&mut self, now: BootTime) {
         self.repeat_unconfirmed(now);
-        if now >= self.vm_ops.backoff_until {
+        let may_order = now >= self.vm_ops.inherited_orders_until;
+        if may_order && now >= self.vm_ops.backoff_until {
             self.start_wave_drains(now);
             self.resize_pools(now);
         }
         self.stop_long_running_on_cordoned(now);
-        self.call_drained(now);
+        if may_order {
+            self.call_drained(now);
+        }
+    }
+
+    /// Withholds orders for VMs until every order of an earlier owner has arrived or is lost. A VM
+    /// service that does not compare fencing numbers would carry out an earlier owner's order after
+    /// this owner's.
+    pub fn await_inherited_vm_orders(&mut self, until: BootTime) {
+        self.vm_ops.inherited_orders_until = until;
     }
 
     fn repeat_unconfirmed(&mut self, now: BootTime) {
--- a/rhubarbfall-scheduler/src/lib.rs
+++ b/rhubarbfall-scheduler/src/lib.rs
@@ -17,10 +17,12 @@
 mod ownership;
 mod peer;
 mod peer_status;
+mod predecessor;
 mod readiness;
 mod settings;
 mod table_feed;
 mod telemetry;
+mod vm_orders_on_the_way;
 
 pub use lifecycle::run;
 pub use settings::{SchedulerProcessSettings, SchedulerSettingsError, read_settings};
--- a/rhubarbfall-scheduler/src/node.rs
+++ b/rhubarbfall-scheduler/src/node.rs
@@ -17,6 +17,7 @@
 
 use crate::cancel_delivery::UndeliveredCancellations;
 use crate::owner::Owner;
+use crate::ownership::MIN_OWNERSHIP_LEASE;
 use crate::settings::SchedulerProcessSettings;
 
 /// Timeout of a call to the store: its longest announced slow-down plus network time.
@@ -57,6 +58,8 @@
     pub(crate) known_owner: RefCell<KnownOwner>,
     /// Owner state while this entry owns the submissions.
     pub(crate) owner: RefCell<Option<Rc<Owner>>>,
+    /// Owner state of the last ownership of this entry that has ended.
+    pub(crate) last_ownership: RefCell<Option<Rc<Owner>>>,
     /// Time of the last answer from the store.
     pub(crate) last_store_contact: Cell<BootTime>,
     /// Time of the last answer from the owner that confirmed it is active.
@@ -124,6 +127,7 @@
             waves: RefCell::new(LiteMap::new()),
             known_owner: RefCell::default(),
             owner: RefCell::default(),
+            last_ownership: RefCell::default(),
             last_store_contact: Cell::default(),
             last_owner_contact: Cell::default(),
             is_stopping: Cell::default(),
@@ -249,8 +253,22 @@
             );
             metrics::gauge!("is_owner").set(0.0);
             owner.end();
+            let is_cut_off = self.now().since(self.last_store_contact.get()) > MIN_OWNERSHIP_LEASE;
+            owner.vm_orders.end_ownership(is_cut_off);
+            *self.last_ownership.borrow_mut() = Some(owner);
         }
     }
+
+    /// Returns how long orders for VMs of this process may still matter to another owner, or `None`
+    /// while this entry holds the ownership.
+    pub(crate) fn vm_orders_left(&self) -> Option<Duration> {
+        if self.owner.borrow().is_some() {
+            return None;
+        }
+        let last_ownership = self.last_ownership.borrow();
+        let left = |owner: &Rc<Owner>| owner.vm_orders.remaining_for_successor(self.now());
+        Some(last_ownership.as_ref().map_or(Duration::ZERO, left))
+    }
 }
 
 /// Counts a request as in flight until it is dropped.
--- a/rhubarbfall-scheduler/src/owner/mod.rs
+++ b/rhubarbfall-scheduler/src/owner/mod.rs
@@ -28,6 +28,7 @@
     MAX_OWNERSHIP_LEASE, MIN_OWNERSHIP_LEASE, OWNERSHIP_LEASE_ROUND_TRIPS, RENEWAL_INTERVAL,
 };
 use crate::telemetry;
+use crate::vm_orders_on_the_way::VmOrdersOnTheWay;
 use round_trip::RoundTripEstimate;
 
 pub(crate) use state_rows::{CELL_PART, read_stored_state, store_cancellation};
@@ -100,6 +101,8 @@
     batch_stored: Notify,
     /// Smoothed lateness of the process's timers, which measures the wait for the processor.
     timer_lateness: Cell<Duration>,
+    /// Orders for VMs that may still reach the VM service.
+    pub(crate) vm_orders: VmOrdersOnTheWay,
 }
 
 /// Caller waiting until a version of a job is stored.
@@ -123,8 +126,9 @@
         fencing_number: FencingNumber,
         owner_row_version: RowVersion,
         confirmed_at: BootTime,
-        ownership_lease: Duration,
+        vm_orders_until: BootTime,
     ) -> Rc<Self> {
+        let ownership_lease = MIN_OWNERSHIP_LEASE;
         let scheduler = Scheduler::new(node.settings.scheduler());
         let owner = Self {
             scheduler: RefCell::new(scheduler),
@@ -146,6 +150,7 @@
             worker_clients: RefCell::new(LiteMap::new()),
             batch_stored: Notify::new(),
             timer_lateness: Cell::default(),
+            vm_orders: VmOrdersOnTheWay::new(node.settings.vm_order_time(), vm_orders_until),
         };
         owner.confirm_renewal(confirmed_at);
         Rc::new(owner)
@@ -219,7 +224,13 @@
         self.is_loaded.get()
             && !self.has_ended.get()
             && !self.is_closing.get()
-            && now.since(self.confirmed_at.get()) + TAKEOVER_MARGIN < self.ownership_lease.get()
+            && now < self.active_until()
+    }
+
+    /// Returns the time until which this entry acts as the owner unless it renews its ownership.
+    pub(crate) fn active_until(&self) -> BootTime {
+        let lease = self.ownership_lease.get().saturating_sub(TAKEOVER_MARGIN);
+        self.confirmed_at.get() + lease
     }
 
     /// Returns whether every lease that this owner granted to workers has expired.
@@ -258,12 +269,18 @@
         self.batch_stored.notify_waiters();
     }
 
-    /// Stops accepting requests and waits until pending changes are stored, for at most
-    /// `CLOSE_TIMEOUT`.
+    /// Records that no order of an earlier owner reaches the VM service after `until`.
+    pub(crate) fn vm_orders_arrive_by(&self, until: BootTime) {
+        self.vm_orders.inherit(until);
+        self.with(|scheduler| scheduler.await_inherited_vm_orders(until));
+    }
+
+    /// Stops accepting requests and giving orders for VMs, and waits until pending changes are stored
+    /// and orders are answered, for at most `CLOSE_TIMEOUT`.
     pub(crate) async fn close(&self) {
         self.is_closing.set(true);
         let all_stored = async {
-            while !self.waiters.borrow().is_empty() {
+            while !self.waiters.borrow().is_empty() || self.vm_orders.is_any_in_flight() {
                 tokio::time::sleep(MIN_TICK_INTERVAL).await;
             }
         };
@@ -272,8 +289,9 @@
             .is_err()
         {
             log::warn!(
-                "event=closed_with_waiters count={}",
-                self.waiters.borrow().len()
+                "event=closed_with_waiters count={} are_vm_orders_in_flight={}",
+                self.waiters.borrow().len(),
+                self.vm_orders.is_any_in_flight()
             );
         }
     }
@@ -378,8 +396,9 @@
     };
     let (now, unix_ms) = (node.now(), node.unix_ms());
     log::info!(
-        "event=loaded jobs={} inherited_until={inherited_until}",
-        jobs.len()
+        "event=loaded jobs={} inherited_until={inherited_until} vm_orders_left={:?}",
+        jobs.len(),
+        owner.vm_orders.remaining(now)
     );
     let config = node.config.borrow().clone();
     let requested: Vec<_> = node
@@ -391,6 +410,7 @@
     owner.with(|scheduler| {
         scheduler.set_config(config);
         scheduler.recover(jobs, inherited_until, now, unix_ms);
+        scheduler.await_inherited_vm_orders(now + owner.vm_orders.remaining(now));
         scheduler.apply_stored_cancellations(early_cancellations, now);
         scheduler.recover_unreadable(unreadable);
         scheduler.recover_waves(waves);
--- a/rhubarbfall-scheduler/src/owner/store_loop.rs
+++ b/rhubarbfall-scheduler/src/owner/store_loop.rs
@@ -95,7 +95,12 @@
         let includes_renewal = owner.is_renewal_due(sent_at);
         if includes_renewal {
             let ownership_lease = owner.request_ownership_lease();
-            let renewal = renewal_write(owner.fencing_number(), sent_at, ownership_lease);
+            let renewal = renewal_write(
+                owner.fencing_number(),
+                sent_at,
+                ownership_lease,
+                owner.vm_orders.remaining(sent_at),
+            );
             transaction.writes.push(renewal);
         }
         owner.is_batch_in_flight.set(true);
--- a/rhubarbfall-scheduler/src/owner/vm_loop.rs
+++ b/rhubarbfall-scheduler/src/owner/vm_loop.rs
@@ -5,7 +5,7 @@
 
 use rhubarbfall_core::{BootTime, VmId};
 use rhubarbfall_runs::scheduler::VmOperation;
-use rhubarbfall_site::VmOrderOutcome;
+use rhubarbfall_site::{SendDeadline, VmOrderOutcome};
 
 use super::Owner;
 use crate::node::Node;
@@ -28,12 +28,18 @@
 /// Sends an order for a VM in the background and passes the outcome to the scheduler.
 pub(super) fn send_order(node: &Rc<Node>, owner: &Rc<Owner>, vm: VmId, operation: VmOperation) {
     let (node, owner) = (Rc::clone(node), Rc::clone(owner));
+    owner.vm_orders.begin(node.now());
     tokio::task::spawn_local(async move {
         let fence = owner.fencing_number();
+        let deadline = SendDeadline::new(node.clock.clone(), owner.active_until());
         let outcome = match &operation {
-            VmOperation::Move(to) => node.vm_service.move_vm(&vm, to, fence).await,
-            VmOperation::Maintain(wave) => node.vm_service.maintain(&vm, wave, fence).await,
+            VmOperation::Move(to) => node.vm_service.move_vm(&vm, to, fence, deadline).await,
+            VmOperation::Maintain(wave) => {
+                node.vm_service.maintain(&vm, wave, fence, deadline).await
+            }
         };
+        let is_settled = outcome != VmOrderOutcome::Unknown;
+        owner.vm_orders.end(is_settled, node.now());
         let is_done = match outcome {
             VmOrderOutcome::Done => Some(true),
             VmOrderOutcome::Busy | VmOrderOutcome::Refused | VmOrderOutcome::Retry => Some(false),
--- a/rhubarbfall-scheduler/src/ownership.rs
+++ b/rhubarbfall-scheduler/src/ownership.rs
@@ -14,8 +14,10 @@
 use crate::node::{Holder, KnownOwner, Node};
 use crate::owner::{self, CELL_PART, Owner};
 use crate::peer_status::HolderMessage;
+use crate::predecessor;
 use crate::table_feed::{TableFeed, TableUpdate};
 use crate::telemetry;
+use crate::vm_orders_on_the_way::{PredecessorEnd, inherited_order_time};
 
 /// Table with the ownership rows of each cell.
 const CELL_TABLE: &str = "cell";
@@ -101,6 +103,10 @@
     /// Duration of the ownership lease from this renewal on, in milliseconds.
     #[prost(uint64, tag = "3")]
     lease_ms: u64,
+    /// How long orders of earlier owners, and unanswered ones of this owner, may reach the VM service
+    /// after this write; in milliseconds. Earlier versions do not write it.
+    #[prost(uint64, optional, tag = "4")]
+    vm_orders_on_the_way_ms: Option<u64>,
 }
 
 /// Ownership rows as last seen by this entry.
@@ -114,6 +120,8 @@
     /// Set if the last owner released its ownership: the remaining time of leases granted by the
     /// owners before it.
     inherited_at_release: Option<Duration>,
+    /// What the latest renewal states of orders for VMs on their way when it was written.
+    vm_orders_on_the_way: Option<Duration>,
     /// Time when a change of either row was last seen.
     last_change_at: BootTime,
     /// Time since which the store has answered without a failure.
@@ -129,6 +137,7 @@
             renewal_row_version: None,
             ownership_lease: Duration::ZERO,
             inherited_at_release: None,
+            vm_orders_on_the_way: None,
             last_change_at: now,
             store_available_since: None,
         }
@@ -178,11 +187,13 @@
     fencing_number: FencingNumber,
     sent_at: BootTime,
     ownership_lease: Duration,
+    vm_orders_on_the_way: Duration,
 ) -> (RowKey, Vec<u8>) {
     let renewal = RenewalRow {
         fencing_number: fencing_number.get(),
         sent_at_ms: sent_at.as_millis(),
         lease_ms: ownership_lease.as_millis() as u64,
+        vm_orders_on_the_way_ms: Some(vm_orders_on_the_way.as_millis() as u64),
     };
     (cell_row(RENEWAL_KEY), renewal.encode_to_vec())
 }
@@ -193,6 +204,7 @@
         owner.fencing_number(),
         sent_at,
         owner.request_ownership_lease(),
+        owner.vm_orders.remaining(sent_at),
     );
     let transaction = Transaction {
         writes: vec![renewal],
@@ -295,7 +307,11 @@
     watch.last_change_at = node.now();
     if &*row.key.key == RENEWAL_KEY {
         match RenewalRow::decode(&*row.value) {
-            Ok(renewal) => watch.ownership_lease = Duration::from_millis(renewal.lease_ms),
+            Ok(renewal) => {
+                watch.ownership_lease = Duration::from_millis(renewal.lease_ms);
+                watch.vm_orders_on_the_way =
+                    renewal.vm_orders_on_the_way_ms.map(Duration::from_millis);
+            }
             Err(error) => log::error!("event=renewal_row_malformed error={error}"),
         }
     }
@@ -324,6 +340,24 @@
     lease.mul_f64(CLOCK_DRIFT_FACTOR) + LEASE_EXPIRY_MARGIN
 }
 
+/// Returns until when orders of earlier owners may reach the VM service.
+fn inherited_vm_orders_until(
+    node: &Node,
+    watch: &OwnershipWatch,
+    known_owner: &KnownOwner,
+) -> BootTime {
+    if watch.owner_row_version.is_none() {
+        return BootTime::default();
+    }
+    let end = match &known_owner.holder {
+        None => PredecessorEnd::Released,
+        Some(holder) if holder.entry == node.settings.entry => PredecessorEnd::EarlierProcess,
+        Some(_) => PredecessorEnd::Silent(watch.ownership_lease.max(MIN_OWNERSHIP_LEASE)),
+    };
+    let order_time = node.settings.vm_order_time();
+    watch.last_change_at + inherited_order_time(end, watch.vm_orders_on_the_way, order_time)
+}
+
 async fn take_over(node: &Rc<Node>, watch: &mut OwnershipWatch, known_owner: &KnownOwner) {
     let fencing_number = known_owner.fencing_number.next();
     let this_entry = Holder {
@@ -332,12 +366,18 @@
         incarnation: node.incarnation,
         reads_cancellations: true,
     };
+    let vm_orders_until = inherited_vm_orders_until(node, watch, known_owner);
     let owner_row = OwnerRow {
         fencing_number: fencing_number.get(),
         holder: Some(HolderMessage::from(&this_entry)),
         inherited_lease_ms: 0,
     };
-    let renewal = renewal_write(fencing_number, BootTime::default(), MIN_OWNERSHIP_LEASE);
+    let renewal = renewal_write(
+        fencing_number,
+        BootTime::default(),
+        MIN_OWNERSHIP_LEASE,
+        vm_orders_until.since(node.now()),
+    );
     let transaction = Transaction {
         expected: vec![
             (cell_row(OWNER_KEY), watch.owner_row_version),
@@ -359,7 +399,13 @@
                 node.settings.max_lease(),
             );
             let inherited_until = watch.last_change_at + inherited_lease;
-            let owner = Owner::new(node, fencing_number, version, sent_at, MIN_OWNERSHIP_LEASE);
+            let owner = Owner::new(node, fencing_number, version, sent_at, vm_orders_until);
+            if let Some(predecessor) = &known_owner.holder
+                && predecessor.entry != node.settings.entry
+            {
+                let stated = watch.vm_orders_on_the_way;
+                predecessor::ask_for_vm_orders(node, &owner, predecessor.clone(), stated);
+            }
             owner::start(node, owner, inherited_until).await;
         }
         Ok(CommitOutcome::Conflict(_)) => log::debug!("event=takeover_lost fence={fencing_number}"),
@@ -383,8 +429,14 @@
         holder: None,
         inherited_lease_ms: inherited.as_millis() as u64,
     };
+    let renewal = renewal_write(
+        owner.fencing_number(),
+        now,
+        MIN_OWNERSHIP_LEASE,
+        owner.vm_orders.remaining(now),
+    );
     let transaction = Transaction {
-        writes: vec![(cell_row(OWNER_KEY), row.encode_to_vec())],
+        writes: vec![(cell_row(OWNER_KEY), row.encode_to_vec()), renewal],
         ..owner_transaction(&owner)
     };
     match node.store.commit(&transaction).await {
--- a/rhubarbfall-scheduler/src/peer_status.rs
+++ b/rhubarbfall-scheduler/src/peer_status.rs
@@ -37,6 +37,11 @@
     /// The peer answers with its configuration if that is newer than this version.
     #[prost(uint64, tag = "1")]
     pub(crate) config_version: u64,
+    /// The owner that the asking entry knows; earlier versions do not state it.
+    #[prost(uint64, tag = "2")]
+    pub(crate) fencing_number: u64,
+    #[prost(message, optional, tag = "3")]
+    pub(crate) holder: Option<HolderMessage>,
 }
 
 /// Status of the answering entry.
@@ -52,6 +57,13 @@
     /// Whether the answering entry is the active owner and can store submissions.
     #[prost(bool, tag = "4")]
     pub(crate) is_active_owner: bool,
+    /// Random number of the answering process; earlier versions answer 0.
+    #[prost(uint64, tag = "5")]
+    pub(crate) incarnation: u64,
+    /// How long orders for VMs of the answering process may still matter to another owner, in
+    /// milliseconds; not present while it holds the ownership.
+    #[prost(uint64, optional, tag = "6")]
+    pub(crate) vm_orders_left_ms: Option<u64>,
 }
 
 /// Encoded [`Holder`].
@@ -92,6 +104,7 @@
 
 /// Returns this entry's status for a peer.
 pub(crate) fn respond(node: &Node, request: &PeerStatusRequest) -> PeerStatusResponse {
+    learn_owner(node, request.fencing_number, request.holder.as_ref());
     let known_owner = node.known_owner.borrow();
     let is_newer = node.config.borrow().version > request.config_version;
     PeerStatusResponse {
@@ -99,6 +112,25 @@
         holder: known_owner.holder.as_ref().map(HolderMessage::from),
         config_text: is_newer.then(|| node.config_text.borrow().clone()),
         is_active_owner: node.active_owner().is_some(),
+        incarnation: node.incarnation,
+        vm_orders_left_ms: node.vm_orders_left().map(|left| left.as_millis() as u64),
+    }
+}
+
+/// Returns the request of an entry that wants no configuration.
+pub(crate) fn status_request(node: &Node) -> PeerStatusRequest {
+    let known_owner = node.known_owner.borrow();
+    PeerStatusRequest {
+        config_version: NO_CONFIG_WANTED,
+        fencing_number: known_owner.fencing_number.get(),
+        holder: known_owner.holder.as_ref().map(HolderMessage::from),
+    }
+}
+
+fn learn_owner(node: &Node, fencing_number: u64, holder: Option<&HolderMessage>) {
+    if fencing_number > node.known_owner.borrow().fencing_number.get() {
+        let holder = holder.and_then(HolderMessage::to_holder);
+        node.update_known_owner(FencingNumber::new(fencing_number), holder);
     }
 }
 
@@ -138,6 +170,7 @@
     let is_owner = node.other_owner() == Some(address);
     let request = PeerStatusRequest {
         config_version: known_config_version(node),
+        ..PeerStatusRequest::default()
     };
     match peer::exchange_status(node, address, &request, timeout).await {
         Ok(response) => {
@@ -164,10 +197,7 @@
 }
 
 fn apply_response(node: &Node, response: PeerStatusResponse) {
-    let holder = response.holder.as_ref().and_then(HolderMessage::to_holder);
-    if response.fencing_number > node.known_owner.borrow().fencing_number.get() {
-        node.update_known_owner(FencingNumber::new(response.fencing_number), holder);
-    }
+    learn_owner(node, response.fencing_number, response.holder.as_ref());
     let Some(text) = response.config_text else {
         return;
     };
--- a/rhubarbfall-scheduler/src/settings.rs
+++ b/rhubarbfall-scheduler/src/settings.rs
@@ -35,6 +35,10 @@
 /// retries.
 const VM_MOVE_SHARE: f64 = 0.75;
 
+/// Shortest gap between the orders of two owners for VMs: the timeout of an order, after which its
+/// connection is reset.
+const MIN_VM_ORDER_GAP_MS: u64 = 1_500;
+
 /// Settings of a scheduler process.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -68,6 +72,14 @@
     /// together; above 0.
     #[serde(default = "default_vm_calls_per_s")]
     pub vm_calls_per_s: f64,
+    /// Whether the VM service refuses orders with a lower fencing number than one that it has seen.
+    #[serde(default = "default_vm_service_checks_fences")]
+    pub vm_service_checks_fences: bool,
+    /// Time that a new owner keeps between its predecessor's last order for a VM and its own first
+    /// one if the VM service does not check fencing numbers, in milliseconds; at least 1500, the
+    /// time for which an order may be on its way.
+    #[serde(default = "default_vm_order_gap_ms")]
+    pub vm_order_gap_ms: u64,
     /// Share of a core available to this entry, such as 0.25; above 0.
     #[serde(default = "default_cpu_share")]
     pub cpu_share: f64,
@@ -83,6 +95,15 @@
     64.0
 }
 
+const fn default_vm_service_checks_fences() -> bool {
+    true
+}
+
+/// The lease that the users' platform grants to whoever gives orders for a VM.
+const fn default_vm_order_gap_ms() -> u64 {
+    3_000
+}
+
 const fn default_cpu_share() -> f64 {
     1.0
 }
@@ -108,6 +129,17 @@
         }
     }
 
+    /// Returns how long an order for a VM may be on its way after its call has ended without an
+    /// answer; zero if the VM service refuses the orders of earlier owners.
+    #[must_use]
+    pub const fn vm_order_time(&self) -> Duration {
+        if self.vm_service_checks_fences {
+            Duration::ZERO
+        } else {
+            Duration::from_millis(self.vm_order_gap_ms)
+        }
+    }
+
     /// Returns the time limit of a planned stop.
     #[must_use]
     pub const fn stop_grace(&self) -> Duration {
@@ -140,6 +172,11 @@
             "vm_calls_per_s must be above 0",
         ));
     }
+    if settings.vm_order_gap_ms < MIN_VM_ORDER_GAP_MS {
+        return Err(SchedulerSettingsError::Invalid(
+            "vm_order_gap_ms must be at least 1500",
+        ));
+    }
     if settings.log_level.parse::<log::LevelFilter>().is_err() {
         return Err(SchedulerSettingsError::Invalid(
             "log_level must be off, error, warn, info, debug or trace",
