fix(scheduler): keep one odd value from ending a duty of the process

Cause: durations were made of any number (1e300 ms panics in Duration::from_secs_f64), amounts were multiplied without a limit (2^64-1 thousandths of a core by 20,000 tasks), and no one noticed a panic: tokio ends the task and the process goes on without it. The feed of operators' rows ended with the first configuration or wave with such a number, so that the entry served an old configuration; an owner's loop would have ended while its ownership was renewed. Entries among the workers were not affected: each is decoded by itself, and deep nesting, ports out of range and other types cost only that entry.

Change: durations, factors and amounts are limited where they are decoded, also from stored records; arithmetic on amounts saturates. Panics are logged as event=task_panicked and counted. Feeds and the other duties start again after one; an owner of which a loop has panicked gives up its ownership, and its successor loads what is stored.

--- a/rhubarbfall-runs/src/record.rs
+++ b/rhubarbfall-runs/src/record.rs
@@ -8,6 +8,7 @@
 use rhubarbfall_core::ParseIdError;
 
 use crate::scheduler::{CalledVm, WaveProgress};
+use crate::submission::MAX_ESTIMATE;
 use crate::{JobProgress, JobState, OpenTask, PlacedRun, Resources, Schedule, Step, Submission};
 
 quick_error! {
@@ -264,7 +265,7 @@
             memory_mb: record.memory_mb,
             gpus: record.gpus,
         },
-        estimate: Duration::from_millis(record.estimate_ms),
+        estimate: Duration::from_millis(record.estimate_ms).min(MAX_ESTIMATE),
         after: record.after.into_iter().map(|step| step as u16).collect(),
         is_checkpointed: record.is_checkpointed,
         is_gang: record.is_gang,
--- a/rhubarbfall-runs/src/resources.rs
+++ b/rhubarbfall-runs/src/resources.rs
@@ -42,13 +42,13 @@
         }
     }
 
-    /// Multiplies each component by `factor`.
+    /// Multiplies each component by `factor`, saturating at the largest number.
     #[must_use]
     pub const fn times(self, factor: u64) -> Self {
         Self {
-            cpu_millis: self.cpu_millis * factor,
-            memory_mb: self.memory_mb * factor,
-            gpus: self.gpus * factor,
+            cpu_millis: self.cpu_millis.saturating_mul(factor),
+            memory_mb: self.memory_mb.saturating_mul(factor),
+            gpus: self.gpus.saturating_mul(factor),
         }
     }
 
@@ -98,9 +98,9 @@
 
 impl AddAssign for Resources {
     fn add_assign(&mut self, other: Self) {
-        self.cpu_millis += other.cpu_millis;
-        self.memory_mb += other.memory_mb;
-        self.gpus += other.gpus;
+        self.cpu_millis = self.cpu_millis.saturating_add(other.cpu_millis);
+        self.memory_mb = self.memory_mb.saturating_add(other.memory_mb);
+        self.gpus = self.gpus.saturating_add(other.gpus);
     }
 }
 
--- a/rhubarbfall-runs/src/scheduler/recent_work.rs
+++ b/rhubarbfall-runs/src/scheduler/recent_work.rs
@@ -49,7 +49,7 @@
         let mut work = Resources::default();
         for step in submission.steps.iter().filter(|step| !step.is_long_running) {
             let task_ms = step.estimate.as_millis() as u64;
-            work += step.reserved().times(u64::from(step.tasks) * task_ms);
+            work += step.reserved().times(u64::from(step.tasks)).times(task_ms);
         }
         self.arrivals.push_back(Arrival {
             at: now,
--- a/rhubarbfall-runs/src/submission.rs
+++ b/rhubarbfall-runs/src/submission.rs
@@ -10,6 +10,9 @@
 /// entry.
 const MAX_TASKS_PER_SUBMISSION: u64 = 20_000;
 
+/// The longest estimate of a stored task; sums and multiples of it do not overflow.
+pub(crate) const MAX_ESTIMATE: Duration = Duration::from_hours(365 * 24);
+
 quick_error! {
     /// Why a submission is invalid.
     #[derive(Debug, Clone, PartialEq, Eq)]
@@ -158,7 +161,8 @@
     #[must_use]
     pub fn due_unix_ms(&self, occurrence: u32) -> u64 {
         self.schedule.map_or(0, |schedule| {
-            schedule.first_due_unix_ms + u64::from(occurrence) * schedule.interval_ms
+            let interval_ms = schedule.interval_ms.saturating_mul(u64::from(occurrence));
+            schedule.first_due_unix_ms.saturating_add(interval_ms)
         })
     }
 
--- a/rhubarbfall-runs/src/worker.rs
+++ b/rhubarbfall-runs/src/worker.rs
@@ -130,7 +130,7 @@
     pub fn grant_lease(&mut self, until: BootTime) -> Option<u64> {
         let (clock_ms, read_at) = self.clock?;
         let length = until.since(read_at);
-        let deadline_ms = clock_ms + length.as_millis() as u64;
+        let deadline_ms = clock_ms.saturating_add(length.as_millis() as u64);
         let expiry = read_at + length.div_f64(MIN_CLOCK_RATE) + LEASE_EXPIRY_MARGIN;
         self.lease_expiry = self.lease_expiry.max(expiry);
         Some(deadline_ms)
--- a/rhubarbfall-scheduler/src/lib.rs
+++ b/rhubarbfall-scheduler/src/lib.rs
@@ -20,6 +20,7 @@
 mod predecessor;
 mod readiness;
 mod settings;
+mod supervision;
 mod table_feed;
 mod telemetry;
 mod vm_orders_on_the_way;
--- a/rhubarbfall-scheduler/src/lifecycle.rs
+++ b/rhubarbfall-scheduler/src/lifecycle.rs
@@ -13,6 +13,7 @@
 
 use crate::node::Node;
 use crate::settings::SchedulerProcessSettings;
+use crate::supervision::{log_panics, spawn_duty};
 use crate::{
     callers, cancel_delivery, http_server, logging, operator_feed, ownership, peer, peer_status,
     readiness, telemetry,
@@ -41,6 +42,7 @@
         eprintln!("event=log_unavailable error={error}");
     }
     let node = Rc::new(Node::new(settings, clock, telemetry::install()));
+    log_panics();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
@@ -75,10 +77,22 @@
         bind(settings.metrics).await?,
         readiness::serve_metrics,
     ));
-    spawn_local(cancel_delivery::run(Rc::clone(&node)));
-    spawn_local(operator_feed::run(Rc::clone(&node)));
-    spawn_local(peer_status::run(Rc::clone(&node)));
-    spawn_local(ownership::run(Rc::clone(&node)));
+    spawn_duty("cancel_delivery", {
+        let node = Rc::clone(&node);
+        move || cancel_delivery::run(Rc::clone(&node))
+    });
+    spawn_duty("operator_feed", {
+        let node = Rc::clone(&node);
+        move || operator_feed::run(Rc::clone(&node))
+    });
+    spawn_duty("peer_status", {
+        let node = Rc::clone(&node);
+        move || peer_status::run(Rc::clone(&node))
+    });
+    spawn_duty("ownership", {
+        let node = Rc::clone(&node);
+        move || ownership::run(Rc::clone(&node))
+    });
     let mut terminate = signal(SignalKind::terminate())?;
     let mut reload = signal(SignalKind::hangup())?;
     let run_time_elapsed = async {
--- a/rhubarbfall-scheduler/src/owner/mod.rs
+++ b/rhubarbfall-scheduler/src/owner/mod.rs
@@ -12,6 +12,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::fmt;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -21,12 +22,12 @@
 use rhubarbfall_runs::{Scheduler, Submission};
 use rhubarbfall_site::WorkerClient;
 use tokio::sync::{Notify, oneshot};
-use tokio::task::spawn_local;
 
 use crate::node::Node;
 use crate::ownership::{
     MAX_OWNERSHIP_LEASE, MIN_OWNERSHIP_LEASE, OWNERSHIP_LEASE_ROUND_TRIPS, RENEWAL_INTERVAL,
 };
+use crate::supervision::spawn_owner_loop;
 use crate::telemetry;
 use crate::vm_orders_on_the_way::VmOrdersOnTheWay;
 use round_trip::RoundTripEstimate;
@@ -421,15 +422,22 @@
     owner.is_loaded.set(true);
     *node.owner.borrow_mut() = Some(Rc::clone(&owner));
     metrics::gauge!("is_owner").set(1.0);
-    spawn_local(store_loop::run(Rc::clone(node), Rc::clone(&owner)));
-    spawn_local(store_loop::run_wave_reports(
-        Rc::clone(node),
-        Rc::clone(&owner),
-    ));
-    spawn_local(cancellation_feed::run(Rc::clone(node), Rc::clone(&owner)));
-    spawn_local(worker_list::run(Rc::clone(node), Rc::clone(&owner)));
-    spawn_local(vm_loop::run(Rc::clone(node), Rc::clone(&owner)));
-    spawn_local(run_ticks(Rc::clone(node), owner));
+    let spawn = |name, work: Pin<Box<dyn Future<Output = ()>>>| {
+        spawn_owner_loop(node, &owner, name, work);
+    };
+    let (of_node, of_owner) = (|| Rc::clone(node), || Rc::clone(&owner));
+    spawn("store", Box::pin(store_loop::run(of_node(), of_owner())));
+    spawn(
+        "wave_reports",
+        Box::pin(store_loop::run_wave_reports(of_node(), of_owner())),
+    );
+    spawn(
+        "cancellations",
+        Box::pin(cancellation_feed::run(of_node(), of_owner())),
+    );
+    spawn("workers", Box::pin(worker_list::run(of_node(), of_owner())));
+    spawn("vms", Box::pin(vm_loop::run(of_node(), of_owner())));
+    spawn("ticks", Box::pin(run_ticks(of_node(), of_owner())));
 }
 
 /// Ticks the scheduler and dispatches its orders until the ownership ends.
--- a/rhubarbfall-scheduler/src/owner/worker_loop.rs
+++ b/rhubarbfall-scheduler/src/owner/worker_loop.rs
@@ -12,6 +12,7 @@
 
 use super::Owner;
 use crate::node::Node;
+use crate::supervision::spawn_owner_loop;
 use crate::telemetry;
 
 /// Timeout of an order. A worker answers within milliseconds; a lost SYN packet is sent again
@@ -51,7 +52,8 @@
         .worker_clients
         .borrow_mut()
         .insert(id.clone(), Rc::clone(&client));
-    tokio::task::spawn_local(renew_leases(Rc::clone(node), Rc::clone(owner), id, client));
+    let work = renew_leases(Rc::clone(node), Rc::clone(owner), id, client);
+    spawn_owner_loop(node, owner, "lease_renewal", work);
 }
 
 /// Renews a worker's leases until the worker is removed from the list or listed at another address.
