--- a/rhubarbfall-runs/src/scheduler/placing.rs
+++ b/rhubarbfall-runs/src/scheduler/placing.rs
@@ -47,19 +47,13 @@
         waiting_steps.sort_by_key(|waiting_step| waiting_step.rank);
         let mut pass = self.new_pass(now);
         for waiting_step in &waiting_steps {
-            if self.pending_starts.len() >= self.max_pending_starts() {
+            if self.pending_starts.len() >= self.settings.max_pending_starts {
                 break;
             }
             self.place_step(waiting_step, &mut pass, now);
         }
     }
 
-    /// Returns how many starts may be pending: more in a large fleet, whose calls are made by several
-    /// entries.
-    fn max_pending_starts(&self) -> usize {
-        self.settings.max_pending_starts.max(self.vm_count())
-    }
-
     fn new_pass(&self, now: BootTime) -> PlacementPass {
         let cordoned = self.vm_ops.cordoned();
         let mut pass = PlacementPass {
@@ -245,7 +239,7 @@
         now: BootTime,
     ) -> bool {
         for id in tasks {
-            if self.pending_starts.len() >= self.max_pending_starts() {
+            if self.pending_starts.len() >= self.settings.max_pending_starts {
                 return true;
             }
             let Some(worker) = self.choose_worker(&id, step, waiting_step, pass) else {
--- a/rhubarbfall-runs/src/scheduler/vm_operations.rs
+++ b/rhubarbfall-runs/src/scheduler/vm_operations.rs
@@ -240,12 +240,6 @@
         }
     }
 
-    /// Returns the number of listed VMs, switched off or not.
-    #[must_use]
-    pub fn vm_count(&self) -> usize {
-        self.vm_ops.vms.len()
-    }
-
     /// Withholds orders for VMs until every order of an earlier owner has arrived or is lost. A VM
     /// service that does not compare fencing numbers would carry out an earlier owner's order after
     /// this owner's.
--- a/rhubarbfall-scheduler/src/lib.rs
+++ b/rhubarbfall-scheduler/src/lib.rs
@@ -19,8 +19,6 @@
 mod peer_status;
 mod predecessor;
 mod readiness;
-mod relay_messages;
-mod relay_session;
 mod settings;
 mod supervision;
 mod table_feed;
--- a/rhubarbfall-scheduler/src/node.rs
+++ b/rhubarbfall-scheduler/src/node.rs
@@ -18,7 +18,6 @@
 use crate::cancel_delivery::UndeliveredCancellations;
 use crate::owner::Owner;
 use crate::ownership::MIN_OWNERSHIP_LEASE;
-use crate::relay_session::RelaySession;
 use crate::settings::SchedulerProcessSettings;
 
 /// Timeout of a call to the store: its longest announced slow-down plus network time.
@@ -73,8 +72,6 @@
     pub(crate) undelivered_cancellations: RefCell<UndeliveredCancellations>,
     /// Notifies the delivery of cancellations that there is one to deliver.
     pub(crate) cancellation_kept: Notify,
-    /// Calls to workers that this entry makes for the owner.
-    pub(crate) relay_session: RefCell<Option<Rc<RelaySession>>>,
     peer_clients: RefCell<LiteMap<SocketAddr, Rc<HttpClient>>>,
 }
 
@@ -138,7 +135,6 @@
             in_flight: Cell::default(),
             undelivered_cancellations: RefCell::new(LiteMap::new()),
             cancellation_kept: Notify::new(),
-            relay_session: RefCell::default(),
             peer_clients: RefCell::new(LiteMap::new()),
         }
     }
--- a/rhubarbfall-scheduler/src/owner/mod.rs
+++ b/rhubarbfall-scheduler/src/owner/mod.rs
@@ -2,7 +2,6 @@
 
 mod advice_request;
 mod cancellation_feed;
-mod relays;
 mod round_trip;
 mod state_rows;
 mod store_loop;
@@ -31,7 +30,6 @@
 use crate::supervision::spawn_owner_loop;
 use crate::telemetry;
 use crate::vm_orders_on_the_way::VmOrdersOnTheWay;
-use relays::Relays;
 use round_trip::RoundTripEstimate;
 
 pub(crate) use state_rows::{CELL_PART, read_stored_state, store_cancellation};
@@ -104,8 +102,6 @@
     batch_stored: Notify,
     /// Smoothed lateness of the process's timers, which measures the wait for the processor.
     timer_lateness: Cell<Duration>,
-    /// Entries that make this owner's calls to workers.
-    pub(crate) relays: Rc<Relays>,
     /// Orders for VMs that may still reach the VM service.
     pub(crate) vm_orders: VmOrdersOnTheWay,
 }
@@ -155,7 +151,6 @@
             worker_clients: RefCell::new(LiteMap::new()),
             batch_stored: Notify::new(),
             timer_lateness: Cell::default(),
-            relays: Rc::default(),
             vm_orders: VmOrdersOnTheWay::new(node.settings.vm_order_time(), vm_orders_until),
         };
         owner.confirm_renewal(confirmed_at);
@@ -442,7 +437,6 @@
     );
     spawn("workers", Box::pin(worker_list::run(of_node(), of_owner())));
     spawn("vms", Box::pin(vm_loop::run(of_node(), of_owner())));
-    spawn("relays", Box::pin(relays::run(of_node(), of_owner())));
     spawn("ticks", Box::pin(run_ticks(of_node(), of_owner())));
 }
 
--- a/rhubarbfall-scheduler/src/owner/worker_loop.rs
+++ b/rhubarbfall-scheduler/src/owner/worker_loop.rs
@@ -8,9 +8,9 @@
 use rhubarbfall_core::{BootTime, WorkerId};
 use rhubarbfall_runs::StartOutcome;
 use rhubarbfall_runs::scheduler::{PaceOrder, StartOrder, StopOrder};
-use rhubarbfall_site::{HttpClient, RenewalError, WorkerCall, WorkerCallResponse, WorkerClient};
+use rhubarbfall_site::{RenewalError, WorkerClient};
 
-use super::{Owner, relays};
+use super::Owner;
 use crate::node::Node;
 use crate::supervision::spawn_owner_loop;
 use crate::telemetry;
@@ -47,17 +47,7 @@
 
 /// Starts the lease renewal loop of a worker.
 pub(super) fn spawn(node: &Rc<Node>, owner: &Rc<Owner>, id: WorkerId, address: SocketAddr) {
-    let direct = Rc::new(HttpClient::new(address));
-    let (call_node, relays) = (Rc::clone(node), Rc::clone(&owner.relays));
-    let send = move |call: WorkerCall| -> WorkerCallResponse {
-        let (node, relays, direct) = (
-            Rc::clone(&call_node),
-            Rc::clone(&relays),
-            Rc::clone(&direct),
-        );
-        Box::pin(async move { relays::send(&node, &relays, &direct, call).await })
-    };
-    let client = Rc::new(WorkerClient::new(id.clone(), address, ORDER_TIMEOUT, send));
+    let client = Rc::new(WorkerClient::new(id.clone(), address, ORDER_TIMEOUT));
     owner
         .worker_clients
         .borrow_mut()
--- a/rhubarbfall-scheduler/src/peer.rs
+++ b/rhubarbfall-scheduler/src/peer.rs
@@ -16,15 +16,12 @@
 use crate::node::Node;
 use crate::owner::RequestOutcome;
 use crate::peer_status::{self, PeerStatusRequest, PeerStatusResponse};
-use crate::relay_messages::{RelayRequest, RelayResponse};
-use crate::relay_session;
 
 const SUBMIT_PATH: &str = "/submit";
 const STATE_PATH: &str = "/state/";
 const CANCEL_PATH: &str = "/cancel/";
 const PENDING_PATH: &str = "/pending/";
 const PEER_STATUS_PATH: &str = "/beacon";
-const RELAY_PATH: &str = "/relay";
 
 /// Reason why a call to another entry failed.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -130,18 +127,6 @@
     decode(&answer)
 }
 
-/// Passes calls to workers to the entry at `address`, and returns the results of earlier ones.
-pub(crate) async fn relay(
-    node: &Node,
-    address: SocketAddr,
-    request: &RelayRequest,
-    timeout: Duration,
-) -> Result<RelayResponse, PeerError> {
-    let body = Bytes::from(request.encode_to_vec());
-    let answer = call(node, address, Method::POST, RELAY_PATH, body, timeout).await?;
-    decode(&answer)
-}
-
 async fn call(
     node: &Node,
     address: SocketAddr,
@@ -184,15 +169,6 @@
             Err(_) => ServerResponse::empty(StatusCode::BAD_REQUEST),
         };
     }
-    if path == RELAY_PATH {
-        return match RelayRequest::decode(request.body) {
-            Ok(request) => match relay_session::serve(&node, request).await {
-                Some(response) => respond(&response),
-                None => ServerResponse::empty(StatusCode::CONFLICT),
-            },
-            Err(_) => ServerResponse::empty(StatusCode::BAD_REQUEST),
-        };
-    }
     let Some(owner) = node.active_owner() else {
         return ServerResponse::empty(StatusCode::MISDIRECTED_REQUEST);
     };
--- a/rhubarbfall-scheduler/src/peer_status.rs
+++ b/rhubarbfall-scheduler/src/peer_status.rs
@@ -17,10 +17,6 @@
 /// a new configuration, and for noticing at once that the owner is unreachable.
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Number of polls after which an entry polls the owner in any case, which takes entries that poll
-/// it for those that can make calls.
-const PRESENCE_ROUNDS: usize = 3;
-
 /// Timeout of a periodic poll.
 const POLL_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -46,12 +42,6 @@
     pub(crate) fencing_number: u64,
     #[prost(message, optional, tag = "3")]
     pub(crate) holder: Option<HolderMessage>,
-    /// Peer address of the asking entry if it can make calls for the owner.
-    #[prost(string, optional, tag = "4")]
-    pub(crate) relay_address: Option<String>,
-    /// Processor share of the asking entry, in thousandths of a core.
-    #[prost(uint32, tag = "5")]
-    pub(crate) cpu_millis: u32,
 }
 
 /// Status of the answering entry.
@@ -115,14 +105,6 @@
 /// Returns this entry's status for a peer.
 pub(crate) fn respond(node: &Node, request: &PeerStatusRequest) -> PeerStatusResponse {
     learn_owner(node, request.fencing_number, request.holder.as_ref());
-    if let Some(owner) = node.active_owner()
-        && let Some(address) = &request.relay_address
-        && let Ok(address) = address.parse()
-    {
-        owner
-            .relays
-            .entry_seen(address, request.cpu_millis, node.now());
-    }
     let known_owner = node.known_owner.borrow();
     let is_newer = node.config.borrow().version > request.config_version;
     PeerStatusResponse {
@@ -142,7 +124,6 @@
         config_version: NO_CONFIG_WANTED,
         fencing_number: known_owner.fencing_number.get(),
         holder: known_owner.holder.as_ref().map(HolderMessage::from),
-        ..PeerStatusRequest::default()
     }
 }
 
@@ -174,9 +155,7 @@
             owner.or(seed)
         };
         round += 1;
-        let is_presence_due = round.is_multiple_of(PRESENCE_ROUNDS);
-        let was_owner_just_heard =
-            target == owner && node.owner_silence() < POLL_INTERVAL && !is_presence_due;
+        let was_owner_just_heard = target == owner && node.owner_silence() < POLL_INTERVAL;
         let Some(address) = target.filter(|address| *address != node.settings.peers) else {
             continue;
         };
@@ -191,8 +170,6 @@
     let is_owner = node.other_owner() == Some(address);
     let request = PeerStatusRequest {
         config_version: known_config_version(node),
-        relay_address: (!node.is_stopping.get()).then(|| node.settings.peers.to_string()),
-        cpu_millis: (node.settings.cpu_share * 1_000.0) as u32,
         ..PeerStatusRequest::default()
     };
     match peer::exchange_status(node, address, &request, timeout).await {
