--- a/rhubarbfall/tests/odd_input.rs
+++ b/rhubarbfall/tests/odd_input.rs
@@ -1,6 +1,7 @@
 //! Odd values in rows and requests must cost what they belong to, and nothing else: a process that
 //! ends, or that stops following a list, because of one value fails everybody.
 
+#[allow(dead_code, reason = "other test files use more of it")]
 mod scheduler_process;
 #[path = "../../platform/tests/stand_in/mod.rs"]
 mod stand_in;
