fix(scheduler): keep only the orders of an ended ownership, and ask the predecessor again

Read of the diff: a node kept the whole owner state of its last ownership, all jobs of it, to answer a successor: memory that an entry of 160 MB lacks when it becomes the owner again. It keeps the times of its orders alone now. And a predecessor with an order in flight answers the whole gap; it is asked again until nothing is on the way.

--- a/rhubarbfall-scheduler/src/node.rs
+++ b/rhubarbfall-scheduler/src/node.rs
@@ -19,6 +19,7 @@
 use crate::owner::Owner;
 use crate::ownership::MIN_OWNERSHIP_LEASE;
 use crate::settings::SchedulerProcessSettings;
+use crate::vm_orders_on_the_way::VmOrdersOnTheWay;
 
 /// Timeout of a call to the store: its longest announced slow-down plus network time.
 const STORE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -58,8 +59,8 @@
     pub(crate) known_owner: RefCell<KnownOwner>,
     /// Owner state while this entry owns the submissions.
     pub(crate) owner: RefCell<Option<Rc<Owner>>>,
-    /// Owner state of the last ownership of this entry that has ended.
-    pub(crate) last_ownership: RefCell<Option<Rc<Owner>>>,
+    /// Orders for VMs of the last ownership of this entry that has ended.
+    last_vm_orders: RefCell<Option<Rc<VmOrdersOnTheWay>>>,
     /// Time of the last answer from the store.
     pub(crate) last_store_contact: Cell<BootTime>,
     /// Time of the last answer from the owner that confirmed it is active.
@@ -127,7 +128,7 @@
             waves: RefCell::new(LiteMap::new()),
             known_owner: RefCell::default(),
             owner: RefCell::default(),
-            last_ownership: RefCell::default(),
+            last_vm_orders: RefCell::default(),
             last_store_contact: Cell::default(),
             last_owner_contact: Cell::default(),
             is_stopping: Cell::default(),
@@ -255,7 +256,7 @@
             owner.end();
             let is_cut_off = self.now().since(self.last_store_contact.get()) > MIN_OWNERSHIP_LEASE;
             owner.vm_orders.end_ownership(is_cut_off);
-            *self.last_ownership.borrow_mut() = Some(owner);
+            *self.last_vm_orders.borrow_mut() = Some(Rc::clone(&owner.vm_orders));
         }
     }
 
@@ -265,9 +266,9 @@
         if self.owner.borrow().is_some() {
             return None;
         }
-        let last_ownership = self.last_ownership.borrow();
-        let left = |owner: &Rc<Owner>| owner.vm_orders.remaining_for_successor(self.now());
-        Some(last_ownership.as_ref().map_or(Duration::ZERO, left))
+        let last_vm_orders = self.last_vm_orders.borrow();
+        let left = |orders: &Rc<VmOrdersOnTheWay>| orders.remaining_for_successor(self.now());
+        Some(last_vm_orders.as_ref().map_or(Duration::ZERO, left))
     }
 }
 
--- a/rhubarbfall-scheduler/src/owner/mod.rs
+++ b/rhubarbfall-scheduler/src/owner/mod.rs
@@ -103,7 +103,7 @@
     /// Smoothed lateness of the process's timers, which measures the wait for the processor.
     timer_lateness: Cell<Duration>,
     /// Orders for VMs that may still reach the VM service.
-    pub(crate) vm_orders: VmOrdersOnTheWay,
+    pub(crate) vm_orders: Rc<VmOrdersOnTheWay>,
 }
 
 /// Caller waiting until a version of a job is stored.
@@ -151,7 +151,10 @@
             worker_clients: RefCell::new(LiteMap::new()),
             batch_stored: Notify::new(),
             timer_lateness: Cell::default(),
-            vm_orders: VmOrdersOnTheWay::new(node.settings.vm_order_time(), vm_orders_until),
+            vm_orders: Rc::new(VmOrdersOnTheWay::new(
+                node.settings.vm_order_time(),
+                vm_orders_until,
+            )),
         };
         owner.confirm_renewal(confirmed_at);
         Rc::new(owner)
--- a/rhubarbfall-scheduler/src/predecessor.rs
+++ b/rhubarbfall-scheduler/src/predecessor.rs
@@ -25,12 +25,25 @@
     let (node, owner) = (Rc::clone(node), Rc::clone(owner));
     tokio::task::spawn_local(async move {
         while !owner.has_ended() && !owner.vm_orders.remaining(node.now()).is_zero() {
-            if let Some(left) = ask(&node, &predecessor, stated).await {
+            let (left, is_final) = match ask(&node, &predecessor).await {
+                Some(Answer::Left(left)) => (left, left.is_zero()),
+                // The connections of an earlier process were reset when it ended; the orders that it
+                // had inherited may still arrive.
+                Some(Answer::Restarted) => match stated {
+                    Some(stated) => (stated, true),
+                    None => return,
+                },
+                None => {
+                    tokio::time::sleep(ASK_INTERVAL).await;
+                    continue;
+                }
+            };
+            owner.vm_orders_arrive_by(node.now() + left);
+            if is_final {
                 log::info!(
                     "event=predecessor_answered entry={} vm_orders_left={left:?}",
                     predecessor.entry
                 );
-                owner.vm_orders_arrive_by(node.now() + left);
                 return;
             }
             tokio::time::sleep(ASK_INTERVAL).await;
@@ -38,18 +51,23 @@
     });
 }
 
-/// Returns how long the predecessor's orders may still arrive, or `None` if it is not known.
-async fn ask(node: &Node, predecessor: &Holder, stated: Option<Duration>) -> Option<Duration> {
+/// What is known of the process that owned the submissions before.
+enum Answer {
+    /// It has ended, and the entry runs another process.
+    Restarted,
+    /// Its orders may arrive for this long; longer while it waits for the outcome of one.
+    Left(Duration),
+}
+
+/// Asks the predecessor, and returns `None` if it does not answer or has not ended its ownership.
+async fn ask(node: &Node, predecessor: &Holder) -> Option<Answer> {
     let request = peer_status::status_request(node);
     let response = peer::exchange_status(node, predecessor.address, &request, ASK_TIMEOUT)
         .await
         .ok()?;
-    // The connections of an earlier process were reset when it ended; the orders that it had
-    // inherited may still arrive.
-    let has_restarted =
-        response.incarnation != 0 && response.incarnation != predecessor.incarnation;
-    if has_restarted {
-        return stated;
+    if response.incarnation != 0 && response.incarnation != predecessor.incarnation {
+        return Some(Answer::Restarted);
     }
-    response.vm_orders_left_ms.map(Duration::from_millis)
+    let left_ms = response.vm_orders_left_ms?;
+    Some(Answer::Left(Duration::from_millis(left_ms)))
 }
--- a/rhubarbfall/tests/scheduler_process/mod.rs
+++ b/rhubarbfall/tests/scheduler_process/mod.rs
@@ -54,9 +54,20 @@
     store: SocketAddr,
     name: &str,
     seeds: &[SocketAddr],
+) -> SchedulerEntry {
+    start_entry_with_settings(site, store, name, seeds, "")
+}
+
+/// Starts an entry with these lines added to its settings.
+pub(crate) fn start_entry_with_settings(
+    site: &StandInSite,
+    store: SocketAddr,
+    name: &str,
+    seeds: &[SocketAddr],
+    more: &str,
 ) -> SchedulerEntry {
     let addresses = EntryAddresses::allocate();
-    let settings = addresses.settings(name, seeds, store, site.vm_service);
+    let settings = addresses.settings(name, seeds, store, site.vm_service) + more;
     let directory = tempfile::tempdir().expect("a temporary directory is created");
     let directory = directory.keep();
     let (path, log) = (directory.join("entry.toml"), directory.join("entry.log"));
