--- a/rhubarbfall-runs/tests/worker_restarts.rs
+++ b/rhubarbfall-runs/tests/worker_restarts.rs
@@ -383,3 +383,14 @@
     owner.answer("w-1", 1, vec![running(&starts[0])], Vec::new());
     assert_eq!(owner.starts(), vec![]);
 }
+
+/// A list read before a worker's restart can arrive after the present one. Its entry describes a
+/// life that has ended, at an address that may be another worker's by now.
+#[test]
+fn an_entry_of_an_earlier_life_replaces_nothing() {
+    let mut owner = Owner::new();
+    owner.list_incarnation("w-1", 2);
+    owner.list_incarnation("w-1", 1);
+    let worker = owner.scheduler.worker(&id("w-1")).expect("listed worker");
+    assert_eq!(worker.report.incarnation_unix_ms, 2);
+}
--- a/rhubarbfall/tests/odd_input.rs
+++ b/rhubarbfall/tests/odd_input.rs
@@ -176,3 +176,22 @@
     wait_completed(&entry, "00000000000000d2").await;
     assert_no_panic(&entry);
 }
+
+/// A configuration read before the present one can arrive after it, also from a peer: with it, a key
+/// that was withdrawn would be accepted again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_configuration_with_a_lower_version_is_not_accepted() {
+    let site = StandInSite::start(1, Duration::from_millis(100)).await;
+    let entry = start_entry(&site, "entry-1", &[]);
+    submit(&[&entry], "00000000000000e1").await;
+    site.configure(9);
+    let deadline = Instant::now() + WAIT_TIMEOUT;
+    let accepted = |version: &str| entry.event_names(&["event=config_accepted", version]);
+    while accepted("version=9 ").is_empty() {
+        assert!(Instant::now() < deadline, "version 9 was not accepted");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    site.configure(8);
+    tokio::time::sleep(SETTLING_TIME).await;
+    assert_eq!(accepted("version=8 "), Vec::<String>::new());
+}
