test: start an entry again whose address another process has taken

Trace: the entry of that test wrote "event=start error=Address already in use" and exited at 08:11:36, before it had logged anything; the test then called it for 20 s. Its four ports were free when they were picked, milliseconds earlier. Which process took one in between is not known; the test itself did not get to what it checks.

An entry that never listens fails the test at its start.

--- a/rhubarbfall/tests/scheduler_process/mod.rs
+++ b/rhubarbfall/tests/scheduler_process/mod.rs
@@ -1,7 +1,7 @@
 //! Entries that own and run submissions, as separate processes, and calls to them.
 
 use std::fs::File;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command};
 use std::time::{Duration, Instant};
@@ -58,7 +58,13 @@
     start_entry_with_settings(site, store, name, seeds, "")
 }
 
-/// Starts an entry with these lines added to its settings.
+/// How often an entry is started whose addresses another process has taken since they were picked.
+const MAX_START_ATTEMPTS: usize = 3;
+
+/// The time within which an entry listens or has exited.
+const START_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Starts an entry with these lines added to its settings, and waits until it listens.
 pub(crate) fn start_entry_with_settings(
     site: &StandInSite,
     store: SocketAddr,
@@ -66,8 +72,18 @@
     seeds: &[SocketAddr],
     more: &str,
 ) -> SchedulerEntry {
-    let addresses = EntryAddresses::allocate();
-    let settings = addresses.settings(name, seeds, store, site.vm_service) + more;
+    for _ in 0..MAX_START_ATTEMPTS {
+        let addresses = EntryAddresses::allocate();
+        let settings = addresses.settings(name, seeds, store, site.vm_service) + more;
+        let mut entry = spawn_entry(addresses, &settings);
+        if is_listening(&mut entry) {
+            return entry;
+        }
+    }
+    panic!("{name} exited at its start {MAX_START_ATTEMPTS} times");
+}
+
+fn spawn_entry(addresses: EntryAddresses, settings: &str) -> SchedulerEntry {
     let directory = tempfile::tempdir().expect("a temporary directory is created");
     let directory = directory.keep();
     let (path, log) = (directory.join("entry.toml"), directory.join("entry.log"));
@@ -86,6 +102,20 @@
     }
 }
 
+/// Waits until an entry listens, and returns false if it has exited.
+fn is_listening(entry: &mut SchedulerEntry) -> bool {
+    let deadline = Instant::now() + START_TIMEOUT;
+    while TcpStream::connect(entry.addresses.peers).is_err() {
+        let exited = entry.child.try_wait().expect("the entry's state is known");
+        if exited.is_some() {
+            return false;
+        }
+        assert!(Instant::now() < deadline, "the entry does not listen");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    true
+}
+
 pub(crate) async fn call(
     entry: &SchedulerEntry,
     method: Method,
