fix(scheduler): let a predecessor's late answer hide no order of this owner

Cause, found in the last read of the diff: what earlier owners and what this owner have on the way stood in one field. A predecessor that answers after the gap has passed overwrote the time of an unanswered order of this owner, whose successor was then told that nothing is on its way; the questions also went on while this owner had orders in flight.

Change: two fields; the questions end when the inherited time has passed. Where the VM service checks fences both are zero and nothing changes.

--- a/rhubarbfall-scheduler/src/predecessor.rs
+++ b/rhubarbfall-scheduler/src/predecessor.rs
@@ -24,7 +24,7 @@
 ) {
     let (node, owner) = (Rc::clone(node), Rc::clone(owner));
     tokio::task::spawn_local(async move {
-        while !owner.has_ended() && !owner.vm_orders.remaining(node.now()).is_zero() {
+        while !owner.has_ended() && !owner.vm_orders.inherited_remaining(node.now()).is_zero() {
             let (left, is_final) = match ask(&node, &predecessor).await {
                 Some(Answer::Left(left)) => (left, left.is_zero()),
                 // The connections of an earlier process were reset when it ended; the orders that it
--- a/rhubarbfall-scheduler/src/vm_orders_on_the_way.rs
+++ b/rhubarbfall-scheduler/src/vm_orders_on_the_way.rs
@@ -15,7 +15,9 @@
     /// orders of earlier owners.
     order_time: Duration,
     in_flight: Cell<usize>,
-    /// When the last order that got no answer has arrived or is lost.
+    /// When the orders of earlier owners have arrived or are lost.
+    inherited_until: Cell<BootTime>,
+    /// When the last order of this owner that got no answer has arrived or is lost.
     unanswered_until: Cell<BootTime>,
     last_sent_at: Cell<BootTime>,
     /// Whether this ownership ended while the entry could not reach the store.
@@ -28,15 +30,21 @@
         Self {
             order_time,
             in_flight: Cell::new(0),
-            unanswered_until: Cell::new(inherited_until),
+            inherited_until: Cell::new(inherited_until),
+            unanswered_until: Cell::new(BootTime::new(Duration::ZERO)),
             last_sent_at: Cell::new(BootTime::new(Duration::ZERO)),
             was_cut_off: Cell::new(false),
         }
     }
 
-    /// Replaces the time until which orders of earlier owners arrive, while this owner gives none.
+    /// Replaces the time until which orders of earlier owners arrive.
     pub(crate) fn inherit(&self, until: BootTime) {
-        self.unanswered_until.set(until);
+        self.inherited_until.set(until);
+    }
+
+    /// Returns how long orders of earlier owners may still arrive.
+    pub(crate) fn inherited_remaining(&self, now: BootTime) -> Duration {
+        self.inherited_until.get().since(now)
     }
 
     /// Records that an order is being sent.
@@ -68,6 +76,7 @@
     /// Returns how long orders may still arrive if no more are sent.
     pub(crate) fn remaining(&self, now: BootTime) -> Duration {
         let unanswered = self.unanswered_until.get().since(now);
+        let unanswered = unanswered.max(self.inherited_remaining(now));
         if self.is_any_in_flight() {
             unanswered.max(self.order_time)
         } else {
@@ -99,7 +108,7 @@
 }
 
 /// Returns how long orders of earlier owners may arrive, counted from the last change of the
-/// ownership rows. `stated` is what the owner row says of orders at its last write, if it does.
+/// ownership rows. `stated` is what the latest renewal says of them, if it does.
 pub(crate) fn inherited_order_time(
     end: PredecessorEnd,
     stated: Option<Duration>,
--- a/rhubarbfall-scheduler/src/vm_orders_on_the_way/tests.rs
+++ b/rhubarbfall-scheduler/src/vm_orders_on_the_way/tests.rs
@@ -82,3 +82,13 @@
     orders.end_ownership(true);
     assert_eq!(orders.remaining_for_successor(at(11)), Duration::ZERO);
 }
+
+/// A predecessor may answer after the gap has passed, when this owner has given orders of its own.
+#[test]
+fn late_answer_of_the_predecessor_hides_no_order_of_this_owner() {
+    let orders = VmOrdersOnTheWay::new(ORDER_TIME, at(10));
+    orders.begin(at(11));
+    orders.end(false, at(12));
+    orders.inherit(at(12));
+    assert_eq!(orders.remaining(at(12)), ORDER_TIME);
+}
