fix(scheduler): let the last VM of a late wave wait for no other

The wave's pace counts the VMs that wait (one) for how many may be in progress, and holds those whose maintenance has begun against it: m-b808f until 29.2 s, and m-bd87d, which returned under its worker's name and therefore counts as down for 6 s, until 32.18 s.

Change: a wave that has used up its time (three fifths of what operators allow) is held only by their limit on VMs down at once. Test: rhubarbfall-runs/tests/late_wave.rs, 6.1 s before, at once now; the limit is kept.

--- a/rhubarbfall-runs/src/scheduler/waves.rs
+++ b/rhubarbfall-runs/src/scheduler/waves.rs
@@ -101,13 +101,19 @@
     }
 
     /// Returns how many VMs may be in progress at the same time: as many as the remaining time
-    /// requires, and more if they are idle.
+    /// requires, and more if they are idle. A wave that has used up its time waits for no VM in
+    /// progress.
     pub(super) fn concurrency(&self, now: BootTime) -> WaveConcurrency {
         let max_concurrent = self.wave.max_down.max(1);
         let usable = self.wave.duration.mul_f64(1.0 - WAVE_TIME_RESERVE_SHARE);
-        let left = usable
-            .saturating_sub(now.since(self.started_at))
-            .max(VM_CYCLE);
+        let elapsed = now.since(self.started_at);
+        if elapsed >= usable {
+            return WaveConcurrency {
+                busy: max_concurrent,
+                idle: max_concurrent,
+            };
+        }
+        let left = usable.saturating_sub(elapsed).max(VM_CYCLE);
         let needed =
             (self.waiting().count() as f64 * VM_CYCLE.div_duration_f64(left)).ceil() as usize;
         WaveConcurrency {
