--- a/review/stand_in/cases.rs
+++ b/review/stand_in/cases.rs
@@ -4,7 +4,7 @@
 use std::fmt::Write;
 use std::path::PathBuf;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::consumers::{Call, Consumers, Planned, one_step};
 use crate::minion::Span;
@@ -28,6 +28,7 @@
     match name {
         "large-submission" => Some(large_submission),
         "takeover-after-traffic" => Some(takeover_after_traffic),
+        "overdue-schedule" => Some(overdue_schedule),
         "lost-upkeep-answer" => Some(lost_upkeep_answer),
         "many-ends" => Some(many_ends),
         _ => None,
@@ -58,6 +59,18 @@
     Outcome { code: 2, summary: format!("could not run: {why}"), record: format!("could not run: {why}\n") }
 }
 
+/// Returns how many of the submissions that were first sent in this time were accepted, and how many
+/// there are.
+fn accepted_of(calls: &[Call], from_ms: u64, to_ms: u64) -> (u32, u32) {
+    let mut submissions: BTreeMap<&str, (u64, bool)> = BTreeMap::new();
+    for call in calls.iter().filter(|call| call.method == "POST") {
+        let submission = submissions.entry(&call.id).or_insert((call.sent_ms, false));
+        submission.1 |= call.status == 200;
+    }
+    let sent = submissions.values().filter(|(sent_ms, _)| (from_ms..to_ms).contains(sent_ms));
+    sent.fold((0, 0), |(accepted, all), (_, is_accepted)| (accepted + u32::from(*is_accepted), all + 1))
+}
+
 fn record_calls(record: &mut String, calls: &[Call]) {
     let _ = writeln!(record, "\ncalls: sent ms, answered ms, method, submission, status (0: no answer), body");
     for call in calls {
@@ -213,8 +226,7 @@
     };
     let is_open = |state: &str| !state.contains("completed");
     let lost: Vec<_> = states.iter().filter(|(id, state)| is_open(state) && is_idle(id)).collect();
-    let posts = calls.iter().filter(|call| call.method == "POST" && call.sent_ms > large_ms + 10_000);
-    let (sent, taken) = posts.fold((0, 0), |(sent, taken), call| (sent + 1, taken + u32::from(call.status == 200)));
+    let (taken, sent) = accepted_of(&calls, large_ms + 10_000, u64::MAX);
     let (refused, largest) = site.store.refused_values();
     let unacked = spans.iter().filter(|span| span.to_ms.is_some() && span.acked_ms.is_none()).count();
     let mut record = String::new();
@@ -222,7 +234,7 @@
     let _ = writeln!(record, "accepted submissions: {}", accepted.len());
     let _ = writeln!(record, "accepted, not completed at {asked_ms} ms, and without a run for 3 s at {until_ms} ms: {}", lost.len());
     let _ = writeln!(record, "runs at work at the end: {running} of 576 cores' room");
-    let _ = writeln!(record, "requests sent later than 10 s after the {SUBTASKS} subtasks: {sent}, answered 200: {taken}");
+    let _ = writeln!(record, "submissions first sent later than 10 s after the {SUBTASKS} subtasks: {sent}, accepted: {taken}");
     let _ = writeln!(record, "ends that were listed and never acked: {unacked}");
     let _ = writeln!(record, "transactions that the store refused, as a value was longer than 65536 bytes: {refused}; longest value: {largest} bytes");
     let _ = writeln!(record, "batch_store_failed in the logs: {}", site.count_in_logs("event=batch_store_failed"));
@@ -233,7 +245,7 @@
     record_calls(&mut record, &calls);
     record_spans(&mut record, "runs of ordinary submissions", spans.iter().filter(|span| span.task.starts_with("0002")));
     let summary = format!(
-        "{} of {} accepted submissions lost; {taken} of {sent} later requests answered 200; {refused} transactions refused",
+        "{} of {} accepted submissions lost; {taken} of {sent} later ones accepted; {refused} transactions refused",
         lost.len(), accepted.len()
     );
     Outcome { code: i32::from(!lost.is_empty()), summary, record }
@@ -282,22 +294,8 @@
         let _ = thread.join();
     }
     let calls = consumers.calls();
-    let share = |from_ms: u64, to_ms: u64| {
-        let mut requests: BTreeMap<&str, (u64, bool)> = BTreeMap::new();
-        for call in calls.iter().filter(|call| call.method == "POST") {
-            let request = requests.entry(&call.id).or_insert((call.sent_ms, false));
-            request.1 |= call.status == 200;
-        }
-        let sent = requests.values().filter(|(sent_ms, _)| (from_ms..to_ms).contains(sent_ms));
-        let (mut all, mut served) = (0, 0);
-        for (_, is_served) in sent {
-            all += 1;
-            served += u32::from(*is_served);
-        }
-        (served, all)
-    };
-    let before = share(from_ms, kill_ms);
-    let after = share(back_ms + RECOVER_MS, u64::MAX);
+    let before = accepted_of(&calls, from_ms, kill_ms);
+    let after = accepted_of(&calls, back_ms + RECOVER_MS, u64::MAX);
     let is_broken = after.0 * 4 < after.1 && before.0 * 4 >= before.1;
     let mut record = String::new();
     let _ = writeln!(record, "trouble: {has_trouble}; all entries killed at {kill_ms} ms and started again by {back_ms} ms if so");
@@ -316,8 +314,79 @@
     Outcome { code: i32::from(is_broken), summary, record }
 }
 
-/// Rule LIMIT on waves. The answer to the first upkeep is lost, and the service that maintains machines
-/// is unavailable for a second.
+/// Ends entries whose memory is over their limit and starts them again, as the platform does, for this
+/// time. Returns when each entry was ended.
+fn enforce_memory(site: &mut Site, time: Duration) -> Vec<Vec<u64>> {
+    /// `memory_mb` of the site's machines.
+    const MEMORY_MB: u64 = 260;
+    const RESTART_MS: u64 = 1_000;
+    let until = Instant::now() + time;
+    let mut ended: Vec<Vec<u64>> = vec![Vec::new(); site.entries.len()];
+    while Instant::now() < until {
+        let now_ms = site.now_ms();
+        for (entry, ended) in site.entries.iter_mut().zip(&mut ended) {
+            if entry.memory_mb().is_some_and(|mb| mb > MEMORY_MB) {
+                entry.kill();
+                ended.push(now_ms);
+            } else if !entry.is_up() && ended.last().is_none_or(|ended_ms| now_ms >= ended_ms + RESTART_MS) {
+                entry.start();
+            }
+        }
+        sleep_ms(5);
+    }
+    ended
+}
+
+/// Rule Fault. A timed submission whose first run lies a week back comes beside ordinary traffic.
+fn overdue_schedule(folder: PathBuf, has_trouble: bool) -> Outcome {
+    const TRAFFIC_MS: u64 = 30_000;
+    const OVERDUE_MS: u64 = 7 * 24 * 3_600 * 1_000;
+    const RUNS: u64 = 365 * 24 * 3_600;
+    let mut site = Site::start(folder, 9, 4);
+    let consumers = Consumers::new(&site);
+    if !await_service(&consumers) {
+        return could_not_run("no entry took a submission");
+    }
+    sleep_ms(2_000);
+    let from_ms = site.now_ms();
+    let ordinary = one_step(6, 3_500, 6_500, 1_000, 75);
+    let mut planned: Vec<Planned> = (0..(TRAFFIC_MS / 500) as usize)
+        .map(|number| Planned { at_ms: from_ms + 500 * number as u64, id: id(7, number), body: ordinary.clone() })
+        .collect();
+    let unix_ms = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis() as u64);
+    let timed_ms = from_ms + 8_000;
+    // Without trouble, the first run is due when the submission comes.
+    let overdue_ms = if has_trouble { OVERDUE_MS } else { 0 };
+    let timed = format!(
+        "{},\"first_run_ms\":{},\"interval_ms\":1000,\"max_runs\":{RUNS}}}",
+        &ordinary[..ordinary.len() - 1], unix_ms + 8_000 - overdue_ms
+    );
+    planned.push(Planned { at_ms: timed_ms, id: id(8, 0), body: timed });
+    planned.sort_by_key(|planned| planned.at_ms);
+    let threads = consumers.submit_all(planned, 40);
+    let ended = enforce_memory(&mut site, Duration::from_millis(TRAFFIC_MS) + FINISH);
+    let calls = consumers.calls();
+    let is_accepted = calls.iter().any(|call| call.id == id(8, 0) && call.status == 200);
+    // On a tenth of the machines, two at least, three times.
+    let is_broken = ended.iter().filter(|ended| ended.len() >= 3).count() >= 2;
+    let before = accepted_of(&calls, from_ms, timed_ms);
+    let (taken, sent) = accepted_of(&calls, timed_ms + RECOVER_MS, u64::MAX);
+    let mut record = String::new();
+    let _ = writeln!(record, "trouble: {has_trouble}; the timed submission was sent at {timed_ms} ms, its first run due {overdue_ms} ms before");
+    let _ = writeln!(record, "the timed submission was accepted: {}", is_accepted);
+    let _ = writeln!(record, "entries ended for memory over 260 MB, at ms: {ended:?}");
+    let _ = writeln!(record, "ordinary submissions first sent before it: {}, accepted: {}", before.1, before.0);
+    let _ = writeln!(record, "submissions first sent later than 12 s after the timed one: {sent}, accepted: {taken}");
+    record_calls(&mut record, &calls);
+    record_spans(&mut record, "runs of ordinary submissions", site.spans().iter().filter(|span| span.task.starts_with("0007")));
+    drop(threads);
+    let ends: Vec<usize> = ended.iter().map(Vec::len).collect();
+    let summary = format!("entries ended for memory: {ends:?} times; {taken} of {sent} later submissions accepted");
+    Outcome { code: i32::from(is_broken), summary, record }
+}
+
+/// Rule LIMIT on waves. The answers to the first three upkeeps are lost, each at the start of a short
+/// outage of the service that maintains machines.
 fn lost_upkeep_answer(folder: PathBuf, has_trouble: bool) -> Outcome {
     const CAP: usize = 1;
     const DURATION_S: u64 = 40;
@@ -328,7 +397,7 @@
     }
     sleep_ms(2_000);
     if has_trouble {
-        site.cloud.fail_at_first_upkeep(Duration::from_secs(1));
+        site.cloud.fail_at_upkeeps(3, Duration::from_millis(750));
     }
     let from_ms = site.now_ms();
     // Two machines stay free of the wave, so that the ordinary work has room.
--- a/review/stand_in/cloud.rs
+++ b/review/stand_in/cloud.rs
@@ -38,8 +38,9 @@
     machines: Vec<Machine>,
     calls: Vec<UpkeepCall>,
     fence: u64,
-    /// How long the service is unavailable once it has carried out the first upkeep.
-    outage: Option<Duration>,
+    /// How long the service is unavailable after it has carried out an upkeep, and how often.
+    outage: Duration,
+    outages_left: usize,
     unavailable_until: Option<Instant>,
 }
 
@@ -70,7 +71,8 @@
             machines: minions.iter().enumerate().map(machine).collect(),
             calls: Vec::new(),
             fence: 0,
-            outage: None,
+            outage: Duration::ZERO,
+            outages_left: 0,
             unavailable_until: None,
         };
         let cloud = Arc::new(Cloud { began_at, store, service, zones, state: Mutex::new(state) });
@@ -79,9 +81,11 @@
         (cloud, address)
     }
 
-    /// Makes the service unavailable for this time from the first upkeep on, whose answer is lost.
-    pub fn fail_at_first_upkeep(&self, outage: Duration) {
-        self.state.lock().unwrap().outage = Some(outage);
+    /// Makes the service unavailable for this time from each of the next upkeeps on, whose answers are
+    /// lost.
+    pub fn fail_at_upkeeps(&self, count: usize, outage: Duration) {
+        let mut state = self.state.lock().unwrap();
+        (state.outages_left, state.outage) = (count, outage);
     }
 
     pub fn upkeep_calls(&self) -> Vec<UpkeepCall> {
@@ -163,9 +167,10 @@
                 Some((200, "{}".to_owned()))
             }
         };
-        let is_lost = call.has_begun && state.outage.is_some();
-        if let Some(outage) = state.outage.take_if(|_| is_lost) {
-            state.unavailable_until = Some(Instant::now() + outage);
+        let is_lost = call.has_begun && state.outages_left > 0;
+        if is_lost {
+            state.outages_left -= 1;
+            state.unavailable_until = Some(Instant::now() + state.outage);
         }
         let answer = if is_lost { None } else { answer };
         call.answer = match &answer {
--- a/review/stand_in/http.rs
+++ b/review/stand_in/http.rs
@@ -152,6 +152,9 @@
     }
 
     fn exchange(&mut self, method: &str, path: &str, headers: &str, body: &str) -> io::Result<(u16, String)> {
+        if self.stream.as_ref().is_some_and(|reader| is_closed(reader.get_ref())) {
+            self.stream = None;
+        }
         if self.stream.is_none() {
             let stream = TcpStream::connect_timeout(&self.address, self.timeout)?;
             stream.set_nodelay(true)?;
@@ -176,3 +179,10 @@
         Ok((status, String::from_utf8_lossy(&body).into_owned()))
     }
 }
+
+/// Returns whether the other side has closed an idle connection.
+fn is_closed(stream: &TcpStream) -> bool {
+    let state = stream.set_nonblocking(true).and_then(|()| stream.peek(&mut [0]));
+    let is_open = matches!(&state, Err(error) if error.kind() == io::ErrorKind::WouldBlock);
+    !is_open || stream.set_nonblocking(false).is_err()
+}
--- a/review/stand_in/site.rs
+++ b/review/stand_in/site.rs
@@ -6,6 +6,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -19,6 +20,7 @@
 pub const HOST: &str = "labels.example";
 pub const PREFIX: &str = "/print/";
 pub const KEY: &str = "key-a";
+const PORTS: std::ops::Range<u16> = 11_000..31_000;
 const SERVICE: &str = "labels";
 const ZONES: [&str; 3] = ["howrah", "barasat", "kalyani"];
 
@@ -151,14 +153,39 @@
     }
 }
 
+impl Entry {
+    /// Returns the memory of the process in MB, or `None` if it does not run.
+    pub fn memory_mb(&self) -> Option<u64> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.as_ref()?.id())).ok()?;
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+        let kb: u64 = line.split_whitespace().nth(1)?.parse().ok()?;
+        Some(kb / 1_024)
+    }
+
+    /// Returns whether the process runs.
+    pub fn is_up(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+    }
+}
+
 impl Drop for Entry {
     fn drop(&mut self) {
         self.kill();
     }
 }
 
+/// Returns addresses for one entry. Their ports lie below those that the system picks for outgoing
+/// connections, so that an entry that is killed finds them free when it starts again.
 fn free_addresses() -> [SocketAddr; 4] {
-    let listeners: Vec<_> = (0..4).map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port")).collect();
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let first = std::process::id().wrapping_mul(61);
+    let mut listeners: Vec<TcpListener> = Vec::new();
+    while listeners.len() < 4 {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        assert!(number < PORTS.len() as u32, "no free port");
+        let port = PORTS.start + (first.wrapping_add(number) % PORTS.len() as u32) as u16;
+        listeners.extend(TcpListener::bind(("127.0.0.1", port)));
+    }
     [0, 1, 2, 3].map(|index: usize| listeners[index].local_addr().expect("an address"))
 }
 
