--- a/review/stand_in/cases.rs
+++ b/review/stand_in/cases.rs
@@ -3,11 +3,12 @@
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::consumers::{Call, Consumers, Planned, one_step};
-use crate::minion::Span;
+use crate::minion::{Minion, Span};
 use crate::site::Site;
 
 /// `finish_s` of the site: how long after the traffic submissions are asked for.
@@ -28,6 +29,7 @@
     match name {
         "large-submission" => Some(large_submission),
         "takeover-after-traffic" => Some(takeover_after_traffic),
+        "pending-after-restart" => Some(pending_after_restart),
         "overdue-schedule" => Some(overdue_schedule),
         "lost-upkeep-answer" => Some(lost_upkeep_answer),
         "many-ends" => Some(many_ends),
@@ -432,3 +434,83 @@
     let summary = format!("{over} of {begun} upkeeps began while {CAP} machine of the wave was down");
     Outcome { code: i32::from(over > 0), summary, record }
 }
+
+/// Rule MIXED. While one minion refuses all starts and the others are full, the owner is stopped as
+/// planned, and the others are asked for the number of pending submissions.
+fn pending_after_restart(folder: PathBuf, has_trouble: bool) -> Outcome {
+    const REFUSAL_MS: u64 = 6_500;
+    /// `visible_ms` + 2 s.
+    const VISIBLE_MS: u64 = 5_000;
+    const WAITING: usize = 30;
+    const MINIONS: usize = 12;
+    let mut site = Site::start(folder, MINIONS, 3);
+    let consumers = Consumers::new(&site);
+    if !await_service(&consumers) {
+        return could_not_run("no entry took a submission");
+    }
+    sleep_ms(2_000);
+    // Each of these submissions fills a minion of 64 cores; one minion stays free.
+    let filling = one_step(16, 4_000, 4_000, 25_000, 75);
+    let from_ms = site.now_ms();
+    let planned = (0..MINIONS - 1).map(|number| Planned { at_ms: from_ms, id: id(1, number), body: filling.clone() });
+    for thread in consumers.submit_all(planned.collect(), MINIONS) {
+        let _ = thread.join();
+    }
+    sleep_ms(2_000);
+    let is_idle = |minion: &&Arc<Minion>| minion.spans().iter().all(|span| span.to_ms.is_some());
+    let idle: Vec<_> = site.minions.iter().filter(is_idle).cloned().collect();
+    let [idle] = idle.as_slice() else {
+        return could_not_run("the minions are not full");
+    };
+    if has_trouble {
+        idle.refuse_starts(Duration::from_millis(REFUSAL_MS));
+    }
+    let refusal_ms = site.now_ms();
+    let waiting = one_step(4, 500, 500, 1_000, 75);
+    let planned = (0..WAITING).map(|number| Planned { at_ms: refusal_ms, id: id(2, number), body: waiting.clone() });
+    for thread in consumers.submit_all(planned.collect(), 10) {
+        let _ = thread.join();
+    }
+    let accepted_ms = site.now_ms();
+    sleep_ms((refusal_ms + 3_000).saturating_sub(site.now_ms()));
+    let Some(owner) = site.owner() else {
+        return could_not_run("no entry is the owner");
+    };
+    let stop_ms = site.now_ms();
+    if has_trouble {
+        site.entries[owner].terminate();
+    }
+    sleep_ms((accepted_ms + VISIBLE_MS + 100).saturating_sub(site.now_ms()));
+    let mut caller = consumers.caller(0);
+    let mut record = String::new();
+    let _ = writeln!(record, "trouble: {has_trouble}; {} refuses starts from {refusal_ms} ms for {REFUSAL_MS} ms and entry {} is stopped at {stop_ms} ms, if so", idle.id, owner + 1);
+    let _ = writeln!(record, "{WAITING} submissions accepted by {accepted_ms} ms");
+    let _ = writeln!(record, "\nat ms, entry, pending as answered, submissions accepted {VISIBLE_MS} ms before without a start");
+    let (mut answers, mut wrong) = (0, 0);
+    while site.now_ms() < refusal_ms + REFUSAL_MS - 100 {
+        for entry in (0..site.entries.len()).filter(|entry| *entry != owner) {
+            let asked_ms = site.now_ms();
+            let pending = caller.pending(entry);
+            let spans = site.spans();
+            let is_waiting = |number: &usize| !spans.iter().any(|span| span.task.starts_with(&id(2, *number)));
+            let true_count = (0..WAITING).filter(is_waiting).count() as u64;
+            let _ = writeln!(record, "{asked_ms} {} {pending:?} {true_count}", entry + 1);
+            answers += u32::from(pending.is_some());
+            wrong += u32::from(pending.is_some_and(|pending| pending * 2 < true_count));
+        }
+        sleep_ms(150);
+    }
+    sleep_ms(4_000);
+    if has_trouble {
+        site.entries[owner].kill();
+        site.entries[owner].start();
+        sleep_ms(2_000);
+    }
+    record_calls(&mut record, &consumers.calls());
+    record_spans(&mut record, "runs of the waiting submissions", site.spans().iter().filter(|span| span.task.starts_with("0002")));
+    if answers == 0 {
+        return Outcome { code: 2, summary: "no entry answered".into(), record };
+    }
+    let summary = format!("{wrong} of {answers} answers gave less than half of the pending submissions");
+    Outcome { code: i32::from(wrong > 0), summary, record }
+}
--- a/review/stand_in/consumers.rs
+++ b/review/stand_in/consumers.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use crate::http::Client;
+use crate::json::Json;
 use crate::site::{HOST, KEY, PREFIX, Site};
 
 /// The consumers' time limit on the site's sheet.
@@ -123,6 +124,14 @@
         "no answer".into()
     }
 
+    /// Asks one entry for the number of pending submissions.
+    pub fn pending(&mut self, entry: usize) -> Option<u64> {
+        self.next = entry;
+        let call = self.call("GET", "", "");
+        let body = Json::parse(call.body.as_bytes()).filter(|_| call.status == 200)?;
+        Some(body.get("pending").number())
+    }
+
     fn call(&mut self, method: &'static str, id: &str, body: &str) -> Call {
         let sent_ms = self.now_ms();
         let headers = format!("Host: {HOST}\r\nApi-Key: {KEY}\r\nX-Deadline-Ms: {TIME_LIMIT_MS}\r\n");
--- a/review/stand_in/minion.rs
+++ b/review/stand_in/minion.rs
@@ -49,6 +49,8 @@
     ends: Vec<(u64, usize)>,
     last_end: u64,
     has_left: bool,
+    /// Starts are refused with 503 until then.
+    refuses_until_ms: u64,
     /// The highest run of each subtask that was started, stopped or has ended here.
     highest: BTreeMap<String, u64>,
     spans: Vec<Span>,
@@ -91,6 +93,11 @@
         state.spans.clone()
     }
 
+    /// Refuses all starts for this time, as an unhealthy minion.
+    pub fn refuse_starts(&self, time: Duration) {
+        self.state.lock().unwrap().refuses_until_ms = self.now_ms() + time.as_millis() as u64;
+    }
+
     /// Ends the minion with all that runs on it; calls get no answer from then on.
     pub fn leave(&self) {
         let now_ms = self.now_ms();
@@ -140,6 +147,9 @@
         let now_ms = self.now_ms();
         let mut state = self.state.lock().unwrap();
         state.end_elapsed(now_ms);
+        if now_ms < state.refuses_until_ms {
+            return (503, format!("{{\"clock_ms\":{now_ms}}}"));
+        }
         if !state.is_newest_fence(body) {
             return Self::refusal(now_ms, "fence");
         }
--- a/review/stand_in/site.rs
+++ b/review/stand_in/site.rs
@@ -29,7 +29,7 @@
     pub store: Arc<Store>,
     pub cloud: Arc<Cloud>,
     /// The minions at the start.
-    minions: Vec<Arc<Minion>>,
+    pub minions: Vec<Arc<Minion>>,
     pub entries: Vec<Entry>,
     folder: PathBuf,
     store_address: SocketAddr,
@@ -95,6 +95,20 @@
         self.began_at.elapsed().as_millis() as u64
     }
 
+    /// Returns the index of the entry that was the last to gain the ownership.
+    pub fn owner(&self) -> Option<usize> {
+        let fence = |line: &str| {
+            let text = line.split("event=ownership_gained fence=").nth(1)?;
+            text.split(' ').next()?.parse::<u64>().ok()
+        };
+        let newest = |entry: &Entry| {
+            let log = fs::read_to_string(&entry.log).unwrap_or_default();
+            log.lines().filter_map(fence).max()
+        };
+        let fences = self.entries.iter().map(newest).enumerate();
+        fences.filter_map(|(index, fence)| Some((fence?, index))).max().map(|(_, index)| index)
+    }
+
     /// Returns every run that a minion saw, by the time of its start.
     pub fn spans(&self) -> Vec<Span> {
         let mut minions = self.minions.clone();
@@ -143,6 +157,13 @@
         self.child = Some(child);
     }
 
+    /// Tells the process to stop.
+    pub fn terminate(&mut self) {
+        if let Some(child) = &self.child {
+            let _ = Command::new("kill").arg("-TERM").arg(child.id().to_string()).status();
+        }
+    }
+
     /// Kills the process.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
