test(review): case 5, waiting submissions are not counted as pending after a restart

Cause: a new owner takes a submission of which a task was ever placed for one that has started. Ruled out: the count before the restart, which is right.

--- a/review/stand_in/cases.rs
+++ b/review/stand_in/cases.rs
@@ -476,15 +476,18 @@
     let Some(owner) = site.owner() else {
         return could_not_run("no entry is the owner");
     };
+    let mut caller = consumers.caller(0);
+    let others = (0..site.entries.len()).filter(|entry| *entry != owner);
+    let before: Vec<Option<u64>> = others.map(|entry| caller.pending(entry)).collect();
     let stop_ms = site.now_ms();
     if has_trouble {
         site.entries[owner].terminate();
     }
     sleep_ms((accepted_ms + VISIBLE_MS + 100).saturating_sub(site.now_ms()));
-    let mut caller = consumers.caller(0);
     let mut record = String::new();
     let _ = writeln!(record, "trouble: {has_trouble}; {} refuses starts from {refusal_ms} ms for {REFUSAL_MS} ms and entry {} is stopped at {stop_ms} ms, if so", idle.id, owner + 1);
     let _ = writeln!(record, "{WAITING} submissions accepted by {accepted_ms} ms");
+    let _ = writeln!(record, "pending as the other entries answered just before {stop_ms} ms: {before:?}");
     let _ = writeln!(record, "\nat ms, entry, pending as answered, submissions accepted {VISIBLE_MS} ms before without a start");
     let (mut answers, mut wrong) = (0, 0);
     while site.now_ms() < refusal_ms + REFUSAL_MS - 100 {
