fix(runs): count a submission as started by its runs, not by its placements

Cause: a new owner set `has_started` from the stored `has_begun`, which says that a task was placed. A placement is stored before its start is sent, and the worker may refuse the start. Ruled out: loss of rows and the hand-over; the count was right before the stop. Reading a state from the store made the same guess.

Change: the progress row holds `has_started` (field 5, skipped by earlier versions). A recovered job has started by this field, a done task or a failed run; an inherited placement counts once its worker lists it.

--- a/rhubarbfall-runs/src/job.rs
+++ b/rhubarbfall-runs/src/job.rs
@@ -29,7 +29,8 @@
     pub occurrences: Vec<Occurrence>,
     /// Whether any task was ever placed.
     pub has_begun: bool,
-    /// Whether a worker is known to have started a task.
+    /// Whether a worker is known to have started a task; unknown for a placement that an earlier
+    /// owner made, until its worker reports.
     pub has_started: bool,
     /// The version of the job, which increases with each change that has to be stored.
     pub version: u64,
--- a/rhubarbfall-runs/src/progress.rs
+++ b/rhubarbfall-runs/src/progress.rs
@@ -11,6 +11,8 @@
     pub state: JobState,
     /// Whether any task was ever placed.
     pub has_begun: bool,
+    /// Whether a worker is known to have started a task. Rows of earlier versions do not tell.
+    pub has_started: bool,
     /// The tasks that are done, each by occurrence, step and index.
     pub done: Vec<(u32, u16, u32)>,
     /// The unfinished tasks that were placed at least once.
@@ -44,12 +46,20 @@
 }
 
 impl JobProgress {
+    /// Returns whether a task has certainly started. A placement proves no start, because the
+    /// worker may refuse it.
+    #[must_use]
+    pub fn proves_start(&self) -> bool {
+        self.has_started || !self.done.is_empty() || self.open.iter().any(|task| task.failures > 0)
+    }
+
     /// Collects the progress of a job for storage.
     #[must_use]
     pub fn of(job: &Job) -> Self {
         let mut progress = Self {
             state: job.state,
             has_begun: job.has_begun,
+            has_started: job.has_started,
             ..Self::default()
         };
         job.for_each_task(|occurrence, step, index, task| {
--- a/rhubarbfall-runs/src/record.rs
+++ b/rhubarbfall-runs/src/record.rs
@@ -115,6 +115,8 @@
     done: Vec<u32>,
     #[prost(message, repeated, tag = "4")]
     open: Vec<OpenTaskRecord>,
+    #[prost(bool, tag = "5")]
+    has_started: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -308,6 +310,7 @@
     let record = ProgressRecord {
         state,
         has_begun: progress.has_begun,
+        has_started: progress.has_started,
         done: progress.done.iter().flat_map(flatten).collect(),
         open: open.collect(),
     };
@@ -353,6 +356,7 @@
     Ok(JobProgress {
         state,
         has_begun: record.has_begun,
+        has_started: record.has_started,
         done: record.done.chunks_exact(3).map(decode_position).collect(),
         open: open.collect::<Result<_, _>>()?,
     })
--- a/rhubarbfall-runs/src/scheduler/recovery.rs
+++ b/rhubarbfall-runs/src/scheduler/recovery.rs
@@ -210,7 +210,7 @@
     job.state = progress.state;
     job.stored_state = progress.state;
     job.has_begun = progress.has_begun;
-    job.has_started = progress.has_begun;
+    job.has_started = progress.proves_start();
     if progress.state.is_final() {
         job.finished_at = Some(now);
         job.ended_at = Some(now);
--- a/rhubarbfall-runs/tests/single_owner/mod.rs
+++ b/rhubarbfall-runs/tests/single_owner/mod.rs
@@ -162,6 +162,7 @@
     let progress = JobProgress {
         state,
         has_begun: true,
+        has_started: false,
         done: Vec::new(),
         open: vec![OpenTask {
             position: (0, 0, 0),
--- a/rhubarbfall-runs/tests/stored_submissions.rs
+++ b/rhubarbfall-runs/tests/stored_submissions.rs
@@ -121,6 +121,7 @@
     let progress = JobProgress {
         state,
         has_begun: true,
+        has_started: false,
         done: Vec::new(),
         open: open.into_iter().collect(),
     };
--- a/rhubarbfall-scheduler/src/owner/state_rows.rs
+++ b/rhubarbfall-scheduler/src/owner/state_rows.rs
@@ -234,12 +234,15 @@
     Ok(submission.map(|_| SubmissionState::Queued))
 }
 
-const fn submission_state(progress: &JobProgress) -> SubmissionState {
+/// Returns the state that a progress row shows. A placed task counts as running, because its start
+/// follows the storing at once and shows in no row.
+fn submission_state(progress: &JobProgress) -> SubmissionState {
+    let is_placed = progress.open.iter().any(|task| task.placed.is_some());
     match progress.state {
         JobState::Completed => SubmissionState::Completed,
         JobState::Failed => SubmissionState::Failed,
         JobState::Cancelled => SubmissionState::Cancelled,
-        JobState::Active if progress.has_begun => SubmissionState::Running,
+        JobState::Active if is_placed || progress.proves_start() => SubmissionState::Running,
         JobState::Active => SubmissionState::Queued,
     }
 }
