fix(runs): keep progress rows within the store's size; give up refused changes alone

Cause: the progress row had no bound and passed the 65,536 bytes of a row; the store refused the transaction, which the owner took for a lost answer and repeated without end, with the changes of all others in it and after it. Ruled out: the size and the entries of the transaction.

Change: - A job places only as many tasks at a time as its row holds. Done tasks are stored as ranges where the row would not fit otherwise, which bounds the rows of long schedules too; checkpoints that do not fit are left out. Rows that fit keep their format; the others have a state number that an earlier version does not know, so that it runs nothing of them twice. - A submission whose own row is too long, or which needs over 640 tasks at once, is refused when it arrives, with the limit (400, 2026). A refused batch is stored change by change, and the change that is refused alone is given up. - A batch takes at most ten waves, whose number was not bounded.

--- a/rhubarbfall-runs/src/job.rs
+++ b/rhubarbfall-runs/src/job.rs
@@ -215,6 +215,32 @@
         }
     }
 
+    /// Returns the number of leading occurrences of which every task is done.
+    #[must_use]
+    pub fn done_occurrences(&self) -> u32 {
+        let occurrences = self.occurrences.iter();
+        occurrences
+            .take_while(|occurrence| occurrence.is_done())
+            .count() as u32
+    }
+
+    /// Marks every task of an occurrence as done.
+    pub(crate) fn set_occurrence_done(&mut self, number: u32) {
+        for step in &mut self.occurrence_mut(number).steps {
+            for task in &mut step.tasks {
+                task.phase = TaskPhase::Done;
+            }
+            step.done = step.tasks.len() as u32;
+        }
+    }
+
+    /// Returns the number of tasks in the occurrences that are due.
+    #[must_use]
+    pub fn due_tasks(&self) -> usize {
+        let tasks = self.submission.steps.iter().map(|step| step.tasks as usize);
+        tasks.sum::<usize>() * self.occurrences.len()
+    }
+
     /// Returns whether all occurrences are done.
     #[must_use]
     pub fn is_done(&self) -> bool {
--- a/rhubarbfall-runs/src/lib.rs
+++ b/rhubarbfall-runs/src/lib.rs
@@ -9,6 +9,7 @@
 mod progress;
 mod record;
 mod resources;
+mod row_size;
 pub mod scheduler;
 mod step_id;
 mod submission;
@@ -25,6 +26,7 @@
     encode_submission, encode_wave,
 };
 pub use resources::Resources;
+pub use row_size::encode_progress_within;
 pub use scheduler::Scheduler;
 pub use step_id::{ParseStepIdError, StepId};
 pub use submission::{Schedule, Step, Submission, SubmissionError};
--- a/rhubarbfall-runs/src/progress.rs
+++ b/rhubarbfall-runs/src/progress.rs
@@ -13,7 +13,10 @@
     pub has_begun: bool,
     /// Whether a worker is known to have started a task. Rows of earlier versions do not tell.
     pub has_started: bool,
-    /// The tasks that are done, each by occurrence, step and index.
+    /// The number of leading occurrences of which every task is done.
+    pub done_occurrences: u32,
+    /// The tasks that are done, each by occurrence, step and index. A row with ranges leaves out
+    /// those of the leading occurrences.
     pub done: Vec<(u32, u16, u32)>,
     /// The unfinished tasks that were placed at least once.
     pub open: Vec<OpenTask>,
@@ -50,7 +53,10 @@
     /// worker may refuse it.
     #[must_use]
     pub fn proves_start(&self) -> bool {
-        self.has_started || !self.done.is_empty() || self.open.iter().any(|task| task.failures > 0)
+        self.has_started
+            || self.done_occurrences > 0
+            || !self.done.is_empty()
+            || self.open.iter().any(|task| task.failures > 0)
     }
 
     /// Collects the progress of a job for storage.
@@ -60,6 +66,7 @@
             state: job.state,
             has_begun: job.has_begun,
             has_started: job.has_started,
+            done_occurrences: job.done_occurrences(),
             ..Self::default()
         };
         job.for_each_task(|occurrence, step, index, task| {
--- a/rhubarbfall-runs/src/record.rs
+++ b/rhubarbfall-runs/src/record.rs
@@ -29,6 +29,10 @@
             from()
             display("invalid name in record: {cause}")
         }
+        /// The record states more done tasks than a row can stand for.
+        TooManyDone {
+            display("too many done tasks in record")
+        }
         /// The record contains a state number that this version does not know.
         UnknownState(number: u32) {
             display("unknown job state {number} in record")
@@ -117,8 +121,23 @@
     open: Vec<OpenTaskRecord>,
     #[prost(bool, tag = "5")]
     has_started: bool,
+    /// The number of leading occurrences of which every task is done, with `done_ranges` only.
+    #[prost(uint32, tag = "6")]
+    done_occurrences: u32,
+    /// In place of `done`: occurrence, step, first index and number of consecutive done tasks,
+    /// flattened, for the occurrences after the leading ones.
+    #[prost(uint32, repeated, tag = "7")]
+    done_ranges: Vec<u32>,
 }
 
+/// The state number of an active job whose done tasks are stored as ranges. Earlier versions do not
+/// know it: they show the job as failed instead of running its done tasks again.
+const ACTIVE_WITH_RANGES: u32 = 4;
+
+/// The maximum number of done tasks that the ranges of a record stand for, which bounds the memory
+/// for decoding it.
+const MAX_DONE_IN_RANGES: u64 = 1_000_000;
+
 #[derive(Clone, PartialEq, Message)]
 struct OpenTaskRecord {
     #[prost(uint32, repeated, tag = "1")]
@@ -287,14 +306,53 @@
 /// Encodes the progress of a job as a stored record.
 #[must_use]
 pub fn encode_progress(progress: &JobProgress) -> Vec<u8> {
-    let state = match progress.state {
-        JobState::Active => 0,
-        JobState::Completed => 1,
-        JobState::Failed => 2,
-        JobState::Cancelled => 3,
+    let record = ProgressRecord {
+        state: match progress.state {
+            JobState::Active => 0,
+            JobState::Completed => 1,
+            JobState::Failed => 2,
+            JobState::Cancelled => 3,
+        },
+        done: progress.done.iter().flat_map(flatten).collect(),
+        ..progress_record(progress)
+    };
+    record.encode_to_vec()
+}
+
+/// Encodes the progress of an active job as a stored record in which the done tasks take little
+/// space.
+pub(crate) fn encode_progress_with_ranges(progress: &JobProgress) -> Vec<u8> {
+    let leading = progress.done_occurrences;
+    let later = progress
+        .done
+        .iter()
+        .filter(|(occurrence, ..)| *occurrence >= leading);
+    let mut ranges: Vec<[u32; 4]> = Vec::new();
+    for [occurrence, step, index] in later.map(flatten) {
+        match ranges.last_mut() {
+            Some([of, at, first, count])
+                if (*of, *at, *first + *count) == (occurrence, step, index) =>
+            {
+                *count += 1;
+            }
+            _ => ranges.push([occurrence, step, index, 1]),
+        }
+    }
+    let record = ProgressRecord {
+        state: ACTIVE_WITH_RANGES,
+        done_occurrences: leading,
+        done_ranges: ranges.concat(),
+        ..progress_record(progress)
     };
-    let flatten =
-        |(occurrence, step, index): &(u32, u16, u32)| [*occurrence, u32::from(*step), *index];
+    record.encode_to_vec()
+}
+
+fn flatten((occurrence, step, index): &(u32, u16, u32)) -> [u32; 3] {
+    [*occurrence, u32::from(*step), *index]
+}
+
+/// Returns a record without the state and the done tasks.
+fn progress_record(progress: &JobProgress) -> ProgressRecord {
     let open = progress.open.iter().map(|task| {
         let placed = task.placed.as_ref();
         OpenTaskRecord {
@@ -307,14 +365,12 @@
             run: placed.map_or(0, |placed| placed.run),
         }
     });
-    let record = ProgressRecord {
-        state,
+    ProgressRecord {
         has_begun: progress.has_begun,
         has_started: progress.has_started,
-        done: progress.done.iter().flat_map(flatten).collect(),
         open: open.collect(),
-    };
-    record.encode_to_vec()
+        ..ProgressRecord::default()
+    }
 }
 
 /// Decodes the progress of a job.
@@ -329,7 +385,7 @@
     }
     let record = ProgressRecord::decode(bytes)?;
     let state = match record.state {
-        0 => JobState::Active,
+        0 | ACTIVE_WITH_RANGES => JobState::Active,
         1 => JobState::Completed,
         2 => JobState::Failed,
         3 => JobState::Cancelled,
@@ -353,15 +409,31 @@
             placed: placed.transpose()?,
         })
     });
+    let mut done: Vec<_> = record.done.chunks_exact(3).map(decode_position).collect();
+    done.extend(decode_ranges(&record.done_ranges)?);
     Ok(JobProgress {
         state,
         has_begun: record.has_begun,
         has_started: record.has_started,
-        done: record.done.chunks_exact(3).map(decode_position).collect(),
+        done_occurrences: record.done_occurrences,
+        done,
         open: open.collect::<Result<_, _>>()?,
     })
 }
 
+fn decode_ranges(numbers: &[u32]) -> Result<Vec<(u32, u16, u32)>, RecordError> {
+    let ranges = numbers.as_chunks::<4>().0;
+    let count: u64 = ranges.iter().map(|[.., count]| u64::from(*count)).sum();
+    if count > MAX_DONE_IN_RANGES {
+        return Err(RecordError::TooManyDone);
+    }
+    let tasks = ranges.iter().flat_map(|[occurrence, step, first, count]| {
+        let indexes = *first..first.saturating_add(*count);
+        indexes.map(|index| (*occurrence, *step as u16, index))
+    });
+    Ok(tasks.collect())
+}
+
 fn decode_position(numbers: &[u32]) -> (u32, u16, u32) {
     let number = |index: usize| numbers.get(index).copied().unwrap_or_default();
     (number(0), number(1) as u16, number(2))
--- /dev/null
+++ b/rhubarbfall-runs/src/row_size.rs
@@ -0,0 +1,124 @@
+//! Keeps the rows of a job within the size that the store accepts. A job whose progress would not
+//! fit starts its tasks a part at a time: an open task takes many times the space of one that is
+//! done.
+
+use crate::record::{encode_progress, encode_progress_with_ranges};
+use crate::{Job, JobProgress, TaskPhase};
+
+/// The space of an open task in bytes, without its checkpoint and the name of its worker: the
+/// longest encoding of its numbers.
+const OPEN_TASK_BYTES: usize = 48;
+
+/// The space of the other fields of a progress row in bytes.
+const FIXED_BYTES: usize = 32;
+
+/// The space that a checkpoint takes besides its text, in bytes.
+const CHECKPOINT_FIELD_BYTES: usize = 8;
+
+/// Encodes the progress of a job within `max_bytes`. Done tasks are stored as ranges if they would
+/// not fit otherwise. Checkpoints that do not fit are left out: their tasks begin anew at the next
+/// owner.
+///
+/// # Examples
+///
+/// ```
+/// use rhubarbfall_runs::{JobProgress, decode_progress, encode_progress_within};
+///
+/// let progress = JobProgress {
+///     has_begun: true,
+///     done: (0..5_000).map(|index| (0, 0, index)).collect(),
+///     ..JobProgress::default()
+/// };
+/// let row = encode_progress_within(&progress, 1_024);
+/// assert!(row.len() <= 1_024);
+/// assert_eq!(decode_progress(&row).unwrap().done, progress.done);
+/// ```
+#[must_use]
+pub fn encode_progress_within(progress: &JobProgress, max_bytes: usize) -> Vec<u8> {
+    let whole = encode_progress(progress);
+    if whole.len() <= max_bytes {
+        return whole;
+    }
+    let mut reduced = progress.clone();
+    if reduced.state.is_final() {
+        reduced.done.clear();
+        reduced.open.retain(|task| task.placed.is_some());
+    }
+    let checkpoints: Vec<_> = reduced
+        .open
+        .iter_mut()
+        .map(|task| task.checkpoint.take())
+        .collect();
+    let encode = if reduced.state.is_final() || encode_progress(&reduced).len() <= max_bytes {
+        encode_progress
+    } else {
+        encode_progress_with_ranges
+    };
+    let mut free = max_bytes.saturating_sub(encode(&reduced).len());
+    let mut omitted = 0;
+    for (task, checkpoint) in reduced.open.iter_mut().zip(checkpoints) {
+        let bytes = checkpoint
+            .as_ref()
+            .map_or(0, |text| text.len() + CHECKPOINT_FIELD_BYTES);
+        if bytes <= free {
+            free -= bytes;
+            task.checkpoint = checkpoint;
+        } else {
+            omitted += 1;
+        }
+    }
+    if omitted > 0 {
+        log::warn!("event=checkpoints_not_stored tasks={omitted} max_bytes={max_bytes}");
+    }
+    encode(&reduced)
+}
+
+/// Returns how many tasks that were never placed a job may place now, so that its progress row fits
+/// into `max_bytes`, with workers' names of at most `worker_name_bytes`.
+///
+/// A task that ends frees space: a range of done tasks is shorter than an open task.
+pub(crate) fn room_for_new_tasks(job: &Job, max_bytes: usize, worker_name_bytes: usize) -> usize {
+    let open_bytes = OPEN_TASK_BYTES + worker_name_bytes;
+    let room = max_bytes.saturating_sub(FIXED_BYTES) / open_bytes;
+    let due = job.due_tasks();
+    if due <= room {
+        return due;
+    }
+    let mut used = FIXED_BYTES;
+    for occurrence in job.occurrences.iter().skip(job.done_occurrences() as usize) {
+        for (number, step) in occurrence.steps.iter().enumerate() {
+            let mut first_done = None;
+            for (index, task) in step.tasks.iter().enumerate() {
+                if task.phase == TaskPhase::Done {
+                    first_done.get_or_insert(index);
+                    continue;
+                }
+                if let Some(first) = first_done.take() {
+                    used += range_bytes(occurrence.number, number, first, index - first);
+                }
+                if task.last_run > 0 {
+                    let own = task
+                        .placement()
+                        .map_or(0, |placed| placed.worker.as_str().len());
+                    used += OPEN_TASK_BYTES + own.max(worker_name_bytes);
+                }
+            }
+            if let Some(first) = first_done {
+                let count = step.tasks.len() - first;
+                used += range_bytes(occurrence.number, number, first, count);
+            }
+        }
+    }
+    max_bytes.saturating_sub(used) / open_bytes
+}
+
+fn range_bytes(occurrence: u32, step: usize, first: usize, count: usize) -> usize {
+    let numbers = [occurrence as usize, step, first, count];
+    numbers.iter().map(|number| varint_bytes(*number)).sum()
+}
+
+/// Returns the length of a number in a record, which holds seven bits a byte.
+const fn varint_bytes(number: usize) -> usize {
+    let bits = usize::BITS - (number | 1).leading_zeros();
+    bits.div_ceil(7) as usize
+}
--- a/rhubarbfall-runs/src/scheduler/early_cancellations.rs
+++ b/rhubarbfall-runs/src/scheduler/early_cancellations.rs
@@ -72,6 +72,12 @@
         self.contains(id).then(|| !self.unstored.contains(id))
     }
 
+    /// Drops a cancellation that cannot be stored.
+    pub(super) fn forget(&mut self, id: &SubmissionId) {
+        self.kept.remove(id);
+        self.unstored.retain(|unstored| unstored != id);
+    }
+
     pub(super) fn stored(&mut self, ids: &[SubmissionId]) {
         self.unstored.retain(|id| !ids.contains(id));
     }
--- a/rhubarbfall-runs/src/scheduler/intake.rs
+++ b/rhubarbfall-runs/src/scheduler/intake.rs
@@ -5,7 +5,7 @@
 
 use super::Scheduler;
 use super::token_bucket::TokenBucket;
-use crate::{Job, JobState, RunState, Submission, TaskPhase};
+use crate::{Job, JobState, RunState, Submission, SubmissionError, TaskPhase};
 
 /// The burst allowed to a customer, as a duration at its rate: one second, the interval in which
 /// the platform counts submissions.
@@ -75,6 +75,18 @@
         ACCEPTED_VERSION
     }
 
+    /// Checks whether a submission can be stored and run. One that is known already passes.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SubmissionError`] for the first violated rule.
+    pub fn check(&self, submission: &Submission) -> Result<(), SubmissionError> {
+        if self.jobs.get(&submission.id).is_some() || self.is_unreadable(&submission.id) {
+            return Ok(());
+        }
+        submission.check_storable(self.settings.max_row_bytes)
+    }
+
     /// Removes a submission that was never part of a batch. Returns whether it will certainly never
     /// run, which is false if the store may contain it. A submission that has been cancelled is not
     /// removed, because its cancellation applies to later copies of its request as well.
--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -15,6 +15,7 @@
 mod pools;
 mod recent_work;
 mod recovery;
+mod refused_rows;
 mod settings;
 mod starting;
 mod storing;
--- a/rhubarbfall-runs/src/scheduler/placing.rs
+++ b/rhubarbfall-runs/src/scheduler/placing.rs
@@ -5,6 +5,7 @@
 
 use super::Scheduler;
 use super::ordering::{Candidate, Rank, beyond_capacity, load_s, rank};
+use crate::row_size::room_for_new_tasks;
 use crate::{JobState, Placement, Resources, RunState, Step, StepId, TaskId, TaskPhase, Worker};
 
 /// The average share of work that is still to be done in the open tasks of a submission that has
@@ -238,19 +239,36 @@
         pass: &mut PlacementPass,
         now: BootTime,
     ) -> bool {
+        let mut room = self.room_for_new_tasks(&waiting_step.step.submission);
         for id in tasks {
             if self.pending_starts.len() >= self.settings.max_pending_starts {
                 return true;
             }
+            let is_new = self.next_run(&id) == 1;
+            if is_new && room == 0 {
+                continue;
+            }
             let Some(worker) = self.choose_worker(&id, step, waiting_step, pass) else {
                 return false;
             };
             let run = self.next_run(&id);
             self.place(&id, &worker, run, now);
+            room -= usize::from(is_new);
         }
         true
     }
 
+    /// Returns how many tasks that were never placed a job may place, so that its rows stay within
+    /// the size that the store accepts.
+    fn room_for_new_tasks(&self, id: &SubmissionId) -> usize {
+        let names = self.workers().map(|worker| worker.report.id.as_str().len());
+        let longest = names.max().unwrap_or_default();
+        let job = self.jobs.get(id);
+        job.map_or(0, |job| {
+            room_for_new_tasks(job, self.settings.max_row_bytes, longest)
+        })
+    }
+
     /// Places all members of a gang or none, and returns whether they were placed.
     fn place_gang(
         &mut self,
@@ -263,6 +281,10 @@
         if tasks.len() < step.tasks as usize {
             return false;
         }
+        let new = tasks.iter().filter(|id| self.next_run(id) == 1).count();
+        if new > self.room_for_new_tasks(&waiting_step.step.submission) {
+            return true;
+        }
         let run = tasks.iter().map(|id| self.next_run(id)).max().unwrap_or(1);
         let mut placed: Vec<(TaskId, WorkerId)> = Vec::new();
         for id in tasks {
--- a/rhubarbfall-runs/src/scheduler/recovery.rs
+++ b/rhubarbfall-runs/src/scheduler/recovery.rs
@@ -220,7 +220,16 @@
     } else {
         RunState::Inherited
     };
-    for open in &progress.open {
+    let occurrences = job.submission.occurrences();
+    for number in 0..progress.done_occurrences.min(occurrences) {
+        job.set_occurrence_done(number);
+    }
+    let is_possible = |position: &(u32, u16, u32)| position.0 < occurrences;
+    for open in progress
+        .open
+        .iter()
+        .filter(|open| is_possible(&open.position))
+    {
         let id = task_id(job, open.position);
         job.occurrence_mut(id.occurrence);
         let Some(task) = job.task_mut(&id) else {
@@ -242,7 +251,11 @@
             });
         }
     }
-    for position in &progress.done {
+    for position in progress
+        .done
+        .iter()
+        .filter(|position| is_possible(position))
+    {
         let id = task_id(job, *position);
         job.occurrence_mut(id.occurrence);
         job.set_done(&id);
--- a/rhubarbfall-runs/src/scheduler/settings.rs
+++ b/rhubarbfall-runs/src/scheduler/settings.rs
@@ -36,6 +36,8 @@
     pub max_pending_starts: usize,
     /// The maximum number of calls for moves and maintenance in flight; each takes one connection.
     pub max_vm_calls: usize,
+    /// The maximum size of a row's value in bytes.
+    pub max_row_bytes: usize,
     /// The maximum number of moves per second by all entries together, as limited by the platform.
     pub vm_moves_per_s: f64,
 }
@@ -56,6 +58,7 @@
             pace_interval: Duration::from_millis(600),
             max_pending_starts: 200,
             max_vm_calls: 32,
+            max_row_bytes: 48 * 1024,
             vm_moves_per_s: 48.0,
         }
     }
--- a/rhubarbfall-runs/src/scheduler/storing.rs
+++ b/rhubarbfall-runs/src/scheduler/storing.rs
@@ -1,7 +1,7 @@
 use rhubarbfall_core::{BootTime, RowVersion, SubmissionId, WaveId};
 
 use super::Scheduler;
-use crate::{Job, JobProgress, JobState, RunState, encode_progress, encode_submission};
+use crate::{Job, JobProgress, JobState, RunState, encode_progress_within, encode_submission};
 
 /// The maximum number of entries in one transaction, as stated by the platform, less the condition
 /// on the ownership and its renewal.
@@ -24,6 +24,33 @@
     pub expired_cancellations: Vec<SubmissionId>,
 }
 
+impl Batch {
+    /// Divides the batch into batches of one change each. The changes do not depend on each other.
+    #[must_use]
+    pub fn into_single_changes(self) -> Vec<Self> {
+        let rows = self.rows.into_iter().map(|row| Self {
+            rows: vec![row],
+            ..Self::default()
+        });
+        let waves = self.waves.into_iter().map(|wave| Self {
+            waves: vec![wave],
+            ..Self::default()
+        });
+        let cancellations = self.early_cancellations.into_iter().map(|id| Self {
+            early_cancellations: vec![id],
+            ..Self::default()
+        });
+        let expired = self.expired_cancellations.into_iter().map(|id| Self {
+            expired_cancellations: vec![id],
+            ..Self::default()
+        });
+        rows.chain(waves)
+            .chain(cancellations)
+            .chain(expired)
+            .collect()
+    }
+}
+
 /// The progress of a wave to be stored.
 #[derive(Debug, Clone, PartialEq)]
 pub struct WaveRow {
@@ -66,12 +93,13 @@
     }
 }
 
-fn batch_row(id: &SubmissionId, job: &Job) -> BatchRow {
+fn batch_row(id: &SubmissionId, job: &Job, max_row_bytes: usize) -> BatchRow {
     let has_progress = job.has_begun || job.state.is_final();
     BatchRow {
         id: id.clone(),
         submission: (!job.is_accepted).then(|| encode_submission(&job.submission)),
-        progress: has_progress.then(|| encode_progress(&JobProgress::of(job))),
+        progress: has_progress
+            .then(|| encode_progress_within(&JobProgress::of(job), max_row_bytes)),
         replaces: job.progress_row,
         version: job.version,
         state: job.state,
@@ -97,7 +125,7 @@
         self.dirty.rotate_left(first);
         for id in &self.dirty {
             if let Some(job) = self.jobs.get_mut(id) {
-                let row = batch_row(id, job);
+                let row = batch_row(id, job, self.settings.max_row_bytes);
                 entries += row.entries();
                 bytes += row.bytes();
                 if !rows.is_empty() && (entries > MAX_BATCH_ENTRIES || bytes > MAX_BATCH_BYTES) {
--- a/rhubarbfall-runs/src/scheduler/waves.rs
+++ b/rhubarbfall-runs/src/scheduler/waves.rs
@@ -19,6 +19,10 @@
 /// The share of a wave's time that is reserved for its last VMs.
 const WAVE_TIME_RESERVE_SHARE: f64 = 0.4;
 
+/// The maximum number of waves whose progress one batch stores, which leaves most of a transaction
+/// to jobs.
+const MAX_WAVES_PER_BATCH: usize = 10;
+
 /// A request to maintain a set of VMs.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Wave {
@@ -216,12 +220,15 @@
             .insert(active_wave.wave.id.clone(), active_wave);
     }
 
-    /// Returns the waves with unstored progress.
+    /// Returns waves with unstored progress, those first that were not stored for longest.
     pub(super) fn changed_waves(&self) -> Vec<WaveRow> {
-        self.vm_ops
-            .waves
-            .iter()
-            .filter(|(_, active_wave)| active_wave.stored_version < active_wave.version)
+        let is_changed = |wave: &ActiveWave| wave.stored_version < wave.version;
+        let waves = self.vm_ops.waves.iter();
+        let mut changed: Vec<_> = waves.filter(|(_, wave)| is_changed(wave)).collect();
+        changed.sort_by_key(|(_, wave)| wave.row);
+        changed
+            .into_iter()
+            .take(MAX_WAVES_PER_BATCH)
             .map(|(id, active_wave)| WaveRow {
                 id: id.clone(),
                 progress: encode_wave(&active_wave.progress),
--- a/rhubarbfall-runs/src/submission.rs
+++ b/rhubarbfall-runs/src/submission.rs
@@ -4,12 +4,16 @@
 use quick_error::quick_error;
 use rhubarbfall_core::{CustomerId, QueueId, RackId, SubmissionId};
 
-use crate::Resources;
+use crate::{Resources, encode_submission};
 
 /// The maximum number of tasks in one occurrence of a submission, which bounds the memory of an
 /// entry.
 const MAX_TASKS_PER_SUBMISSION: u64 = 20_000;
 
+/// The maximum number of tasks of a submission that are needed at the same time: those of its
+/// long-running steps and of its largest gang. The progress row holds about as many open tasks.
+const MAX_TASKS_AT_ONCE: u64 = 640;
+
 /// The longest estimate of a stored task; sums and multiples of it do not overflow.
 pub(crate) const MAX_ESTIMATE: Duration = Duration::from_hours(365 * 24);
 
@@ -33,6 +37,17 @@
         TooLarge(tasks: u64) {
             display("{tasks} tasks are more than {MAX_TASKS_PER_SUBMISSION}")
         }
+        /// The submission needs more tasks at the same time than its progress row holds.
+        TooManyAtOnce(tasks: u64) {
+            display(
+                "{tasks} tasks of long-running steps and of the largest gang are more than \
+                 {MAX_TASKS_AT_ONCE}"
+            )
+        }
+        /// The submission takes more bytes than the store accepts in a row.
+        TooLong(bytes: usize, max_bytes: usize) {
+            display("the submission takes {bytes} bytes to store, at most {max_bytes} are possible")
+        }
     }
 }
 
@@ -146,6 +161,31 @@
         if tasks > MAX_TASKS_PER_SUBMISSION {
             return Err(SubmissionError::TooLarge(tasks));
         }
+        let tasks_of = |step: &Step| u64::from(step.tasks);
+        let steps = || self.steps.iter();
+        let lasting: u64 = steps()
+            .filter(|step| step.is_long_running)
+            .map(tasks_of)
+            .sum();
+        let gangs = steps().filter(|step| step.is_gang && !step.is_long_running);
+        let at_once = lasting + gangs.map(tasks_of).max().unwrap_or_default();
+        if at_once > MAX_TASKS_AT_ONCE {
+            return Err(SubmissionError::TooManyAtOnce(at_once));
+        }
+        Ok(())
+    }
+
+    /// Checks the structure of the submission and whether the store can hold it.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SubmissionError`] for the first violated rule.
+    pub fn check_storable(&self, max_row_bytes: usize) -> Result<(), SubmissionError> {
+        self.check()?;
+        let bytes = encode_submission(self).len();
+        if bytes > max_row_bytes {
+            return Err(SubmissionError::TooLong(bytes, max_row_bytes));
+        }
         Ok(())
     }
 
--- a/rhubarbfall-runs/tests/model/mod.rs
+++ b/rhubarbfall-runs/tests/model/mod.rs
@@ -81,6 +81,8 @@
     pub(crate) warm_up: Duration,
     /// The tail latency that workers report for tasks with a target, in milliseconds.
     pub(crate) tail_ms: u64,
+    /// The tasks whose runs were done, each as often as it was.
+    pub(crate) done: Vec<TaskId>,
     /// The invariants that were violated.
     pub(crate) violations: Vec<String>,
     vms: Vec<ModelVm>,
@@ -112,6 +114,7 @@
             paces: Vec::new(),
             warm_up: Duration::ZERO,
             tail_ms: 0,
+            done: Vec::new(),
             violations: Vec::new(),
             vms: Vec::new(),
             durations: BTreeMap::new(),
@@ -290,11 +293,20 @@
                     continue;
                 };
                 let run = worker.runs.swap_remove(index);
+                if kind == RunEndKind::Done {
+                    self.done.push(run.task.clone());
+                }
                 end(worker, run.task, run.run, kind);
             }
         }
     }
 
+    /// Returns how many runs were done of tasks that had been done before.
+    pub(crate) fn done_twice(&self) -> usize {
+        let different: BTreeSet<&TaskId> = self.done.iter().collect();
+        self.done.len() - different.len()
+    }
+
     fn renew_leases(&mut self) {
         for index in 0..self.workers.len() {
             let worker = &mut self.workers[index];
--- a/rhubarbfall-runs/tests/single_owner/mod.rs
+++ b/rhubarbfall-runs/tests/single_owner/mod.rs
@@ -163,6 +163,7 @@
         state,
         has_begun: true,
         has_started: false,
+        done_occurrences: 0,
         done: Vec::new(),
         open: vec![OpenTask {
             position: (0, 0, 0),
--- a/rhubarbfall-runs/tests/stored_submissions.rs
+++ b/rhubarbfall-runs/tests/stored_submissions.rs
@@ -122,6 +122,7 @@
         state,
         has_begun: true,
         has_started: false,
+        done_occurrences: 0,
         done: Vec::new(),
         open: open.into_iter().collect(),
     };
--- a/rhubarbfall-scheduler/src/callers.rs
+++ b/rhubarbfall-scheduler/src/callers.rs
@@ -7,7 +7,8 @@
 use rhubarbfall_core::{BootTime, CustomerId, QueueId, ResultCode, SubmissionId};
 use rhubarbfall_runs::{FleetConfig, Queue};
 use rhubarbfall_site::{
-    CUSTOMER_KEY_HEADER, DEADLINE_HEADER, decode_submission_request, encode_pending, encode_state,
+    CUSTOMER_KEY_HEADER, DEADLINE_HEADER, decode_submission_request, encode_pending,
+    encode_refusal, encode_state,
 };
 
 use crate::http_server::{ServerRequest, ServerResponse};
@@ -195,11 +196,12 @@
     let submission =
         match decode_submission_request(id.clone(), queue_id, customer, body, received_unix_ms) {
             Ok(submission) => submission,
-            Err(error) => {
-                log::info!("event=submission_refused id={id} code=2026 error={error}");
-                return error_response(ResultCode::SubmissionInvalid, None);
-            }
+            Err(error) => return refuse_submission(&id, &error),
         };
+    let max_row_bytes = node.settings.scheduler().max_row_bytes;
+    if let Err(error) = submission.check_storable(max_row_bytes) {
+        return refuse_submission(&id, &error.to_string());
+    }
     let outcome = retry_until_answered(node, limit, async |timeout| {
         submit_to_owner(node, &submission, timeout).await
     })
@@ -217,6 +219,13 @@
     outcome_response(outcome)
 }
 
+fn refuse_submission(id: &SubmissionId, reason: &str) -> ServerResponse {
+    log::info!("event=submission_refused id={id} code=2026 error={reason}");
+    let refusal = error_response(ResultCode::SubmissionInvalid, None);
+    let body = encode_refusal(ResultCode::SubmissionInvalid.number(), reason);
+    ServerResponse::new(refusal.status, body)
+}
+
 async fn cancel(node: &Rc<Node>, id: &SubmissionId, request: &ServerRequest) -> ServerResponse {
     outcome_response(cancel_delivery::cancel(node, id, time_limit(request)).await)
 }
@@ -227,6 +236,7 @@
         RequestOutcome::NotFound => error_response(ResultCode::SubmissionUnknown, None),
         RequestOutcome::NoOwner => error_response(ResultCode::NoOwner, Some(NO_OWNER_RETRY_AFTER)),
         RequestOutcome::Unknown => error_response(ResultCode::OwnerSilent, None),
+        RequestOutcome::Invalid => error_response(ResultCode::SubmissionInvalid, None),
     }
 }
 
--- a/rhubarbfall-scheduler/src/owner/mod.rs
+++ b/rhubarbfall-scheduler/src/owner/mod.rs
@@ -72,6 +72,8 @@
     Unknown,
     /// The submission does not exist.
     NotFound,
+    /// The submission violates a rule; it never runs.
+    Invalid,
 }
 
 /// State of the entry that owns the submissions.
@@ -303,6 +305,10 @@
     /// Accepts a submission and waits until it is stored.
     pub(crate) async fn submit(&self, node: &Node, submission: Submission) -> RequestOutcome {
         let id = submission.id.clone();
+        if let Err(error) = self.scheduler.borrow().check(&submission) {
+            log::info!("event=submission_refused id={id} code=2026 error={error}");
+            return RequestOutcome::Invalid;
+        }
         let now = node.now();
         let version = self.with(|scheduler| scheduler.submit(submission, now));
         if self.scheduler.borrow().is_unreadable(&id) {
--- a/rhubarbfall-scheduler/src/owner/store_loop.rs
+++ b/rhubarbfall-scheduler/src/owner/store_loop.rs
@@ -1,12 +1,14 @@
 //! Stores the scheduler's changes in batches, one batch at a time, and reports the state of waves.
 
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
 
 use rhubarbfall_core::{RowVersion, SubmissionId};
 use rhubarbfall_runs::scheduler::Batch;
 use rhubarbfall_site::{
-    CommitOutcome, RowKey, STATUS_TABLE, StoredRow, Transaction, encode_wave_state, wave_status_key,
+    CommitOutcome, RowKey, STATUS_TABLE, StoreError, StoredRow, Transaction, encode_wave_state,
+    wave_status_key,
 };
 
 use super::{Owner, state_rows};
@@ -31,6 +33,8 @@
     /// contains as new. Rows of submissions are never removed, so that no earlier attempt of the
     /// batch can take effect any more.
     AlreadyStored(Vec<SubmissionId>),
+    /// The store refuses the batch for good, so that none of its attempts takes effect.
+    Refused,
     /// The ownership ended first.
     OwnershipEnded,
 }
@@ -40,21 +44,34 @@
     let mut newest = owner.owner_row_version();
     while !owner.has_ended() {
         let batch = owner.scheduler.borrow_mut().next_batch();
-        let Some(mut batch) = batch else {
+        let Some(batch) = batch else {
             owner.wake_store.notified().await;
             continue;
         };
-        while batch != Batch::default() {
+        let mut left = VecDeque::from([batch]);
+        while let Some(mut batch) = left.pop_front() {
+            if batch == Batch::default() {
+                continue;
+            }
             match store(&node, &owner, &batch, newest).await {
                 BatchOutcome::Stored(version) => {
                     newest = version;
                     let now = node.now();
                     owner.with(|scheduler| scheduler.batch_stored(&batch, version, now));
-                    batch = Batch::default();
                 }
                 BatchOutcome::AlreadyStored(ids) => {
                     batch.rows.retain(|row| !ids.contains(&row.id));
                     replace_by_stored(&node, &owner, &ids).await;
+                    left.push_front(batch);
+                }
+                BatchOutcome::Refused => {
+                    let mut changes = batch.into_single_changes();
+                    if let [change] = &changes[..] {
+                        let now = node.now();
+                        owner.with(|scheduler| scheduler.change_refused(change, now));
+                    } else {
+                        left.extend(changes.drain(..));
+                    }
                 }
                 BatchOutcome::OwnershipEnded => return,
             }
@@ -138,6 +155,15 @@
                 }
                 return BatchOutcome::OwnershipEnded;
             }
+            Err(error @ StoreError::Refused(_)) => {
+                telemetry::count_store_call("batch", "refused", took);
+                log::error!(
+                    "event=batch_refused jobs={} waves={} error={error}",
+                    batch.rows.len(),
+                    batch.waves.len()
+                );
+                return BatchOutcome::Refused;
+            }
             Err(error) => {
                 telemetry::count_store_call("batch", "failed", took);
                 log::warn!(
--- a/rhubarbfall-scheduler/src/peer.rs
+++ b/rhubarbfall-scheduler/src/peer.rs
@@ -47,6 +47,7 @@
     Unknown = 2,
     NotFound = 3,
     Stored = 4,
+    Invalid = 5,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -246,6 +247,7 @@
             RequestOutcome::NoOwner => OutcomeKind::NoOwner,
             RequestOutcome::Unknown => OutcomeKind::Unknown,
             RequestOutcome::NotFound => OutcomeKind::NotFound,
+            RequestOutcome::Invalid => OutcomeKind::Invalid,
         };
         Self { kind: kind.into() }
     }
@@ -258,6 +260,7 @@
             OutcomeKind::NoOwner => Self::NoOwner,
             OutcomeKind::Unspecified | OutcomeKind::Unknown => Self::Unknown,
             OutcomeKind::NotFound => Self::NotFound,
+            OutcomeKind::Invalid => Self::Invalid,
         }
     }
 }
--- a/rhubarbfall-scheduler/src/settings.rs
+++ b/rhubarbfall-scheduler/src/settings.rs
@@ -39,6 +39,9 @@
 /// connection is reset.
 const MIN_VM_ORDER_GAP_MS: u64 = 1_500;
 
+/// Smallest row that the store may hold: one with the longest program that callers may send.
+const MIN_STORE_ROW_BYTES: usize = 16 * 1024;
+
 /// Settings of a scheduler process.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -72,6 +75,9 @@
     /// together; above 0.
     #[serde(default = "default_vm_calls_per_s")]
     pub vm_calls_per_s: f64,
+    /// Longest value of a row that the store accepts, in bytes of base64; at least 16384.
+    #[serde(default = "default_store_row_bytes")]
+    pub store_row_bytes: usize,
     /// Whether the VM service refuses orders with a lower fencing number than one that it has seen.
     #[serde(default = "default_vm_service_checks_fences")]
     pub vm_service_checks_fences: bool,
@@ -95,6 +101,10 @@
     64.0
 }
 
+const fn default_store_row_bytes() -> usize {
+    65_536
+}
+
 const fn default_vm_service_checks_fences() -> bool {
     true
 }
@@ -124,6 +134,8 @@
     pub fn scheduler(&self) -> SchedulerSettings {
         SchedulerSettings {
             max_lease: self.max_lease(),
+            // Base64 has four characters for three bytes.
+            max_row_bytes: self.store_row_bytes / 4 * 3,
             vm_moves_per_s: self.vm_calls_per_s * VM_MOVE_SHARE,
             ..SchedulerSettings::default()
         }
@@ -172,6 +184,11 @@
             "vm_calls_per_s must be above 0",
         ));
     }
+    if settings.store_row_bytes < MIN_STORE_ROW_BYTES {
+        return Err(SchedulerSettingsError::Invalid(
+            "store_row_bytes must be at least 16384",
+        ));
+    }
     if settings.vm_order_gap_ms < MIN_VM_ORDER_GAP_MS {
         return Err(SchedulerSettingsError::Invalid(
             "vm_order_gap_ms must be at least 1500",
