fix(runs): keep the row of a wave of thousands of VMs within the store's size

Change: where the names would not fit, VMs that are back from their maintenance are stored as digests; those that may be down keep their names. A shorter row has the format of before.

--- a/rhubarbfall-runs/src/record.rs
+++ b/rhubarbfall-runs/src/record.rs
@@ -162,6 +162,9 @@
     first_seen_unix_ms: u64,
     #[prost(message, repeated, tag = "2")]
     called: Vec<CalledRecord>,
+    /// Digests of the VMs that are back from their maintenance, where their names do not fit.
+    #[prost(fixed64, repeated, tag = "3")]
+    returned_digests: Vec<u64>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -185,6 +188,7 @@
     let record = WaveRecord {
         first_seen_unix_ms: progress.first_seen_unix_ms,
         called: called.collect(),
+        returned_digests: progress.returned_digests.clone(),
     };
     record.encode_to_vec()
 }
@@ -206,6 +210,7 @@
     Ok(WaveProgress {
         first_seen_unix_ms: record.first_seen_unix_ms,
         called: called.collect::<Result<_, _>>()?,
+        returned_digests: record.returned_digests,
     })
 }
 
--- a/rhubarbfall-runs/src/row_size.rs
+++ b/rhubarbfall-runs/src/row_size.rs
@@ -1,8 +1,11 @@
-//! Keeps the rows of a job within the size that the store accepts. A job whose progress would not
-//! fit starts its tasks a part at a time: an open task takes many times the space of one that is
-//! done.
+//! Keeps the rows of jobs and waves within the size that the store accepts. A job whose progress
+//! would not fit starts its tasks a part at a time: an open task takes many times the space of one
+//! that is done.
 
-use crate::record::{encode_progress, encode_progress_with_ranges};
+use rhubarbfall_core::VmId;
+
+use crate::record::{encode_progress, encode_progress_with_ranges, encode_wave};
+use crate::scheduler::WaveProgress;
 use crate::{Job, JobProgress, TaskPhase};
 
 /// The space of an open task in bytes, without its checkpoint and the name of its worker: the
@@ -112,6 +115,41 @@
     max_bytes.saturating_sub(used) / open_bytes
 }
 
+/// Encodes the progress of a wave within `max_bytes`. VMs that are back from their maintenance are
+/// stored as digests if their names would not fit. An earlier version does not know the digests and
+/// calls for these VMs again, which the VM service answers without another maintenance.
+pub(crate) fn encode_wave_within(
+    progress: &WaveProgress,
+    is_returned: impl Fn(&VmId) -> bool,
+    max_bytes: usize,
+) -> Vec<u8> {
+    let whole = encode_wave(progress);
+    if whole.len() <= max_bytes {
+        return whole;
+    }
+    let (returned, called): (Vec<_>, Vec<_>) = progress
+        .called
+        .iter()
+        .cloned()
+        .partition(|called| called.has_begun && is_returned(&called.vm));
+    encode_wave(&WaveProgress {
+        first_seen_unix_ms: progress.first_seen_unix_ms,
+        called,
+        returned_digests: returned
+            .iter()
+            .map(|called| vm_digest(&called.vm))
+            .collect(),
+    })
+}
+
+/// Returns the FNV-1a hash of a VM's name, which is the same for every version and machine.
+pub(crate) fn vm_digest(vm: &VmId) -> u64 {
+    let bytes = vm.as_str().bytes();
+    bytes.fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
+    })
+}
+
 fn range_bytes(occurrence: u32, step: usize, first: usize, count: usize) -> usize {
     let numbers = [occurrence as usize, step, first, count];
     numbers.iter().map(|number| varint_bytes(*number)).sum()
--- a/rhubarbfall-runs/src/scheduler/vm_operations.rs
+++ b/rhubarbfall-runs/src/scheduler/vm_operations.rs
@@ -174,7 +174,10 @@
             .collect();
         for vm in returned {
             log::info!("event=vm_returned vm={vm}");
-            self.vm_ops.active.remove(&vm);
+            let active = self.vm_ops.active.remove(&vm);
+            if let Some(VmOperation::Maintain(wave)) = active.map(|active| active.operation) {
+                self.mark_returned(&vm, &wave);
+            }
         }
     }
 
--- a/rhubarbfall-runs/src/scheduler/waves.rs
+++ b/rhubarbfall-runs/src/scheduler/waves.rs
@@ -7,7 +7,7 @@
 use super::Scheduler;
 use super::storing::WaveRow;
 use super::vm_operations::{ActiveOperation, VmOperation, VmPhase};
-use crate::encode_wave;
+use crate::row_size::{encode_wave_within, vm_digest};
 
 /// The duration of a VM's maintenance cycle: until its tasks have ended or its long-running tasks
 /// have moved one by one, plus the maintenance itself.
@@ -43,6 +43,9 @@
     pub first_seen_unix_ms: u64,
     /// The VMs whose maintenance was called for, sorted by identifier.
     pub called: Vec<CalledVm>,
+    /// Digests of further VMs whose maintenance has begun and that are back, as a row holds them
+    /// whose names would not fit.
+    pub returned_digests: Vec<u64>,
 }
 
 impl WaveProgress {
@@ -77,6 +80,8 @@
     wave: Wave,
     started_at: BootTime,
     progress: WaveProgress,
+    /// The VMs that are back from their maintenance, sorted.
+    returned: Vec<VmId>,
     /// The version of the progress, which increases with each change that has to be stored.
     version: u64,
     stored_version: u64,
@@ -104,6 +109,11 @@
         position.is_ok_and(|index| self.progress.called[index].has_begun)
     }
 
+    fn encode(&self, max_bytes: usize) -> Vec<u8> {
+        let is_returned = |vm: &VmId| self.returned.binary_search(vm).is_ok();
+        encode_wave_within(&self.progress, is_returned, max_bytes)
+    }
+
     /// Returns how many VMs may be in progress at the same time: as many as the remaining time
     /// requires, and more if they are idle. A wave that has used up its time waits for no VM in
     /// progress.
@@ -189,8 +199,10 @@
         );
         // Earlier versions stored the VMs in the order of their calls.
         progress.called.sort_by(|one, other| one.vm.cmp(&other.vm));
+        let returned = restore_returned(&mut progress, &wave.vms);
         let age_ms = unix_ms.saturating_sub(progress.first_seen_unix_ms);
-        for called in &progress.called {
+        let is_out = |called: &&CalledVm| returned.binary_search(&called.vm).is_err();
+        for called in progress.called.iter().filter(is_out) {
             // An unanswered call is repeated once the VM is drained: it may never have been made,
             // and tasks may run on the VM. After an answered call the VM may still be down.
             let phase = if called.has_begun {
@@ -209,6 +221,7 @@
         let active_wave = ActiveWave {
             started_at: now.before(Duration::from_millis(age_ms)),
             progress,
+            returned,
             version,
             stored_version: 0,
             row,
@@ -231,7 +244,7 @@
             .take(MAX_WAVES_PER_BATCH)
             .map(|(id, active_wave)| WaveRow {
                 id: id.clone(),
-                progress: encode_wave(&active_wave.progress),
+                progress: active_wave.encode(self.settings.max_row_bytes),
                 replaces: active_wave.row,
                 version: active_wave.version,
             })
@@ -300,6 +313,15 @@
         }
     }
 
+    /// Records that a VM is back from its maintenance.
+    pub(super) fn mark_returned(&mut self, vm: &VmId, wave: &WaveId) {
+        if let Some(active_wave) = self.vm_ops.waves.get_mut(wave)
+            && let Err(index) = active_wave.returned.binary_search(vm)
+        {
+            active_wave.returned.insert(index, vm.clone());
+        }
+    }
+
     /// Removes a call that was certainly not carried out: the VM stays in service, and a new owner
     /// must not repeat the call.
     pub(super) fn remove_call(&mut self, vm: &VmId, wave: &WaveId) {
@@ -361,3 +383,23 @@
         active.phase = VmPhase::Storing(active_wave.version);
     }
 }
+
+/// Moves the VMs that a row holds as digests to the called ones, and returns them, sorted.
+fn restore_returned(progress: &mut WaveProgress, vms: &[VmId]) -> Vec<VmId> {
+    let mut digests = std::mem::take(&mut progress.returned_digests);
+    digests.sort_unstable();
+    let is_restored = |vm: &&VmId| digests.binary_search(&vm_digest(vm)).is_ok();
+    let mut returned: Vec<VmId> = vms.iter().filter(is_restored).cloned().collect();
+    returned.sort();
+    for vm in &returned {
+        if let Err(index) = progress.position(vm) {
+            let called = CalledVm {
+                vm: vm.clone(),
+                worker: None,
+                has_begun: true,
+            };
+            progress.called.insert(index, called);
+        }
+    }
+    returned
+}
--- a/rhubarbfall-runs/tests/faults.rs
+++ b/rhubarbfall-runs/tests/faults.rs
@@ -191,6 +191,7 @@
     let progress = WaveProgress {
         first_seen_unix_ms: 1_000,
         called: vec![called],
+        ..WaveProgress::default()
     };
     let mut scheduler = Scheduler::new(SchedulerSettings::default());
     let requested = wave(2, 5);
@@ -298,6 +299,7 @@
     let progress = rhubarbfall_runs::scheduler::WaveProgress {
         first_seen_unix_ms: 0,
         called: vec![called],
+        returned_digests: Vec::new(),
     };
     let stored = Some((progress, RowVersion::new(3)));
     model
--- a/rhubarbfall-runs/tests/inherited_vm_orders.rs
+++ b/rhubarbfall-runs/tests/inherited_vm_orders.rs
@@ -43,6 +43,7 @@
             worker: None,
             has_begun: false,
         }],
+        ..WaveProgress::default()
     };
     scheduler.wave_requested(wave(), Some((progress, RowVersion::new(1))), TAKEOVER_AT, 0);
     let rows = (0..2).map(|index| VmRow {
--- a/rhubarbfall-runs/tests/late_wave.rs
+++ b/rhubarbfall-runs/tests/late_wave.rs
@@ -31,6 +31,7 @@
     let progress = WaveProgress {
         first_seen_unix_ms: 100_000,
         called: vec![begun(0), begun(1)],
+        ..WaveProgress::default()
     };
     let wave = Wave {
         id,
--- a/rhubarbfall-runs/tests/row_size.rs
+++ b/rhubarbfall-runs/tests/row_size.rs
@@ -8,11 +8,13 @@
 use std::time::Duration;
 
 use model::{Model, step, submission};
-use rhubarbfall_core::{RowVersion, SubmissionId};
-use rhubarbfall_runs::scheduler::{Batch, StoredJob, SubmissionState};
+use rhubarbfall_core::{BootTime, RowVersion, SubmissionId, VmId};
+use rhubarbfall_runs::scheduler::{
+    Action, Batch, SchedulerSettings, StoredJob, SubmissionState, VmRow, VmState, Wave,
+};
 use rhubarbfall_runs::{
-    JobProgress, JobState, OpenTask, PlacedRun, Schedule, Step, Submission, SubmissionError,
-    decode_progress, encode_progress, encode_progress_within,
+    JobProgress, JobState, OpenTask, PlacedRun, Resources, Schedule, Scheduler, Step, Submission,
+    SubmissionError, decode_progress, decode_wave, encode_progress, encode_progress_within,
 };
 use single_owner::{Owner, id, running};
 
@@ -278,3 +280,63 @@
     let state = owner.scheduler.submission_state(&other);
     assert_eq!(state, Some(SubmissionState::Running));
 }
+
+/// The names of the VMs that a wave of thousands has called for are longer than a row. A new owner
+/// must neither call for them again nor count them as down.
+#[test]
+fn a_wave_of_thousands_of_vms_is_continued_by_a_new_owner() {
+    let vms: Vec<VmId> = (0..3_000).map(vm).collect();
+    let wave = Wave {
+        id: "1".parse().expect("valid wave name"),
+        vms: vms.clone(),
+        duration: Duration::from_secs(10),
+        max_down: 500,
+    };
+    let mut now = BootTime::new(Duration::from_secs(100));
+    let (mut stored, mut called) = (None, Vec::new());
+    for _ in 0..4 {
+        let mut scheduler = Scheduler::new(SchedulerSettings::default());
+        scheduler.wave_requested(wave.clone(), stored.clone(), now, now.as_millis());
+        let mut store = |scheduler: &mut Scheduler, now: BootTime| {
+            while let Some(batch) = scheduler.next_batch() {
+                let row = batch.waves[0].progress.clone();
+                assert!(row.len() <= MAX_ROW_BYTES, "a row of {} bytes", row.len());
+                let progress = decode_wave(&row).expect("valid wave record");
+                stored = Some((progress, RowVersion::new(now.as_millis())));
+                scheduler.batch_stored(&batch, RowVersion::new(now.as_millis()), now);
+            }
+        };
+        for _ in 0..120 {
+            now = now + Duration::from_millis(200);
+            scheduler.vms_listed(vms.iter().map(up_vm).collect(), now, now);
+            scheduler.tick(now, now.as_millis());
+            store(&mut scheduler, now);
+            for action in scheduler.take_actions() {
+                if let Action::Vm { vm, .. } = action {
+                    scheduler.vm_answered(&vm, Some(true), now);
+                    called.push(vm);
+                }
+            }
+        }
+        store(&mut scheduler, now);
+    }
+    let calls = called.len();
+    called.sort();
+    called.dedup();
+    assert!(called.len() > 2_500, "{} VMs were called for", called.len());
+    assert_eq!(called.len(), calls, "a VM was called for twice");
+}
+
+fn vm(number: u32) -> VmId {
+    format!("m-{number:020}").parse().expect("valid VM name")
+}
+
+fn up_vm(vm: &VmId) -> VmRow {
+    VmRow {
+        vm: vm.clone(),
+        pool: "labels".parse().expect("valid service name"),
+        state: VmState::Up,
+        worker: None,
+        capacity: Resources::default(),
+    }
+}
