fix(runs): conclude nothing from a list of ends that may be cut off

Cause: a worker lists its ends 500 at a time until they are acknowledged, which takes the store. A run in neither list counted as vanished, so that the ends beyond the limit were taken for runs that never were, and their tasks started elsewhere. Ruled out: lapsed leases and early acknowledgements.

Change: the platform's client says whether an answer may leave out ends; then no run is requeued for being absent, neither by its owner nor by a new one.

--- a/rhubarbfall-runs/benches/owner_start.rs
+++ b/rhubarbfall-runs/benches/owner_start.rs
@@ -152,6 +152,7 @@
             incarnation_unix_ms: 1,
             running: running.collect(),
             ended: worker.ends.clone(),
+            may_have_more_ends: false,
         };
         self.decide(|scheduler, now| scheduler.lease_renewal_answered(&id, now, &answer, now));
     }
--- a/rhubarbfall-runs/src/scheduler/lease_renewal.rs
+++ b/rhubarbfall-runs/src/scheduler/lease_renewal.rs
@@ -451,7 +451,8 @@
         self.mark_dirty(&id.submission);
     }
 
-    /// Requeues runs that the worker does not report and can no longer start.
+    /// Requeues runs that the worker does not report and can no longer start. A response that may
+    /// leave out ends proves nothing of the runs that it does not list.
     fn requeue_unlisted(
         &mut self,
         worker_id: &WorkerId,
@@ -459,6 +460,9 @@
         answer: &LeaseRenewalResponse,
         now: BootTime,
     ) {
+        if answer.may_have_more_ends {
+            return;
+        }
         let is_gone = |id: &&TaskId| {
             self.placement(id).is_some_and(|placed| {
                 let is_over = match placed.state {
--- a/rhubarbfall-runs/src/worker_events.rs
+++ b/rhubarbfall-runs/src/worker_events.rs
@@ -39,6 +39,9 @@
     pub running: Vec<ActiveRun>,
     /// The runs that have ended on the worker and are not acknowledged yet.
     pub ended: Vec<RunEnd>,
+    /// Whether more runs may have ended than the response lists; a worker lists the first ones, up to
+    /// the platform's limit, until they are acknowledged.
+    pub may_have_more_ends: bool,
 }
 
 /// A run in progress on a worker.
--- a/rhubarbfall-runs/tests/hostile/worker.rs
+++ b/rhubarbfall-runs/tests/hostile/worker.rs
@@ -183,6 +183,7 @@
                 })
                 .collect(),
             ended: self.ends.clone(),
+            may_have_more_ends: false,
         }
     }
 
--- a/rhubarbfall-runs/tests/model/mod.rs
+++ b/rhubarbfall-runs/tests/model/mod.rs
@@ -30,6 +30,9 @@
 /// How often a worker's leases are renewed.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(100);
 
+/// The number of run ends that a worker lists at a time.
+const MAX_LISTED_ENDS: usize = 500;
+
 /// How long a VM is away for a move or for maintenance.
 const VM_ABSENCE: Duration = Duration::from_millis(1_500);
 
@@ -339,7 +342,8 @@
                     .iter()
                     .map(|run| report_run(run, self.tail_ms, self.warm_up))
                     .collect(),
-                ended: worker.ends.clone(),
+                ended: worker.ends.iter().take(MAX_LISTED_ENDS).cloned().collect(),
+                may_have_more_ends: worker.ends.len() >= MAX_LISTED_ENDS,
             };
             self.scheduler.lease_renewal_answered(
                 &id,
--- a/rhubarbfall-runs/tests/pending_after_takeover.rs
+++ b/rhubarbfall-runs/tests/pending_after_takeover.rs
@@ -150,6 +150,7 @@
         incarnation_unix_ms: 1,
         running: Vec::new(),
         ended: vec![end],
+        may_have_more_ends: false,
     };
     let now = predecessor.owner.now;
     predecessor
--- a/rhubarbfall-runs/tests/single_owner/mod.rs
+++ b/rhubarbfall-runs/tests/single_owner/mod.rs
@@ -75,6 +75,7 @@
             incarnation_unix_ms,
             running,
             ended,
+            may_have_more_ends: false,
         };
         self.scheduler
             .lease_renewal_answered(&id(worker), sent_at, &answer, self.now);
--- a/rhubarbfall-runs/tests/stored_submissions.rs
+++ b/rhubarbfall-runs/tests/stored_submissions.rs
@@ -65,6 +65,7 @@
             incarnation_unix_ms: 1,
             running: Vec::new(),
             ended: Vec::new(),
+            may_have_more_ends: false,
         };
         let worker = "w-1".parse().expect("valid worker name");
         self.scheduler
--- a/rhubarbfall-runs/tests/unconfirmed_starts.rs
+++ b/rhubarbfall-runs/tests/unconfirmed_starts.rs
@@ -88,6 +88,7 @@
             incarnation_unix_ms: self.report.incarnation_unix_ms,
             running: running.collect(),
             ended: self.ends.clone(),
+            may_have_more_ends: false,
         }
     }
 }
--- a/rhubarbfall-runs/tests/waiting_starts.rs
+++ b/rhubarbfall-runs/tests/waiting_starts.rs
@@ -208,6 +208,7 @@
         incarnation_unix_ms: 1,
         running: vec![running],
         ended: vec![],
+        may_have_more_ends: false,
     };
     let now = model.now;
     model
