--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -1,5 +1,6 @@
 //! The state of one owner and its transitions, with one file per responsibility.
 
+mod absence;
 mod action;
 mod advice;
 mod clearing;
@@ -82,6 +83,8 @@
     /// The placed tasks whose start has not been answered yet, sorted.
     pending_starts: Vec<TaskId>,
     pools_logged_at: BootTime,
+    /// When the long-running tasks that do not run were last logged.
+    absence_logged_at: BootTime,
     /// When the time-dependent checks last ran.
     checked_at: BootTime,
     /// The earliest time at which long-running tasks may be interrupted: an earlier owner may just
@@ -116,6 +119,7 @@
             cleared_jobs: Vec::new(),
             pending_starts: Vec::new(),
             pools_logged_at: BootTime::default(),
+            absence_logged_at: BootTime::default(),
             checked_at: BootTime::default(),
             interrupt_after: BootTime::default(),
         }
@@ -175,6 +179,7 @@
             self.send_due_stops(now);
         }
         self.place_waiting(now);
+        self.log_absent(now);
     }
 
     /// Runs the checks that need no valid ownership lease if they are due: whoever owns the
