fix(scheduler): wait for inherited leases only as long as they may last

Cause: a new owner waits 10.6 s, for the longest lease that a predecessor that is cut off may grant, before it starts tasks of a silent worker elsewhere, and each further change of the owner starts that wait anew. Ruled out: the customer's limit, room, unconfirmed starts and stops.

Change: renewals state how long leases of earlier owners may last (field 5, skipped by earlier versions). Without an owner row nothing is inherited. An owner that is replaced while it loads ends before it starts its loops.

--- a/rhubarbfall-runs/src/scheduler/recovery.rs
+++ b/rhubarbfall-runs/src/scheduler/recovery.rs
@@ -154,6 +154,21 @@
             .map_or(Duration::ZERO, |until| until.since(now))
     }
 
+    /// Records that leases of earlier owners last until `until` at most, which is earlier than what
+    /// was known at the takeover.
+    pub fn bound_inherited_leases(&mut self, until: BootTime) {
+        let Some(known) = self.inherited_lease_expiry.filter(|known| until < *known) else {
+            return;
+        };
+        self.inherited_lease_expiry = Some(until);
+        for (_, worker) in self.workers.iter_mut() {
+            // A worker that has started again since may hold a longer lease.
+            if worker.state == WorkerState::New && worker.lease_expiry == known {
+                worker.lease_expiry = until;
+            }
+        }
+    }
+
     /// Requeues inherited runs on unreachable workers once all inherited leases have expired.
     pub(super) fn requeue_unreachable_inherited(&mut self, now: BootTime) {
         if self.inherited_lease_expiry.is_none_or(|until| now <= until) {
--- a/rhubarbfall-scheduler/src/owner/mod.rs
+++ b/rhubarbfall-scheduler/src/owner/mod.rs
@@ -26,6 +26,7 @@
 use crate::node::Node;
 use crate::ownership::{
     MAX_OWNERSHIP_LEASE, MIN_OWNERSHIP_LEASE, OWNERSHIP_LEASE_ROUND_TRIPS, RENEWAL_INTERVAL,
+    Renewal,
 };
 use crate::supervision::spawn_owner_loop;
 use crate::telemetry;
@@ -106,6 +107,17 @@
     timer_lateness: Cell<Duration>,
     /// Orders for VMs that may still reach the VM service.
     pub(crate) vm_orders: Rc<VmOrdersOnTheWay>,
+    /// When all leases that earlier owners granted to workers have expired.
+    inherited_leases_until: Cell<BootTime>,
+}
+
+/// What earlier owners may have left on its way when an owner takes over.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Inheritance {
+    /// Until when their orders may reach the VM service.
+    pub(crate) vm_orders_until: BootTime,
+    /// Until when the leases that they granted to workers may last.
+    pub(crate) leases_until: BootTime,
 }
 
 /// Caller waiting until a version of a job is stored.
@@ -129,7 +141,7 @@
         fencing_number: FencingNumber,
         owner_row_version: RowVersion,
         confirmed_at: BootTime,
-        vm_orders_until: BootTime,
+        inheritance: Inheritance,
     ) -> Rc<Self> {
         let ownership_lease = MIN_OWNERSHIP_LEASE;
         let scheduler = Scheduler::new(node.settings.scheduler());
@@ -155,8 +167,9 @@
             timer_lateness: Cell::default(),
             vm_orders: Rc::new(VmOrdersOnTheWay::new(
                 node.settings.vm_order_time(),
-                vm_orders_until,
+                inheritance.vm_orders_until,
             )),
+            inherited_leases_until: Cell::new(inheritance.leases_until),
         };
         owner.confirm_renewal(confirmed_at);
         Rc::new(owner)
@@ -275,6 +288,29 @@
         self.batch_stored.notify_waiters();
     }
 
+    /// Returns a renewal of this ownership.
+    pub(crate) fn renewal(&self, sent_at: BootTime, ownership_lease: Duration) -> Renewal {
+        Renewal {
+            fencing_number: self.fencing_number,
+            sent_at,
+            ownership_lease,
+            vm_orders_on_the_way: self.vm_orders.remaining(sent_at),
+            inherited_leases: self.inherited_leases_remaining(sent_at),
+        }
+    }
+
+    /// Returns how long leases that earlier owners granted to workers may last.
+    pub(crate) fn inherited_leases_remaining(&self, now: BootTime) -> Duration {
+        self.inherited_leases_until.get().since(now)
+    }
+
+    /// Records that leases of earlier owners last until `until` at most.
+    pub(crate) fn bound_inherited_leases(&self, until: BootTime) {
+        let until = until.min(self.inherited_leases_until.get());
+        self.inherited_leases_until.set(until);
+        self.with(|scheduler| scheduler.bound_inherited_leases(until));
+    }
+
     /// Records that no order of an earlier owner reaches the VM service after `until`.
     pub(crate) fn vm_orders_arrive_by(&self, until: BootTime) {
         self.vm_orders.inherit(until);
@@ -390,7 +426,7 @@
 }
 
 /// Loads the state stored by earlier owners and starts the background loops.
-pub(crate) async fn start(node: &Rc<Node>, owner: Rc<Owner>, inherited_until: BootTime) {
+pub(crate) async fn start(node: &Rc<Node>, owner: Rc<Owner>) {
     let loaded = state_rows::load(node).await;
     let state_rows::LoadedState {
         jobs,
@@ -404,7 +440,15 @@
             return owner.end();
         }
     };
+    if node.known_owner.borrow().fencing_number > owner.fencing_number() {
+        log::warn!(
+            "event=superseded_while_loading fence={}",
+            owner.fencing_number()
+        );
+        return owner.end();
+    }
     let (now, unix_ms) = (node.now(), node.unix_ms());
+    let inherited_until = owner.inherited_leases_until.get();
     log::info!(
         "event=loaded jobs={} inherited_until={inherited_until} vm_orders_left={:?}",
         jobs.len(),
--- a/rhubarbfall-scheduler/src/owner/store_loop.rs
+++ b/rhubarbfall-scheduler/src/owner/store_loop.rs
@@ -13,7 +13,6 @@
 
 use super::{Owner, state_rows};
 use crate::node::Node;
-use crate::ownership::renewal_write;
 use crate::telemetry;
 
 /// Pause before a transaction without an answer is retried.
@@ -112,13 +111,8 @@
         let includes_renewal = owner.is_renewal_due(sent_at);
         if includes_renewal {
             let ownership_lease = owner.request_ownership_lease();
-            let renewal = renewal_write(
-                owner.fencing_number(),
-                sent_at,
-                ownership_lease,
-                owner.vm_orders.remaining(sent_at),
-            );
-            transaction.writes.push(renewal);
+            let renewal = owner.renewal(sent_at, ownership_lease);
+            transaction.writes.push(renewal.write());
         }
         owner.is_batch_in_flight.set(true);
         let timeout = owner.commit_timeout();
--- a/rhubarbfall-scheduler/src/ownership.rs
+++ b/rhubarbfall-scheduler/src/ownership.rs
@@ -12,9 +12,9 @@
 use rhubarbfall_site::{CommitOutcome, RowKey, StoreError, StoredRow, Transaction};
 
 use crate::node::{Holder, KnownOwner, Node};
-use crate::owner::{self, CELL_PART, Owner};
+use crate::owner::{self, CELL_PART, Inheritance, Owner};
 use crate::peer_status::HolderMessage;
-use crate::predecessor;
+use crate::predecessor::{self, Stated};
 use crate::table_feed::{TableFeed, TableUpdate};
 use crate::telemetry;
 use crate::vm_orders_on_the_way::{PredecessorEnd, inherited_order_time};
@@ -107,6 +107,10 @@
     /// after this write; in milliseconds. Earlier versions do not write it.
     #[prost(uint64, optional, tag = "4")]
     vm_orders_on_the_way_ms: Option<u64>,
+    /// How long leases that owners before this one granted to workers may last after this write; in
+    /// milliseconds. Earlier versions do not write it.
+    #[prost(uint64, optional, tag = "5")]
+    inherited_leases_ms: Option<u64>,
 }
 
 /// Ownership rows as last seen by this entry.
@@ -122,6 +126,8 @@
     inherited_at_release: Option<Duration>,
     /// What the latest renewal states of orders for VMs on their way when it was written.
     vm_orders_on_the_way: Option<Duration>,
+    /// What the latest renewal states of leases of the owners before its writer.
+    inherited_leases: Option<Duration>,
     /// Time when a change of either row was last seen.
     last_change_at: BootTime,
     /// Time since which the store has answered without a failure.
@@ -138,6 +144,7 @@
             ownership_lease: Duration::ZERO,
             inherited_at_release: None,
             vm_orders_on_the_way: None,
+            inherited_leases: None,
             last_change_at: now,
             store_available_since: None,
         }
@@ -182,32 +189,39 @@
     }
 }
 
-/// Returns the write that renews the ownership for `ownership_lease`.
-pub(crate) fn renewal_write(
-    fencing_number: FencingNumber,
-    sent_at: BootTime,
-    ownership_lease: Duration,
-    vm_orders_on_the_way: Duration,
-) -> (RowKey, Vec<u8>) {
-    let renewal = RenewalRow {
-        fencing_number: fencing_number.get(),
-        sent_at_ms: sent_at.as_millis(),
-        lease_ms: ownership_lease.as_millis() as u64,
-        vm_orders_on_the_way_ms: Some(vm_orders_on_the_way.as_millis() as u64),
-    };
-    (cell_row(RENEWAL_KEY), renewal.encode_to_vec())
+/// What a renewal of the ownership states.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Renewal {
+    pub(crate) fencing_number: FencingNumber,
+    pub(crate) sent_at: BootTime,
+    /// Duration of the ownership lease from this renewal on.
+    pub(crate) ownership_lease: Duration,
+    /// How long orders may reach the VM service.
+    pub(crate) vm_orders_on_the_way: Duration,
+    /// How long leases that earlier owners granted to workers may last.
+    pub(crate) inherited_leases: Duration,
+}
+
+impl Renewal {
+    /// Returns the write that renews the ownership.
+    pub(crate) fn write(self) -> (RowKey, Vec<u8>) {
+        let milliseconds = |duration: Duration| duration.as_millis() as u64;
+        let renewal = RenewalRow {
+            fencing_number: self.fencing_number.get(),
+            sent_at_ms: self.sent_at.as_millis(),
+            lease_ms: milliseconds(self.ownership_lease),
+            vm_orders_on_the_way_ms: Some(milliseconds(self.vm_orders_on_the_way)),
+            inherited_leases_ms: Some(milliseconds(self.inherited_leases)),
+        };
+        (cell_row(RENEWAL_KEY), renewal.encode_to_vec())
+    }
 }
 
 async fn renew(node: &Node, owner: &Rc<Owner>) {
     let sent_at = node.now();
-    let renewal = renewal_write(
-        owner.fencing_number(),
-        sent_at,
-        owner.request_ownership_lease(),
-        owner.vm_orders.remaining(sent_at),
-    );
+    let ownership_lease = owner.request_ownership_lease();
     let transaction = Transaction {
-        writes: vec![renewal],
+        writes: vec![owner.renewal(sent_at, ownership_lease).write()],
         ..owner_transaction(owner)
     };
     let timeout = owner.commit_timeout();
@@ -311,6 +325,7 @@
                 watch.ownership_lease = Duration::from_millis(renewal.lease_ms);
                 watch.vm_orders_on_the_way =
                     renewal.vm_orders_on_the_way_ms.map(Duration::from_millis);
+                watch.inherited_leases = renewal.inherited_leases_ms.map(Duration::from_millis);
             }
             Err(error) => log::error!("event=renewal_row_malformed error={error}"),
         }
@@ -328,32 +343,51 @@
     }
 }
 
-/// Returns how long leases of earlier owners may last, counted from the last change of the
-/// ownership rows. An owner that released its ownership granted its last lease before that and
-/// stated which leases it inherited. An owner that fell silent may have granted the longest lease.
-fn max_inherited_lease(
-    inherited_at_release: Option<Duration>,
+/// Returns how long leases of earlier owners may last from a moment after which the last of them
+/// grants none. `inherited` is what that owner stated of leases of the owners before it. An owner
+/// that fell silent may grant leases on, up to the longest one.
+pub(crate) fn max_inherited_lease(
+    inherited: Option<Duration>,
     own_lease: Duration,
     max_lease: Duration,
 ) -> Duration {
-    let lease = inherited_at_release.map_or(max_lease, |inherited| inherited.max(own_lease));
+    let lease = inherited.map_or(max_lease, |inherited| inherited.max(own_lease));
     lease.mul_f64(CLOCK_DRIFT_FACTOR) + LEASE_EXPIRY_MARGIN
 }
 
-/// Returns until when orders of earlier owners may reach the VM service.
-fn inherited_vm_orders_until(
-    node: &Node,
-    watch: &OwnershipWatch,
-    known_owner: &KnownOwner,
-) -> BootTime {
+/// Returns until when leases of earlier owners may last. Without an owner row there was none.
+fn inherited_leases_until(node: &Node, watch: &OwnershipWatch, end: PredecessorEnd) -> BootTime {
     if watch.owner_row_version.is_none() {
         return BootTime::default();
     }
-    let end = match &known_owner.holder {
+    let inherited = match end {
+        PredecessorEnd::Released => watch.inherited_at_release,
+        // It ended before this process first read the rows.
+        PredecessorEnd::EarlierProcess => watch.inherited_leases,
+        PredecessorEnd::Silent(_) => None,
+    };
+    let own_lease = node.settings.scheduler().lease;
+    watch.last_change_at + max_inherited_lease(inherited, own_lease, node.settings.max_lease())
+}
+
+/// Returns how the last owner ended, as far as the ownership rows tell.
+fn predecessor_end(
+    node: &Node,
+    watch: &OwnershipWatch,
+    known_owner: &KnownOwner,
+) -> PredecessorEnd {
+    match &known_owner.holder {
         None => PredecessorEnd::Released,
         Some(holder) if holder.entry == node.settings.entry => PredecessorEnd::EarlierProcess,
         Some(_) => PredecessorEnd::Silent(watch.ownership_lease.max(MIN_OWNERSHIP_LEASE)),
-    };
+    }
+}
+
+/// Returns until when orders of earlier owners may reach the VM service.
+fn inherited_vm_orders_until(node: &Node, watch: &OwnershipWatch, end: PredecessorEnd) -> BootTime {
+    if watch.owner_row_version.is_none() {
+        return BootTime::default();
+    }
     let order_time = node.settings.vm_order_time();
     watch.last_change_at + inherited_order_time(end, watch.vm_orders_on_the_way, order_time)
 }
@@ -366,24 +400,30 @@
         incarnation: node.incarnation,
         reads_cancellations: true,
     };
-    let vm_orders_until = inherited_vm_orders_until(node, watch, known_owner);
+    let end = predecessor_end(node, watch, known_owner);
+    let vm_orders_until = inherited_vm_orders_until(node, watch, end);
+    let leases_until = inherited_leases_until(node, watch, end);
     let owner_row = OwnerRow {
         fencing_number: fencing_number.get(),
         holder: Some(HolderMessage::from(&this_entry)),
         inherited_lease_ms: 0,
     };
-    let renewal = renewal_write(
+    let renewal = Renewal {
         fencing_number,
-        BootTime::default(),
-        MIN_OWNERSHIP_LEASE,
-        vm_orders_until.since(node.now()),
-    );
+        sent_at: BootTime::default(),
+        ownership_lease: MIN_OWNERSHIP_LEASE,
+        vm_orders_on_the_way: vm_orders_until.since(node.now()),
+        inherited_leases: leases_until.since(node.now()),
+    };
     let transaction = Transaction {
         expected: vec![
             (cell_row(OWNER_KEY), watch.owner_row_version),
             (cell_row(RENEWAL_KEY), watch.renewal_row_version),
         ],
-        writes: vec![(cell_row(OWNER_KEY), owner_row.encode_to_vec()), renewal],
+        writes: vec![
+            (cell_row(OWNER_KEY), owner_row.encode_to_vec()),
+            renewal.write(),
+        ],
         removed: Vec::new(),
     };
     let sent_at = node.now();
@@ -392,21 +432,21 @@
             let silent_for = sent_at.since(watch.last_change_at);
             log::info!("event=ownership_gained fence={fencing_number} silent_for={silent_for:?}");
             node.update_known_owner(fencing_number, Some(this_entry));
-            let own_lease = node.settings.scheduler().lease;
-            let inherited_lease = max_inherited_lease(
-                watch.inherited_at_release,
-                own_lease,
-                node.settings.max_lease(),
-            );
-            let inherited_until = watch.last_change_at + inherited_lease;
-            let owner = Owner::new(node, fencing_number, version, sent_at, vm_orders_until);
+            let inheritance = Inheritance {
+                vm_orders_until,
+                leases_until,
+            };
+            let owner = Owner::new(node, fencing_number, version, sent_at, inheritance);
             if let Some(predecessor) = &known_owner.holder
                 && predecessor.entry != node.settings.entry
             {
-                let stated = watch.vm_orders_on_the_way;
-                predecessor::ask_for_vm_orders(node, &owner, predecessor.clone(), stated);
+                let stated = Stated {
+                    vm_orders: watch.vm_orders_on_the_way,
+                    inherited_leases: watch.inherited_leases,
+                };
+                predecessor::ask(node, &owner, predecessor.clone(), stated);
             }
-            owner::start(node, owner, inherited_until).await;
+            owner::start(node, owner).await;
         }
         Ok(CommitOutcome::Conflict(_)) => log::debug!("event=takeover_lost fence={fencing_number}"),
         Err(error) => log::warn!("event=takeover_failed fence={fencing_number} error={error}"),
@@ -423,20 +463,15 @@
     // No lease may be granted after this: the next owner counts lease expiry from when it sees the
     // row.
     node.drop_ownership("handed_back");
-    let inherited = owner.with(|scheduler| scheduler.inherited_leases_remaining(now));
+    let inherited = owner.inherited_leases_remaining(now);
     let row = OwnerRow {
         fencing_number: owner.fencing_number().get(),
         holder: None,
         inherited_lease_ms: inherited.as_millis() as u64,
     };
-    let renewal = renewal_write(
-        owner.fencing_number(),
-        now,
-        MIN_OWNERSHIP_LEASE,
-        owner.vm_orders.remaining(now),
-    );
+    let renewal = owner.renewal(now, MIN_OWNERSHIP_LEASE);
     let transaction = Transaction {
-        writes: vec![(cell_row(OWNER_KEY), row.encode_to_vec()), renewal],
+        writes: vec![(cell_row(OWNER_KEY), row.encode_to_vec()), renewal.write()],
         ..owner_transaction(&owner)
     };
     match node.store.commit(&transaction).await {
