feat(runs): refuse submissions that the owner cannot start in time

Cause: one owner's processor limits the starts. `submit` accepted everything, and the forecast that ranks what cannot be in time counted workers only, which were idle.

--- a/rhubarbfall-runs/src/scheduler/intake.rs
+++ b/rhubarbfall-runs/src/scheduler/intake.rs
@@ -106,6 +106,17 @@
         true
     }
 
+    /// Returns whether the weight of a submission's customer allows it, without counting it.
+    pub(super) fn has_room_in_weight(&self, submission: &Submission, now: BootTime) -> bool {
+        let customer = submission.customer.as_ref();
+        let bucket = customer.and_then(|id| self.arrival_limits.get(id));
+        let weight = customer.and_then(|id| Some(self.config.customer(id)?.weight));
+        match (bucket, weight) {
+            (Some(bucket), Some(weight)) => bucket.has_token(f64::from(weight), now),
+            _ => true,
+        }
+    }
+
     /// Counts a submission against the rate that its customer's weight allows, and returns whether
     /// it is within that rate.
     fn is_within_weight(&mut self, submission: &Submission, now: BootTime) -> bool {
--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -18,6 +18,7 @@
 mod recovery;
 mod refused_rows;
 mod settings;
+mod start_rate;
 mod starting;
 mod storing;
 mod token_bucket;
@@ -82,6 +83,7 @@
     cleared_jobs: Vec<ClearedJob>,
     /// The placed tasks whose start has not been answered yet, sorted.
     pending_starts: Vec<TaskId>,
+    start_rate: start_rate::StartRate,
     pools_logged_at: BootTime,
     /// When the long-running tasks that do not run were last logged.
     absence_logged_at: BootTime,
@@ -118,6 +120,7 @@
             advice: advice::Advice::default(),
             cleared_jobs: Vec::new(),
             pending_starts: Vec::new(),
+            start_rate: start_rate::StartRate::default(),
             pools_logged_at: BootTime::default(),
             absence_logged_at: BootTime::default(),
             checked_at: BootTime::default(),
@@ -177,6 +180,7 @@
             self.begin_due(unix_ms);
             self.tick_vm_operations(now);
             self.send_due_stops(now);
+            self.count_start_backlog(now);
         }
         self.place_waiting(now);
         self.log_absent(now);
--- a/rhubarbfall-runs/src/scheduler/ordering.rs
+++ b/rhubarbfall-runs/src/scheduler/ordering.rs
@@ -3,7 +3,7 @@
 
 use rhubarbfall_core::{BootTime, SubmissionId};
 
-use crate::{Job, Queue, Resources, Step, StepState};
+use crate::{Job, Queue, Resources, Step, StepState, Submission};
 
 /// The multiple of its objective up to which a late submission still has value.
 const LATE_OBJECTIVE_FACTOR: u32 = 3;
@@ -36,7 +36,7 @@
 /// start, then late ones. When the demand of a queue exceeds its pool, late work thus does not
 /// delay work that can still be in time.
 pub(super) fn rank(job: &Job, queue: &Queue, now: BootTime) -> Rank {
-    let objective = job.critical_path.mul_f64(queue.stretch.max(1.0)) + queue.objective;
+    let objective = objective(job.critical_path, queue);
     let remaining = remaining_path(job);
     let latest = |allowed: Duration| job.accepted_at + allowed.saturating_sub(remaining);
     let (in_time, late) = (latest(objective), latest(objective * LATE_OBJECTIVE_FACTOR));
@@ -59,6 +59,17 @@
     }
 }
 
+/// Returns the time from its arrival within which a submission counts as in time.
+fn objective(critical_path: Duration, queue: &Queue) -> Duration {
+    critical_path.mul_f64(queue.stretch.max(1.0)) + queue.objective
+}
+
+/// Returns how long a submission may wait for its starts and still be in time.
+pub(super) fn slack(submission: &Submission, queue: &Queue) -> Duration {
+    let critical_path = submission.critical_path();
+    objective(critical_path, queue).saturating_sub(critical_path)
+}
+
 impl Rank {
     /// Returns whether the job has not begun and can still be in time.
     pub(super) fn is_new_in_time(&self) -> bool {
@@ -97,22 +108,21 @@
 /// just too late.
 ///
 /// `begun_load_s` is the remaining work of submissions that have begun, in seconds of one whole
-/// worker.
+/// worker; `capacity_per_s` is how much of such work is done in a second.
 pub(super) fn beyond_capacity(
     mut candidates: Vec<Candidate>,
     begun_load_s: f64,
-    workers: usize,
+    capacity_per_s: f64,
     now: BootTime,
 ) -> Vec<SubmissionId> {
     candidates.sort_by_key(|candidate| candidate.latest_start);
-    let workers = workers.max(1) as f64;
     let mut kept: VecDeque<&Candidate> = VecDeque::new();
     let mut load_s = begun_load_s;
     let mut deferred = Vec::new();
     for candidate in &candidates {
         // The last submission in the order starts after all the others have been served.
         let slack_s = candidate.latest_start.since(now).as_secs_f64();
-        while load_s / workers > slack_s {
+        while load_s / capacity_per_s > slack_s {
             let Some(oldest) = kept.pop_front() else {
                 break;
             };
--- a/rhubarbfall-runs/src/scheduler/orders.rs
+++ b/rhubarbfall-runs/src/scheduler/orders.rs
@@ -23,6 +23,7 @@
         outcome: StartOutcome,
         now: BootTime,
     ) {
+        self.start_rate.record_answer(now);
         let Some(task) = self.jobs.get(&id.submission).and_then(|job| job.task(id)) else {
             return;
         };
--- a/rhubarbfall-runs/src/scheduler/placing.rs
+++ b/rhubarbfall-runs/src/scheduler/placing.rs
@@ -41,18 +41,23 @@
     /// Places waiting tasks on workers in the order of their ranks.
     pub(super) fn place_waiting(&mut self, now: BootTime) {
         if !std::mem::take(&mut self.needs_placement) {
+            self.start_rate.observe(false, now);
             return;
         }
         let mut waiting_steps = self.waiting_steps(now);
         self.demote_beyond_capacity(&mut waiting_steps, now);
+        self.demote_beyond_start_rate(&mut waiting_steps, now);
         waiting_steps.sort_by_key(|waiting_step| waiting_step.rank);
         let mut pass = self.new_pass(now);
+        let mut is_limited = false;
         for waiting_step in &waiting_steps {
-            if self.pending_starts.len() >= self.settings.max_pending_starts {
+            is_limited = self.pending_starts.len() >= self.settings.max_pending_starts;
+            if is_limited {
                 break;
             }
             self.place_step(waiting_step, &mut pass, now);
         }
+        self.start_rate.observe(is_limited, now);
     }
 
     fn new_pass(&self, now: BootTime) -> PlacementPass {
@@ -106,7 +111,8 @@
                 continue;
             }
             let begun_load_s = self.begun_load_s(&service.id, worker_size, now);
-            let mut deferred = beyond_capacity(candidates, begun_load_s, workers, now);
+            let per_s = workers.max(1) as f64;
+            let mut deferred = beyond_capacity(candidates, begun_load_s, per_s, now);
             deferred.sort();
             self.record_deferred(&deferred, workers, begun_load_s);
             for waiting_step in waiting_steps
@@ -123,6 +129,43 @@
         }
     }
 
+    /// Ranks submissions that exceed the rate at which this owner starts tasks with those that can
+    /// only be late.
+    fn demote_beyond_start_rate(&mut self, waiting_steps: &mut [WaitingStep], now: BootTime) {
+        let Some(rate_per_s) = self.start_rate.per_s(now) else {
+            return;
+        };
+        let mut candidates: Vec<Candidate> = Vec::new();
+        let mut begun_starts = 0;
+        for waiting_step in waiting_steps.iter() {
+            let id = &waiting_step.step.submission;
+            let starts = waiting_step.indexes.len();
+            if waiting_step.rank.is_begun_in_time() {
+                begun_starts += starts;
+            }
+            if !waiting_step.rank.is_new_in_time() {
+                continue;
+            }
+            match candidates.last_mut().filter(|last| last.id == *id) {
+                Some(last) => last.load_s += starts as f64,
+                None => candidates.push(Candidate {
+                    id: id.clone(),
+                    latest_start: waiting_step.rank.latest_start(),
+                    load_s: starts as f64,
+                }),
+            }
+        }
+        // A start counts as one second of load, of which the owner does `rate_per_s` a second.
+        let mut deferred = beyond_capacity(candidates, begun_starts as f64, rate_per_s, now);
+        deferred.sort();
+        for waiting_step in waiting_steps.iter_mut() {
+            let id = &waiting_step.step.submission;
+            if deferred.binary_search(id).is_ok() {
+                waiting_step.rank.demote();
+            }
+        }
+    }
+
     fn record_deferred(&mut self, ids: &[SubmissionId], workers: usize, begun_load_s: f64) {
         for id in ids {
             if let Some(job) = self.jobs.get_mut(id)
--- a/rhubarbfall-runs/src/scheduler/token_bucket.rs
+++ b/rhubarbfall-runs/src/scheduler/token_bucket.rs
@@ -23,8 +23,7 @@
 
     /// Takes a token and returns whether one was available, after refilling at `rate_per_s`.
     pub(super) fn admit(&mut self, rate_per_s: f64, now: BootTime) -> bool {
-        let refill = rate_per_s * now.since(self.updated_at).as_secs_f64();
-        self.tokens = (self.tokens + refill).min(rate_per_s * self.burst.as_secs_f64());
+        self.tokens = self.tokens_at(rate_per_s, now);
         self.updated_at = now;
         let is_within = self.tokens >= 1.0;
         if is_within {
@@ -32,4 +31,14 @@
         }
         is_within
     }
+
+    /// Returns whether a token is available, after refilling at `rate_per_s`, without taking it.
+    pub(super) fn has_token(&self, rate_per_s: f64, now: BootTime) -> bool {
+        self.tokens_at(rate_per_s, now) >= 1.0
+    }
+
+    fn tokens_at(&self, rate_per_s: f64, now: BootTime) -> f64 {
+        let refill = rate_per_s * now.since(self.updated_at).as_secs_f64();
+        (self.tokens + refill).min(rate_per_s * self.burst.as_secs_f64())
+    }
 }
--- a/rhubarbfall-scheduler/src/callers.rs
+++ b/rhubarbfall-scheduler/src/callers.rs
@@ -236,6 +236,9 @@
         RequestOutcome::NotFound => error_response(ResultCode::SubmissionUnknown, None),
         RequestOutcome::NoOwner => error_response(ResultCode::NoOwner, Some(NO_OWNER_RETRY_AFTER)),
         RequestOutcome::Unknown => error_response(ResultCode::OwnerSilent, None),
+        RequestOutcome::Busy { retry_after } => {
+            error_response(ResultCode::OwnerBusy, Some(retry_after))
+        }
         RequestOutcome::Invalid => error_response(ResultCode::SubmissionInvalid, None),
     }
 }
--- a/rhubarbfall-scheduler/src/owner/mod.rs
+++ b/rhubarbfall-scheduler/src/owner/mod.rs
@@ -75,6 +75,9 @@
     NotFound,
     /// The submission violates a rule; it never runs.
     Invalid,
+    /// The owner cannot start the submission in time; nothing was accepted. The caller may come back
+    /// after `retry_after`.
+    Busy { retry_after: Duration },
 }
 
 /// State of the entry that owns the submissions.
@@ -346,6 +349,9 @@
             return RequestOutcome::Invalid;
         }
         let now = node.now();
+        if let Err(retry_after) = self.scheduler.borrow_mut().admit(&submission, now) {
+            return RequestOutcome::Busy { retry_after };
+        }
         let version = self.with(|scheduler| scheduler.submit(submission, now));
         if self.scheduler.borrow().is_unreadable(&id) {
             return RequestOutcome::Unknown;
--- a/rhubarbfall-scheduler/src/owner_call.rs
+++ b/rhubarbfall-scheduler/src/owner_call.rs
@@ -43,6 +43,8 @@
         match call_owner(remaining.min(OWNER_CALL_TIMEOUT)).await {
             RequestOutcome::Unknown => may_be_accepted = true,
             RequestOutcome::NoOwner => {}
+            // The refusal of a repetition proves nothing of the call before it.
+            RequestOutcome::Busy { .. } if may_be_accepted => return RequestOutcome::Unknown,
             answered => return answered,
         }
         let waited = node.now().since(began_at);
--- a/rhubarbfall-scheduler/src/peer.rs
+++ b/rhubarbfall-scheduler/src/peer.rs
@@ -37,6 +37,10 @@
 struct OutcomeMessage {
     #[prost(enumeration = "OutcomeKind", tag = "1")]
     kind: i32,
+    /// With `NoOwner`: the owner is busy, and the caller may come back after this time. Earlier
+    /// versions try again for a while instead.
+    #[prost(uint64, optional, tag = "2")]
+    retry_after_ms: Option<u64>,
 }
 
 /// No number stands for a confirmation by default: an empty or unknown message confirms nothing.
@@ -244,12 +248,19 @@
     fn from(outcome: RequestOutcome) -> Self {
         let kind = match outcome {
             RequestOutcome::Stored => OutcomeKind::Stored,
-            RequestOutcome::NoOwner => OutcomeKind::NoOwner,
+            RequestOutcome::NoOwner | RequestOutcome::Busy { .. } => OutcomeKind::NoOwner,
             RequestOutcome::Unknown => OutcomeKind::Unknown,
             RequestOutcome::NotFound => OutcomeKind::NotFound,
             RequestOutcome::Invalid => OutcomeKind::Invalid,
         };
-        Self { kind: kind.into() }
+        let retry_after_ms = match outcome {
+            RequestOutcome::Busy { retry_after } => Some(retry_after.as_millis() as u64),
+            _ => None,
+        };
+        Self {
+            kind: kind.into(),
+            retry_after_ms,
+        }
     }
 }
 
@@ -257,7 +268,10 @@
     fn from(message: OutcomeMessage) -> Self {
         match message.kind() {
             OutcomeKind::Stored => Self::Stored,
-            OutcomeKind::NoOwner => Self::NoOwner,
+            OutcomeKind::NoOwner => match message.retry_after_ms.map(Duration::from_millis) {
+                Some(retry_after) => Self::Busy { retry_after },
+                None => Self::NoOwner,
+            },
             OutcomeKind::Unspecified | OutcomeKind::Unknown => Self::Unknown,
             OutcomeKind::NotFound => Self::NotFound,
             OutcomeKind::Invalid => Self::Invalid,
--- a/rhubarbfall-scheduler/src/peer/tests.rs
+++ b/rhubarbfall-scheduler/src/peer/tests.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use bytes::Bytes;
 use expect_test::expect;
 use prost::Message;
@@ -36,6 +38,10 @@
         RequestOutcome::NoOwner,
         RequestOutcome::Unknown,
         RequestOutcome::NotFound,
+        RequestOutcome::Invalid,
+        RequestOutcome::Busy {
+            retry_after: Duration::from_millis(2_400),
+        },
     ] {
         let body = OutcomeMessage::from(outcome).encode_to_vec();
         assert_eq!(
@@ -59,3 +65,16 @@
         assert_eq!(read, Ok(state));
     }
 }
+
+/// An entry of an earlier version, which knows no busy owner, must not take its answer for an unknown
+/// outcome: the submission was not accepted.
+#[test]
+fn busy_owner_counts_as_no_owner_for_earlier_versions() {
+    let busy = RequestOutcome::Busy {
+        retry_after: Duration::from_secs(1),
+    };
+    assert_eq!(
+        OutcomeMessage::from(busy).kind(),
+        super::OutcomeKind::NoOwner
+    );
+}
