fix(runs): let a refused repetition say nothing of an unanswered call for a VM

Cause: an unanswered call that had been carried out was repeated; 503 for the repetition counted as "not carried out", and the VM's place went to another. A new owner concluded the same from the refusal of its first call. Room in a wave was counted from calls, not from the VMs that are listed as down.

Change: an operation with an unanswered call, of this owner or an earlier one, goes on until a call succeeds, the VM is listed as away, or the order is refused for good, and keeps its place. VMs that are listed under maintenance take a place too.

--- a/rhubarbfall-runs/src/scheduler/vm_operations.rs
+++ b/rhubarbfall-runs/src/scheduler/vm_operations.rs
@@ -79,9 +79,17 @@
     pub(super) operation: VmOperation,
     pub(super) phase: VmPhase,
     pub(super) worker: Option<WorkerId>,
+    /// Whether a call of the operation, by this owner or an earlier one, got no answer: it may have
+    /// been carried out, whatever a repetition is answered.
+    pub(super) has_unanswered_call: bool,
 }
 
 impl ActiveOperation {
+    /// Returns whether the VM may be down for the operation.
+    pub(super) fn may_be_down(&self) -> bool {
+        self.has_unanswered_call || self.phase != VmPhase::Draining
+    }
+
     /// Returns whether the operation is maintenance for this wave.
     pub(super) fn is_for_wave(&self, wave: &WaveId) -> bool {
         matches!(&self.operation, VmOperation::Maintain(of) if of == wave)
@@ -155,6 +163,7 @@
             vms.insert(row.vm.clone(), row);
         }
         self.vm_ops.vms = vms;
+        self.confirm_listed_operations(asked_at, now);
         self.drop_workers_of_absent(now);
         let has_returned = |active: &ActiveOperation, row: Option<&VmRow>| match (active.phase, row)
         {
@@ -162,7 +171,7 @@
                 row.state == VmState::Up
                     && (row.worker != active.worker || now.since(since) > SAME_WORKER_RETURN_DELAY)
             }
-            (VmPhase::InProgress(_) | VmPhase::Draining, None) => true,
+            (VmPhase::InProgress(_) | VmPhase::Draining | VmPhase::Unconfirmed(_), None) => true,
             _ => false,
         };
         let returned: Vec<VmId> = self
@@ -181,6 +190,28 @@
         }
     }
 
+    /// Confirms unanswered calls for VMs that the platform lists as moving or under maintenance.
+    fn confirm_listed_operations(&mut self, asked_at: BootTime, now: BootTime) {
+        let is_carried_out = |vm: &VmId, active: &ActiveOperation| {
+            let state = self.vm_ops.vms.get(vm).map(|row| row.state);
+            let expected = match active.operation {
+                VmOperation::Move(_) => VmState::Moving,
+                VmOperation::Maintain(_) => VmState::Maintenance,
+            };
+            matches!(active.phase, VmPhase::Unconfirmed(since) if since < asked_at)
+                && state == Some(expected)
+        };
+        let operations = self.vm_ops.active.iter();
+        let carried_out: Vec<VmId> = operations
+            .filter(|(vm, active)| is_carried_out(vm, active))
+            .map(|(vm, _)| vm.clone())
+            .collect();
+        for vm in carried_out {
+            log::info!("event=vm_call_confirmed vm={vm}");
+            self.vm_answered(&vm, Some(true), now);
+        }
+    }
+
     /// Requeues the tasks of workers whose VMs have left for maintenance or for another pool.
     fn drop_workers_of_absent(&mut self, now: BootTime) {
         let is_absent = |vm: &VmId| {
@@ -204,7 +235,8 @@
     }
 
     /// Processes the outcome of a call for a VM: whether it succeeded, or `None` if no answer
-    /// arrived.
+    /// arrived. A call that was not carried out ends its operation, unless an earlier call of the
+    /// operation got no answer: then it is repeated until it succeeds or the VM is listed as away.
     pub fn vm_answered(&mut self, vm: &VmId, is_done: Option<bool>, now: BootTime) {
         let Some(active) = self.vm_ops.active.get_mut(vm) else {
             return;
@@ -218,14 +250,35 @@
                     self.mark_maintenance_begun(vm, wave);
                 }
             }
-            Some(false) => {
-                self.vm_ops.active.remove(vm);
+            Some(false) if active.has_unanswered_call => {
+                active.phase = VmPhase::Unconfirmed(now);
                 self.vm_ops.backoff_until = now + REFUSAL_BACKOFF;
-                if let VmOperation::Maintain(wave) = &operation {
-                    self.remove_call(vm, wave);
-                }
             }
-            None => active.phase = VmPhase::Unconfirmed(now),
+            Some(false) => self.end_operation(vm, &operation, now),
+            None => {
+                active.phase = VmPhase::Unconfirmed(now);
+                active.has_unanswered_call = true;
+            }
+        }
+    }
+
+    /// Processes a refusal that holds for every call of the same operation, also for those without an
+    /// answer.
+    pub fn vm_order_invalid(&mut self, vm: &VmId, now: BootTime) {
+        let Some(active) = self.vm_ops.active.get(vm) else {
+            return;
+        };
+        let operation = active.operation.clone();
+        log::warn!("event=vm_order_invalid vm={vm} operation={operation:?}");
+        self.end_operation(vm, &operation, now);
+    }
+
+    /// Ends an operation that was certainly not carried out.
+    fn end_operation(&mut self, vm: &VmId, operation: &VmOperation, now: BootTime) {
+        self.vm_ops.active.remove(vm);
+        self.vm_ops.backoff_until = now + REFUSAL_BACKOFF;
+        if let VmOperation::Maintain(wave) = operation {
+            self.remove_call(vm, wave);
         }
     }
 
@@ -273,6 +326,7 @@
             operation,
             phase: VmPhase::Draining,
             worker,
+            has_unanswered_call: false,
         };
         self.vm_ops.active.insert(vm.clone(), active);
     }
--- a/rhubarbfall-runs/src/scheduler/wave_choice.rs
+++ b/rhubarbfall-runs/src/scheduler/wave_choice.rs
@@ -115,16 +115,24 @@
             .map_or(0, |worker| worker.placed.len() as u64)
     }
 
-    /// Returns whether one more VM of a wave may go down; drained VMs wait for their turn.
-    pub(super) fn has_room_in_wave(&self, id: &WaveId) -> bool {
-        let is_down =
-            |active: &ActiveOperation| active.is_for_wave(id) && active.phase != VmPhase::Draining;
-        let down = self
-            .vm_ops
-            .active
-            .iter()
-            .filter(|(_, active)| is_down(active));
-        let active_wave = self.vm_ops.waves.get(id);
-        active_wave.is_some_and(|active_wave| active_wave.has_room(down.count()))
+    /// Returns whether a VM of a wave may go down beside the others that may be down; drained VMs
+    /// wait for their turn. A VM that is listed under maintenance counts, whoever called for it.
+    pub(super) fn has_room_in_wave(&self, id: &WaveId, next: &VmId) -> bool {
+        let Some(active_wave) = self.vm_ops.waves.get(id) else {
+            return false;
+        };
+        let is_listed_down = |vm: &VmId| {
+            let row = self.vm_ops.vms.get(vm);
+            row.is_some_and(|row| row.state == VmState::Maintenance)
+        };
+        let may_be_down = |vm: &&VmId| {
+            let active = self.vm_ops.active.get(vm);
+            active.map_or_else(
+                || is_listed_down(vm),
+                |active| active.is_for_wave(id) && active.may_be_down(),
+            )
+        };
+        let others = active_wave.vms().filter(|vm| *vm != next);
+        active_wave.has_room(others.filter(may_be_down).count())
     }
 }
--- a/rhubarbfall-runs/src/scheduler/waves.rs
+++ b/rhubarbfall-runs/src/scheduler/waves.rs
@@ -99,6 +99,11 @@
 }
 
 impl ActiveWave {
+    /// Returns the VMs of the wave.
+    pub(super) fn vms(&self) -> impl Iterator<Item = &VmId> {
+        self.wave.vms.iter()
+    }
+
     /// Returns the VMs whose maintenance has not begun.
     pub(super) fn waiting(&self) -> impl Iterator<Item = &VmId> {
         self.wave.vms.iter().filter(|vm| !self.has_begun(vm))
@@ -214,6 +219,7 @@
                 operation: VmOperation::Maintain(wave.id.clone()),
                 phase,
                 worker: called.worker.clone(),
+                has_unanswered_call: !called.has_begun,
             };
             self.vm_ops.active.insert(called.vm.clone(), active);
         }
@@ -362,7 +368,7 @@
             return self.send_call(vm);
         };
         let wave = wave.clone();
-        if !self.has_room_in_wave(&wave) {
+        if !self.has_room_in_wave(&wave, vm) {
             return;
         }
         let (Some(active_wave), Some(active)) = (
--- a/rhubarbfall-scheduler/src/owner/vm_loop.rs
+++ b/rhubarbfall-scheduler/src/owner/vm_loop.rs
@@ -42,8 +42,13 @@
         owner.vm_orders.end(is_settled, node.now());
         let is_done = match outcome {
             VmOrderOutcome::Done => Some(true),
-            VmOrderOutcome::Busy | VmOrderOutcome::Refused | VmOrderOutcome::Retry => Some(false),
+            VmOrderOutcome::Busy | VmOrderOutcome::Retry => Some(false),
             VmOrderOutcome::Unknown => None,
+            VmOrderOutcome::Refused => {
+                let now = node.now();
+                owner.with(|scheduler| scheduler.vm_order_invalid(&vm, now));
+                return;
+            }
             VmOrderOutcome::Fenced => {
                 node.drop_ownership("fenced_by_vm_service");
                 return;
