perf(runs): keep the checks of row size and of waves off the common path

Cause, by reading the diff: each step of each pass went through all workers for their longest name, and each drained VM through all VMs of its wave.

Result: row_size, unanswered_vm_calls, wave_time, late_wave and faults pass; the decisions are the same. No profile was taken.

--- a/rhubarbfall-runs/src/job.rs
+++ b/rhubarbfall-runs/src/job.rs
@@ -234,9 +234,9 @@
         }
     }
 
-    /// Returns the number of tasks in the occurrences that are due.
+    /// Returns the number of tasks in the occurrences that have begun.
     #[must_use]
-    pub fn due_tasks(&self) -> usize {
+    pub fn begun_tasks(&self) -> usize {
         let tasks = self.submission.steps.iter().map(|step| step.tasks as usize);
         tasks.sum::<usize>() * self.occurrences.len()
     }
--- a/rhubarbfall-runs/src/row_size.rs
+++ b/rhubarbfall-runs/src/row_size.rs
@@ -12,6 +12,9 @@
 /// longest encoding of its numbers.
 const OPEN_TASK_BYTES: usize = 48;
 
+/// The longest name of a worker in bytes.
+const MAX_WORKER_NAME_BYTES: usize = 128;
+
 /// The space of the other fields of a progress row in bytes.
 const FIXED_BYTES: usize = 32;
 
@@ -76,6 +79,13 @@
     encode(&reduced)
 }
 
+/// Returns whether the progress row of a job fits into `max_bytes` whatever its workers are called,
+/// which holds for all but large jobs.
+pub(crate) fn always_fits(job: &Job, max_bytes: usize) -> bool {
+    let open_bytes = OPEN_TASK_BYTES + MAX_WORKER_NAME_BYTES;
+    FIXED_BYTES + job.begun_tasks() * open_bytes <= max_bytes
+}
+
 /// Returns how many tasks that were never placed a job may place now, so that its progress row fits
 /// into `max_bytes`, with workers' names of at most `worker_name_bytes`.
 ///
@@ -83,9 +93,9 @@
 pub(crate) fn room_for_new_tasks(job: &Job, max_bytes: usize, worker_name_bytes: usize) -> usize {
     let open_bytes = OPEN_TASK_BYTES + worker_name_bytes;
     let room = max_bytes.saturating_sub(FIXED_BYTES) / open_bytes;
-    let due = job.due_tasks();
-    if due <= room {
-        return due;
+    let begun = job.begun_tasks();
+    if begun <= room {
+        return begun;
     }
     let mut used = FIXED_BYTES;
     for occurrence in job.occurrences.iter().skip(job.done_occurrences() as usize) {
--- a/rhubarbfall-runs/src/scheduler/placing.rs
+++ b/rhubarbfall-runs/src/scheduler/placing.rs
@@ -5,7 +5,7 @@
 
 use super::Scheduler;
 use super::ordering::{Candidate, Rank, beyond_capacity, load_s, rank};
-use crate::row_size::room_for_new_tasks;
+use crate::row_size::{always_fits, room_for_new_tasks};
 use crate::{JobState, Placement, Resources, RunState, Step, StepId, TaskId, TaskPhase, Worker};
 
 /// The average share of work that is still to be done in the open tasks of a submission that has
@@ -111,8 +111,8 @@
                 continue;
             }
             let begun_load_s = self.begun_load_s(&service.id, worker_size, now);
-            let per_s = workers.max(1) as f64;
-            let mut deferred = beyond_capacity(candidates, begun_load_s, per_s, now);
+            let capacity_per_s = workers.max(1) as f64;
+            let mut deferred = beyond_capacity(candidates, begun_load_s, capacity_per_s, now);
             deferred.sort();
             self.record_deferred(&deferred, workers, begun_load_s);
             for waiting_step in waiting_steps
@@ -304,12 +304,15 @@
     /// Returns how many tasks that were never placed a job may place, so that its rows stay within
     /// the size that the store accepts.
     fn room_for_new_tasks(&self, id: &SubmissionId) -> usize {
+        let Some(job) = self.jobs.get(id) else {
+            return 0;
+        };
+        let max_bytes = self.settings.max_row_bytes;
+        if always_fits(job, max_bytes) {
+            return job.begun_tasks();
+        }
         let names = self.workers().map(|worker| worker.report.id.as_str().len());
-        let longest = names.max().unwrap_or_default();
-        let job = self.jobs.get(id);
-        job.map_or(0, |job| {
-            room_for_new_tasks(job, self.settings.max_row_bytes, longest)
-        })
+        room_for_new_tasks(job, max_bytes, names.max().unwrap_or_default())
     }
 
     /// Places all members of a gang or none, and returns whether they were placed.
--- a/rhubarbfall-runs/src/scheduler/wave_choice.rs
+++ b/rhubarbfall-runs/src/scheduler/wave_choice.rs
@@ -121,18 +121,14 @@
         let Some(active_wave) = self.vm_ops.waves.get(id) else {
             return false;
         };
-        let is_listed_down = |vm: &VmId| {
-            let row = self.vm_ops.vms.get(vm);
-            row.is_some_and(|row| row.state == VmState::Maintenance)
-        };
-        let may_be_down = |vm: &&VmId| {
-            let active = self.vm_ops.active.get(vm);
-            active.map_or_else(
-                || is_listed_down(vm),
-                |active| active.is_for_wave(id) && active.may_be_down(),
-            )
-        };
-        let others = active_wave.vms().filter(|vm| *vm != next);
-        active_wave.has_room(others.filter(may_be_down).count())
+        let operations = self.vm_ops.active.iter();
+        let called = operations
+            .filter(|(vm, active)| *vm != next && active.is_for_wave(id) && active.may_be_down());
+        let listed = self.vm_ops.vms().filter(|row| {
+            row.state == VmState::Maintenance
+                && !self.vm_ops.is_busy(&row.vm)
+                && active_wave.contains(&row.vm)
+        });
+        active_wave.has_room(called.count() + listed.count())
     }
 }
--- a/rhubarbfall-runs/src/scheduler/waves.rs
+++ b/rhubarbfall-runs/src/scheduler/waves.rs
@@ -99,9 +99,8 @@
 }
 
 impl ActiveWave {
-    /// Returns the VMs of the wave.
-    pub(super) fn vms(&self) -> impl Iterator<Item = &VmId> {
-        self.wave.vms.iter()
+    pub(super) fn contains(&self, vm: &VmId) -> bool {
+        self.wave.vms.contains(vm)
     }
 
     /// Returns the VMs whose maintenance has not begun.
