feat(scheduler): count processor time by activity, and tell where late work spent its time

Change: `processor_microseconds_total{activity}` and one line a second at an owner (`event=processor_time`) split the polls of its tasks among callers, peers, ticks, orders, renewals, rows, VMs, feeds and logs. `event=job_late` splits the time of each late job among waiting, storing, starting, running and reporting. `event=job_received` has the rate of starts that is known at that moment. No decision changes.

--- a/rhubarbfall-runs/src/job.rs
+++ b/rhubarbfall-runs/src/job.rs
@@ -4,7 +4,7 @@
 
 use rhubarbfall_core::{BootTime, RowVersion};
 
-use crate::{Step, Submission, Task, TaskId, TaskPhase};
+use crate::{StageTimes, Step, Submission, Task, TaskId, TaskPhase};
 
 /// A submission with the state of its tasks.
 #[derive(Debug, Clone)]
@@ -18,6 +18,8 @@
     pub accepted_at: BootTime,
     /// When this owner first placed a task of the job.
     pub placed_at: Option<BootTime>,
+    /// Where the time of the job has gone since it arrived or was recovered.
+    pub stages: StageTimes,
     /// Whether the job was ever ranked as late because its queue's demand exceeded the capacity of
     /// its workers.
     pub was_deferred: bool,
@@ -149,6 +151,7 @@
             submission,
             accepted_at: now,
             placed_at: None,
+            stages: StageTimes::new(now),
             was_deferred: false,
             is_excess: false,
             state: JobState::Active,
--- a/rhubarbfall-runs/src/lib.rs
+++ b/rhubarbfall-runs/src/lib.rs
@@ -11,6 +11,7 @@
 mod resources;
 mod row_size;
 pub mod scheduler;
+mod stage_times;
 mod step_id;
 mod submission;
 mod task;
@@ -28,6 +29,7 @@
 pub use resources::Resources;
 pub use row_size::encode_progress_within;
 pub use scheduler::Scheduler;
+pub use stage_times::{Stage, StageTimes};
 pub use step_id::{ParseStepIdError, StepId};
 pub use submission::{Schedule, Step, Submission, SubmissionError};
 pub use task::{Placement, RunState, Task, TaskPhase};
--- a/rhubarbfall-runs/src/scheduler/intake.rs
+++ b/rhubarbfall-runs/src/scheduler/intake.rs
@@ -57,11 +57,12 @@
         job.is_excess = is_excess;
         log::info!(
             "event=job_received id={id} queue={} customer={:?} steps={} is_excess={is_excess} \
-             config={}",
+             config={} starts_per_s={:?}",
             job.submission.queue,
             job.submission.customer.as_ref().map(CustomerId::as_str),
             job.submission.steps.len(),
-            self.config.version
+            self.config.version,
+            self.start_rate.per_s(now)
         );
         // Occurrences that are due later begin in `tick`.
         begin_due_of(&mut job, 0);
--- a/rhubarbfall-runs/src/scheduler/lease_renewal.rs
+++ b/rhubarbfall-runs/src/scheduler/lease_renewal.rs
@@ -6,7 +6,7 @@
 use super::{Action, Scheduler};
 use crate::{
     ActiveRun, JobState, LeaseRenewalResponse, Placement, Resources, RunEnd, RunEndKind, RunState,
-    Step, Task, TaskId, TaskPhase, WorkerState,
+    Stage, Step, Task, TaskId, TaskPhase, WorkerState,
 };
 
 /// The number of different submissions with failures, and no success in between, after which a
@@ -202,6 +202,7 @@
         if is_current {
             self.release(&end.task, now);
             self.mark_started(&end.task);
+            self.end_stage(&end.task, Stage::Running, now);
         }
         if is_current || (is_waiting && end.kind == RunEndKind::Done) {
             self.apply_run_end(worker_id, end, now);
--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -7,6 +7,7 @@
 mod early_cancellations;
 mod intake;
 mod interruptions;
+mod late_jobs;
 mod lease_renewal;
 mod listing;
 mod ordering;
--- a/rhubarbfall-runs/src/scheduler/ordering.rs
+++ b/rhubarbfall-runs/src/scheduler/ordering.rs
@@ -60,7 +60,7 @@
 }
 
 /// Returns the time from its arrival within which a submission counts as in time.
-fn objective(critical_path: Duration, queue: &Queue) -> Duration {
+pub(super) fn objective(critical_path: Duration, queue: &Queue) -> Duration {
     critical_path.mul_f64(queue.stretch.max(1.0)) + queue.objective
 }
 
--- a/rhubarbfall-runs/src/scheduler/orders.rs
+++ b/rhubarbfall-runs/src/scheduler/orders.rs
@@ -5,7 +5,7 @@
 use super::Scheduler;
 use super::action::{Action, StopOrder};
 use crate::{
-    Job, JobState, Placement, RunState, StartOutcome, Step, StepId, Task, TaskId, Worker,
+    Job, JobState, Placement, RunState, Stage, StartOutcome, Step, StepId, Task, TaskId, Worker,
     WorkerState,
 };
 
@@ -24,6 +24,7 @@
         now: BootTime,
     ) {
         self.start_rate.record_answer(now);
+        self.end_stage(id, Stage::Starting, now);
         let Some(task) = self.jobs.get(&id.submission).and_then(|job| job.task(id)) else {
             return;
         };
--- a/rhubarbfall-runs/src/scheduler/placing.rs
+++ b/rhubarbfall-runs/src/scheduler/placing.rs
@@ -6,7 +6,9 @@
 use super::Scheduler;
 use super::ordering::{Candidate, Rank, beyond_capacity, load_s, rank};
 use crate::row_size::{always_fits, room_for_new_tasks};
-use crate::{JobState, Placement, Resources, RunState, Step, StepId, TaskId, TaskPhase, Worker};
+use crate::{
+    JobState, Placement, Resources, RunState, Stage, Step, StepId, TaskId, TaskPhase, Worker,
+};
 
 /// The average share of work that is still to be done in the open tasks of a submission that has
 /// begun: they are taken as halfway through.
@@ -451,6 +453,7 @@
         let state = RunState::Storing(job.version + 1);
         job.has_begun = true;
         job.placed_at.get_or_insert(now);
+        job.stages.end(Stage::Waiting, now);
         if let Some(task) = job.task_mut(id) {
             task.last_run = run;
             task.phase = TaskPhase::Placed(Placement {
--- a/rhubarbfall-runs/src/scheduler/starting.rs
+++ b/rhubarbfall-runs/src/scheduler/starting.rs
@@ -4,7 +4,7 @@
 
 use super::Scheduler;
 use super::action::{Action, StartOrder};
-use crate::{Resources, RunState, StepId, TaskId};
+use crate::{Resources, RunState, Stage, StepId, TaskId};
 
 impl Scheduler {
     /// Sends the starts whose placements are stored. What a placement was decided on may have
@@ -122,6 +122,7 @@
             ticket,
         };
         self.set_run_state(id, RunState::Sending);
+        self.end_stage(id, Stage::Storing, now);
         self.actions.push(Action::Start(order));
     }
 }
--- a/rhubarbfall-runs/src/scheduler/storing.rs
+++ b/rhubarbfall-runs/src/scheduler/storing.rs
@@ -1,7 +1,10 @@
 use rhubarbfall_core::{BootTime, RowVersion, SubmissionId, WaveId};
 
 use super::Scheduler;
-use crate::{Job, JobProgress, JobState, RunState, encode_progress_within, encode_submission};
+use super::late_jobs::log_if_late;
+use crate::{
+    Job, JobProgress, JobState, RunState, Stage, encode_progress_within, encode_submission,
+};
 
 /// The maximum number of entries in one transaction, as stated by the platform, less the condition
 /// on the ownership and its renewal.
@@ -164,6 +167,8 @@
             }
             if row.state.is_final() && job.ended_at.is_none() {
                 job.ended_at = Some(now);
+                job.stages.end(Stage::Reporting, now);
+                log_if_late(job, &self.config, now);
             }
             let stored = row.version;
             let ready = job.tasks_where(|task| {
--- a/rhubarbfall-scheduler/src/http_server.rs
+++ b/rhubarbfall-scheduler/src/http_server.rs
@@ -19,6 +19,7 @@
 use tokio::task::{JoinHandle, spawn_local};
 
 use crate::node::Node;
+use crate::processor_time::{Activity, metered};
 
 /// Limit of the request body size; above the largest submission that operators allow.
 const MAX_BODY_BYTES: usize = 1024 * 1024;
@@ -67,9 +68,13 @@
     }
 }
 
-/// Accepts and serves connections until the process ends.
-pub(crate) async fn serve<F, ResponseFuture>(node: Rc<Node>, listener: TcpListener, handle: F)
-where
+/// Accepts and serves connections until the process ends. Their processor time counts for `activity`.
+pub(crate) async fn serve<F, ResponseFuture>(
+    node: Rc<Node>,
+    listener: TcpListener,
+    activity: Activity,
+    handle: F,
+) where
     F: Fn(Rc<Node>, ServerRequest) -> ResponseFuture + Clone + 'static,
     ResponseFuture: Future<Output = ServerResponse> + 'static,
 {
@@ -77,7 +82,9 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let node = Rc::clone(&node);
-                spawn_local(serve_connection(node, stream, handle.clone()));
+                let clock = node.clock.clone();
+                let connection = serve_connection(node, stream, handle.clone());
+                spawn_local(metered(activity, clock, connection));
             }
             Err(error) => {
                 log::warn!("event=accept_failed error={error}");
--- a/rhubarbfall-scheduler/src/lib.rs
+++ b/rhubarbfall-scheduler/src/lib.rs
@@ -18,6 +18,7 @@
 mod peer;
 mod peer_status;
 mod predecessor;
+mod processor_time;
 mod readiness;
 mod settings;
 mod supervision;
--- a/rhubarbfall-scheduler/src/lifecycle.rs
+++ b/rhubarbfall-scheduler/src/lifecycle.rs
@@ -12,6 +12,7 @@
 use tokio::task::{LocalSet, spawn_local};
 
 use crate::node::Node;
+use crate::processor_time::{Activity, metered};
 use crate::settings::SchedulerProcessSettings;
 use crate::supervision::{log_panics, spawn_duty};
 use crate::{
@@ -60,39 +61,28 @@
     spawn_local(http_server::serve(
         Rc::clone(&node),
         bind(settings.callers).await?,
+        Activity::Callers,
         callers::serve,
     ));
     spawn_local(http_server::serve(
         Rc::clone(&node),
         bind(settings.readiness).await?,
+        Activity::Callers,
         readiness::serve,
     ));
     spawn_local(http_server::serve(
         Rc::clone(&node),
         bind(settings.peers).await?,
+        Activity::Peers,
         peer::serve,
     ));
     spawn_local(http_server::serve(
         Rc::clone(&node),
         bind(settings.metrics).await?,
+        Activity::Peers,
         readiness::serve_metrics,
     ));
-    spawn_duty("cancel_delivery", {
-        let node = Rc::clone(&node);
-        move || cancel_delivery::run(Rc::clone(&node))
-    });
-    spawn_duty("operator_feed", {
-        let node = Rc::clone(&node);
-        move || operator_feed::run(Rc::clone(&node))
-    });
-    spawn_duty("peer_status", {
-        let node = Rc::clone(&node);
-        move || peer_status::run(Rc::clone(&node))
-    });
-    spawn_duty("ownership", {
-        let node = Rc::clone(&node);
-        move || ownership::run(Rc::clone(&node))
-    });
+    spawn_duties(&node);
     let mut terminate = signal(SignalKind::terminate())?;
     let mut reload = signal(SignalKind::hangup())?;
     let run_time_elapsed = async {
@@ -113,6 +103,31 @@
     Ok(())
 }
 
+/// Starts the duties that an entry has whether it owns submissions or not.
+fn spawn_duties(node: &Rc<Node>) {
+    let of = |node: &Rc<Node>| (Rc::clone(node), node.clock.clone());
+    let (duty_node, clock) = of(node);
+    spawn_duty("cancel_delivery", move || {
+        let work = cancel_delivery::run(Rc::clone(&duty_node));
+        metered(Activity::Callers, clock.clone(), work)
+    });
+    let (duty_node, clock) = of(node);
+    spawn_duty("operator_feed", move || {
+        let work = operator_feed::run(Rc::clone(&duty_node));
+        metered(Activity::Feeds, clock.clone(), work)
+    });
+    let (duty_node, clock) = of(node);
+    spawn_duty("peer_status", move || {
+        let work = peer_status::run(Rc::clone(&duty_node));
+        metered(Activity::Peers, clock.clone(), work)
+    });
+    let (duty_node, clock) = of(node);
+    spawn_duty("ownership", move || {
+        let work = ownership::run(Rc::clone(&duty_node));
+        metered(Activity::Feeds, clock.clone(), work)
+    });
+}
+
 async fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
     let listener = TcpListener::bind(address).await;
     listener.inspect_err(|error| log::error!("event=listen_failed address={address} error={error}"))
--- a/rhubarbfall-scheduler/src/logging.rs
+++ b/rhubarbfall-scheduler/src/logging.rs
@@ -10,6 +10,8 @@
 use log::{LevelFilter, SetLoggerError};
 use rhubarbfall_core::SharedClock;
 
+use crate::processor_time::{self, Activity};
+
 /// Capacity of the queue to the writer thread: about one second of a busy owner's peak output.
 /// Further lines are dropped.
 const QUEUE_LINES: usize = 8_192;
@@ -32,7 +34,8 @@
     let (sender, receiver) = sync_channel(QUEUE_LINES);
     let dropped = Arc::new(AtomicU64::new(0));
     let dropped_count = Arc::clone(&dropped);
-    std::thread::spawn(move || write_lines(&receiver, &dropped_count));
+    let writer_clock = Arc::clone(&clock);
+    std::thread::spawn(move || write_lines(&receiver, &dropped_count, &writer_clock));
     let started = Instant::now();
     let budget = Mutex::new(LineBudget::default());
     fern::Dispatch::new()
@@ -76,10 +79,11 @@
 }
 
 /// Writes lines until the process ends. If standard output is closed, only the writer ends.
-fn write_lines(lines: &Receiver<String>, dropped: &AtomicU64) {
+fn write_lines(lines: &Receiver<String>, dropped: &AtomicU64, clock: &SharedClock) {
     let stdout = std::io::stdout();
     while let Ok(first) = lines.recv() {
         std::thread::sleep(FLUSH_INTERVAL);
+        let began_at = clock.now();
         let mut text = first;
         text.push('\n');
         while let Ok(next) = lines.try_recv() {
@@ -99,5 +103,9 @@
         {
             return;
         }
+        processor_time::add(
+            Activity::Logs,
+            clock.now().saturating_duration_since(began_at),
+        );
     }
 }
--- a/rhubarbfall-scheduler/src/owner/mod.rs
+++ b/rhubarbfall-scheduler/src/owner/mod.rs
@@ -28,6 +28,7 @@
     MAX_OWNERSHIP_LEASE, MIN_OWNERSHIP_LEASE, OWNERSHIP_LEASE_ROUND_TRIPS, RENEWAL_INTERVAL,
     Renewal,
 };
+use crate::processor_time::{Activity, ProcessorTimeLog};
 use crate::supervision::spawn_owner_loop;
 use crate::telemetry;
 use crate::vm_orders_on_the_way::VmOrdersOnTheWay;
@@ -48,6 +49,9 @@
 /// Shortest time between two scheduler ticks, so that one tick handles several events.
 const MIN_TICK_INTERVAL: Duration = Duration::from_millis(12);
 
+/// Interval at which an owner logs its processor time.
+const PROCESSOR_TIME_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Weight of the latest timer in the smoothed lateness; a change shows after a few ticks.
 const TIMER_LATENESS_SMOOTHING: f64 = 0.2;
 
@@ -481,26 +485,50 @@
     owner.is_loaded.set(true);
     *node.owner.borrow_mut() = Some(Rc::clone(&owner));
     metrics::gauge!("is_owner").set(1.0);
-    let spawn = |name, work: Pin<Box<dyn Future<Output = ()>>>| {
-        spawn_owner_loop(node, &owner, name, work);
+    spawn_loops(node, &owner);
+}
+
+/// Starts the background loops of an owner.
+fn spawn_loops(node: &Rc<Node>, owner: &Rc<Owner>) {
+    let spawn = |name, activity, work: Pin<Box<dyn Future<Output = ()>>>| {
+        spawn_owner_loop(node, owner, name, activity, work);
     };
-    let (of_node, of_owner) = (|| Rc::clone(node), || Rc::clone(&owner));
-    spawn("store", Box::pin(store_loop::run(of_node(), of_owner())));
+    let (of_node, of_owner) = (|| Rc::clone(node), || Rc::clone(owner));
+    spawn(
+        "store",
+        Activity::Rows,
+        Box::pin(store_loop::run(of_node(), of_owner())),
+    );
     spawn(
         "wave_reports",
+        Activity::Rows,
         Box::pin(store_loop::run_wave_reports(of_node(), of_owner())),
     );
     spawn(
         "cancellations",
+        Activity::Feeds,
         Box::pin(cancellation_feed::run(of_node(), of_owner())),
     );
-    spawn("workers", Box::pin(worker_list::run(of_node(), of_owner())));
-    spawn("vms", Box::pin(vm_loop::run(of_node(), of_owner())));
-    spawn("ticks", Box::pin(run_ticks(of_node(), of_owner())));
+    spawn(
+        "workers",
+        Activity::Feeds,
+        Box::pin(worker_list::run(of_node(), of_owner())),
+    );
+    spawn(
+        "vms",
+        Activity::Vms,
+        Box::pin(vm_loop::run(of_node(), of_owner())),
+    );
+    spawn(
+        "ticks",
+        Activity::Ticks,
+        Box::pin(run_ticks(of_node(), of_owner())),
+    );
 }
 
 /// Ticks the scheduler and dispatches its orders until the ownership ends.
 async fn run_ticks(node: Rc<Node>, owner: Rc<Owner>) {
+    let (mut processor_time, mut logged_at) = (ProcessorTimeLog::new(), node.now());
     while !owner.has_ended() {
         // A notification and a timeout both lead to a tick.
         let _ = tokio::time::timeout(MAX_TICK_INTERVAL, owner.wake_tick.notified()).await;
@@ -519,6 +547,11 @@
         let due = node.now() + MIN_TICK_INTERVAL;
         tokio::time::sleep(MIN_TICK_INTERVAL).await;
         owner.record_timer_lateness(node.now().since(due));
+        let interval = node.now().since(logged_at);
+        if interval >= PROCESSOR_TIME_LOG_INTERVAL {
+            processor_time.log(interval);
+            logged_at = node.now();
+        }
     }
 }
 
@@ -530,7 +563,7 @@
             Action::Start(order) if is_active => worker_loop::start_run(node, owner, order),
             Action::Start(order) => worker_loop::start_not_sent(owner, &order, now),
             Action::Stop(order) => worker_loop::stop_run(node, owner, order),
-            Action::Pace(order) => worker_loop::pace_run(owner, order),
+            Action::Pace(order) => worker_loop::pace_run(node, owner, order),
             Action::Advise { step, workers } => advice_request::send(node, owner, step, workers),
             Action::Vm { vm, operation } if is_active => {
                 vm_loop::send_order(node, owner, vm, operation);
--- a/rhubarbfall-scheduler/src/owner/vm_loop.rs
+++ b/rhubarbfall-scheduler/src/owner/vm_loop.rs
@@ -9,6 +9,7 @@
 
 use super::Owner;
 use crate::node::Node;
+use crate::processor_time::{Activity, metered};
 
 /// Interval between two polls of the VM list; a move takes at least one second.
 const LIST_INTERVAL: Duration = Duration::from_millis(400);
@@ -29,7 +30,8 @@
 pub(super) fn send_order(node: &Rc<Node>, owner: &Rc<Owner>, vm: VmId, operation: VmOperation) {
     let (node, owner) = (Rc::clone(node), Rc::clone(owner));
     owner.vm_orders.begin(node.now());
-    tokio::task::spawn_local(async move {
+    let clock = node.clock.clone();
+    tokio::task::spawn_local(metered(Activity::Vms, clock, async move {
         let fence = owner.fencing_number();
         let deadline = SendDeadline::new(node.clock.clone(), owner.active_until());
         let outcome = match &operation {
@@ -56,7 +58,7 @@
         };
         let now = node.now();
         owner.with(|scheduler| scheduler.vm_answered(&vm, is_done, now));
-    });
+    }));
 }
 
 /// Reports to the scheduler that an order for a VM was not sent.
--- a/rhubarbfall-scheduler/src/owner/worker_loop.rs
+++ b/rhubarbfall-scheduler/src/owner/worker_loop.rs
@@ -12,6 +12,7 @@
 
 use super::Owner;
 use crate::node::Node;
+use crate::processor_time::{Activity, metered};
 use crate::supervision::spawn_owner_loop;
 use crate::telemetry;
 
@@ -53,7 +54,7 @@
         .borrow_mut()
         .insert(id.clone(), Rc::clone(&client));
     let work = renew_leases(Rc::clone(node), Rc::clone(owner), id, client);
-    spawn_owner_loop(node, owner, "lease_renewal", work);
+    spawn_owner_loop(node, owner, "lease_renewal", Activity::Renewals, work);
 }
 
 /// Renews a worker's leases until the worker is removed from the list or listed at another address.
@@ -135,13 +136,18 @@
     let _ = tokio::time::timeout(STORE_WAIT_LIMIT, stored).await;
 }
 
+/// Carries out an order in the background.
+fn spawn_order(node: &Node, order: impl Future<Output = ()> + 'static) {
+    tokio::task::spawn_local(metered(Activity::Orders, node.clock.clone(), order));
+}
+
 /// Sends an order to start a run.
 pub(super) fn start_run(node: &Rc<Node>, owner: &Rc<Owner>, order: StartOrder) {
     let Some(client) = owner.worker_client(&order.worker) else {
         return start_not_sent(owner, &order, node.now());
     };
     let (node, owner) = (Rc::clone(node), Rc::clone(owner));
-    tokio::task::spawn_local(async move {
+    spawn_order(&Rc::clone(&node), async move {
         let outcome = client.start(&order, owner.fencing_number()).await;
         telemetry::count_worker_call("start", outcome.as_str());
         if outcome == StartOutcome::Fenced {
@@ -168,7 +174,7 @@
         return;
     };
     let (node, owner) = (Rc::clone(node), Rc::clone(owner));
-    tokio::task::spawn_local(async move {
+    spawn_order(&Rc::clone(&node), async move {
         let is_confirmed = client.stop(&order, owner.fencing_number()).await;
         telemetry::count_worker_order("stop", is_confirmed);
         let now = node.now();
@@ -180,12 +186,12 @@
 
 /// Sends an order to limit a run to a percentage of its full speed. An unconfirmed order is not
 /// retried: the worker's next report of tail latencies leads to a new one.
-pub(super) fn pace_run(owner: &Rc<Owner>, order: PaceOrder) {
+pub(super) fn pace_run(node: &Node, owner: &Rc<Owner>, order: PaceOrder) {
     let Some(client) = owner.worker_client(&order.worker) else {
         return;
     };
     let owner = Rc::clone(owner);
-    tokio::task::spawn_local(async move {
+    spawn_order(node, async move {
         let is_confirmed = client.pace(&order, owner.fencing_number()).await;
         telemetry::count_worker_order("pace", is_confirmed);
     });
--- a/rhubarbfall-scheduler/src/readiness.rs
+++ b/rhubarbfall-scheduler/src/readiness.rs
@@ -7,6 +7,7 @@
 
 use crate::http_server::{ServerRequest, ServerResponse};
 use crate::node::Node;
+use crate::processor_time;
 
 /// Answers a readiness check: 200 if this entry accepts connections, 503 otherwise.
 pub(crate) async fn serve(node: Rc<Node>, request: ServerRequest) -> ServerResponse {
@@ -22,6 +23,7 @@
 
 /// Serves the metrics in the Prometheus text format.
 pub(crate) async fn serve_metrics(node: Rc<Node>, _request: ServerRequest) -> ServerResponse {
+    processor_time::export();
     match &node.metrics {
         Some(metrics) => ServerResponse::new(StatusCode::OK, metrics.render()),
         None => ServerResponse::empty(StatusCode::SERVICE_UNAVAILABLE),
--- a/rhubarbfall-scheduler/src/supervision.rs
+++ b/rhubarbfall-scheduler/src/supervision.rs
@@ -11,6 +11,7 @@
 
 use crate::node::Node;
 use crate::owner::Owner;
+use crate::processor_time::{Activity, metered};
 
 /// Pause before a duty starts again after a panic.
 const RESTART_PAUSE: Duration = Duration::from_millis(500);
@@ -41,14 +42,16 @@
     });
 }
 
-/// Runs a loop of an owner. After a panic the ownership is given up, because the owner's state may
+/// Runs a loop of an owner, whose processor time counts for `activity`. After a panic the ownership is given up, because the owner's state may
 /// be inconsistent; the next owner loads what is stored.
 pub(crate) fn spawn_owner_loop(
     node: &Rc<Node>,
     owner: &Rc<Owner>,
     name: &'static str,
+    activity: Activity,
     work: impl Future<Output = ()> + 'static,
 ) {
+    let work = metered(activity, node.clock.clone(), work);
     let (node, owner) = (Rc::clone(node), Rc::clone(owner));
     spawn_local(async move {
         if spawn_local(work).await.is_err() && !owner.has_ended() {
