feat(runs): layout of cells, and limits that cells share by lending

To divide it, every entry must find the cell of a submission and of a VM by the same rule, and what holds for the whole fleet must hold for cells together.

Change: `CellLayout` (submissions by their identifiers, workers and VMs by whole racks, which belong to the cells in turn) and `lending`: each cell has a share of each limit, and the first cell's owner moves shares. A share is raised only by what all cells certainly leave below the limit, and a lowered one frees something only once its cell has reported; no clock is involved. A scheduler of one of several cells keeps to its share of customers' limits and waves, to its part of a customer's weight and of the rate of moves, and maintains its own VMs of a wave. With one cell nothing changes.

--- a/rhubarbfall-core/src/lib.rs
+++ b/rhubarbfall-core/src/lib.rs
@@ -1,6 +1,7 @@
 //! Identifiers, units, clocks and result codes shared by all other packages.
 
 mod boot_time;
+mod cell_id;
 mod clock;
 mod execution;
 mod ids;
@@ -14,6 +15,7 @@
 mod tests;
 
 pub use boot_time::BootTime;
+pub use cell_id::{CellId, ParseCellIdError};
 pub use clock::{Clock, SharedClock};
 pub use execution::Execution;
 pub use ids::{
--- /dev/null
+++ b/rhubarbfall-runs/src/lending/lender.rs
@@ -0,0 +1,194 @@
+//! The decisions of the lender.
+
+use litemap::LiteMap;
+use rhubarbfall_core::CellId;
+
+use super::{Account, AccountGrants, AccountUse, CellReport, Grant, Grants, equal_share};
+
+/// Moves shares to the cells that need them, and returns the new grants, or `None` if nothing changes.
+///
+/// `limits` are the limits in force, without those that are unlimited. `reports` are the newest
+/// reports that have been read; older ones delay transfers only. The result must be stored in place of
+/// `grants` before any cell follows it, and before the next call.
+#[must_use]
+pub fn lend(
+    grants: &Grants,
+    limits: &LiteMap<Account, u64>,
+    reports: &LiteMap<CellId, CellReport>,
+    cells: u16,
+) -> Option<Grants> {
+    let mut next = grants.clone();
+    next.revision += 1;
+    for (account, limit) in limits.iter() {
+        let round = Round {
+            account,
+            limit: *limit,
+            reports,
+            revision: next.revision,
+        };
+        match next.accounts.get_mut(account) {
+            Some(of_account) => round.update(of_account),
+            None => {
+                if let Some(of_account) = round.open(cells) {
+                    next.accounts.insert(account.clone(), of_account);
+                }
+            }
+        }
+    }
+    let is_kept = |account: &Account| limits.get(account).is_some() || is_used(account, reports);
+    next.accounts.retain(|account, _| is_kept(account));
+    (next.accounts != grants.accounts).then_some(next)
+}
+
+fn is_used(account: &Account, reports: &LiteMap<CellId, CellReport>) -> bool {
+    let mut uses = reports
+        .iter()
+        .filter_map(|(_, report)| report.uses.get(account));
+    uses.any(|of_cell| of_cell.used > 0)
+}
+
+/// One look at an account.
+struct Round<'a> {
+    account: &'a Account,
+    limit: u64,
+    reports: &'a LiteMap<CellId, CellReport>,
+    revision: u64,
+}
+
+impl Round<'_> {
+    fn report(&self, cell: usize) -> Option<&CellReport> {
+        self.reports.get(&CellId::new(cell as u16))
+    }
+
+    fn use_of(&self, cell: usize) -> Option<AccountUse> {
+        self.report(cell)?.uses.get(self.account).copied()
+    }
+
+    /// Returns the first shares of their own of an account that a cell needs more of, or `None` if
+    /// equal shares do.
+    fn open(&self, cells: u16) -> Option<AccountGrants> {
+        let equal = |cell: u16| equal_share(self.limit, CellId::new(cell), cells);
+        let is_short = |cell: u16| {
+            let of_cell = self.use_of(usize::from(cell));
+            of_cell.is_some_and(|of_cell| of_cell.is_unsettled || of_cell.wanted > equal(cell))
+        };
+        if !(0..cells).any(is_short) {
+            return None;
+        }
+        let grant = |cell| Grant {
+            granted: equal(cell),
+            ceiling: equal(cell),
+            changed_in: self.revision,
+        };
+        let mut of_account = AccountGrants {
+            limit: self.limit,
+            cells: (0..cells).map(grant).collect(),
+            withdrawn_in: 0,
+        };
+        if self.is_unsettled(&of_account) {
+            of_account.withdraw(self.revision);
+        }
+        Some(of_account)
+    }
+
+    /// Returns whether a cell knows of a lowered limit that the shares are not settled for.
+    fn is_unsettled(&self, of_account: &AccountGrants) -> bool {
+        let is_reported = |cell: usize| {
+            let report = self.report(cell);
+            let of_cell = self.use_of(cell);
+            of_cell.is_some_and(|of_cell| of_cell.is_unsettled)
+                && report.is_some_and(|report| report.follows >= of_account.withdrawn_in)
+        };
+        (0..of_account.cells.len()).any(is_reported)
+    }
+
+    fn update(&self, of_account: &mut AccountGrants) {
+        if self.limit < of_account.limit || self.is_unsettled(of_account) {
+            of_account.withdraw(self.revision);
+        }
+        of_account.limit = self.limit;
+        self.lower_ceilings(of_account);
+        let wanted = self.wanted(of_account);
+        let is_short = |(grant, wanted): (&Grant, &u64)| *wanted > grant.granted;
+        if of_account.cells.iter().zip(&wanted).any(is_short) {
+            self.transfer(of_account, &wanted);
+        }
+    }
+
+    /// Lowers the ceilings of cells that have reported since their shares changed.
+    fn lower_ceilings(&self, of_account: &mut AccountGrants) {
+        for (cell, grant) in of_account.cells.iter_mut().enumerate() {
+            let Some(report) = self.report(cell) else {
+                continue;
+            };
+            if report.follows < grant.changed_in {
+                continue;
+            }
+            let used = self.use_of(cell).map_or(0, |of_cell| of_cell.used);
+            grant.ceiling = grant.ceiling.min(grant.granted.max(used));
+        }
+    }
+
+    /// Returns what each cell needs. A cell that has not reported keeps its share.
+    fn wanted(&self, of_account: &AccountGrants) -> Vec<u64> {
+        let cells = of_account.cells.iter().enumerate();
+        cells
+            .map(|(cell, grant)| match self.use_of(cell) {
+                Some(of_cell) => of_cell.wanted,
+                None if self.report(cell).is_some() => 0,
+                None => grant.granted,
+            })
+            .collect()
+    }
+
+    /// Returns whether a cell has reported since its share last changed.
+    fn has_followed(&self, cell: usize, grant: &Grant) -> bool {
+        let report = self.report(cell);
+        report.is_some_and(|report| report.follows >= grant.changed_in)
+    }
+
+    /// Lowers shares beyond what the cells are to have, and raises others as far as the ceilings
+    /// leave room.
+    fn transfer(&self, of_account: &mut AccountGrants, wanted: &[u64]) {
+        let targets = targets(self.limit, wanted);
+        for (cell, target) in targets.iter().enumerate() {
+            let grant = &mut of_account.cells[cell];
+            // A share that changes again before its cell has reported would keep its ceiling.
+            if grant.granted > *target && self.has_followed(cell, grant) {
+                grant.granted = *target;
+                grant.changed_in = self.revision;
+            }
+        }
+        let ceilings = of_account
+            .cells
+            .iter()
+            .map(|grant| u128::from(grant.ceiling));
+        let Some(free) = u128::from(self.limit).checked_sub(ceilings.sum()) else {
+            return;
+        };
+        let mut free = free as u64;
+        for (grant, target) in of_account.cells.iter_mut().zip(&targets) {
+            let raised = (*target).min(grant.ceiling + free);
+            if raised > grant.granted {
+                free -= raised.saturating_sub(grant.ceiling);
+                grant.granted = raised;
+                grant.ceiling = grant.ceiling.max(raised);
+                grant.changed_in = self.revision;
+            }
+        }
+    }
+}
+
+/// Divides a limit by what the cells want: what is left over goes to all equally, and what is missing
+/// is missing in proportion.
+fn targets(limit: u64, wanted: &[u64]) -> Vec<u64> {
+    let total: u128 = wanted.iter().map(|wanted| u128::from(*wanted)).sum();
+    if total <= u128::from(limit) {
+        let left = limit - total as u64;
+        let extra = left / (wanted.len() as u64).max(1);
+        return wanted.iter().map(|wanted| wanted + extra).collect();
+    }
+    let in_proportion = |wanted: &u64| u128::from(*wanted) * u128::from(limit) / total;
+    let targets = wanted.iter().map(in_proportion);
+    targets.map(|target| target as u64).collect()
+}
--- a/rhubarbfall-runs/src/lib.rs
+++ b/rhubarbfall-runs/src/lib.rs
@@ -4,8 +4,10 @@
 //! The crate does no I/O: [`Scheduler`] takes events and the current time and returns actions to
 //! carry out.
 
+mod cell_layout;
 mod fleet_config;
 mod job;
+pub mod lending;
 mod progress;
 mod record;
 mod resources;
@@ -19,6 +21,7 @@
 mod worker;
 mod worker_events;
 
+pub use cell_layout::{CellLayout, LayoutError, MAX_CELLS};
 pub use fleet_config::{AdviceTiming, Customer, FleetConfig, Queue, Service};
 pub use job::{Job, JobState, Occurrence, StepState};
 pub use progress::{JobProgress, OpenTask, PlacedRun};
--- a/rhubarbfall-runs/src/scheduler/early_cancellations.rs
+++ b/rhubarbfall-runs/src/scheduler/early_cancellations.rs
@@ -44,6 +44,11 @@
         self.kept.get(id).is_some()
     }
 
+    /// Returns whether nothing is kept.
+    pub(super) fn is_empty(&self) -> bool {
+        self.kept.is_empty()
+    }
+
     /// Keeps a cancellation. Returns false if there are too many.
     pub(super) fn keep(&mut self, id: &SubmissionId, now: BootTime) -> bool {
         if let Some(kept_since) = self.kept.get_mut(id) {
--- a/rhubarbfall-runs/src/scheduler/intake.rs
+++ b/rhubarbfall-runs/src/scheduler/intake.rs
@@ -111,9 +111,9 @@
     pub(super) fn has_room_in_weight(&self, submission: &Submission, now: BootTime) -> bool {
         let customer = submission.customer.as_ref();
         let bucket = customer.and_then(|id| self.arrival_limits.get(id));
-        let weight = customer.and_then(|id| Some(self.config.customer(id)?.weight));
-        match (bucket, weight) {
-            (Some(bucket), Some(weight)) => bucket.has_token(f64::from(weight), now),
+        let rate_per_s = customer.and_then(|id| self.rate_within_weight(id));
+        match (bucket, rate_per_s) {
+            (Some(bucket), Some(rate_per_s)) => bucket.has_token(rate_per_s, now),
             _ => true,
         }
     }
@@ -124,20 +124,24 @@
         let Some(customer) = &submission.customer else {
             return true;
         };
-        let Some(weight) = self
-            .config
-            .customer(customer)
-            .map(|customer| customer.weight)
-        else {
+        let Some(rate_per_s) = self.rate_within_weight(customer) else {
             return true;
         };
-        let rate_per_s = f64::from(weight);
+        // Cells do not receive equal parts of a burst, so that each of them allows all of it.
+        let burst = ARRIVAL_BURST * u32::from(self.settings.cells);
         self.arrival_limits
             .entry(customer.clone())
-            .or_insert_with(|| TokenBucket::new(rate_per_s, ARRIVAL_BURST, now))
+            .or_insert_with(|| TokenBucket::new(rate_per_s, burst, now))
             .admit(rate_per_s, now)
     }
 
+    /// Returns the submissions a second of a customer that its weight allows in this cell, whose part
+    /// of all submissions is drawn by their identifiers.
+    fn rate_within_weight(&self, customer: &CustomerId) -> Option<f64> {
+        let weight = self.config.customer(customer)?.weight;
+        Some(f64::from(weight) / f64::from(self.settings.cells))
+    }
+
     /// Returns whether a version of a job is stored, or the cancellation of a submission that has not
     /// arrived. Returns `None` if there is neither.
     #[must_use]
--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -3,6 +3,7 @@
 mod absence;
 mod action;
 mod advice;
+mod cell_shares;
 mod clearing;
 mod early_cancellations;
 mod intake;
@@ -85,6 +86,7 @@
     /// The placed tasks whose start has not been answered yet, sorted.
     pending_starts: Vec<TaskId>,
     start_rate: start_rate::StartRate,
+    shares: cell_shares::CellShares,
     pools_logged_at: BootTime,
     /// When the long-running tasks that do not run were last logged.
     absence_logged_at: BootTime,
@@ -122,6 +124,7 @@
             cleared_jobs: Vec::new(),
             pending_starts: Vec::new(),
             start_rate: start_rate::StartRate::default(),
+            shares: cell_shares::CellShares::default(),
             pools_logged_at: BootTime::default(),
             absence_logged_at: BootTime::default(),
             checked_at: BootTime::default(),
@@ -131,6 +134,7 @@
 
     /// Replaces the configuration.
     pub fn set_config(&mut self, config: Arc<FleetConfig>) {
+        self.record_lowered_limits(&config);
         self.config = config;
         self.needs_placement = true;
     }
--- a/rhubarbfall-runs/src/scheduler/placing.rs
+++ b/rhubarbfall-runs/src/scheduler/placing.rs
@@ -438,7 +438,7 @@
             return true;
         };
         let used = self.customer_usage.get(id).copied().unwrap_or_default();
-        (used + demand).is_within_limit(customer.limit)
+        self.is_within_share(customer, used + demand)
     }
 
     fn place(&mut self, id: &TaskId, worker_id: &WorkerId, run: u64, now: BootTime) {
--- a/rhubarbfall-runs/src/scheduler/pools.rs
+++ b/rhubarbfall-runs/src/scheduler/pools.rs
@@ -150,8 +150,10 @@
         }
         let pools = self.pool_loads(now);
         self.log_pools(&pools, now);
-        let rate_per_s = self.settings.vm_moves_per_s;
-        let full_bucket = || TokenBucket::new(rate_per_s, MOVE_BURST, now);
+        let rate_per_s = self.settings.vm_moves_per_s / f64::from(self.settings.cells);
+        // A bucket holds one token at least.
+        let burst = MOVE_BURST.max(Duration::from_secs_f64(1.0 / rate_per_s));
+        let full_bucket = || TokenBucket::new(rate_per_s, burst, now);
         for (vm, to) in plan_moves(&pools).into_iter().take(free_calls) {
             let move_bucket = self.vm_ops.move_bucket.get_or_insert_with(full_bucket);
             if !move_bucket.admit(rate_per_s, now) {
--- a/rhubarbfall-runs/src/scheduler/recovery.rs
+++ b/rhubarbfall-runs/src/scheduler/recovery.rs
@@ -38,6 +38,12 @@
         }
     }
 
+    /// Returns whether no submission, and no cancellation of one, is known.
+    #[must_use]
+    pub fn is_untouched(&self) -> bool {
+        self.jobs.is_empty() && self.unreadable.is_empty() && self.early_cancellations.is_empty()
+    }
+
     /// Records submissions whose rows cannot be read. They are neither run nor accepted.
     pub fn recover_unreadable(&mut self, ids: Vec<SubmissionId>) {
         self.unreadable.extend(ids);
--- a/rhubarbfall-runs/src/scheduler/settings.rs
+++ b/rhubarbfall-runs/src/scheduler/settings.rs
@@ -1,8 +1,14 @@
 use std::time::Duration;
 
+use rhubarbfall_core::CellId;
+
 /// The times and limits of an owner's scheduler.
 #[derive(Debug, Clone, PartialEq)]
 pub struct SchedulerSettings {
+    /// The cell that the scheduler is for.
+    pub cell: CellId,
+    /// The number of cells; at least 1.
+    pub cells: u16,
     /// The length of a worker's leases, which is the longest time that a run on an unreachable
     /// worker delays its successor.
     pub lease: Duration,
@@ -45,6 +51,8 @@
 impl Default for SchedulerSettings {
     fn default() -> Self {
         Self {
+            cell: CellId::FIRST,
+            cells: 1,
             lease: Duration::from_millis(2_500),
             max_lease: Duration::from_secs(10),
             unreachable_after: Duration::from_millis(1_300),
--- a/rhubarbfall-runs/src/scheduler/vm_operations.rs
+++ b/rhubarbfall-runs/src/scheduler/vm_operations.rs
@@ -163,6 +163,7 @@
             vms.insert(row.vm.clone(), row);
         }
         self.vm_ops.vms = vms;
+        self.update_wave_vms();
         self.confirm_listed_operations(asked_at, now);
         self.drop_workers_of_absent(now);
         let has_returned = |active: &ActiveOperation, row: Option<&VmRow>| match (active.phase, row)
--- a/rhubarbfall-runs/src/scheduler/wave_choice.rs
+++ b/rhubarbfall-runs/src/scheduler/wave_choice.rs
@@ -118,17 +118,30 @@
     /// Returns whether a VM of a wave may go down beside the others that may be down; drained VMs
     /// wait for their turn. A VM that is listed under maintenance counts, whoever called for it.
     pub(super) fn has_room_in_wave(&self, id: &WaveId, next: &VmId) -> bool {
+        let active_wave = self.vm_ops.waves.get(id);
+        active_wave.is_some_and(|of_wave| of_wave.has_room(self.down_for_wave(id, Some(next))))
+    }
+
+    /// Returns whether a VM may be down for a wave.
+    pub(super) fn may_be_down_for(&self, id: &WaveId, vm: &VmId) -> bool {
+        let active = self.vm_ops.active.get(vm);
+        active.is_some_and(|active| active.is_for_wave(id) && active.may_be_down())
+    }
+
+    /// Counts the VMs that may be down for a wave, without `except`.
+    pub(super) fn down_for_wave(&self, id: &WaveId, except: Option<&VmId>) -> usize {
         let Some(active_wave) = self.vm_ops.waves.get(id) else {
-            return false;
+            return 0;
         };
         let operations = self.vm_ops.active.iter();
-        let called = operations
-            .filter(|(vm, active)| *vm != next && active.is_for_wave(id) && active.may_be_down());
+        let called = operations.filter(|(vm, active)| {
+            Some(*vm) != except && active.is_for_wave(id) && active.may_be_down()
+        });
         let listed = self.vm_ops.vms().filter(|row| {
             row.state == VmState::Maintenance
                 && !self.vm_ops.is_busy(&row.vm)
                 && active_wave.contains(&row.vm)
         });
-        active_wave.has_room(called.count() + listed.count())
+        called.count() + listed.count()
     }
 }
--- a/rhubarbfall-runs/src/scheduler/waves.rs
+++ b/rhubarbfall-runs/src/scheduler/waves.rs
@@ -78,6 +78,10 @@
 #[derive(Debug)]
 pub(super) struct ActiveWave {
     wave: Wave,
+    /// The VMs of the wave that are maintained by this cell.
+    vms: Vec<VmId>,
+    /// How many VMs of this cell may be down for the wave at the same time.
+    max_down: usize,
     started_at: BootTime,
     progress: WaveProgress,
     /// The VMs that are back from their maintenance, sorted.
@@ -105,7 +109,7 @@
 
     /// Returns the VMs whose maintenance has not begun.
     pub(super) fn waiting(&self) -> impl Iterator<Item = &VmId> {
-        self.wave.vms.iter().filter(|vm| !self.has_begun(vm))
+        self.vms.iter().filter(|vm| !self.has_begun(vm))
     }
 
     fn has_begun(&self, vm: &VmId) -> bool {
@@ -122,7 +126,10 @@
     /// requires, and more if they are idle. A wave that has used up its time waits for no VM in
     /// progress.
     pub(super) fn concurrency(&self, now: BootTime) -> WaveConcurrency {
-        let max_concurrent = self.wave.max_down.max(1);
+        let max_concurrent = self.max_down;
+        if max_concurrent == 0 {
+            return WaveConcurrency { busy: 0, idle: 0 };
+        }
         let usable = self.wave.duration.mul_f64(1.0 - WAVE_TIME_RESERVE_SHARE);
         let elapsed = now.since(self.started_at);
         if elapsed >= usable {
@@ -142,7 +149,7 @@
 
     /// Returns whether one more VM may go down while `down` VMs are down.
     pub(super) fn has_room(&self, down: usize) -> bool {
-        down < self.wave.max_down.max(1)
+        down < self.max_down
     }
 
     /// Returns whether completion has been reported, after which nothing remains to be done.
@@ -223,7 +230,10 @@
             self.vm_ops.active.insert(called.vm.clone(), active);
         }
         let version = u64::from(row.is_none());
+        let max_down = self.wave_share(&wave.id, wave.max_down);
         let active_wave = ActiveWave {
+            vms: self.own_vms(&wave, &progress),
+            max_down,
             started_at: now.before(Duration::from_millis(age_ms)),
             progress,
             returned,
@@ -238,6 +248,69 @@
             .insert(active_wave.wave.id.clone(), active_wave);
     }
 
+    /// Returns the VMs of a wave that this cell maintains: all of them in an undivided fleet, else those
+    /// that are listed for the cell or that an owner of it has called for.
+    fn own_vms(&self, wave: &Wave, progress: &WaveProgress) -> Vec<VmId> {
+        if self.settings.cells == 1 {
+            return wave.vms.clone();
+        }
+        let is_own =
+            |vm: &&VmId| self.vm_ops.vms.get(vm).is_some() || progress.position(vm).is_ok();
+        wave.vms.iter().filter(is_own).cloned().collect()
+    }
+
+    /// Updates the VMs of waves after the list of VMs has changed.
+    pub(super) fn update_wave_vms(&mut self) {
+        if self.settings.cells == 1 {
+            return;
+        }
+        let waves = self.vm_ops.waves.iter();
+        let own = waves.map(|(_, of_wave)| self.own_vms(&of_wave.wave, &of_wave.progress));
+        let own: Vec<Vec<VmId>> = own.collect();
+        for ((_, of_wave), vms) in self.vm_ops.waves.iter_mut().zip(own) {
+            of_wave.vms = vms;
+        }
+    }
+
+    /// Updates how many VMs of waves may be down in this cell.
+    pub(super) fn update_wave_shares(&mut self) {
+        let waves = self.vm_ops.waves.iter();
+        let shares = waves.map(|(id, of_wave)| self.wave_share(id, of_wave.wave.max_down));
+        let shares: Vec<usize> = shares.collect();
+        for ((_, of_wave), share) in self.vm_ops.waves.iter_mut().zip(shares) {
+            of_wave.max_down = share;
+        }
+    }
+
+    /// Returns the waves that are not complete in all cells, as far as this one knows, each with the
+    /// VMs that may be down for it.
+    pub(super) fn open_waves(&self) -> impl Iterator<Item = (WaveId, usize)> {
+        let waves = self.vm_ops.waves.iter();
+        let is_over = |of_wave: &ActiveWave| {
+            of_wave.is_reported_completed() || self.wave_state(of_wave) == WaveState::Completed
+        };
+        let open = waves.filter(move |(_, of_wave)| !is_over(of_wave));
+        open.map(|(id, of_wave)| (id.clone(), of_wave.wave.max_down))
+    }
+
+    /// Returns how many VMs of this cell may be down for a wave, and how many others wait for it.
+    pub(super) fn wave_use(&self, id: &WaveId) -> (usize, usize) {
+        let Some(of_wave) = self.vm_ops.waves.get(id) else {
+            return (0, 0);
+        };
+        let is_listed = |vm: &&VmId| self.vm_ops.vms.get(vm).is_some();
+        let waiting = of_wave.waiting().filter(is_listed);
+        let waiting = waiting.filter(|vm| !self.may_be_down_for(id, vm)).count();
+        (self.down_for_wave(id, None), waiting)
+    }
+
+    /// Returns the waves of which no VM of this cell is left to maintain, sorted.
+    pub(super) fn completed_waves(&self) -> Vec<WaveId> {
+        let waves = self.vm_ops.waves.iter();
+        let completed = waves.filter(|(_, of_wave)| self.is_own_part_completed(of_wave));
+        completed.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Returns waves with unstored progress, those first that were not stored for longest.
     pub(super) fn changed_waves(&self) -> Vec<WaveRow> {
         let is_changed = |wave: &ActiveWave| wave.stored_version < wave.version;
@@ -282,6 +355,9 @@
     /// Returns the waves whose current state has not been reported yet, with that state.
     #[must_use]
     pub fn unreported_waves(&self) -> Vec<(WaveId, WaveState)> {
+        if !self.reports_waves() {
+            return Vec::new();
+        }
         self.vm_ops
             .waves
             .iter()
@@ -300,14 +376,22 @@
     }
 
     fn wave_state(&self, active_wave: &ActiveWave) -> WaveState {
-        let is_gone = |vm: &VmId| !self.vm_ops.vms.is_empty() && self.vm_ops.vms.get(vm).is_none();
-        if active_wave.waiting().all(is_gone) {
+        let id = &active_wave.wave.id;
+        if self.is_own_part_completed(active_wave) && self.is_completed_elsewhere(id) {
             WaveState::Completed
         } else {
             WaveState::Running
         }
     }
 
+    /// Returns whether no VM of this cell is left to maintain for a wave. Without a list of VMs, a cell
+    /// does not know which ones are its own.
+    fn is_own_part_completed(&self, active_wave: &ActiveWave) -> bool {
+        let is_listed = !self.vm_ops.vms.is_empty();
+        let is_gone = |vm: &VmId| is_listed && self.vm_ops.vms.get(vm).is_none();
+        (is_listed || self.settings.cells == 1) && active_wave.waiting().all(is_gone)
+    }
+
     /// Records that the maintenance of a VM has begun.
     pub(super) fn mark_maintenance_begun(&mut self, vm: &VmId, wave: &WaveId) {
         if let Some(active_wave) = self.vm_ops.waves.get_mut(wave)
@@ -351,9 +435,9 @@
             .mul_f64(1.0 - WAVE_TIME_RESERVE_SHARE);
         let passed =
             now.since(active_wave.started_at).as_secs_f64() / usable.as_secs_f64().max(0.001);
-        let vms = active_wave.wave.vms.len();
+        let vms = active_wave.vms.len();
         let begun = vms - active_wave.waiting().count();
-        let begun = (begun + active_wave.wave.max_down) as f64 / vms.max(1) as f64;
+        let begun = (begun + active_wave.max_down) as f64 / vms.max(1) as f64;
         passed > begun
     }
 
