--- a/rhubarbfall-runs/tests/growing_fleet.rs
+++ b/rhubarbfall-runs/tests/growing_fleet.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use model::{Model, step, submission};
-use rhubarbfall_runs::Submission;
+use rhubarbfall_core::RackId;
+use rhubarbfall_runs::{CellLayout, Submission};
 
 const TASK_TIME: Duration = Duration::from_secs(1);
 
@@ -28,17 +29,22 @@
     submission.critical_path().mul_f64(1.6) + Duration::from_millis(600)
 }
 
-/// Returns how many entries own submissions in a fleet of this size: one owns all of them.
-const fn owners(_entries: usize) -> usize {
-    1
+/// The VMs in a rack.
+const VMS_PER_RACK: usize = 10;
+
+/// Returns the cells of a fleet of this size; each of them has an owner of its own.
+fn layout(workers: usize) -> CellLayout {
+    let rack = |vm: usize| format!("r{}", vm / VMS_PER_RACK).parse::<RackId>().ok();
+    CellLayout::divide((0..workers).map(rack), WORKERS_PER_ENTRY)
 }
 
 /// Returns how many submissions complete in time of those sent in ten seconds.
 fn in_time(entries: usize) -> usize {
-    let owners = owners(entries);
-    let workers = WORKERS_PER_ENTRY * entries / owners;
+    let workers = WORKERS_PER_ENTRY * entries;
+    let layout = layout(workers);
+    let owners = usize::from(layout.count());
     let mut models: Vec<Model> = (0..owners)
-        .map(|seed| Model::new(&[("labels", workers), ("spare", 0)], seed as u64))
+        .map(|seed| Model::new(&[("labels", workers / owners), ("spare", 0)], seed as u64))
         .collect();
     for model in &mut models {
         model.run_for(Duration::from_millis(300));
@@ -50,9 +56,9 @@
         let due = (models[0].now.since(began_at).as_secs_f64() * per_s) as u64;
         while sent < due {
             sent += 1;
-            let owner = sent as usize % owners;
             let submission = submission(sent, "labels", step(TASKS, 1_000));
-            let model = &mut models[owner];
+            let cell = layout.cell_of_submission(&submission.id);
+            let model = &mut models[usize::from(cell.number())];
             if model.scheduler.admit(&submission, model.now).is_ok() {
                 model.submit(submission, TASK_TIME);
             }
--- a/rhubarbfall-scheduler/src/callers.rs
+++ b/rhubarbfall-scheduler/src/callers.rs
@@ -4,15 +4,17 @@
 use std::time::Duration;
 
 use http::{Method, StatusCode};
-use rhubarbfall_core::{BootTime, CustomerId, QueueId, ResultCode, SubmissionId};
+use rhubarbfall_core::{BootTime, CellId, CustomerId, QueueId, ResultCode, SubmissionId};
 use rhubarbfall_runs::{FleetConfig, Queue};
 use rhubarbfall_site::{
     CUSTOMER_KEY_HEADER, DEADLINE_HEADER, decode_submission_request, encode_pending,
     encode_refusal, encode_state,
 };
+use tokio::task::JoinSet;
 
+use crate::cell_state::OwnerLocation;
 use crate::http_server::{ServerRequest, ServerResponse};
-use crate::node::{InFlightGuard, Node, OwnerLocation};
+use crate::node::{InFlightGuard, Node};
 use crate::owner::{RequestOutcome, read_stored_state};
 use crate::owner_call::{retry_until_answered, submit_to_owner};
 use crate::telemetry;
@@ -206,14 +208,17 @@
         submit_to_owner(node, &submission, timeout).await
     })
     .await;
+    let cell = node.cell_of(&id);
     log::info!(
-        "event=submission id={id} queue={} outcome={outcome:?} took_ms={} limit_ms={} fence={} \
-         owner_silent_ms={} config={}",
+        "event=submission id={id} queue={} outcome={outcome:?} took_ms={} limit_ms={} cell={:?} \
+         fence={:?} owner_silent_ms={:?} config={}",
         queue.id,
         node.now().since(began_at).as_millis(),
         limit.as_millis(),
-        node.known_owner.borrow().fencing_number,
-        node.owner_silence().as_millis(),
+        cell.as_ref().map(|cell| cell.id.number()),
+        cell.as_ref()
+            .map(|cell| cell.known_owner.borrow().fencing_number.get()),
+        cell.map(|cell| cell.owner_silence(node.now()).as_millis()),
         node.config.borrow().version
     );
     outcome_response(outcome)
@@ -244,7 +249,10 @@
 }
 
 async fn state(node: &Rc<Node>, id: &SubmissionId) -> ServerResponse {
-    let result = match node.find_owner() {
+    let Some(cell) = node.cell_of(id) else {
+        return error_response(ResultCode::NoOwner, Some(NO_OWNER_RETRY_AFTER));
+    };
+    let result = match cell.find_owner(node) {
         Some(OwnerLocation::Local(owner)) => Ok(owner.with(|s| s.submission_state(id))),
         Some(OwnerLocation::Peer(address)) => peer::state(node, address, id, STATE_TIMEOUT)
             .await
@@ -255,7 +263,7 @@
         Ok(state) => Ok(state),
         Err(cause) => {
             log::info!("event=state_from_store id={id} cause={cause}");
-            read_stored_state(node, id).await
+            read_stored_state(node, &cell, id).await
         }
     };
     match result {
@@ -272,19 +280,38 @@
 }
 
 async fn pending(node: &Rc<Node>, queue: &QueueId) -> ServerResponse {
-    let result = match node.find_owner() {
-        Some(OwnerLocation::Local(owner)) => Some(owner.with(|s| s.pending(queue)) as u64),
-        Some(OwnerLocation::Peer(address)) => peer::pending(node, address, queue, STATE_TIMEOUT)
-            .await
-            .ok(),
-        None => None,
-    };
-    match result {
+    match pending_in_all_cells(node, queue).await {
         Some(pending) => ServerResponse::new(StatusCode::OK, encode_pending(pending)),
         None => error_response(ResultCode::NoOwner, Some(NO_OWNER_RETRY_AFTER)),
     }
 }
 
+/// Returns how many submissions of a queue have not started, or `None` if the owner of a cell does not
+/// tell.
+async fn pending_in_all_cells(node: &Rc<Node>, queue: &QueueId) -> Option<u64> {
+    node.layout()?;
+    let (mut pending, mut addresses) = (0, Vec::new());
+    for cell in node.cells() {
+        match cell.find_owner(node)? {
+            OwnerLocation::Local(owner) => pending += owner.with(|s| s.pending(queue)) as u64,
+            OwnerLocation::Peer(address) => addresses.push((address, cell.id)),
+        }
+    }
+    addresses.sort_unstable();
+    let mut queries = JoinSet::new();
+    for of_address in addresses.chunk_by(|(one, _), (other, _)| one == other) {
+        let cells: Vec<CellId> = of_address.iter().map(|(_, cell)| *cell).collect();
+        let (node, queue, address) = (Rc::clone(node), queue.clone(), of_address[0].0);
+        queries.spawn_local(async move {
+            peer::pending(&node, address, &queue, &cells, STATE_TIMEOUT).await
+        });
+    }
+    while let Some(answer) = queries.join_next().await {
+        pending += answer.ok()?.ok()?;
+    }
+    Some(pending)
+}
+
 fn error_response(code: ResultCode, retry_after: Option<Duration>) -> ServerResponse {
     let status = StatusCode::from_u16(code.http_status()).unwrap_or(StatusCode::BAD_GATEWAY);
     let body = format!(
--- a/rhubarbfall-scheduler/src/cancel_delivery.rs
+++ b/rhubarbfall-scheduler/src/cancel_delivery.rs
@@ -51,10 +51,11 @@
         let remaining = limit.saturating_sub(node.now().since(began_at));
         outcome = store(node, id, remaining).await.unwrap_or(outcome);
     }
+    let owner_silence = node.cell_of(id).map(|cell| cell.owner_silence(node.now()));
     log::info!(
-        "event=cancel id={id} outcome={outcome:?} took_ms={} owner_silent_ms={}",
+        "event=cancel id={id} outcome={outcome:?} took_ms={} owner_silent_ms={:?}",
         node.now().since(began_at).as_millis(),
-        node.owner_silence().as_millis()
+        owner_silence.map(|silence| silence.as_millis())
     );
     if !is_final(outcome) {
         keep(node, id);
@@ -64,15 +65,16 @@
 
 /// Stores a cancellation for the owner to read, and returns the outcome if it is certainly stored.
 async fn store(node: &Node, id: &SubmissionId, timeout: Duration) -> Option<RequestOutcome> {
+    let cell = node.cell_of(id)?;
     let is_read = {
-        let known_owner = node.known_owner.borrow();
+        let known_owner = cell.known_owner.borrow();
         let holder = known_owner.holder.as_ref();
         holder.is_some_and(|holder| holder.reads_cancellations)
     };
     if !is_read {
         return None;
     }
-    match tokio::time::timeout(timeout, store_cancellation(node, id)).await {
+    match tokio::time::timeout(timeout, store_cancellation(node, &cell, id)).await {
         Ok(Ok(())) => {
             log::info!("event=cancel_stored id={id}");
             Some(RequestOutcome::Stored)
--- a/rhubarbfall-scheduler/src/lib.rs
+++ b/rhubarbfall-scheduler/src/lib.rs
@@ -1,12 +1,14 @@
 //! Scheduler process: accepts submissions from callers and runs them on the platform's workers.
 //!
-//! Every entry VM runs one scheduler process, called an entry. One entry at a time owns the
-//! submissions and schedules them; the others forward callers' requests to the owner and take over
-//! when it fails. The process runs on a single thread, because an entry VM may have only a quarter
+//! Every entry VM runs one scheduler process, called an entry. Submissions, workers and VMs of a large
+//! fleet are divided into cells; a small fleet is one cell. One entry at a time owns a cell and
+//! schedules its submissions; the others forward callers' requests to the owner and take over when it
+//! fails. The process runs on a single thread, because an entry VM may have only a quarter
 //! of one core.
 
 mod callers;
 mod cancel_delivery;
+mod cell_state;
 mod http_server;
 mod lifecycle;
 mod logging;
--- a/rhubarbfall-scheduler/src/lifecycle.rs
+++ b/rhubarbfall-scheduler/src/lifecycle.rs
@@ -139,7 +139,7 @@
     let began_at = node.now();
     log::info!("event=stopping in_flight={}", node.in_flight.get());
     node.is_stopping.set(true);
-    ownership::release_ownership(node).await;
+    ownership::release_ownerships(node).await;
     let max_drain_time = node.settings.stop_grace().saturating_sub(GRACE_RESERVE);
     while node.now().since(began_at) < max_drain_time {
         if node.now().since(began_at) >= MIN_DRAIN_TIME {
--- a/rhubarbfall-scheduler/src/node.rs
+++ b/rhubarbfall-scheduler/src/node.rs
@@ -1,4 +1,4 @@
-//! State that the tasks of one entry process share: configuration, the known owner and clients.
+//! State that the tasks of one entry process share: configuration, cells and clients.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -9,17 +9,17 @@
 use bytes::Bytes;
 use litemap::LiteMap;
 use metrics_exporter_prometheus::PrometheusHandle;
-use rhubarbfall_core::{BootTime, EntryId, FencingNumber, SharedClock, WaveId};
-use rhubarbfall_runs::FleetConfig;
+use rhubarbfall_core::{BootTime, CellId, SharedClock, SubmissionId, WaveId};
 use rhubarbfall_runs::scheduler::Wave;
+use rhubarbfall_runs::{CellLayout, FleetConfig};
 use rhubarbfall_site::{AdviceServiceClient, HttpClient, StoreClient, VmServiceClient};
 use tokio::sync::Notify;
 
 use crate::cancel_delivery::UndeliveredCancellations;
+use crate::cell_state::CellState;
 use crate::owner::Owner;
-use crate::ownership::MIN_OWNERSHIP_LEASE;
+use crate::peer_status::poll_cycle;
 use crate::settings::SchedulerProcessSettings;
-use crate::vm_orders_on_the_way::VmOrdersOnTheWay;
 
 /// Timeout of a call to the store: its longest announced slow-down plus network time.
 const STORE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -29,9 +29,9 @@
 /// one second.
 const ISOLATED_AFTER: Duration = Duration::from_millis(1_200);
 
-/// Time without an answer from the owner after which an entry probes it before sending a request:
-/// two poll intervals plus network time.
-const OWNER_SILENT_AFTER: Duration = Duration::from_millis(600);
+/// Poll cycles without an answer from an owner after which an entry probes it before sending a
+/// request: two cycles plus network time.
+const OWNER_SILENT_CYCLES: f64 = 2.4;
 
 /// Timeout of a call to the VM service.
 const VM_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -55,16 +55,14 @@
     pub(crate) config_polled_at: Cell<BootTime>,
     /// Waves requested by operators.
     pub(crate) waves: RefCell<LiteMap<WaveId, Wave>>,
-    /// Last known owner of the submissions.
-    pub(crate) known_owner: RefCell<KnownOwner>,
-    /// Owner state while this entry owns the submissions.
-    pub(crate) owner: RefCell<Option<Rc<Owner>>>,
-    /// Orders for VMs of the last ownership of this entry that has ended.
-    last_vm_orders: RefCell<Option<Rc<VmOrdersOnTheWay>>>,
+    /// How the fleet is divided; `None` until the store or an active owner has told.
+    layout: RefCell<Option<Arc<CellLayout>>>,
+    /// The cells, by number; only the first one until the layout is known.
+    cells: RefCell<Vec<Rc<CellState>>>,
+    /// Notifies the watch of ownerships that one of this entry has ended.
+    pub(crate) ownership_ended: Notify,
     /// Time of the last answer from the store.
     pub(crate) last_store_contact: Cell<BootTime>,
-    /// Time of the last answer from the owner that confirmed it is active.
-    pub(crate) last_owner_contact: Cell<BootTime>,
     pub(crate) is_stopping: Cell<bool>,
     /// Makes open connections shut down during a planned stop.
     pub(crate) close_connections: Notify,
@@ -76,34 +74,6 @@
     peer_clients: RefCell<LiteMap<SocketAddr, Rc<HttpClient>>>,
 }
 
-/// Last known owner of the submissions.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct KnownOwner {
-    /// Fencing number of the owner's orders and writes.
-    pub(crate) fencing_number: FencingNumber,
-    /// Entry that owns the submissions; `None` if the last owner released its ownership.
-    pub(crate) holder: Option<Holder>,
-}
-
-/// Entry that owns the submissions.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct Holder {
-    pub(crate) entry: EntryId,
-    pub(crate) address: SocketAddr,
-    pub(crate) incarnation: u64,
-    /// Whether it reads cancellations that other entries store; earlier versions do not.
-    pub(crate) reads_cancellations: bool,
-}
-
-/// Location of the owner.
-#[derive(Debug)]
-pub(crate) enum OwnerLocation {
-    /// This process.
-    Local(Rc<Owner>),
-    /// Another entry, at its peer address.
-    Peer(SocketAddr),
-}
-
 impl Node {
     pub(crate) fn new(
         settings: SchedulerProcessSettings,
@@ -126,11 +96,10 @@
             config_text: RefCell::default(),
             config_polled_at: Cell::default(),
             waves: RefCell::new(LiteMap::new()),
-            known_owner: RefCell::default(),
-            owner: RefCell::default(),
-            last_vm_orders: RefCell::default(),
+            layout: RefCell::default(),
+            cells: RefCell::new(vec![Rc::new(CellState::new(CellId::FIRST))]),
+            ownership_ended: Notify::new(),
             last_store_contact: Cell::default(),
-            last_owner_contact: Cell::default(),
             is_stopping: Cell::default(),
             close_connections: Notify::new(),
             in_flight: Cell::default(),
@@ -151,46 +120,72 @@
             .map_or(0, |elapsed| elapsed.as_millis() as u64)
     }
 
-    /// Returns the owner state if this entry is the owner and its ownership lease is valid.
-    pub(crate) fn active_owner(&self) -> Option<Rc<Owner>> {
-        let owner = self.owner.borrow().clone()?;
-        owner.is_active(self.now()).then_some(owner)
+    /// Returns how the fleet is divided, or `None` if that is not known yet.
+    pub(crate) fn layout(&self) -> Option<Arc<CellLayout>> {
+        self.layout.borrow().clone()
     }
 
-    /// Returns whether neither the store nor an active owner has answered for longer than
-    /// `ISOLATED_AFTER`. An isolated entry cannot serve callers.
-    pub(crate) fn is_isolated(&self) -> bool {
-        let last_contact = self
-            .last_store_contact
-            .get()
-            .max(self.last_owner_contact.get());
-        self.now().since(last_contact) > ISOLATED_AFTER
+    /// Sets how the fleet is divided.
+    pub(crate) fn set_layout(&self, layout: CellLayout) {
+        let mut current = self.layout.borrow_mut();
+        if current.as_deref() == Some(&layout) {
+            return;
+        }
+        log::info!("event=layout cells={}", layout.count());
+        let mut cells = self.cells.borrow_mut();
+        let known = cells.len();
+        cells.extend(
+            layout
+                .cells()
+                .skip(known)
+                .map(|id| Rc::new(CellState::new(id))),
+        );
+        *current = Some(Arc::new(layout));
     }
 
-    /// Returns the time since an active owner last answered.
-    pub(crate) fn owner_silence(&self) -> Duration {
-        self.now().since(self.last_owner_contact.get())
+    /// Returns the known cells, by number.
+    pub(crate) fn cells(&self) -> Vec<Rc<CellState>> {
+        self.cells.borrow().clone()
     }
 
-    /// Returns whether the owner has not answered for longer than `OWNER_SILENT_AFTER` and may be
-    /// unreachable.
-    pub(crate) fn is_owner_silent(&self) -> bool {
-        self.owner_silence() > OWNER_SILENT_AFTER
+    /// Returns a cell, or `None` if it is not known.
+    pub(crate) fn cell(&self, id: CellId) -> Option<Rc<CellState>> {
+        self.cells.borrow().get(usize::from(id.number())).cloned()
     }
 
-    /// Returns this process if it is the active owner, else the entry known as the owner, if any.
-    pub(crate) fn find_owner(&self) -> Option<OwnerLocation> {
-        match self.active_owner() {
-            Some(owner) => Some(OwnerLocation::Local(owner)),
-            None => self.other_owner().map(OwnerLocation::Peer),
-        }
+    /// Returns the cell of a submission, or `None` if the division is not known yet.
+    pub(crate) fn cell_of(&self, id: &SubmissionId) -> Option<Rc<CellState>> {
+        let layout = self.layout()?;
+        self.cell(layout.cell_of_submission(id))
+    }
+
+    /// Returns the owners of the cells that this entry owns, also while their leases are not valid.
+    pub(crate) fn owners(&self) -> Vec<Rc<Owner>> {
+        let cells = self.cells.borrow();
+        cells
+            .iter()
+            .filter_map(|cell| cell.owner.borrow().clone())
+            .collect()
+    }
+
+    /// Returns whether neither the store nor an active owner has answered for longer than
+    /// `ISOLATED_AFTER`, or the division is not known. Such an entry cannot serve callers.
+    pub(crate) fn is_isolated(&self) -> bool {
+        let cells = self.cells.borrow();
+        let contacts = cells.iter().map(|cell| cell.last_owner_contact());
+        let last_contact = contacts.fold(self.last_store_contact.get(), BootTime::max);
+        self.layout.borrow().is_none() || self.now().since(last_contact) > ISOLATED_AFTER
     }
 
-    /// Returns the peer address of the owner if it is another entry.
-    pub(crate) fn other_owner(&self) -> Option<SocketAddr> {
-        let known_owner = self.known_owner.borrow();
-        let holder = known_owner.holder.as_ref()?;
-        (holder.address != self.settings.peers).then_some(holder.address)
+    /// Returns the interval at which this entry polls each owner.
+    pub(crate) fn poll_cycle(&self) -> Duration {
+        poll_cycle(self.cells.borrow().len())
+    }
+
+    /// Returns whether a cell's owner has not answered for several poll cycles and may be
+    /// unreachable.
+    pub(crate) fn is_owner_silent(&self, cell: &CellState) -> bool {
+        cell.owner_silence(self.now()) > self.poll_cycle().mul_f64(OWNER_SILENT_CYCLES)
     }
 
     /// Returns the HTTP client for another entry, which reuses its connections.
@@ -217,58 +212,9 @@
         let config = Arc::new(config);
         *self.config.borrow_mut() = Arc::clone(&config);
         *self.config_text.borrow_mut() = text;
-        if let Some(owner) = &*self.owner.borrow() {
-            owner.with(|scheduler| scheduler.set_config(config));
-        }
-    }
-
-    /// Updates the known owner unless the fencing number is older than the known one. Ends this
-    /// entry's ownership if the fencing number is newer than its own.
-    pub(crate) fn update_known_owner(&self, fencing_number: FencingNumber, holder: Option<Holder>) {
-        let mut known_owner = self.known_owner.borrow_mut();
-        if fencing_number < known_owner.fencing_number {
-            return;
-        }
-        if fencing_number > known_owner.fencing_number || holder != known_owner.holder {
-            log::info!("event=owner_changed fence={fencing_number} holder={holder:?}");
-            // The source of this update was in contact with the owner recently.
-            self.last_owner_contact.set(self.now());
-        }
-        *known_owner = KnownOwner {
-            fencing_number,
-            holder,
-        };
-        drop(known_owner);
-        let is_superseded = |owner: &Rc<Owner>| owner.fencing_number() < fencing_number;
-        if self.owner.borrow().as_ref().is_some_and(is_superseded) {
-            self.drop_ownership("superseded");
-        }
-    }
-
-    /// Ends this entry's ownership. Waiting callers receive an unknown outcome.
-    pub(crate) fn drop_ownership(&self, reason: &str) {
-        if let Some(owner) = self.owner.borrow_mut().take() {
-            log::warn!(
-                "event=ownership_lost fence={} reason={reason}",
-                owner.fencing_number()
-            );
-            metrics::gauge!("is_owner").set(0.0);
-            owner.end();
-            let is_cut_off = self.now().since(self.last_store_contact.get()) > MIN_OWNERSHIP_LEASE;
-            owner.vm_orders.end_ownership(is_cut_off);
-            *self.last_vm_orders.borrow_mut() = Some(Rc::clone(&owner.vm_orders));
-        }
-    }
-
-    /// Returns how long orders for VMs of this process may still matter to another owner, or `None`
-    /// while this entry holds the ownership.
-    pub(crate) fn vm_orders_left(&self) -> Option<Duration> {
-        if self.owner.borrow().is_some() {
-            return None;
+        for owner in self.owners() {
+            owner.with(|scheduler| scheduler.set_config(Arc::clone(&config)));
         }
-        let last_vm_orders = self.last_vm_orders.borrow();
-        let left = |orders: &Rc<VmOrdersOnTheWay>| orders.remaining_for_successor(self.now());
-        Some(last_vm_orders.as_ref().map_or(Duration::ZERO, left))
     }
 }
 
--- a/rhubarbfall-scheduler/src/operator_feed.rs
+++ b/rhubarbfall-scheduler/src/operator_feed.rs
@@ -51,7 +51,7 @@
                 node.accept_config(config, Bytes::copy_from_slice(&row.value), "store");
             }
             Some(OperatorRow::Wave(wave)) => {
-                if let Some(owner) = &*node.owner.borrow() {
+                for owner in node.owners() {
                     let (now, unix_ms) = (node.now(), node.unix_ms());
                     owner.with(|scheduler| {
                         scheduler.wave_requested(wave.clone(), None, now, unix_ms);
--- a/rhubarbfall-scheduler/src/owner/cancellation_feed.rs
+++ b/rhubarbfall-scheduler/src/owner/cancellation_feed.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::{CELL_PART, Owner, state_rows};
+use super::{Owner, state_rows};
 use crate::node::Node;
 use crate::table_feed::{TableFeed, TableUpdate};
 
@@ -16,7 +16,7 @@
 /// Follows the table of cancellations until the ownership ends. The first poll returns all of them,
 /// also those stored since this owner has loaded its state.
 pub(super) async fn run(node: Rc<Node>, owner: Rc<Owner>) {
-    let mut feed = TableFeed::new(state_rows::CANCELLATION_TABLE, CELL_PART);
+    let mut feed = TableFeed::new(state_rows::CANCELLATION_TABLE, owner.cell.part.clone());
     while !owner.has_ended() {
         match feed.next(&node.store, LONG_POLL_TIMEOUT).await {
             Ok(TableUpdate::Snapshot(rows) | TableUpdate::Changes(rows)) => {
--- a/rhubarbfall-scheduler/src/owner/mod.rs
+++ b/rhubarbfall-scheduler/src/owner/mod.rs
@@ -1,7 +1,9 @@
-//! State and background loops of the entry that owns the submissions.
+//! State and background loops of the entry that owns a cell.
 
 mod advice_request;
 mod cancellation_feed;
+mod division;
+mod lending_loop;
 mod round_trip;
 mod state_rows;
 mod store_loop;
@@ -14,15 +16,17 @@
 use std::fmt;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use litemap::LiteMap;
 use rhubarbfall_core::{BootTime, FencingNumber, RowVersion, SubmissionId, WorkerId};
 use rhubarbfall_runs::scheduler::Action;
-use rhubarbfall_runs::{Scheduler, Submission};
-use rhubarbfall_site::WorkerClient;
+use rhubarbfall_runs::{CellLayout, Scheduler, Submission};
+use rhubarbfall_site::{StoreError, WorkerClient};
 use tokio::sync::{Notify, oneshot};
 
+use crate::cell_state::CellState;
 use crate::node::Node;
 use crate::ownership::{
     MAX_OWNERSHIP_LEASE, MIN_OWNERSHIP_LEASE, OWNERSHIP_LEASE_ROUND_TRIPS, RENEWAL_INTERVAL,
@@ -32,9 +36,10 @@
 use crate::supervision::spawn_owner_loop;
 use crate::telemetry;
 use crate::vm_orders_on_the_way::VmOrdersOnTheWay;
+use lending_loop::Lending;
 use round_trip::RoundTripEstimate;
 
-pub(crate) use state_rows::{CELL_PART, read_stored_state, store_cancellation};
+pub(crate) use state_rows::{read_stored_state, store_cancellation};
 
 /// Time before the end of the ownership lease at which the owner stops starting anything.
 const TAKEOVER_MARGIN: Duration = Duration::from_millis(200);
@@ -84,8 +89,11 @@
     Busy { retry_after: Duration },
 }
 
-/// State of the entry that owns the submissions.
+/// State of the entry that owns a cell.
 pub(crate) struct Owner {
+    cell: Rc<CellState>,
+    /// The division under which the cell is owned.
+    layout: Arc<CellLayout>,
     scheduler: RefCell<Scheduler>,
     fencing_number: FencingNumber,
     row_version: RowVersion,
@@ -116,6 +124,8 @@
     pub(crate) vm_orders: Rc<VmOrdersOnTheWay>,
     /// When all leases that earlier owners granted to workers have expired.
     inherited_leases_until: Cell<BootTime>,
+    /// Shares of the limits that cells have together.
+    lending: RefCell<Lending>,
 }
 
 /// What earlier owners may have left on its way when an owner takes over.
@@ -137,6 +147,7 @@
 impl fmt::Debug for Owner {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Owner")
+            .field("cell", &self.cell.id)
             .field("fencing_number", &self.fencing_number)
             .finish_non_exhaustive()
     }
@@ -145,14 +156,20 @@
 impl Owner {
     pub(crate) fn new(
         node: &Node,
+        cell: &Rc<CellState>,
         fencing_number: FencingNumber,
         owner_row_version: RowVersion,
         confirmed_at: BootTime,
         inheritance: Inheritance,
     ) -> Rc<Self> {
         let ownership_lease = MIN_OWNERSHIP_LEASE;
-        let scheduler = Scheduler::new(node.settings.scheduler());
+        let layout = node
+            .layout()
+            .unwrap_or_else(|| Arc::new(CellLayout::single()));
+        let scheduler = Scheduler::new(node.settings.scheduler_of(cell.id, layout.count()));
         let owner = Self {
+            cell: Rc::clone(cell),
+            layout,
             scheduler: RefCell::new(scheduler),
             fencing_number,
             row_version: owner_row_version,
@@ -177,11 +194,17 @@
                 inheritance.vm_orders_until,
             )),
             inherited_leases_until: Cell::new(inheritance.leases_until),
+            lending: RefCell::default(),
         };
         owner.confirm_renewal(confirmed_at);
         Rc::new(owner)
     }
 
+    /// Returns the cell that is owned.
+    pub(crate) fn cell(&self) -> &CellState {
+        &self.cell
+    }
+
     pub(crate) const fn fencing_number(&self) -> FencingNumber {
         self.fencing_number
     }
@@ -435,32 +458,45 @@
     }
 }
 
-/// Loads the state stored by earlier owners and starts the background loops.
-pub(crate) async fn start(node: &Rc<Node>, owner: Rc<Owner>) {
-    let loaded = state_rows::load(node).await;
+/// Loads the state stored by earlier owners and starts the background loops. Returns false if the
+/// ownership has ended meanwhile.
+pub(crate) async fn start(node: &Rc<Node>, owner: &Rc<Owner>) -> bool {
+    if let Err(error) = load(node, owner).await {
+        log::warn!("event=load_failed cell={} error={error}", owner.cell.id);
+        owner.end();
+        return false;
+    }
+    if owner.cell.known_owner.borrow().fencing_number > owner.fencing_number() {
+        log::warn!(
+            "event=superseded_while_loading cell={} fence={}",
+            owner.cell.id,
+            owner.fencing_number()
+        );
+        owner.end();
+        return false;
+    }
+    owner.is_loaded.set(true);
+    *owner.cell.owner.borrow_mut() = Some(Rc::clone(owner));
+    metrics::gauge!("is_owner").increment(1.0);
+    spawn_loops(node, owner);
+    true
+}
+
+/// Passes the state stored by earlier owners to the scheduler.
+async fn load(node: &Node, owner: &Owner) -> Result<(), StoreError> {
     let state_rows::LoadedState {
         jobs,
         waves,
         early_cancellations,
         unreadable,
-    } = match loaded {
-        Ok(loaded) => loaded,
-        Err(error) => {
-            log::warn!("event=load_failed error={error}");
-            return owner.end();
-        }
-    };
-    if node.known_owner.borrow().fencing_number > owner.fencing_number() {
-        log::warn!(
-            "event=superseded_while_loading fence={}",
-            owner.fencing_number()
-        );
-        return owner.end();
-    }
+    } = state_rows::load(node, &owner.cell).await?;
+    lending_loop::load(node, owner).await?;
     let (now, unix_ms) = (node.now(), node.unix_ms());
     let inherited_until = owner.inherited_leases_until.get();
     log::info!(
-        "event=loaded jobs={} inherited_until={inherited_until} vm_orders_left={:?}",
+        "event=loaded cell={} cells={} jobs={} inherited_until={inherited_until} vm_orders_left={:?}",
+        owner.cell.id,
+        owner.layout.count(),
         jobs.len(),
         owner.vm_orders.remaining(now)
     );
@@ -482,10 +518,7 @@
             scheduler.wave_requested(wave, None, now, unix_ms);
         }
     });
-    owner.is_loaded.set(true);
-    *node.owner.borrow_mut() = Some(Rc::clone(&owner));
-    metrics::gauge!("is_owner").set(1.0);
-    spawn_loops(node, &owner);
+    Ok(())
 }
 
 /// Starts the background loops of an owner.
@@ -524,6 +557,18 @@
         Activity::Ticks,
         Box::pin(run_ticks(of_node(), of_owner())),
     );
+    if !owner.layout.is_single() {
+        spawn(
+            "shares",
+            Activity::Rows,
+            Box::pin(lending_loop::follow(of_node(), of_owner())),
+        );
+        spawn(
+            "reports",
+            Activity::Rows,
+            Box::pin(lending_loop::report(of_node(), of_owner())),
+        );
+    }
 }
 
 /// Ticks the scheduler and dispatches its orders until the ownership ends.
--- a/rhubarbfall-scheduler/src/owner/state_rows.rs
+++ b/rhubarbfall-scheduler/src/owner/state_rows.rs
@@ -12,14 +12,11 @@
 };
 use rhubarbfall_site::{CommitOutcome, RowKey, StoreError, StoredRow, Transaction};
 
+use crate::cell_state::CellState;
 use crate::node::Node;
 use crate::owner::Owner;
 use crate::ownership::owner_transaction;
 
-/// Partition that holds the rows of a cell. All services form a single cell, because an owner of
-/// current fleets uses only a small part of a core.
-pub(crate) const CELL_PART: &str = "c0";
-
 /// Table of submissions, which never change.
 const SUBMISSION_TABLE: &str = "submission";
 
@@ -45,9 +42,9 @@
 
 /// Reads the state stored by earlier owners. Malformed rows are logged. A job with malformed progress
 /// has failed.
-pub(super) async fn load(node: &Node) -> Result<LoadedState, StoreError> {
-    let (submissions, _) = node.store.read_all(SUBMISSION_TABLE, CELL_PART).await?;
-    let (progress_rows, _) = node.store.read_all(PROGRESS_TABLE, CELL_PART).await?;
+pub(super) async fn load(node: &Node, cell: &CellState) -> Result<LoadedState, StoreError> {
+    let (submissions, _) = node.store.read_all(SUBMISSION_TABLE, &cell.part).await?;
+    let (progress_rows, _) = node.store.read_all(PROGRESS_TABLE, &cell.part).await?;
     let mut progress: LiteMap<Arc<str>, (JobProgress, RowVersion)> = LiteMap::new();
     for row in progress_rows {
         let decoded = read_progress(&row);
@@ -64,8 +61,8 @@
             None => unreadable.extend(row.key.key.parse()),
         }
     }
-    let waves = load_waves(node).await?;
-    let early_cancellations = load_early_cancellations(node).await?;
+    let waves = load_waves(node, cell).await?;
+    let early_cancellations = load_early_cancellations(node, cell).await?;
     Ok(LoadedState {
         jobs,
         waves,
@@ -77,17 +74,18 @@
 /// Reads a stored submission, or returns `None` if its row does not exist or is malformed.
 pub(super) async fn read_stored_job(
     node: &Node,
+    cell: &CellState,
     id: &SubmissionId,
 ) -> Result<Option<StoredJob>, StoreError> {
     let key = id.as_str();
     let submission = node
         .store
-        .read_row(SUBMISSION_TABLE, CELL_PART, key)
+        .read_row(SUBMISSION_TABLE, &cell.part, key)
         .await?;
     let Some(submission) = submission.as_ref().and_then(read_submission) else {
         return Ok(None);
     };
-    let progress = node.store.read_row(PROGRESS_TABLE, CELL_PART, key).await?;
+    let progress = node.store.read_row(PROGRESS_TABLE, &cell.part, key).await?;
     Ok(Some(StoredJob {
         submission,
         progress: progress.map(|row| (read_progress(&row), row.version)),
@@ -118,8 +116,11 @@
     })
 }
 
-async fn load_early_cancellations(node: &Node) -> Result<Vec<SubmissionId>, StoreError> {
-    let (rows, _) = node.store.read_all(CANCELLATION_TABLE, CELL_PART).await?;
+async fn load_early_cancellations(
+    node: &Node,
+    cell: &CellState,
+) -> Result<Vec<SubmissionId>, StoreError> {
+    let (rows, _) = node.store.read_all(CANCELLATION_TABLE, &cell.part).await?;
     Ok(read_cancellations(&rows))
 }
 
@@ -137,9 +138,13 @@
 
 /// Stores a cancellation for an owner that this entry does not reach. The write needs no condition:
 /// it is the same whoever repeats it.
-pub(crate) async fn store_cancellation(node: &Node, id: &SubmissionId) -> Result<(), StoreError> {
+pub(crate) async fn store_cancellation(
+    node: &Node,
+    cell: &CellState,
+    id: &SubmissionId,
+) -> Result<(), StoreError> {
     let transaction = Transaction {
-        writes: vec![(cancellation_row(id), encode_early_cancellation())],
+        writes: vec![(cancellation_row(cell, id), encode_early_cancellation())],
         ..Transaction::default()
     };
     match node.store.commit(&transaction).await? {
@@ -150,8 +155,9 @@
 
 async fn load_waves(
     node: &Node,
+    cell: &CellState,
 ) -> Result<LiteMap<WaveId, Option<(WaveProgress, RowVersion)>>, StoreError> {
-    let (rows, _) = node.store.read_all(WAVE_TABLE, CELL_PART).await?;
+    let (rows, _) = node.store.read_all(WAVE_TABLE, &cell.part).await?;
     let mut waves = LiteMap::new();
     for row in rows {
         let key = &row.key.key;
@@ -168,68 +174,75 @@
 /// Builds the transaction that stores a batch, conditioned on the ownership.
 pub(super) fn transaction(owner: &Owner, batch: &Batch) -> Transaction {
     let mut transaction = owner_transaction(owner);
+    let cell = owner.cell();
     for row in &batch.rows {
         if let Some(submission) = &row.submission {
-            let key = submission_row(&row.id);
+            let key = submission_row(cell, &row.id);
             transaction.expected.push((key.clone(), None));
             transaction.writes.push((key, submission.clone()));
         }
         if let Some(progress) = &row.progress {
-            let key = progress_row(&row.id);
+            let key = progress_row(cell, &row.id);
             transaction.expected.push((key.clone(), row.replaces));
             transaction.writes.push((key, progress.clone()));
         }
     }
     for wave in &batch.waves {
-        let key = RowKey::new(WAVE_TABLE, CELL_PART, wave.id.as_str());
+        let key = RowKey::new(WAVE_TABLE, cell.part.clone(), wave.id.as_str());
         transaction.expected.push((key.clone(), wave.replaces));
         transaction.writes.push((key, wave.progress.clone()));
     }
     for id in &batch.early_cancellations {
         let value = encode_early_cancellation();
-        transaction.writes.push((cancellation_row(id), value));
+        transaction.writes.push((cancellation_row(cell, id), value));
     }
     let expired = batch.expired_cancellations.iter();
-    transaction.removed.extend(expired.map(cancellation_row));
+    let removed = expired.map(|id| cancellation_row(cell, id));
+    transaction.removed.extend(removed);
     transaction
 }
 
-fn cancellation_row(id: &SubmissionId) -> RowKey {
-    RowKey::new(CANCELLATION_TABLE, CELL_PART, id.as_str())
+fn cancellation_row(cell: &CellState, id: &SubmissionId) -> RowKey {
+    RowKey::new(CANCELLATION_TABLE, cell.part.clone(), id.as_str())
 }
 
-fn submission_row(id: &SubmissionId) -> RowKey {
-    RowKey::new(SUBMISSION_TABLE, CELL_PART, id.as_str())
+fn submission_row(cell: &CellState, id: &SubmissionId) -> RowKey {
+    RowKey::new(SUBMISSION_TABLE, cell.part.clone(), id.as_str())
 }
 
-fn progress_row(id: &SubmissionId) -> RowKey {
-    RowKey::new(PROGRESS_TABLE, CELL_PART, id.as_str())
+fn progress_row(cell: &CellState, id: &SubmissionId) -> RowKey {
+    RowKey::new(PROGRESS_TABLE, cell.part.clone(), id.as_str())
 }
 
 /// Returns the submissions that a batch stores as new and of which the store has a row.
-pub(super) fn already_stored(batch: &Batch, rows: &[StoredRow]) -> Vec<SubmissionId> {
+pub(super) fn already_stored(
+    cell: &CellState,
+    batch: &Batch,
+    rows: &[StoredRow],
+) -> Vec<SubmissionId> {
     let exists = |key: &RowKey| rows.iter().any(|row| row.key == *key && !row.is_removed);
     let new = batch.rows.iter().filter(|row| row.submission.is_some());
     new.map(|row| row.id.clone())
-        .filter(|id| exists(&submission_row(id)) || exists(&progress_row(id)))
+        .filter(|id| exists(&submission_row(cell, id)) || exists(&progress_row(cell, id)))
         .collect()
 }
 
 /// Reads a submission's state from the store, for use when no owner can be reached.
 pub(crate) async fn read_stored_state(
     node: &Node,
+    cell: &CellState,
     id: &SubmissionId,
 ) -> Result<Option<SubmissionState>, StoreError> {
     let progress = node
         .store
-        .read_row(PROGRESS_TABLE, CELL_PART, id.as_str())
+        .read_row(PROGRESS_TABLE, &cell.part, id.as_str())
         .await?;
     if let Some(row) = progress {
         return Ok(Some(submission_state(&read_progress(&row))));
     }
     let submission = node
         .store
-        .read_row(SUBMISSION_TABLE, CELL_PART, id.as_str())
+        .read_row(SUBMISSION_TABLE, &cell.part, id.as_str())
         .await?;
     Ok(submission.map(|_| SubmissionState::Queued))
 }
--- a/rhubarbfall-scheduler/src/owner/store_loop.rs
+++ b/rhubarbfall-scheduler/src/owner/store_loop.rs
@@ -85,7 +85,7 @@
 async fn replace_by_stored(node: &Node, owner: &Owner, ids: &[SubmissionId]) {
     for id in ids {
         while !owner.has_ended() {
-            match state_rows::read_stored_job(node, id).await {
+            match state_rows::read_stored_job(node, &owner.cell, id).await {
                 Ok(stored) => {
                     let (now, unix_ms) = (node.now(), node.unix_ms());
                     owner.with(|scheduler| scheduler.submission_found(id, stored, now, unix_ms));
@@ -112,7 +112,7 @@
         if includes_renewal {
             let ownership_lease = owner.request_ownership_lease();
             let renewal = owner.renewal(sent_at, ownership_lease);
-            transaction.writes.push(renewal.write());
+            transaction.writes.push(renewal.write(&owner.cell));
         }
         owner.is_batch_in_flight.set(true);
         let timeout = owner.commit_timeout();
@@ -139,13 +139,13 @@
                 {
                     return BatchOutcome::Stored(version);
                 }
-                let known = state_rows::already_stored(batch, &rows);
+                let known = state_rows::already_stored(&owner.cell, batch, &rows);
                 if is_owner_unchanged(&transaction, &rows) && !known.is_empty() {
                     return BatchOutcome::AlreadyStored(known);
                 }
                 if !owner.has_ended() {
                     log::error!("event=batch_conflict rows={}", rows.len());
-                    node.drop_ownership("batch_conflict");
+                    owner.cell.drop_ownership(node, "batch_conflict");
                 }
                 return BatchOutcome::OwnershipEnded;
             }
--- a/rhubarbfall-scheduler/src/owner/vm_loop.rs
+++ b/rhubarbfall-scheduler/src/owner/vm_loop.rs
@@ -5,9 +5,9 @@
 
 use rhubarbfall_core::{BootTime, VmId};
 use rhubarbfall_runs::scheduler::VmOperation;
-use rhubarbfall_site::{SendDeadline, VmOrderOutcome};
+use rhubarbfall_site::{ListedVm, SendDeadline, VmOrderOutcome};
 
-use super::Owner;
+use super::{Owner, division};
 use crate::node::Node;
 use crate::processor_time::{Activity, metered};
 
@@ -18,7 +18,13 @@
 pub(super) async fn run(node: Rc<Node>, owner: Rc<Owner>) {
     while !owner.has_ended() {
         let polled_at = node.now();
-        if let Some(rows) = node.vm_service.list().await {
+        if let Some(listed) = node.vm_service.list().await {
+            if division::divide_if_large(&node, &owner, &listed).await {
+                return;
+            }
+            let is_own =
+                |vm: &ListedVm| owner.layout.cell_of_rack(vm.rack.as_ref()) == owner.cell.id;
+            let rows = listed.into_iter().filter(is_own).map(|vm| vm.row).collect();
             let now = node.now();
             owner.with(|scheduler| scheduler.vms_listed(rows, polled_at, now));
         }
@@ -52,7 +58,7 @@
                 return;
             }
             VmOrderOutcome::Fenced => {
-                node.drop_ownership("fenced_by_vm_service");
+                owner.cell.drop_ownership(&node, "fenced_by_vm_service");
                 return;
             }
         };
--- a/rhubarbfall-scheduler/src/owner/worker_list.rs
+++ b/rhubarbfall-scheduler/src/owner/worker_list.rs
@@ -74,6 +74,9 @@
         let Some(report) = decode_worker_entry(row) else {
             continue;
         };
+        if owner.layout.cell_of_rack(report.rack.as_ref()) != owner.cell.id {
+            continue;
+        }
         let (id, address) = (report.id.clone(), report.address);
         if owner.with(|scheduler| scheduler.worker_listed(report, now)) {
             worker_loop::spawn(node, owner, id, address);
--- a/rhubarbfall-scheduler/src/owner/worker_loop.rs
+++ b/rhubarbfall-scheduler/src/owner/worker_loop.rs
@@ -151,7 +151,7 @@
         let outcome = client.start(&order, owner.fencing_number()).await;
         telemetry::count_worker_call("start", outcome.as_str());
         if outcome == StartOutcome::Fenced {
-            node.drop_ownership("fenced_by_worker");
+            owner.cell.drop_ownership(&node, "fenced_by_worker");
         }
         report_start_outcome(&owner, &order, outcome, node.now());
     });
--- a/rhubarbfall-scheduler/src/owner_call.rs
+++ b/rhubarbfall-scheduler/src/owner_call.rs
@@ -6,8 +6,10 @@
 use rhubarbfall_core::SubmissionId;
 use rhubarbfall_runs::Submission;
 
-use crate::node::{Node, OwnerLocation};
+use crate::cell_state::{CellState, OwnerLocation};
+use crate::node::Node;
 use crate::owner::RequestOutcome;
+use crate::peer::PeerError;
 use crate::{peer, peer_status};
 
 /// Time for which a request that was not sent to any owner waits for one. Most takeovers are
@@ -67,16 +69,21 @@
     submission: &Submission,
     timeout: Duration,
 ) -> RequestOutcome {
-    match reachable_owner(node).await {
+    let Some(cell) = node.cell_of(&submission.id) else {
+        return RequestOutcome::NoOwner;
+    };
+    match reachable_owner(node, &cell).await {
         Some(OwnerLocation::Local(owner)) => {
             let stored = owner.submit(node, submission.clone());
             tokio::time::timeout(timeout, stored)
                 .await
                 .unwrap_or(RequestOutcome::Unknown)
         }
-        Some(OwnerLocation::Peer(address)) => peer::submit(node, address, submission, timeout)
-            .await
-            .into(),
+        Some(OwnerLocation::Peer(address)) => {
+            let answer = peer::submit(node, address, submission, timeout).await;
+            record_contact(node, &cell, &answer);
+            answer.into()
+        }
         None => RequestOutcome::NoOwner,
     }
 }
@@ -86,24 +93,39 @@
     id: &SubmissionId,
     timeout: Duration,
 ) -> RequestOutcome {
-    match reachable_owner(node).await {
+    let Some(cell) = node.cell_of(id) else {
+        return RequestOutcome::NoOwner;
+    };
+    match reachable_owner(node, &cell).await {
         Some(OwnerLocation::Local(owner)) => tokio::time::timeout(timeout, owner.cancel(node, id))
             .await
             .unwrap_or(RequestOutcome::Unknown),
-        Some(OwnerLocation::Peer(address)) => peer::cancel(node, address, id, timeout).await.into(),
+        Some(OwnerLocation::Peer(address)) => {
+            let answer = peer::cancel(node, address, id, timeout).await;
+            record_contact(node, &cell, &answer);
+            answer.into()
+        }
         None => RequestOutcome::NoOwner,
     }
 }
 
 /// Returns the location of the owner, or `None` if it does not answer a probe. A request to an
 /// unreachable owner could only end with an unknown outcome.
-async fn reachable_owner(node: &Node) -> Option<OwnerLocation> {
-    let owner = node.find_owner()?;
+async fn reachable_owner(node: &Node, cell: &CellState) -> Option<OwnerLocation> {
+    let owner = cell.find_owner(node)?;
     if let OwnerLocation::Peer(address) = &owner
-        && node.is_owner_silent()
-        && !peer_status::probe(node, *address).await
+        && node.is_owner_silent(cell)
+        && !peer_status::probe(node, cell, *address).await
     {
         return None;
     }
     Some(owner)
 }
+
+/// Counts an answer that the active owner of a cell has given as a sign of life. An undivided fleet's
+/// owner is polled often enough.
+fn record_contact(node: &Node, cell: &CellState, answer: &Result<RequestOutcome, PeerError>) {
+    if node.cells().len() > 1 && answer.is_ok() {
+        cell.record_owner_contact(node.now());
+    }
+}
--- a/rhubarbfall-scheduler/src/ownership.rs
+++ b/rhubarbfall-scheduler/src/ownership.rs
@@ -1,20 +1,27 @@
-//! Ownership of the submissions: election, renewal, takeover and release.
+//! Ownership of cells: election, renewal, takeover and release.
 //!
-//! The store holds two rows: the owner row, which only a conditional write changes, and the renewal
-//! row, which the owner updates to extend its ownership lease.
+//! The store holds two rows for each cell: the owner row, which only a conditional write changes, and
+//! the renewal row, which the owner updates to extend its ownership lease. The first cell's partition
+//! also holds the layout of a divided fleet.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 use std::time::Duration;
 
 use prost::Message;
 use rand::RngExt;
-use rhubarbfall_core::{BootTime, FencingNumber, RowVersion};
+use rhubarbfall_core::{BootTime, CellId, FencingNumber, RowVersion};
+use rhubarbfall_runs::CellLayout;
 use rhubarbfall_site::{CommitOutcome, RowKey, StoreError, StoredRow, Transaction};
+use tokio::task::JoinSet;
 
-use crate::node::{Holder, KnownOwner, Node};
-use crate::owner::{self, CELL_PART, Inheritance, Owner};
+use crate::cell_state::{CellState, Holder, KnownOwner};
+use crate::node::Node;
+use crate::owner::{self, Inheritance, Owner};
 use crate::peer_status::HolderMessage;
 use crate::predecessor::{self, Stated};
+use crate::processor_time::Activity;
+use crate::supervision::spawn_owner_loop;
 use crate::table_feed::{TableFeed, TableUpdate};
 use crate::telemetry;
 use crate::vm_orders_on_the_way::{PredecessorEnd, inherited_order_time};
@@ -24,6 +31,7 @@
 
 const OWNER_KEY: &str = "owner";
 const RENEWAL_KEY: &str = "renewal";
+const LAYOUT_KEY: &str = "layout";
 
 /// Time after which the owner renews: several renewals fit into one ownership lease.
 pub(crate) const RENEWAL_INTERVAL: Duration = Duration::from_millis(230);
@@ -65,9 +73,12 @@
 /// as long, which is still a fraction of the duration of a takeover.
 const FULL_CORE_TAKEOVER_DELAY: Duration = Duration::from_millis(30);
 
-/// An owner that answered within this time counts as active: slightly more than the interval
-/// between two status polls.
-const OWNER_ACTIVE_WITHIN: Duration = Duration::from_millis(350);
+/// Delay of a takeover for each cell that the entry owns already, so that cells are spread over
+/// entries: longer than what an entry with half a core waits for its first one.
+const OWNED_CELL_DELAY: Duration = Duration::from_millis(150);
+
+/// Poll cycles within which an owner that answered counts as active: slightly more than one.
+const OWNER_ACTIVE_CYCLES: f64 = 1.4;
 
 /// Pause between two polls of an entry with one full core, which lets it receive several renewals
 /// at once. An entry with a tenth of a core pauses ten times as long.
@@ -113,10 +124,9 @@
     inherited_leases_ms: Option<u64>,
 }
 
-/// Ownership rows as last seen by this entry.
+/// Ownership rows of a cell as last seen by this entry.
 #[derive(Debug)]
 struct OwnershipWatch {
-    feed: TableFeed,
     owner_row_version: Option<RowVersion>,
     renewal_row_version: Option<RowVersion>,
     /// Duration of the ownership lease in the latest renewal.
@@ -130,15 +140,14 @@
     inherited_leases: Option<Duration>,
     /// Time when a change of either row was last seen.
     last_change_at: BootTime,
-    /// Time since which the store has answered without a failure.
-    store_available_since: Option<BootTime>,
+    /// Whether this entry owned the cell when it was last looked at.
+    was_owned: bool,
 }
 
 impl OwnershipWatch {
     /// Creates a watch that has not seen any row.
-    fn new(now: BootTime) -> Self {
+    const fn new(now: BootTime) -> Self {
         Self {
-            feed: TableFeed::new(CELL_TABLE, CELL_PART),
             owner_row_version: None,
             renewal_row_version: None,
             ownership_lease: Duration::ZERO,
@@ -146,44 +155,122 @@
             vm_orders_on_the_way: None,
             inherited_leases: None,
             last_change_at: now,
+            was_owned: false,
+        }
+    }
+
+    /// Returns how long the owner may renew no more before others take over.
+    fn lease(&self) -> Duration {
+        self.ownership_lease.max(MIN_OWNERSHIP_LEASE)
+    }
+}
+
+/// The ownership rows of all cells as seen by this entry.
+#[derive(Debug)]
+struct OwnershipFeed {
+    feed: TableFeed,
+    /// The watch of each cell, by number.
+    watches: Vec<OwnershipWatch>,
+    /// Time since which the store has answered without a failure.
+    store_available_since: Option<BootTime>,
+}
+
+impl OwnershipFeed {
+    fn new(node: &Node) -> Self {
+        let mut feed = Self {
+            feed: TableFeed::new(CELL_TABLE, ""),
+            watches: Vec::new(),
             store_available_since: None,
+        };
+        feed.include_cells(node);
+        feed
+    }
+
+    /// Follows the rows of all cells that are known.
+    fn include_cells(&mut self, node: &Node) {
+        let cells = node.cells();
+        if self.feed.part_count() == cells.len() && self.watches.len() == cells.len() {
+            return;
+        }
+        let parts = cells.iter().map(|cell| cell.part.clone());
+        self.feed = TableFeed::of_parts(CELL_TABLE, parts.collect());
+        let now = node.now();
+        self.watches
+            .resize_with(cells.len(), || OwnershipWatch::new(now));
+    }
+
+    /// Starts anew with cells whose ownership by this entry has ended: its own writes have changed
+    /// the rows.
+    fn forget_ended_ownerships(&mut self, node: &Node) {
+        for (watch, cell) in self.watches.iter_mut().zip(node.cells()) {
+            if cell.is_owned() {
+                watch.was_owned = true;
+            } else if watch.was_owned {
+                *watch = OwnershipWatch::new(node.now());
+                self.feed.restart();
+            }
         }
     }
 
-    /// Returns the time for which the store may hold a poll, so that the end of the ownership lease
+    /// Returns the time for which the store may hold a poll, so that the end of an ownership lease
     /// is noticed soon.
     fn long_poll_timeout(&self, now: BootTime) -> Duration {
-        let ownership_lease = self.ownership_lease.max(MIN_OWNERSHIP_LEASE);
-        ownership_lease
-            .saturating_sub(now.since(self.last_change_at))
-            .clamp(MIN_LONG_POLL_TIMEOUT, LONG_POLL_TIMEOUT)
+        let others = self.watches.iter().filter(|watch| !watch.was_owned);
+        let left = others.map(|watch| {
+            watch
+                .lease()
+                .saturating_sub(now.since(watch.last_change_at))
+        });
+        let left = left.min().unwrap_or(LONG_POLL_TIMEOUT);
+        left.clamp(MIN_LONG_POLL_TIMEOUT, LONG_POLL_TIMEOUT)
+    }
+
+    /// Returns a cell that this entry may take over, its preferred one first. Entries prefer
+    /// different cells, so that several free ones are not all claimed by the same entries.
+    fn next_takeover(&self, node: &Node) -> Option<Rc<CellState>> {
+        let now = node.now();
+        let store_available_since = self.store_available_since?;
+        let is_free = |cell: &Rc<CellState>| {
+            let known_owner = cell.known_owner.borrow();
+            let Some(holder) = &known_owner.holder else {
+                return true;
+            };
+            let watch = &self.watches[usize::from(cell.id.number())];
+            let is_silent = now.since(watch.last_change_at) > watch.lease()
+                && now.since(store_available_since) > STORE_STABLE_AFTER;
+            holder.entry == node.settings.entry || is_silent
+        };
+        let candidates = node.cells().into_iter().filter(|cell| !cell.is_owned());
+        candidates.filter(is_free).min_by_key(|cell| {
+            let mut hasher = DefaultHasher::new();
+            (node.settings.entry.as_str(), cell.id).hash(&mut hasher);
+            hasher.finish()
+        })
     }
 }
 
-/// Watches the ownership rows, takes over when there is no owner, and renews the ownership while
-/// this entry holds it.
+/// Watches the ownership rows, and takes over cells that have no owner.
 pub(crate) async fn run(node: Rc<Node>) {
-    let mut watch = OwnershipWatch::new(node.now());
+    let mut ownerships = OwnershipFeed::new(&node);
     loop {
-        let owner = node.owner.borrow().clone();
-        if let Some(owner) = owner {
-            renew_until_ended(&node, &owner).await;
-            // This entry's own writes have changed the rows.
-            watch = OwnershipWatch::new(node.now());
+        ownerships.include_cells(&node);
+        ownerships.forget_ended_ownerships(&node);
+        if node.cells().iter().all(|cell| cell.is_owned()) {
+            node.ownership_ended.notified().await;
         } else {
-            watch_for_takeover(&node, &mut watch).await;
+            watch_for_takeover(&node, &mut ownerships).await;
         }
     }
 }
 
 /// Renews the ownership until it ends.
-async fn renew_until_ended(node: &Rc<Node>, owner: &Rc<Owner>) {
+async fn renew_until_ended(node: Rc<Node>, owner: Rc<Owner>) {
     while !owner.has_ended() {
         if owner.needs_renewal(node.now()) {
-            renew(node, owner).await;
+            renew(&node, &owner).await;
         }
         if owner.have_worker_leases_expired(node.now()) {
-            node.drop_ownership("lapsed");
+            owner.cell().drop_ownership(&node, "lapsed");
         }
         tokio::time::sleep(RENEWAL_CHECK_INTERVAL).await;
     }
@@ -203,8 +290,8 @@
 }
 
 impl Renewal {
-    /// Returns the write that renews the ownership.
-    pub(crate) fn write(self) -> (RowKey, Vec<u8>) {
+    /// Returns the write that renews the ownership of a cell.
+    pub(crate) fn write(self, cell: &CellState) -> (RowKey, Vec<u8>) {
         let milliseconds = |duration: Duration| duration.as_millis() as u64;
         let renewal = RenewalRow {
             fencing_number: self.fencing_number.get(),
@@ -213,7 +300,7 @@
             vm_orders_on_the_way_ms: Some(milliseconds(self.vm_orders_on_the_way)),
             inherited_leases_ms: Some(milliseconds(self.inherited_leases)),
         };
-        (cell_row(RENEWAL_KEY), renewal.encode_to_vec())
+        (cell_row(cell, RENEWAL_KEY), renewal.encode_to_vec())
     }
 }
 
@@ -221,7 +308,7 @@
     let sent_at = node.now();
     let ownership_lease = owner.request_ownership_lease();
     let transaction = Transaction {
-        writes: vec![owner.renewal(sent_at, ownership_lease).write()],
+        writes: vec![owner.renewal(sent_at, ownership_lease).write(owner.cell())],
         ..owner_transaction(owner)
     };
     let timeout = owner.commit_timeout();
@@ -235,7 +322,7 @@
             telemetry::count_store_call("renew", "stored", now.since(sent_at));
         }
         Ok(CommitOutcome::Conflict(_)) if owner.has_ended() => {}
-        Ok(CommitOutcome::Conflict(_)) => node.drop_ownership("taken_over"),
+        Ok(CommitOutcome::Conflict(_)) => owner.cell().drop_ownership(node, "taken_over"),
         Err(error) => {
             log::warn!("event=renewal_failed error={error}");
             telemetry::count_store_call("renew", "failed", now.since(sent_at));
@@ -244,42 +331,48 @@
     }
 }
 
-async fn watch_for_takeover(node: &Rc<Node>, watch: &mut OwnershipWatch) {
-    if let Err(error) = follow(node, watch).await {
+async fn watch_for_takeover(node: &Rc<Node>, ownerships: &mut OwnershipFeed) {
+    if let Err(error) = follow(node, ownerships).await {
         log::debug!("event=cell_feed_failed error={error}");
-        watch.store_available_since = None;
+        ownerships.store_available_since = None;
         tokio::time::sleep(RETRY_PAUSE).await;
         return;
     }
     let now = node.now();
     node.last_store_contact.set(now);
-    let store_available_since = *watch.store_available_since.get_or_insert(now);
+    ownerships.store_available_since.get_or_insert(now);
     if node.is_stopping.get() {
         tokio::time::sleep(RETRY_PAUSE).await;
         return;
     }
     if node.config.borrow().version == 0 {
-        watch.feed.restart();
+        ownerships.feed.restart();
         tokio::time::sleep(CONFIG_POLL_PAUSE).await;
         return;
     }
-    let known_owner = node.known_owner.borrow().clone();
-    let is_free = known_owner.holder.is_none();
-    let was_this_entry = known_owner
-        .holder
-        .as_ref()
-        .is_some_and(|holder| holder.entry == node.settings.entry);
-    let is_silent = now.since(watch.last_change_at)
-        > watch.ownership_lease.max(MIN_OWNERSHIP_LEASE)
-        && now.since(store_available_since) > STORE_STABLE_AFTER;
-    if is_free || was_this_entry || is_silent {
-        tokio::time::sleep(takeover_delay(node.settings.cpu_share)).await;
-        take_over(node, watch, &known_owner).await;
-    } else if node.owner_silence() < OWNER_ACTIVE_WITHIN {
+    if ownerships.watches.len() < node.cells().len() {
+        // The rows of further cells are read first.
+        return;
+    }
+    if let Some(cell) = ownerships.next_takeover(node) {
+        tokio::time::sleep(takeover_delay(node.settings.cpu_share, node.owners().len())).await;
+        let known_owner = cell.known_owner.borrow().clone();
+        let watch = &ownerships.watches[usize::from(cell.id.number())];
+        take_over(node, &cell, watch, &known_owner).await;
+    } else if are_owners_active(node) {
         tokio::time::sleep(follow_pause(node.settings.cpu_share)).await;
     }
 }
 
+/// Returns whether the owners of all cells that this entry does not own have answered lately.
+fn are_owners_active(node: &Node) -> bool {
+    let active_within = node.poll_cycle().mul_f64(OWNER_ACTIVE_CYCLES);
+    let is_active = |cell: &Rc<CellState>| cell.owner_silence(node.now()) < active_within;
+    node.cells()
+        .iter()
+        .all(|cell| cell.is_owned() || is_active(cell))
+}
+
 /// Returns the pause between two polls while the owner is active. Every call to the store has a
 /// cost, and an entry with little processor time is an unlikely successor.
 fn follow_pause(cpu_share: f64) -> Duration {
@@ -288,27 +381,54 @@
         .min(MAX_FOLLOW_PAUSE)
 }
 
-/// Returns the delay before this entry takes over a free ownership. Entries with less processor
-/// time wait longer, because scheduling for all workers takes more than the smallest entries have.
-fn takeover_delay(cpu_share: f64) -> Duration {
+/// Returns the delay before this entry takes over a free cell. Entries with less processor time, or
+/// with cells already, wait longer.
+fn takeover_delay(cpu_share: f64, owned_cells: usize) -> Duration {
     let jitter_ms = rand::rng().random_range(0..MAX_TAKEOVER_JITTER_MS);
-    FULL_CORE_TAKEOVER_DELAY.div_f64(cpu_share) + Duration::from_millis(jitter_ms)
+    FULL_CORE_TAKEOVER_DELAY.div_f64(cpu_share)
+        + OWNED_CELL_DELAY * owned_cells as u32
+        + Duration::from_millis(jitter_ms)
 }
 
-async fn follow(node: &Node, watch: &mut OwnershipWatch) -> Result<(), StoreError> {
-    let long_poll_timeout = watch.long_poll_timeout(node.now());
-    match watch.feed.next(&node.store, long_poll_timeout).await? {
-        TableUpdate::Snapshot(rows) | TableUpdate::Changes(rows) => {
-            for row in &rows {
-                apply_row(node, watch, row);
+async fn follow(node: &Node, ownerships: &mut OwnershipFeed) -> Result<(), StoreError> {
+    let long_poll_timeout = ownerships.long_poll_timeout(node.now());
+    match ownerships.feed.next(&node.store, long_poll_timeout).await? {
+        TableUpdate::Snapshot(rows) => {
+            if node.layout().is_none() && !rows.iter().any(is_layout_row) {
+                node.set_layout(CellLayout::single());
             }
+            apply_rows(node, ownerships, &rows);
         }
+        TableUpdate::Changes(rows) => apply_rows(node, ownerships, &rows),
         TableUpdate::HistoryLost(after) => log::debug!("event=cell_history_lost after={after}"),
     }
     Ok(())
 }
 
-fn apply_row(node: &Node, watch: &mut OwnershipWatch, row: &StoredRow) {
+fn is_layout_row(row: &StoredRow) -> bool {
+    row.key.part.parse() == Ok(CellId::FIRST) && *row.key.key == *LAYOUT_KEY
+}
+
+fn apply_rows(node: &Node, ownerships: &mut OwnershipFeed, rows: &[StoredRow]) {
+    for row in rows {
+        if is_layout_row(row) {
+            match CellLayout::decode(&row.value) {
+                Ok(layout) => node.set_layout(layout),
+                Err(error) => log::error!("event=layout_row_malformed error={error}"),
+            }
+            continue;
+        }
+        let cell = row.key.part.parse().ok().and_then(|id| node.cell(id));
+        let Some(cell) = cell else {
+            continue;
+        };
+        if let Some(watch) = ownerships.watches.get_mut(usize::from(cell.id.number())) {
+            apply_row(node, &cell, watch, row);
+        }
+    }
+}
+
+fn apply_row(node: &Node, cell: &CellState, watch: &mut OwnershipWatch, row: &StoredRow) {
     let seen = match &*row.key.key {
         OWNER_KEY => &mut watch.owner_row_version,
         RENEWAL_KEY => &mut watch.renewal_row_version,
@@ -336,7 +456,7 @@
                 let inherited = Duration::from_millis(owner.inherited_lease_ms);
                 watch.inherited_at_release = owner.holder.is_none().then_some(inherited);
                 let holder = owner.holder.as_ref().and_then(HolderMessage::to_holder);
-                node.update_known_owner(FencingNumber::new(owner.fencing_number), holder);
+                cell.update_known_owner(node, FencingNumber::new(owner.fencing_number), holder);
             }
             Err(error) => log::error!("event=owner_row_malformed error={error}"),
         }
@@ -379,7 +499,7 @@
     match &known_owner.holder {
         None => PredecessorEnd::Released,
         Some(holder) if holder.entry == node.settings.entry => PredecessorEnd::EarlierProcess,
-        Some(_) => PredecessorEnd::Silent(watch.ownership_lease.max(MIN_OWNERSHIP_LEASE)),
+        Some(_) => PredecessorEnd::Silent(watch.lease()),
     }
 }
 
@@ -392,8 +512,23 @@
     watch.last_change_at + inherited_order_time(end, watch.vm_orders_on_the_way, order_time)
 }
 
-async fn take_over(node: &Rc<Node>, watch: &mut OwnershipWatch, known_owner: &KnownOwner) {
-    let fencing_number = known_owner.fencing_number.next();
+/// Returns the fencing number of the next owner of a cell. It exceeds those of owners from before the
+/// division, which workers of this cell may have seen.
+fn next_fencing_number(node: &Node, known_owner: &KnownOwner) -> FencingNumber {
+    let floor = node.layout().map(|layout| layout.fence_floor());
+    known_owner
+        .fencing_number
+        .max(floor.unwrap_or_default())
+        .next()
+}
+
+async fn take_over(
+    node: &Rc<Node>,
+    cell: &Rc<CellState>,
+    watch: &OwnershipWatch,
+    known_owner: &KnownOwner,
+) {
+    let fencing_number = next_fencing_number(node, known_owner);
     let this_entry = Holder {
         entry: node.settings.entry.clone(),
         address: node.settings.peers,
@@ -417,12 +552,12 @@
     };
     let transaction = Transaction {
         expected: vec![
-            (cell_row(OWNER_KEY), watch.owner_row_version),
-            (cell_row(RENEWAL_KEY), watch.renewal_row_version),
+            (cell_row(cell, OWNER_KEY), watch.owner_row_version),
+            (cell_row(cell, RENEWAL_KEY), watch.renewal_row_version),
         ],
         writes: vec![
-            (cell_row(OWNER_KEY), owner_row.encode_to_vec()),
-            renewal.write(),
+            (cell_row(cell, OWNER_KEY), owner_row.encode_to_vec()),
+            renewal.write(cell),
         ],
         removed: Vec::new(),
     };
@@ -430,13 +565,16 @@
     match node.store.commit(&transaction).await {
         Ok(CommitOutcome::Stored(version)) => {
             let silent_for = sent_at.since(watch.last_change_at);
-            log::info!("event=ownership_gained fence={fencing_number} silent_for={silent_for:?}");
-            node.update_known_owner(fencing_number, Some(this_entry));
+            log::info!(
+                "event=ownership_gained cell={} fence={fencing_number} silent_for={silent_for:?}",
+                cell.id
+            );
+            cell.update_known_owner(node, fencing_number, Some(this_entry));
             let inheritance = Inheritance {
                 vm_orders_until,
                 leases_until,
             };
-            let owner = Owner::new(node, fencing_number, version, sent_at, inheritance);
+            let owner = Owner::new(node, cell, fencing_number, version, sent_at, inheritance);
             if let Some(predecessor) = &known_owner.holder
                 && predecessor.entry != node.settings.entry
             {
@@ -446,23 +584,44 @@
                 };
                 predecessor::ask(node, &owner, predecessor.clone(), stated);
             }
-            owner::start(node, owner).await;
+            if owner::start(node, &owner).await {
+                let renewals = renew_until_ended(Rc::clone(node), Rc::clone(&owner));
+                spawn_owner_loop(node, &owner, "renewals", Activity::Rows, renewals);
+            }
         }
-        Ok(CommitOutcome::Conflict(_)) => log::debug!("event=takeover_lost fence={fencing_number}"),
-        Err(error) => log::warn!("event=takeover_failed fence={fencing_number} error={error}"),
+        Ok(CommitOutcome::Conflict(_)) => log::debug!(
+            "event=takeover_lost cell={} fence={fencing_number}",
+            cell.id
+        ),
+        Err(error) => log::warn!(
+            "event=takeover_failed cell={} fence={fencing_number} error={error}",
+            cell.id
+        ),
     }
 }
 
-/// Releases the ownership before a planned stop, so that another entry can take over at once.
-pub(crate) async fn release_ownership(node: &Rc<Node>) {
-    let Some(owner) = node.owner.borrow().clone() else {
-        return;
-    };
+/// Releases the ownership of all cells before a planned stop, so that other entries can take over at
+/// once.
+pub(crate) async fn release_ownerships(node: &Rc<Node>) {
+    let mut releases = JoinSet::new();
+    for owner in node.owners() {
+        let node = Rc::clone(node);
+        releases.spawn_local(async move { release_ownership(&node, &owner).await });
+    }
+    while let Some(released) = releases.join_next().await {
+        if let Err(error) = released {
+            log::error!("event=ownership_release_failed error={error}");
+        }
+    }
+}
+
+async fn release_ownership(node: &Node, owner: &Rc<Owner>) {
+    let cell = owner.cell();
     owner.close().await;
     let now = node.now();
     // No lease may be granted after this: the next owner counts lease expiry from when it sees the
     // row.
-    node.drop_ownership("handed_back");
+    cell.drop_ownership(node, "handed_back");
     let inherited = owner.inherited_leases_remaining(now);
     let row = OwnerRow {
         fencing_number: owner.fencing_number().get(),
@@ -471,26 +630,39 @@
     };
     let renewal = owner.renewal(now, MIN_OWNERSHIP_LEASE);
     let transaction = Transaction {
-        writes: vec![(cell_row(OWNER_KEY), row.encode_to_vec()), renewal.write()],
-        ..owner_transaction(&owner)
+        writes: vec![
+            (cell_row(cell, OWNER_KEY), row.encode_to_vec()),
+            renewal.write(cell),
+        ],
+        ..owner_transaction(owner)
     };
     match node.store.commit(&transaction).await {
-        Ok(_) => node.update_known_owner(owner.fencing_number(), None),
+        Ok(_) => cell.update_known_owner(node, owner.fencing_number(), None),
         Err(error) => log::warn!("event=ownership_release_failed error={error}"),
     }
 }
 
-fn cell_row(key: &str) -> RowKey {
-    RowKey::new(CELL_TABLE, CELL_PART, key)
+fn cell_row(cell: &CellState, key: &str) -> RowKey {
+    RowKey::new(CELL_TABLE, cell.part.clone(), key)
 }
 
 /// Returns a transaction without writes that commits only while this entry is still the owner.
 pub(crate) fn owner_transaction(owner: &Owner) -> Transaction {
+    let owner_row = cell_row(owner.cell(), OWNER_KEY);
     Transaction {
-        expected: vec![(cell_row(OWNER_KEY), Some(owner.owner_row_version()))],
+        expected: vec![(owner_row, Some(owner.owner_row_version()))],
         ..Transaction::default()
     }
 }
 
+/// Returns the transaction by which the owner of an undivided fleet divides it.
+pub(crate) fn division(owner: &Owner, layout: &CellLayout) -> Transaction {
+    let layout_row = cell_row(owner.cell(), LAYOUT_KEY);
+    let mut transaction = owner_transaction(owner);
+    transaction.expected.push((layout_row.clone(), None));
+    transaction.writes.push((layout_row, layout.encode()));
+    transaction
+}
+
 #[cfg(test)]
 mod tests;
--- a/rhubarbfall-scheduler/src/ownership/tests.rs
+++ b/rhubarbfall-scheduler/src/ownership/tests.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use prost::Message;
-use rhubarbfall_core::{BootTime, FencingNumber};
+use rhubarbfall_core::{BootTime, CellId, FencingNumber};
 
-use super::{MIN_OWNERSHIP_LEASE, Renewal, RenewalRow, max_inherited_lease};
+use super::{CellState, MIN_OWNERSHIP_LEASE, Renewal, RenewalRow, max_inherited_lease};
 
 const OWN_LEASE: Duration = Duration::from_millis(2_500);
 const MAX_LEASE: Duration = Duration::from_secs(10);
@@ -38,7 +38,7 @@
         vm_orders_on_the_way: Duration::ZERO,
         inherited_leases: Duration::from_millis(1_700),
     };
-    let (_, value) = renewal.write();
+    let (_, value) = renewal.write(&CellState::new(CellId::FIRST));
     let row = RenewalRow::decode(&*value).expect("valid renewal row");
     assert_eq!(row.inherited_leases_ms, Some(1_700));
 }
--- a/rhubarbfall-scheduler/src/peer.rs
+++ b/rhubarbfall-scheduler/src/peer.rs
@@ -7,14 +7,14 @@
 use bytes::Bytes;
 use http::{Method, StatusCode};
 use prost::Message;
-use rhubarbfall_core::{QueueId, SubmissionId};
+use rhubarbfall_core::{CellId, QueueId, SubmissionId};
 use rhubarbfall_runs::scheduler::SubmissionState;
 use rhubarbfall_runs::{Submission, decode_submission, encode_submission};
 use rhubarbfall_site::CallError;
 
 use crate::http_server::{ServerRequest, ServerResponse};
 use crate::node::Node;
-use crate::owner::RequestOutcome;
+use crate::owner::{Owner, RequestOutcome};
 use crate::peer_status::{self, PeerStatusRequest, PeerStatusResponse};
 
 const SUBMIT_PATH: &str = "/submit";
@@ -65,6 +65,9 @@
 struct PendingMessage {
     #[prost(uint64, optional, tag = "1")]
     pending: Option<u64>,
+    /// The cells that are counted; none stands for the first one, which earlier versions count.
+    #[prost(uint32, repeated, tag = "2")]
+    cells: Vec<u32>,
 }
 
 /// Forwards a submission to the owner at `address`.
@@ -107,16 +110,21 @@
     message.submission_state()
 }
 
-/// Returns how many submissions of a queue have not started, from the owner at `address`.
+/// Returns how many submissions of a queue in these cells have not started, from their owner at
+/// `address`.
 pub(crate) async fn pending(
     node: &Node,
     address: SocketAddr,
     queue: &QueueId,
+    cells: &[CellId],
     timeout: Duration,
 ) -> Result<u64, PeerError> {
     let path = format!("{PENDING_PATH}{queue}");
     let answer = call(node, address, Method::GET, &path, Bytes::new(), timeout).await?;
     let message: PendingMessage = decode(&answer)?;
+    if message.counted_cells() != cells {
+        return Err(PeerError::Unknown);
+    }
     message.pending.ok_or(PeerError::Unknown)
 }
 
@@ -174,12 +182,14 @@
             Err(_) => ServerResponse::empty(StatusCode::BAD_REQUEST),
         };
     }
-    let Some(owner) = node.active_owner() else {
-        return ServerResponse::empty(StatusCode::MISDIRECTED_REQUEST);
-    };
     if path == SUBMIT_PATH {
         return match decode_submission(&request.body) {
-            Ok(submission) => respond(&OutcomeMessage::from(owner.submit(&node, submission).await)),
+            Ok(submission) => match active_owner_of(&node, &submission.id) {
+                Some(owner) => {
+                    respond(&OutcomeMessage::from(owner.submit(&node, submission).await))
+                }
+                None => not_owned(),
+            },
             Err(error) => {
                 log::error!("event=peer_request_malformed error={error}");
                 ServerResponse::empty(StatusCode::BAD_REQUEST)
@@ -187,9 +197,15 @@
         };
     }
     if let Some(id) = read_id(path, CANCEL_PATH) {
-        return respond(&OutcomeMessage::from(owner.cancel(&node, &id).await));
+        return match active_owner_of(&node, &id) {
+            Some(owner) => respond(&OutcomeMessage::from(owner.cancel(&node, &id).await)),
+            None => not_owned(),
+        };
     }
     if let Some(id) = read_id(path, STATE_PATH) {
+        let Some(owner) = active_owner_of(&node, &id) else {
+            return not_owned();
+        };
         let state = owner.with(|scheduler| scheduler.submission_state(&id));
         return respond(&StateMessage {
             state: state_number(state),
@@ -199,14 +215,63 @@
         .strip_prefix(PENDING_PATH)
         .and_then(|queue| queue.parse().ok())
     {
-        let pending = owner.with(|scheduler| scheduler.pending(&queue)) as u64;
-        return respond(&PendingMessage {
-            pending: Some(pending),
-        });
+        return match pending_here(&node, &queue) {
+            Some(message) => respond(&message),
+            None => not_owned(),
+        };
     }
     ServerResponse::empty(StatusCode::NOT_FOUND)
 }
 
+fn active_owner_of(node: &Node, id: &SubmissionId) -> Option<Rc<Owner>> {
+    node.cell_of(id)?.active_owner(node.now())
+}
+
+/// Answers a request for a cell that this entry does not own.
+fn not_owned() -> ServerResponse {
+    ServerResponse::empty(StatusCode::MISDIRECTED_REQUEST)
+}
+
+/// Counts a queue's submissions that have not started in the cells that this entry owns, or returns
+/// `None` if there are none.
+fn pending_here(node: &Node, queue: &QueueId) -> Option<PendingMessage> {
+    let cells = node.cells();
+    let owners = cells
+        .iter()
+        .filter_map(|cell| cell.active_owner(node.now()));
+    let owners: Vec<Rc<Owner>> = owners.collect();
+    if owners.is_empty() {
+        return None;
+    }
+    let counts = owners
+        .iter()
+        .map(|owner| owner.with(|scheduler| scheduler.pending(queue)));
+    let pending: usize = counts.sum();
+    let is_divided = cells.len() > 1;
+    let counted = owners
+        .iter()
+        .filter(|_| is_divided)
+        .map(|owner| u32::from(owner.cell().id.number()));
+    Some(PendingMessage {
+        pending: Some(pending as u64),
+        cells: counted.collect(),
+    })
+}
+
+impl PendingMessage {
+    /// Returns the cells that are counted, by number.
+    fn counted_cells(&self) -> Vec<CellId> {
+        if self.cells.is_empty() {
+            return vec![CellId::FIRST];
+        }
+        let numbers = self
+            .cells
+            .iter()
+            .filter_map(|number| u16::try_from(*number).ok());
+        numbers.map(CellId::new).collect()
+    }
+}
+
 fn read_id(path: &str, prefix: &str) -> Option<SubmissionId> {
     path.strip_prefix(prefix)?.parse().ok()
 }
--- a/rhubarbfall-scheduler/src/predecessor.rs
+++ b/rhubarbfall-scheduler/src/predecessor.rs
@@ -6,7 +6,8 @@
 
 use rhubarbfall_core::BootTime;
 
-use crate::node::{Holder, Node};
+use crate::cell_state::Holder;
+use crate::node::Node;
 use crate::owner::Owner;
 use crate::ownership::max_inherited_lease;
 use crate::{peer, peer_status};
@@ -42,7 +43,7 @@
             leases: stated.inherited_leases.is_some(),
         };
         while !owner.has_ended() && open.matters(&owner, node.now()) {
-            if let Some(answer) = ask_once(&node, &predecessor).await {
+            if let Some(answer) = ask_once(&node, &owner, &predecessor).await {
                 open.process(answer, &node, &owner, &predecessor, stated);
             }
             tokio::time::sleep(ASK_INTERVAL).await;
@@ -116,8 +117,8 @@
 }
 
 /// Asks the predecessor, and returns `None` if it does not answer or has not ended its ownership.
-async fn ask_once(node: &Node, predecessor: &Holder) -> Option<Answer> {
-    let request = peer_status::status_request(node);
+async fn ask_once(node: &Node, owner: &Owner, predecessor: &Holder) -> Option<Answer> {
+    let request = peer_status::status_request(owner.cell());
     let response = peer::exchange_status(node, predecessor.address, &request, ASK_TIMEOUT)
         .await
         .ok()?;
--- a/rhubarbfall-scheduler/src/settings.rs
+++ b/rhubarbfall-scheduler/src/settings.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use quick_error::quick_error;
-use rhubarbfall_core::{AvailabilityZoneId, EntryId};
+use rhubarbfall_core::{AvailabilityZoneId, CellId, EntryId};
 use rhubarbfall_runs::scheduler::SchedulerSettings;
 use serde::Deserialize;
 
@@ -86,6 +86,12 @@
     /// time for which an order may be on its way.
     #[serde(default = "default_vm_order_gap_ms")]
     pub vm_order_gap_ms: u64,
+    /// Number of VMs from which on a fleet is divided into cells; at least 2.
+    #[serde(default = "default_min_divided_vms")]
+    pub min_divided_vms: usize,
+    /// Number of VMs of a cell, about; at least 1.
+    #[serde(default = "default_vms_per_cell")]
+    pub vms_per_cell: usize,
     /// Share of a core available to this entry, such as 0.25; above 0.
     #[serde(default = "default_cpu_share")]
     pub cpu_share: f64,
@@ -114,6 +120,15 @@
     3_000
 }
 
+/// Fleets of up to 350 VMs need a small part of a core.
+const fn default_min_divided_vms() -> usize {
+    500
+}
+
+const fn default_vms_per_cell() -> usize {
+    140
+}
+
 const fn default_cpu_share() -> f64 {
     1.0
 }
@@ -141,6 +156,16 @@
         }
     }
 
+    /// Returns the settings of the scheduler of a cell.
+    #[must_use]
+    pub fn scheduler_of(&self, cell: CellId, cells: u16) -> SchedulerSettings {
+        SchedulerSettings {
+            cell,
+            cells,
+            ..self.scheduler()
+        }
+    }
+
     /// Returns how long an order for a VM may be on its way after its call has ended without an
     /// answer; zero if the VM service refuses the orders of earlier owners.
     #[must_use]
@@ -194,6 +219,16 @@
             "vm_order_gap_ms must be at least 1500",
         ));
     }
+    if settings.min_divided_vms < 2 {
+        return Err(SchedulerSettingsError::Invalid(
+            "min_divided_vms must be at least 2",
+        ));
+    }
+    if settings.vms_per_cell < 1 {
+        return Err(SchedulerSettingsError::Invalid(
+            "vms_per_cell must be at least 1",
+        ));
+    }
     if settings.log_level.parse::<log::LevelFilter>().is_err() {
         return Err(SchedulerSettingsError::Invalid(
             "log_level must be off, error, warn, info, debug or trace",
--- a/rhubarbfall-scheduler/src/supervision.rs
+++ b/rhubarbfall-scheduler/src/supervision.rs
@@ -56,7 +56,7 @@
     spawn_local(async move {
         if spawn_local(work).await.is_err() && !owner.has_ended() {
             log::error!("event=owner_loop_failed loop={name}");
-            node.drop_ownership("loop_failed");
+            owner.cell().drop_ownership(&node, "loop_failed");
         }
     });
 }
--- a/rhubarbfall-scheduler/src/table_feed.rs
+++ b/rhubarbfall-scheduler/src/table_feed.rs
@@ -1,16 +1,17 @@
-//! Change feed of one partition of a table.
+//! Change feed of partitions of a table.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use rhubarbfall_core::RowVersion;
 use rhubarbfall_site::{FeedOutcome, StoreClient, StoreError, StoredRow};
 
-/// Follows one partition of a table: a snapshot first, then changes, and a new snapshot when the
-/// store no longer has the change history.
+/// Follows partitions of a table: a snapshot first, then changes, and a new snapshot when the store no
+/// longer has the change history.
 #[derive(Debug)]
 pub(crate) struct TableFeed {
     table: &'static str,
-    part: &'static str,
+    parts: Vec<Arc<str>>,
     after: Option<RowVersion>,
 }
 
@@ -26,14 +27,25 @@
 }
 
 impl TableFeed {
-    pub(crate) const fn new(table: &'static str, part: &'static str) -> Self {
+    /// Follows one partition.
+    pub(crate) fn new(table: &'static str, part: impl Into<Arc<str>>) -> Self {
+        Self::of_parts(table, vec![part.into()])
+    }
+
+    /// Follows several partitions.
+    pub(crate) const fn of_parts(table: &'static str, parts: Vec<Arc<str>>) -> Self {
         Self {
             table,
-            part,
+            parts,
             after: None,
         }
     }
 
+    /// Returns the number of partitions that are followed.
+    pub(crate) const fn part_count(&self) -> usize {
+        self.parts.len()
+    }
+
     /// Makes the next poll return a snapshot.
     pub(crate) const fn restart(&mut self) {
         self.after = None;
@@ -46,14 +58,20 @@
         wait: Duration,
     ) -> Result<TableUpdate, StoreError> {
         let Some(after) = self.after else {
-            let (rows, as_of) = store.read_all(self.table, self.part).await?;
-            self.after = Some(as_of);
-            return Ok(TableUpdate::Snapshot(rows));
+            let (mut all_rows, mut first_as_of) = (Vec::new(), None);
+            for part in &self.parts {
+                let (rows, as_of) = store.read_all(self.table, part).await?;
+                // Changes since the first read are repeated by the feed.
+                first_as_of.get_or_insert(as_of);
+                all_rows.extend(rows);
+            }
+            self.after = first_as_of;
+            return Ok(TableUpdate::Snapshot(all_rows));
         };
         match store.poll_feed(self.table, after, wait).await? {
             FeedOutcome::Changes(mut rows, newest) => {
                 self.after = Some(newest.max(after));
-                rows.retain(|row| *row.key.part == *self.part);
+                rows.retain(|row| self.parts.contains(&row.key.part));
                 Ok(TableUpdate::Changes(rows))
             }
             FeedOutcome::HistoryLost => {
