fix(runs): take as many VMs as large lasting tasks need that wait

Cause: a pool's need is the sum of its tasks' demands with 15% for packing. Tasks of half a VM and more leave room that none of them can use. The pool was said to need 17 VMs and had 18, with three tasks without a place.

Change: while lasting tasks wait that their customer's limit allows, a pool needs the VMs that are in use and those that the waiting tasks need, by how many of them a VM holds.

--- a/rhubarbfall-runs/src/scheduler/pools.rs
+++ b/rhubarbfall-runs/src/scheduler/pools.rs
@@ -9,7 +9,7 @@
 use super::ordering::is_still_useful;
 use super::token_bucket::TokenBucket;
 use super::vm_operations::{VmOperation, VmState};
-use crate::{JobState, Resources, WorkerState};
+use crate::{JobState, Resources, Task, TaskPhase, WorkerState};
 
 /// The factor on the sum of demands that allows for capacity lost in packing tasks of different
 /// sizes.
@@ -217,13 +217,53 @@
                 }
             }
             if !service.is_spare {
+                let occupied = load.supply - load.idle.len();
+                let for_waiting = self.vms_for_waiting_long_running(&service.id, vm_size, now);
                 load.needed = self.needed_vms(&service.id, vm_size, now);
+                if for_waiting > 0 {
+                    load.needed = load.needed.max(occupied + for_waiting);
+                }
             }
             loads.push(load);
         }
         loads
     }
 
+    /// Returns the number of empty VMs of this size that the waiting long-running tasks of a service
+    /// need. They may wait although the pool has the resources that all tasks need together, since
+    /// what is left on each VM is too small for them.
+    fn vms_for_waiting_long_running(
+        &self,
+        service: &ServiceId,
+        vm_size: Resources,
+        now: BootTime,
+    ) -> usize {
+        let mut vms = 0;
+        for job in self.jobs().filter(|job| job.state == JobState::Active) {
+            let queue = self.config.queue(&job.submission.queue);
+            if queue.is_none_or(|queue| queue.service != *service) {
+                continue;
+            }
+            let customer = job.submission.customer.as_ref();
+            for (_, _, step, run) in job.open_steps() {
+                if !step.is_long_running || !self.is_within_customer_limit(customer, step.demand) {
+                    continue;
+                }
+                let is_waiting =
+                    |task: &&Task| task.phase == TaskPhase::Waiting && task.not_before <= now;
+                let waiting = run.tasks.iter().filter(is_waiting).count();
+                let share = step.reserved().fraction_of(vm_size);
+                let per_vm = if share > 0.0 {
+                    (1.0 / share) as usize
+                } else {
+                    waiting
+                };
+                vms += waiting.div_ceil(per_vm.max(1));
+            }
+        }
+        vms
+    }
+
     /// Returns the number of VMs of this size that the open work of a service needs.
     fn needed_vms(&self, service: &ServiceId, vm_size: Resources, now: BootTime) -> usize {
         let vm_size = if vm_size == Resources::default() {
