fix(scheduler): poll the owners of several cells at the same time

Cause: found by reading. An entry of a divided fleet polled owners one after the other, so that one that did not answer for 0.5 s delayed the poll of the next, and a cycle of a second took several.

Change: the polls of an interval run at the same time. An undivided fleet has one poll an interval as before.

Result: no measurement of its own; the tests of the package and tests/cells.rs pass.

--- a/rhubarbfall-scheduler/src/peer_status.rs
+++ b/rhubarbfall-scheduler/src/peer_status.rs
@@ -11,6 +11,8 @@
 use rhubarbfall_runs::CellLayout;
 use rhubarbfall_site::{OPERATOR_TABLE, OperatorRow, RowKey, StoredRow, decode_operator_row};
 
+use tokio::task::JoinSet;
+
 use crate::cell_state::{CellState, Holder};
 use crate::node::Node;
 use crate::peer;
@@ -184,10 +186,14 @@
         } else {
             1
         };
+        let mut polls = JoinSet::new();
         for _ in 0..polled {
-            poll_cell(&node, &cells[next % cells.len()], round).await;
+            let (node, cell) = (Rc::clone(&node), Rc::clone(&cells[next % cells.len()]));
+            polls.spawn_local(async move { poll_cell(&node, &cell, round).await });
             next += 1;
         }
+        // A panic in a poll restarts the duty.
+        polls.join_all().await;
         round += 1;
     }
 }
