test(soak): divide the fleet into two or three cells

`--cells N` gives the stand-in racks and a list of VMs, and the entries settings by which they divide the fleet before the callers begin.

--- a/rhubarbfall/tests/soak/entry.rs
+++ b/rhubarbfall/tests/soak/entry.rs
@@ -50,6 +50,7 @@
         site: &StandInSite,
         seed: u64,
         count: usize,
+        more_settings: &str,
         disturbances: &Arc<DisturbanceLog>,
     ) -> Self {
         let directory = tempfile::Builder::new()
@@ -65,7 +66,7 @@
             let name = format!("entry-{index}");
             let text = addresses.settings(&name, &seeds, store_relay.address(), site.vm_service);
             let settings = directory.path().join(format!("{name}.toml"));
-            std::fs::write(&settings, text).expect("the settings are written");
+            std::fs::write(&settings, text + more_settings).expect("the settings are written");
             processes.push(SchedulerEntry {
                 caller_address: addresses.callers,
                 store_relay,
--- a/rhubarbfall/tests/soak/fleet.rs
+++ b/rhubarbfall/tests/soak/fleet.rs
@@ -15,9 +15,6 @@
 /// The mean time between two changes.
 const MEAN_CHANGE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// The number of workers below which none leaves.
-const MIN_WORKERS: usize = 4;
-
 /// A change that starts at `at`, measured from the start of the injection.
 #[derive(Debug, Clone)]
 pub(crate) struct FleetChange {
@@ -79,6 +76,8 @@
     site: StandInSite,
     disturbances: Arc<DisturbanceLog>,
     slots: Mutex<Vec<WorkerSlot>>,
+    /// The number of workers below which none leaves.
+    min_workers: usize,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -96,6 +95,7 @@
         disturbances: Arc<DisturbanceLog>,
         workers: usize,
         spares: usize,
+        min_workers: usize,
     ) -> Self {
         let mut slots = vec![WorkerSlot::Up; workers];
         for spare in workers..workers + spares {
@@ -107,6 +107,7 @@
             site,
             disturbances,
             slots: Mutex::new(slots),
+            min_workers,
         }
     }
 
@@ -183,7 +184,7 @@
         let can_begin = match (slot, kind) {
             (WorkerSlot::Changing, _) => false,
             (WorkerSlot::Away, kind) => matches!(kind, ChangeKind::LeaveOrJoin),
-            (WorkerSlot::Up, _) => up > MIN_WORKERS,
+            (WorkerSlot::Up, _) => up > self.min_workers,
         };
         if !can_begin {
             return None;
--- a/rhubarbfall/tests/soak/main.rs
+++ b/rhubarbfall/tests/soak/main.rs
@@ -2,7 +2,8 @@
 //! platform while faults are injected; the guarantees are checked at callers and workers.
 //!
 //! `cargo test --release -p rhubarbfall --test soak -- --seed 7` runs one seed, `--seeds 50` runs
-//! fifty from `--first`, and without either the regression seeds and two more are run.
+//! fifty from `--first`, and without either the regression seeds and a few more are run. `--cells 2` divides
+//! the fleet into two cells.
 
 mod callers;
 mod cancels;
@@ -28,7 +29,7 @@
 use tokio::task::JoinHandle;
 
 use callers::CallerHistory;
-use checker::{ACK_BOUND, SETTLE_TIME};
+use checker::{ACK_BOUND, SETTLE_TIME, SoakVerdict};
 use disturbances::DisturbanceLog;
 use entry::Entries;
 use faults::Fault;
@@ -56,6 +57,22 @@
 /// Further seeds that CI runs.
 const CI_SEEDS: [u64; 2] = [1, 2];
 
+/// Seeds that CI runs with the fleet divided, each with the number of cells.
+const CI_CELL_SEEDS: [(u64, usize); 2] = [(1, 2), (2, 3)];
+
+/// The number of workers that each cell of a divided fleet has at first.
+const WORKERS_PER_CELL: usize = 5;
+
+/// The number of racks that each cell of a divided fleet has.
+const RACKS_PER_CELL: usize = 2;
+
+/// The number of workers below which none leaves. A divided fleet keeps all but two, so that each
+/// cell has some.
+const MIN_WORKERS: usize = 4;
+
+/// The time within which a fleet is divided.
+const DIVISION_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// The time for which faults are injected.
 const FAULT_DURATION: Duration = Duration::from_secs(12);
 
@@ -92,6 +109,52 @@
     entries: usize,
     workers: usize,
     callers: usize,
+    cells: usize,
+}
+
+impl SoakConfig {
+    /// Returns this size with the fleet divided into cells.
+    fn with_cells(self, cells: usize) -> Self {
+        if cells < 2 {
+            return self;
+        }
+        let workers = self.workers.max(cells * WORKERS_PER_CELL);
+        Self {
+            workers,
+            cells,
+            ..self
+        }
+    }
+
+    const fn is_divided(&self) -> bool {
+        self.cells > 1
+    }
+
+    const fn racks(&self) -> usize {
+        if self.is_divided() {
+            self.cells * RACKS_PER_CELL
+        } else {
+            1
+        }
+    }
+
+    const fn min_workers(&self) -> usize {
+        if self.is_divided() {
+            self.workers - 2
+        } else {
+            MIN_WORKERS
+        }
+    }
+
+    /// Returns the settings that divide the fleet.
+    fn settings(&self) -> String {
+        if !self.is_divided() {
+            return String::new();
+        }
+        let vms = self.workers + SPARE_WORKERS;
+        let per_cell = vms / self.cells;
+        format!("min_divided_vms = {vms}\nvms_per_cell = {per_cell}\n")
+    }
 }
 
 fn main() -> ExitCode {
@@ -104,28 +167,32 @@
         return ExitCode::SUCCESS;
     }
     let first = arguments.get_one::<u64>("first").copied().unwrap_or(1_000);
-    let seeds: Vec<u64> = match (
+    let cells = arguments.get_one::<usize>("cells").copied().unwrap_or(1);
+    let seeds: Vec<(u64, usize)> = match (
         arguments.get_one::<u64>("seed"),
         arguments.get_one::<u64>("seeds"),
     ) {
-        (Some(seed), _) => vec![*seed],
-        (None, Some(count)) => (first..first + count).collect(),
+        (Some(seed), _) => vec![(*seed, cells)],
+        (None, Some(count)) => (first..first + count).map(|seed| (seed, cells)).collect(),
         (None, None) => REGRESSION_SEEDS
             .iter()
             .map(|(seed, _)| *seed)
             .chain(CI_SEEDS)
+            .map(|seed| (seed, cells))
+            .chain(CI_CELL_SEEDS)
             .collect(),
     };
     let config = SoakConfig {
         entries: arguments.get_one::<usize>("entries").copied().unwrap_or(4),
         workers: arguments.get_one::<usize>("workers").copied().unwrap_or(6),
         callers: arguments.get_one::<usize>("callers").copied().unwrap_or(8),
+        cells: 1,
     };
     let runtime = tokio::runtime::Runtime::new().expect("the runtime starts");
-    let failed: Vec<u64> = seeds
+    let failed: Vec<(u64, usize)> = seeds
         .iter()
         .copied()
-        .filter(|seed| !runtime.block_on(run_seed(*seed, config)))
+        .filter(|(seed, cells)| !runtime.block_on(run_seed(*seed, config.with_cells(*cells))))
         .collect();
     println!(
         "{} passed, {} failed",
@@ -135,7 +202,7 @@
     if failed.is_empty() {
         ExitCode::SUCCESS
     } else {
-        println!("failed seeds: {failed:?}");
+        println!("failed seeds, each with the number of cells: {failed:?}");
         ExitCode::FAILURE
     }
 }
@@ -161,6 +228,7 @@
         .arg(count("entries"))
         .arg(count("workers"))
         .arg(count("callers"))
+        .arg(count("cells"))
         // Arguments that the test harness of the workspace passes to every test program.
         .arg(flag("list"))
         .arg(flag("exact"))
@@ -193,7 +261,7 @@
     } else {
         config.callers
     };
-    let site = StandInSite::start(config.workers + SPARE_WORKERS, task_duration).await;
+    let site = start_site(config, task_duration).await;
     let worker_relays = start_worker_relays(&site, config.workers + SPARE_WORKERS).await;
     let disturbances = Arc::new(DisturbanceLog::default());
     let fleet = Arc::new(Fleet::new(
@@ -201,8 +269,14 @@
         Arc::clone(&disturbances),
         config.workers,
         SPARE_WORKERS,
+        config.min_workers(),
     ));
-    let entries = Arc::new(Entries::start(&site, seed, config.entries, &disturbances).await);
+    let settings = config.settings();
+    let entries = Entries::start(&site, seed, config.entries, &settings, &disturbances).await;
+    let entries = Arc::new(entries);
+    if config.is_divided() {
+        wait_until_divided(&site).await;
+    }
     let history = Arc::new(CallerHistory::default());
     let shared = (Arc::clone(&entries), Arc::clone(&history));
     let submitting = spawn_callers(callers, &mut rng, &shared, callers::run);
@@ -239,27 +313,54 @@
     let verdict = checker::check_history(&history, &entries, &site, &disturbances);
     let elapsed = started_at.elapsed();
     println!(
-        "seed {seed}: {} in {elapsed:.1?}; {}",
+        "seed {seed}, cells {}: {} in {elapsed:.1?}; {}",
+        config.cells,
         verdict.summary(),
         history.summary()
     );
     if !verdict.violations.is_empty() {
-        for violation in &verdict.violations {
-            println!("  broken: {violation}");
-        }
         for fault in &schedule {
             println!("  fault: {fault:?}");
         }
         for change in &changes {
             println!("  change: {change:?}");
         }
-        println!("  logs: {}", entries.keep_logs().display());
-        println!("  again: cargo test --release -p rhubarbfall --test soak -- --seed {seed}");
+        print_violations(seed, config, &verdict, &entries);
     }
     entries.kill_all();
     verdict.violations.is_empty()
 }
 
+fn print_violations(seed: u64, config: SoakConfig, verdict: &SoakVerdict, entries: &Entries) {
+    for violation in &verdict.violations {
+        println!("  broken: {violation}");
+    }
+    println!("  logs: {}", entries.keep_logs().display());
+    println!(
+        "  again: cargo test --release -p rhubarbfall --test soak -- --seed {seed} --cells {}",
+        config.cells
+    );
+}
+
+/// Starts a stand-in of the platform, which lists VMs if the fleet is to be divided.
+async fn start_site(config: SoakConfig, task_duration: Duration) -> StandInSite {
+    let workers = config.workers + SPARE_WORKERS;
+    let site = StandInSite::start_in_racks(workers, config.racks(), task_duration).await;
+    if config.is_divided() {
+        site.list_vms();
+    }
+    site
+}
+
+/// Waits until the entries have divided the fleet: a fleet with submissions stays undivided.
+async fn wait_until_divided(site: &StandInSite) {
+    let deadline = Instant::now() + DIVISION_TIMEOUT;
+    while !site.has_row("cell", "c0", "layout") {
+        assert!(Instant::now() < deadline, "the fleet is not divided");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
 /// Spawns callers, each with a seed of its own.
 fn spawn_callers<F>(
     count: usize,
