--- a/rhubarbfall-runs/tests/cell_shares.rs
+++ b/rhubarbfall-runs/tests/cell_shares.rs
@@ -280,3 +280,15 @@
         "{within} of {number} within the weight"
     );
 }
+
+/// Guards against cells that move more VMs together than the VM service allows for the whole fleet.
+#[test]
+fn a_cell_keeps_to_its_part_of_the_rate_of_moves() {
+    let pools = [("labels", 0), ("spare", 120)];
+    let mut model = Model::of_cell(&pools, 3, CellId::new(2), 4);
+    let work = submission(1, "labels", step(600, 8_000));
+    model.submit(work, Duration::from_secs(60));
+    model.run_for(Duration::from_secs(3));
+    // A quarter of 48 a second, and the burst of a quarter of a second.
+    assert!((30..=40).contains(&model.moves), "{} moves", model.moves);
+}
