fix(runs): lend whole tasks, so that what a limit allows can start in some cell

Cause: found by reading. Under contention each cell got its part in proportion. With tasks larger than that part (a limit of 10 cores, tasks of 8, eight cells that want two each) no cell could start anything, though the limit allows one: a lasting task of a small customer would never run.

Change: cells report what the smallest of their waiting tasks needs. A part that is too small to start anything goes to others, the cells that are served least first. It replaces the rule for units that cannot be divided.

Result: tests/lending.rs has the case above: each cell runs its two tasks, one after the other.

--- a/rhubarbfall-runs/src/lending/lender.rs
+++ b/rhubarbfall-runs/src/lending/lender.rs
@@ -1,12 +1,13 @@
 //! The decisions of the lender.
 
-use std::cmp::Reverse;
-
 use litemap::LiteMap;
 use rhubarbfall_core::CellId;
 
 use super::{Account, AccountGrants, AccountUse, CellReport, Grant, Grants, equal_share};
 
+/// The resolution at which cells are compared by how well they are served.
+const PER_MILLE: u64 = 1_000;
+
 /// Moves shares to the cells that need them, and returns the new grants, or `None` if nothing changes.
 ///
 /// `limits` are the limits in force, without those that are unlimited. `reports` are the newest
@@ -110,10 +111,10 @@
         }
         of_account.limit = self.limit;
         self.lower_ceilings(of_account);
-        let wanted = self.wanted(of_account);
-        let is_short = |(grant, wanted): (&Grant, &u64)| *wanted > grant.granted;
-        if of_account.cells.iter().zip(&wanted).any(is_short) {
-            self.transfer(of_account, &wanted);
+        let uses = self.uses(of_account);
+        let is_short = |(grant, of_cell): (&Grant, &AccountUse)| of_cell.wanted > grant.granted;
+        if of_account.cells.iter().zip(&uses).any(is_short) {
+            self.transfer(of_account, &uses);
         }
     }
 
@@ -131,14 +132,18 @@
         }
     }
 
-    /// Returns what each cell needs. A cell that has not reported keeps its share.
-    fn wanted(&self, of_account: &AccountGrants) -> Vec<u64> {
+    /// Returns what each cell uses and needs. A cell that has not reported keeps its share.
+    fn uses(&self, of_account: &AccountGrants) -> Vec<AccountUse> {
         let cells = of_account.cells.iter().enumerate();
         cells
             .map(|(cell, grant)| match self.use_of(cell) {
-                Some(of_cell) => of_cell.wanted,
-                None if self.report(cell).is_some() => 0,
-                None => grant.granted,
+                Some(of_cell) => of_cell,
+                None if self.report(cell).is_some() => AccountUse::default(),
+                None => AccountUse {
+                    used: grant.granted,
+                    wanted: grant.granted,
+                    ..AccountUse::default()
+                },
             })
             .collect()
     }
@@ -151,8 +156,8 @@
 
     /// Lowers shares beyond what the cells are to have, and raises others as far as the ceilings
     /// leave room.
-    fn transfer(&self, of_account: &mut AccountGrants, wanted: &[u64]) {
-        let targets = targets(self.limit, &of_account.cells, wanted);
+    fn transfer(&self, of_account: &mut AccountGrants, uses: &[AccountUse]) {
+        let targets = targets(self.limit, uses);
         for (cell, target) in targets.iter().enumerate() {
             let grant = &mut of_account.cells[cell];
             // A share that changes again before its cell has reported would keep its ceiling.
@@ -182,22 +187,50 @@
 }
 
 /// Divides a limit by what the cells want: what is left over goes to all equally, and what is missing
-/// is missing in proportion. Units that cannot be divided go to those that want most, and of these to
-/// those that have a share.
-fn targets(limit: u64, grants: &[Grant], wanted: &[u64]) -> Vec<u64> {
-    let total: u128 = wanted.iter().map(|wanted| u128::from(*wanted)).sum();
+/// is missing in proportion. A part that is too small to start anything goes to others, the cells that are
+/// served least first, so that whatever the limit allows can start in some cell.
+fn targets(limit: u64, uses: &[AccountUse]) -> Vec<u64> {
+    let total: u128 = uses.iter().map(|of_cell| u128::from(of_cell.wanted)).sum();
     if total <= u128::from(limit) {
         let left = limit - total as u64;
-        let extra = left / (wanted.len() as u64).max(1);
-        return wanted.iter().map(|wanted| wanted + extra).collect();
+        let extra = left / (uses.len() as u64).max(1);
+        return uses.iter().map(|of_cell| of_cell.wanted + extra).collect();
+    }
+    let in_proportion =
+        |of_cell: &AccountUse| (u128::from(of_cell.wanted) * u128::from(limit) / total) as u64;
+    let startable = |of_cell: &AccountUse| {
+        let part = in_proportion(of_cell);
+        let is_useful = part >= of_cell.used.saturating_add(of_cell.unit);
+        if is_useful {
+            part
+        } else {
+            part.min(of_cell.used)
+        }
+    };
+    let mut targets: Vec<u64> = uses.iter().map(startable).collect();
+    let mut left = limit - targets.iter().sum::<u64>();
+    let mut order: Vec<usize> = (0..uses.len()).collect();
+    // The least served first, by the part of what they want that they use.
+    order.sort_by_key(|cell| {
+        let of_cell = &uses[*cell];
+        u128::from(of_cell.used) * u128::from(PER_MILLE) / u128::from(of_cell.wanted.max(1))
+    });
+    for cell in &order {
+        let of_cell = &uses[*cell];
+        let useful = of_cell
+            .used
+            .saturating_add(of_cell.unit)
+            .min(of_cell.wanted);
+        let missing = useful.saturating_sub(targets[*cell]);
+        if missing <= left {
+            targets[*cell] += missing;
+            left -= missing;
+        }
     }
-    let in_proportion = |wanted: &u64| (u128::from(*wanted) * u128::from(limit) / total) as u64;
-    let mut targets: Vec<u64> = wanted.iter().map(in_proportion).collect();
-    let left = limit - targets.iter().sum::<u64>();
-    let mut order: Vec<usize> = (0..wanted.len()).collect();
-    order.sort_by_key(|cell| Reverse((wanted[*cell], grants[*cell].granted)));
-    for cell in order.into_iter().take(left as usize) {
-        targets[cell] += 1;
+    for cell in &order {
+        let more = uses[*cell].wanted.saturating_sub(targets[*cell]).min(left);
+        targets[*cell] += more;
+        left -= more;
     }
     targets
 }
--- a/rhubarbfall-runs/src/lending/record.rs
+++ b/rhubarbfall-runs/src/lending/record.rs
@@ -79,6 +79,8 @@
     wanted: u64,
     #[prost(bool, tag = "4")]
     is_unsettled: bool,
+    #[prost(uint64, tag = "5")]
+    unit: u64,
 }
 
 impl Grants {
@@ -146,6 +148,7 @@
             used: of_account.used,
             wanted: of_account.wanted,
             is_unsettled: of_account.is_unsettled,
+            unit: of_account.unit,
         });
         let record = ReportRecord {
             follows: self.follows,
@@ -175,6 +178,7 @@
                     used: of_account.used,
                     wanted: of_account.wanted,
                     is_unsettled: of_account.is_unsettled,
+                    unit: of_account.unit,
                 },
             );
         }
--- a/rhubarbfall-runs/src/resources.rs
+++ b/rhubarbfall-runs/src/resources.rs
@@ -62,6 +62,16 @@
         }
     }
 
+    /// Returns the component-wise minimum.
+    #[must_use]
+    pub fn min(self, other: Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.min(other.cpu_millis),
+            memory_mb: self.memory_mb.min(other.memory_mb),
+            gpus: self.gpus.min(other.gpus),
+        }
+    }
+
     /// Returns the largest ratio of a component to that of `whole`; components that are zero in
     /// `whole` are ignored.
     #[must_use]
--- a/rhubarbfall-runs/src/scheduler/cell_shares.rs
+++ b/rhubarbfall-runs/src/scheduler/cell_shares.rs
@@ -19,6 +19,24 @@
     completed_elsewhere: Vec<WaveId>,
 }
 
+/// What the waiting tasks of a customer need.
+#[derive(Debug, Clone, Copy, Default)]
+struct WaitingDemand {
+    total: Resources,
+    /// The least that one of the tasks needs, by kind of resource.
+    smallest: Option<Resources>,
+}
+
+impl WaitingDemand {
+    fn add(&mut self, demand: Resources, tasks: u64) {
+        self.total += demand.times(tasks);
+        let smallest = self
+            .smallest
+            .map_or(demand, |smallest| smallest.min(demand));
+        self.smallest = Some(smallest);
+    }
+}
+
 impl Scheduler {
     fn is_divided(&self) -> bool {
         self.settings.cells > 1
@@ -134,7 +152,8 @@
                 let is_unsettled = self.shares.unsettled.contains_key(&account);
                 let of_account = AccountUse {
                     used,
-                    wanted: used + dimension.of(waiting),
+                    wanted: used + dimension.of(waiting.total),
+                    unit: dimension.of(waiting.smallest.unwrap_or_default()),
                     is_unsettled,
                 };
                 let is_contested = self.shares.grants.accounts.get(&account).is_some();
@@ -152,6 +171,7 @@
             let of_wave = AccountUse {
                 used: used as u64,
                 wanted: (used + waiting) as u64,
+                unit: u64::from(waiting > 0),
                 is_unsettled: false,
             };
             uses.insert(Account::Wave(id), of_wave);
@@ -165,8 +185,8 @@
 
     /// Returns what the customers' waiting tasks need, also those that can only be late: they must run
     /// as well.
-    fn waiting_demand(&self) -> LiteMap<CustomerId, Resources> {
-        let mut waiting: LiteMap<CustomerId, Resources> = LiteMap::new();
+    fn waiting_demand(&self) -> LiteMap<CustomerId, WaitingDemand> {
+        let mut waiting: LiteMap<CustomerId, WaitingDemand> = LiteMap::new();
         for job in self.jobs().filter(|job| job.state == JobState::Active) {
             let Some(customer) = &job.submission.customer else {
                 continue;
@@ -175,7 +195,8 @@
                 let is_waiting = |task: &&Task| task.phase == TaskPhase::Waiting;
                 let tasks = run.tasks.iter().filter(is_waiting).count() as u64;
                 if tasks > 0 {
-                    *waiting.entry(customer.clone()).or_default() += step.demand.times(tasks);
+                    let of_customer = waiting.entry(customer.clone()).or_default();
+                    of_customer.add(step.demand, tasks);
                 }
             }
         }
--- a/rhubarbfall-runs/tests/lending.rs
+++ b/rhubarbfall-runs/tests/lending.rs
@@ -25,6 +25,8 @@
     unsettled_since: Option<u64>,
     used: u64,
     wanted: u64,
+    /// What one task needs.
+    unit: u64,
 }
 
 impl Cell {
@@ -56,6 +58,7 @@
         let of_account = AccountUse {
             used: self.used,
             wanted: self.used.max(self.wanted),
+            unit: self.unit,
             is_unsettled: self.unsettled_since.is_some(),
         };
         uses.insert(account(), of_account);
@@ -83,6 +86,7 @@
     fn new(cells: u16, limit: u64, seed: u64) -> Self {
         let cell = Cell {
             limit,
+            unit: 1,
             ..Cell::default()
         };
         Self {
@@ -109,7 +113,8 @@
         let cell = &mut self.cells[index];
         let share = cell.share(CellId::new(index as u16), cells);
         let used = cell.used;
-        cell.used = cell.used.max(cell.wanted.min(share));
+        let possible = cell.wanted.min(share) / cell.unit * cell.unit;
+        cell.used = cell.used.max(possible);
         cell.used > used
     }
 
@@ -235,6 +240,28 @@
     }
 }
 
+/// Guards against a limit that is divided into parts of which none is enough for a task, so that nothing
+/// runs although the limit allows it.
+#[test]
+fn tasks_larger_than_an_equal_share_run_one_after_the_other() {
+    let mut fleet = Fleet::new(8, 10, 1);
+    for cell in &mut fleet.cells {
+        (cell.unit, cell.wanted) = (8, 16);
+    }
+    let mut done = 0;
+    for _ in 0..400 {
+        fleet.settle();
+        assert!(fleet.used() <= 10, "{} in use", fleet.used());
+        assert!(fleet.used() >= 8 || done == 16, "nothing runs after {done}");
+        for cell in &mut fleet.cells {
+            done += cell.used / 8;
+            cell.wanted -= cell.used;
+            cell.used = 0;
+        }
+    }
+    assert_eq!(done, 16, "each cell has run its two tasks");
+}
+
 /// Guards against rows for limits that nobody contends for: equal shares need none.
 #[test]
 fn uncontended_limits_have_no_shares_of_their_own() {
