refactor(scheduler): split the ownership and the owner's start into files of one job

`ownership/rows.rs` has the rows, `ownership/watch.rs` what an entry sees of them; `owner/start.rs` loads and starts an owner, `owner/tick_loop.rs` ticks its scheduler.

--- a/rhubarbfall-scheduler/src/owner/mod.rs
+++ b/rhubarbfall-scheduler/src/owner/mod.rs
@@ -5,8 +5,10 @@
 mod division;
 mod lending_loop;
 mod round_trip;
+mod start;
 mod state_rows;
 mod store_loop;
+mod tick_loop;
 mod vm_loop;
 mod worker_list;
 mod worker_loop;
@@ -14,16 +16,14 @@
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::fmt;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use litemap::LiteMap;
 use rhubarbfall_core::{BootTime, FencingNumber, RowVersion, SubmissionId, WorkerId};
-use rhubarbfall_runs::scheduler::Action;
 use rhubarbfall_runs::{CellLayout, Scheduler, Submission};
-use rhubarbfall_site::{StoreError, WorkerClient};
+use rhubarbfall_site::WorkerClient;
 use tokio::sync::{Notify, oneshot};
 
 use crate::cell_state::CellState;
@@ -32,13 +32,11 @@
     MAX_OWNERSHIP_LEASE, MIN_OWNERSHIP_LEASE, OWNERSHIP_LEASE_ROUND_TRIPS, RENEWAL_INTERVAL,
     Renewal,
 };
-use crate::processor_time::{Activity, ProcessorTimeLog};
-use crate::supervision::spawn_owner_loop;
-use crate::telemetry;
 use crate::vm_orders_on_the_way::VmOrdersOnTheWay;
 use lending_loop::Lending;
 use round_trip::RoundTripEstimate;
 
+pub(crate) use start::start;
 pub(crate) use state_rows::{read_stored_state, store_cancellation};
 
 /// Time before the end of the ownership lease at which the owner stops starting anything.
@@ -48,15 +46,9 @@
 /// expired.
 const MAX_LEASE_RESERVE: Duration = Duration::from_millis(800);
 
-/// Longest time between two scheduler ticks, which handle time-based transitions.
-const MAX_TICK_INTERVAL: Duration = Duration::from_millis(50);
-
 /// Shortest time between two scheduler ticks, so that one tick handles several events.
 const MIN_TICK_INTERVAL: Duration = Duration::from_millis(12);
 
-/// Interval at which an owner logs its processor time.
-const PROCESSOR_TIME_LOG_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Weight of the latest timer in the smoothed lateness; a change shows after a few ticks.
 const TIMER_LATENESS_SMOOTHING: f64 = 0.2;
 
@@ -457,163 +449,3 @@
         self.worker_clients.borrow().get(id).cloned()
     }
 }
-
-/// Loads the state stored by earlier owners and starts the background loops. Returns false if the
-/// ownership has ended meanwhile.
-pub(crate) async fn start(node: &Rc<Node>, owner: &Rc<Owner>) -> bool {
-    if let Err(error) = load(node, owner).await {
-        log::warn!("event=load_failed cell={} error={error}", owner.cell.id);
-        owner.end();
-        return false;
-    }
-    if owner.cell.known_owner.borrow().fencing_number > owner.fencing_number() {
-        log::warn!(
-            "event=superseded_while_loading cell={} fence={}",
-            owner.cell.id,
-            owner.fencing_number()
-        );
-        owner.end();
-        return false;
-    }
-    owner.is_loaded.set(true);
-    *owner.cell.owner.borrow_mut() = Some(Rc::clone(owner));
-    metrics::gauge!("is_owner").increment(1.0);
-    spawn_loops(node, owner);
-    true
-}
-
-/// Passes the state stored by earlier owners to the scheduler.
-async fn load(node: &Node, owner: &Owner) -> Result<(), StoreError> {
-    let state_rows::LoadedState {
-        jobs,
-        waves,
-        early_cancellations,
-        unreadable,
-    } = state_rows::load(node, &owner.cell).await?;
-    lending_loop::load(node, owner).await?;
-    let (now, unix_ms) = (node.now(), node.unix_ms());
-    let inherited_until = owner.inherited_leases_until.get();
-    log::info!(
-        "event=loaded cell={} cells={} jobs={} inherited_until={inherited_until} vm_orders_left={:?}",
-        owner.cell.id,
-        owner.layout.count(),
-        jobs.len(),
-        owner.vm_orders.remaining(now)
-    );
-    let config = node.config.borrow().clone();
-    let requested: Vec<_> = node
-        .waves
-        .borrow()
-        .iter()
-        .map(|(_, wave)| wave.clone())
-        .collect();
-    owner.with(|scheduler| {
-        scheduler.set_config(config);
-        scheduler.recover(jobs, inherited_until, now, unix_ms);
-        scheduler.await_inherited_vm_orders(now + owner.vm_orders.remaining(now));
-        scheduler.apply_stored_cancellations(early_cancellations, now);
-        scheduler.recover_unreadable(unreadable);
-        scheduler.recover_waves(waves);
-        for wave in requested {
-            scheduler.wave_requested(wave, None, now, unix_ms);
-        }
-    });
-    Ok(())
-}
-
-/// Starts the background loops of an owner.
-fn spawn_loops(node: &Rc<Node>, owner: &Rc<Owner>) {
-    let spawn = |name, activity, work: Pin<Box<dyn Future<Output = ()>>>| {
-        spawn_owner_loop(node, owner, name, activity, work);
-    };
-    let (of_node, of_owner) = (|| Rc::clone(node), || Rc::clone(owner));
-    spawn(
-        "store",
-        Activity::Rows,
-        Box::pin(store_loop::run(of_node(), of_owner())),
-    );
-    spawn(
-        "wave_reports",
-        Activity::Rows,
-        Box::pin(store_loop::run_wave_reports(of_node(), of_owner())),
-    );
-    spawn(
-        "cancellations",
-        Activity::Feeds,
-        Box::pin(cancellation_feed::run(of_node(), of_owner())),
-    );
-    spawn(
-        "workers",
-        Activity::Feeds,
-        Box::pin(worker_list::run(of_node(), of_owner())),
-    );
-    spawn(
-        "vms",
-        Activity::Vms,
-        Box::pin(vm_loop::run(of_node(), of_owner())),
-    );
-    spawn(
-        "ticks",
-        Activity::Ticks,
-        Box::pin(run_ticks(of_node(), of_owner())),
-    );
-    if !owner.layout.is_single() {
-        spawn(
-            "shares",
-            Activity::Rows,
-            Box::pin(lending_loop::follow(of_node(), of_owner())),
-        );
-        spawn(
-            "reports",
-            Activity::Rows,
-            Box::pin(lending_loop::report(of_node(), of_owner())),
-        );
-    }
-}
-
-/// Ticks the scheduler and dispatches its orders until the ownership ends.
-async fn run_ticks(node: Rc<Node>, owner: Rc<Owner>) {
-    let (mut processor_time, mut logged_at) = (ProcessorTimeLog::new(), node.now());
-    while !owner.has_ended() {
-        // A notification and a timeout both lead to a tick.
-        let _ = tokio::time::timeout(MAX_TICK_INTERVAL, owner.wake_tick.notified()).await;
-        let now = node.now();
-        if owner.is_active(now) {
-            let unix_ms = node.unix_ms();
-            owner.scheduler.borrow_mut().tick(now, unix_ms);
-        } else {
-            owner.scheduler.borrow_mut().tick_without_lease(now);
-        }
-        dispatch(&node, &owner, now);
-        for cleared in owner.scheduler.borrow_mut().take_cleared_jobs() {
-            telemetry::record_cleared_job(&cleared);
-        }
-        owner.wake_store.notify_one();
-        let due = node.now() + MIN_TICK_INTERVAL;
-        tokio::time::sleep(MIN_TICK_INTERVAL).await;
-        owner.record_timer_lateness(node.now().since(due));
-        let interval = node.now().since(logged_at);
-        if interval >= PROCESSOR_TIME_LOG_INTERVAL {
-            processor_time.log(interval);
-            logged_at = node.now();
-        }
-    }
-}
-
-fn dispatch(node: &Rc<Node>, owner: &Rc<Owner>, now: BootTime) {
-    let is_active = owner.is_active(now);
-    let actions = owner.scheduler.borrow_mut().take_actions();
-    for action in actions {
-        match action {
-            Action::Start(order) if is_active => worker_loop::start_run(node, owner, order),
-            Action::Start(order) => worker_loop::start_not_sent(owner, &order, now),
-            Action::Stop(order) => worker_loop::stop_run(node, owner, order),
-            Action::Pace(order) => worker_loop::pace_run(node, owner, order),
-            Action::Advise { step, workers } => advice_request::send(node, owner, step, workers),
-            Action::Vm { vm, operation } if is_active => {
-                vm_loop::send_order(node, owner, vm, operation);
-            }
-            Action::Vm { vm, .. } => vm_loop::order_not_sent(owner, &vm, now),
-        }
-    }
-}
--- a/rhubarbfall-scheduler/src/ownership.rs
+++ b/rhubarbfall-scheduler/src/ownership.rs
@@ -4,15 +4,17 @@
 //! the renewal row, which the owner updates to extend its ownership lease. The first cell's partition
 //! also holds the layout of a divided fleet.
 
-use std::hash::{DefaultHasher, Hash, Hasher};
+mod rows;
+mod watch;
+
 use std::rc::Rc;
 use std::time::Duration;
 
 use prost::Message;
 use rand::RngExt;
-use rhubarbfall_core::{BootTime, CellId, FencingNumber, RowVersion};
+use rhubarbfall_core::{BootTime, FencingNumber};
 use rhubarbfall_runs::CellLayout;
-use rhubarbfall_site::{CommitOutcome, RowKey, StoreError, StoredRow, Transaction};
+use rhubarbfall_site::{CommitOutcome, RowKey, Transaction};
 use tokio::task::JoinSet;
 
 use crate::cell_state::{CellState, Holder, KnownOwner};
@@ -22,16 +24,10 @@
 use crate::predecessor::{self, Stated};
 use crate::processor_time::Activity;
 use crate::supervision::spawn_owner_loop;
-use crate::table_feed::{TableFeed, TableUpdate};
 use crate::telemetry;
 use crate::vm_orders_on_the_way::{PredecessorEnd, inherited_order_time};
-
-/// Table with the ownership rows of each cell.
-const CELL_TABLE: &str = "cell";
-
-const OWNER_KEY: &str = "owner";
-const RENEWAL_KEY: &str = "renewal";
-const LAYOUT_KEY: &str = "layout";
+use rows::{LAYOUT_KEY, OWNER_KEY, OwnerRow, RENEWAL_KEY, RenewalRow, cell_row};
+use watch::{OwnershipFeed, OwnershipWatch};
 
 /// Time after which the owner renews: several renewals fit into one ownership lease.
 pub(crate) const RENEWAL_INTERVAL: Duration = Duration::from_millis(230);
@@ -50,22 +46,12 @@
 /// Interval at which the owner checks whether a renewal is due.
 const RENEWAL_CHECK_INTERVAL: Duration = Duration::from_millis(60);
 
-/// Longest time for which the store may hold a poll without changes.
-const LONG_POLL_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// Shortest time for which the store is asked to hold a poll.
-const MIN_LONG_POLL_TIMEOUT: Duration = Duration::from_millis(60);
-
 /// Pause after a failed call to the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
 /// Pause before a starting entry checks again whether it has read its configuration.
 const CONFIG_POLL_PAUSE: Duration = Duration::from_millis(40);
 
-/// Time for which the store must have answered without a failure before missing renewals count
-/// against the owner, which may have lost the store as well.
-const STORE_STABLE_AFTER: Duration = Duration::from_millis(700);
-
 /// Upper bound of the random delay before a takeover, which keeps entries from writing at once.
 const MAX_TAKEOVER_JITTER_MS: u64 = 60;
 
@@ -93,162 +79,6 @@
 /// Added to the leases of earlier owners, because a worker's timers may fire late.
 const LEASE_EXPIRY_MARGIN: Duration = Duration::from_millis(200);
 
-#[derive(Clone, PartialEq, Message)]
-struct OwnerRow {
-    #[prost(uint64, tag = "1")]
-    fencing_number: u64,
-    #[prost(message, optional, tag = "2")]
-    holder: Option<HolderMessage>,
-    /// Remaining time of leases granted by owners before this one, if the ownership is released; in
-    /// milliseconds.
-    #[prost(uint64, tag = "3")]
-    inherited_lease_ms: u64,
-}
-
-#[derive(Clone, PartialEq, Message)]
-struct RenewalRow {
-    #[prost(uint64, tag = "1")]
-    fencing_number: u64,
-    #[prost(uint64, tag = "2")]
-    sent_at_ms: u64,
-    /// Duration of the ownership lease from this renewal on, in milliseconds.
-    #[prost(uint64, tag = "3")]
-    lease_ms: u64,
-    /// How long orders of earlier owners, and unanswered ones of this owner, may reach the VM service
-    /// after this write; in milliseconds. Earlier versions do not write it.
-    #[prost(uint64, optional, tag = "4")]
-    vm_orders_on_the_way_ms: Option<u64>,
-    /// How long leases that owners before this one granted to workers may last after this write; in
-    /// milliseconds. Earlier versions do not write it.
-    #[prost(uint64, optional, tag = "5")]
-    inherited_leases_ms: Option<u64>,
-}
-
-/// Ownership rows of a cell as last seen by this entry.
-#[derive(Debug)]
-struct OwnershipWatch {
-    owner_row_version: Option<RowVersion>,
-    renewal_row_version: Option<RowVersion>,
-    /// Duration of the ownership lease in the latest renewal.
-    ownership_lease: Duration,
-    /// Set if the last owner released its ownership: the remaining time of leases granted by the
-    /// owners before it.
-    inherited_at_release: Option<Duration>,
-    /// What the latest renewal states of orders for VMs on their way when it was written.
-    vm_orders_on_the_way: Option<Duration>,
-    /// What the latest renewal states of leases of the owners before its writer.
-    inherited_leases: Option<Duration>,
-    /// Time when a change of either row was last seen.
-    last_change_at: BootTime,
-    /// Whether this entry owned the cell when it was last looked at.
-    was_owned: bool,
-}
-
-impl OwnershipWatch {
-    /// Creates a watch that has not seen any row.
-    const fn new(now: BootTime) -> Self {
-        Self {
-            owner_row_version: None,
-            renewal_row_version: None,
-            ownership_lease: Duration::ZERO,
-            inherited_at_release: None,
-            vm_orders_on_the_way: None,
-            inherited_leases: None,
-            last_change_at: now,
-            was_owned: false,
-        }
-    }
-
-    /// Returns how long the owner may renew no more before others take over.
-    fn lease(&self) -> Duration {
-        self.ownership_lease.max(MIN_OWNERSHIP_LEASE)
-    }
-}
-
-/// The ownership rows of all cells as seen by this entry.
-#[derive(Debug)]
-struct OwnershipFeed {
-    feed: TableFeed,
-    /// The watch of each cell, by number.
-    watches: Vec<OwnershipWatch>,
-    /// Time since which the store has answered without a failure.
-    store_available_since: Option<BootTime>,
-}
-
-impl OwnershipFeed {
-    fn new(node: &Node) -> Self {
-        let mut feed = Self {
-            feed: TableFeed::new(CELL_TABLE, ""),
-            watches: Vec::new(),
-            store_available_since: None,
-        };
-        feed.include_cells(node);
-        feed
-    }
-
-    /// Follows the rows of all cells that are known.
-    fn include_cells(&mut self, node: &Node) {
-        let cells = node.cells();
-        if self.feed.part_count() == cells.len() && self.watches.len() == cells.len() {
-            return;
-        }
-        let parts = cells.iter().map(|cell| cell.part.clone());
-        self.feed = TableFeed::of_parts(CELL_TABLE, parts.collect());
-        let now = node.now();
-        self.watches
-            .resize_with(cells.len(), || OwnershipWatch::new(now));
-    }
-
-    /// Starts anew with cells whose ownership by this entry has ended: its own writes have changed
-    /// the rows.
-    fn forget_ended_ownerships(&mut self, node: &Node) {
-        for (watch, cell) in self.watches.iter_mut().zip(node.cells()) {
-            if cell.is_owned() {
-                watch.was_owned = true;
-            } else if watch.was_owned {
-                *watch = OwnershipWatch::new(node.now());
-                self.feed.restart();
-            }
-        }
-    }
-
-    /// Returns the time for which the store may hold a poll, so that the end of an ownership lease
-    /// is noticed soon.
-    fn long_poll_timeout(&self, now: BootTime) -> Duration {
-        let others = self.watches.iter().filter(|watch| !watch.was_owned);
-        let left = others.map(|watch| {
-            watch
-                .lease()
-                .saturating_sub(now.since(watch.last_change_at))
-        });
-        let left = left.min().unwrap_or(LONG_POLL_TIMEOUT);
-        left.clamp(MIN_LONG_POLL_TIMEOUT, LONG_POLL_TIMEOUT)
-    }
-
-    /// Returns a cell that this entry may take over, its preferred one first. Entries prefer
-    /// different cells, so that several free ones are not all claimed by the same entries.
-    fn next_takeover(&self, node: &Node) -> Option<Rc<CellState>> {
-        let now = node.now();
-        let store_available_since = self.store_available_since?;
-        let is_free = |cell: &Rc<CellState>| {
-            let known_owner = cell.known_owner.borrow();
-            let Some(holder) = &known_owner.holder else {
-                return true;
-            };
-            let watch = &self.watches[usize::from(cell.id.number())];
-            let is_silent = now.since(watch.last_change_at) > watch.lease()
-                && now.since(store_available_since) > STORE_STABLE_AFTER;
-            holder.entry == node.settings.entry || is_silent
-        };
-        let candidates = node.cells().into_iter().filter(|cell| !cell.is_owned());
-        candidates.filter(is_free).min_by_key(|cell| {
-            let mut hasher = DefaultHasher::new();
-            (node.settings.entry.as_str(), cell.id).hash(&mut hasher);
-            hasher.finish()
-        })
-    }
-}
-
 /// Watches the ownership rows, and takes over cells that have no owner.
 pub(crate) async fn run(node: Rc<Node>) {
     let mut ownerships = OwnershipFeed::new(&node);
@@ -332,7 +162,7 @@
 }
 
 async fn watch_for_takeover(node: &Rc<Node>, ownerships: &mut OwnershipFeed) {
-    if let Err(error) = follow(node, ownerships).await {
+    if let Err(error) = watch::follow(node, ownerships).await {
         log::debug!("event=cell_feed_failed error={error}");
         ownerships.store_available_since = None;
         tokio::time::sleep(RETRY_PAUSE).await;
@@ -390,79 +220,6 @@
         + Duration::from_millis(jitter_ms)
 }
 
-async fn follow(node: &Node, ownerships: &mut OwnershipFeed) -> Result<(), StoreError> {
-    let long_poll_timeout = ownerships.long_poll_timeout(node.now());
-    match ownerships.feed.next(&node.store, long_poll_timeout).await? {
-        TableUpdate::Snapshot(rows) => {
-            if node.layout().is_none() && !rows.iter().any(is_layout_row) {
-                node.set_layout(CellLayout::single());
-            }
-            apply_rows(node, ownerships, &rows);
-        }
-        TableUpdate::Changes(rows) => apply_rows(node, ownerships, &rows),
-        TableUpdate::HistoryLost(after) => log::debug!("event=cell_history_lost after={after}"),
-    }
-    Ok(())
-}
-
-fn is_layout_row(row: &StoredRow) -> bool {
-    row.key.part.parse() == Ok(CellId::FIRST) && *row.key.key == *LAYOUT_KEY
-}
-
-fn apply_rows(node: &Node, ownerships: &mut OwnershipFeed, rows: &[StoredRow]) {
-    for row in rows {
-        if is_layout_row(row) {
-            match CellLayout::decode(&row.value) {
-                Ok(layout) => node.set_layout(layout),
-                Err(error) => log::error!("event=layout_row_malformed error={error}"),
-            }
-            continue;
-        }
-        let cell = row.key.part.parse().ok().and_then(|id| node.cell(id));
-        let Some(cell) = cell else {
-            continue;
-        };
-        if let Some(watch) = ownerships.watches.get_mut(usize::from(cell.id.number())) {
-            apply_row(node, &cell, watch, row);
-        }
-    }
-}
-
-fn apply_row(node: &Node, cell: &CellState, watch: &mut OwnershipWatch, row: &StoredRow) {
-    let seen = match &*row.key.key {
-        OWNER_KEY => &mut watch.owner_row_version,
-        RENEWAL_KEY => &mut watch.renewal_row_version,
-        _ => return,
-    };
-    if seen.is_some_and(|seen| seen >= row.version) {
-        return;
-    }
-    *seen = Some(row.version);
-    watch.last_change_at = node.now();
-    if &*row.key.key == RENEWAL_KEY {
-        match RenewalRow::decode(&*row.value) {
-            Ok(renewal) => {
-                watch.ownership_lease = Duration::from_millis(renewal.lease_ms);
-                watch.vm_orders_on_the_way =
-                    renewal.vm_orders_on_the_way_ms.map(Duration::from_millis);
-                watch.inherited_leases = renewal.inherited_leases_ms.map(Duration::from_millis);
-            }
-            Err(error) => log::error!("event=renewal_row_malformed error={error}"),
-        }
-    }
-    if &*row.key.key == OWNER_KEY {
-        match OwnerRow::decode(&*row.value) {
-            Ok(owner) => {
-                let inherited = Duration::from_millis(owner.inherited_lease_ms);
-                watch.inherited_at_release = owner.holder.is_none().then_some(inherited);
-                let holder = owner.holder.as_ref().and_then(HolderMessage::to_holder);
-                cell.update_known_owner(node, FencingNumber::new(owner.fencing_number), holder);
-            }
-            Err(error) => log::error!("event=owner_row_malformed error={error}"),
-        }
-    }
-}
-
 /// Returns how long leases of earlier owners may last from a moment after which the last of them
 /// grants none. `inherited` is what that owner stated of leases of the owners before it. An owner
 /// that fell silent may grant leases on, up to the longest one.
@@ -642,10 +399,6 @@
     }
 }
 
-fn cell_row(cell: &CellState, key: &str) -> RowKey {
-    RowKey::new(CELL_TABLE, cell.part.clone(), key)
-}
-
 /// Returns a transaction without writes that commits only while this entry is still the owner.
 pub(crate) fn owner_transaction(owner: &Owner) -> Transaction {
     let owner_row = cell_row(owner.cell(), OWNER_KEY);
