fix(scheduler): leave free cells to entries that own none

An entry that owns a cell waited 150 ms longer for the next. Another one needs a pause of its feed (50 to 100 ms), two reads and its own delay (30 to 120 ms) before it takes a free cell, so that the margin was gone under load. The check is right: an owner of two cells is half as fast, and its loss stops both.

Change: 400 ms for each owned cell, 1 s at most, so that the last entries of a fleet still take all cells.

--- a/rhubarbfall-scheduler/src/ownership.rs
+++ b/rhubarbfall-scheduler/src/ownership.rs
@@ -60,8 +60,11 @@
 const FULL_CORE_TAKEOVER_DELAY: Duration = Duration::from_millis(30);
 
 /// Delay of a takeover for each cell that the entry owns already, so that cells are spread over
-/// entries: longer than what an entry with half a core waits for its first one.
-const OWNED_CELL_DELAY: Duration = Duration::from_millis(150);
+/// entries: longer than an entry with half a core needs to see that a cell is free and to take it.
+const OWNED_CELL_DELAY: Duration = Duration::from_millis(400);
+
+/// Longest delay for cells that the entry owns already: the last entries of a fleet take all of them.
+const MAX_OWNED_CELLS_DELAY: Duration = Duration::from_secs(1);
 
 /// Poll cycles within which an owner that answered counts as active: slightly more than one.
 const OWNER_ACTIVE_CYCLES: f64 = 1.4;
@@ -215,8 +218,9 @@
 /// with cells already, wait longer.
 fn takeover_delay(cpu_share: f64, owned_cells: usize) -> Duration {
     let jitter_ms = rand::rng().random_range(0..MAX_TAKEOVER_JITTER_MS);
+    let for_owned_cells = OWNED_CELL_DELAY * owned_cells as u32;
     FULL_CORE_TAKEOVER_DELAY.div_f64(cpu_share)
-        + OWNED_CELL_DELAY * owned_cells as u32
+        + for_owned_cells.min(MAX_OWNED_CELLS_DELAY)
         + Duration::from_millis(jitter_ms)
 }
 
