fix(scheduler): let an entry take back its own cell before it takes another

The logs of the entries tell: the entry that divides the fleet remains the holder of the first cell by its row, so that others may take that only after its lease. It took another, free cell first, 50 ms after the division, and then its own: both cells had one owner.

Change: an entry prefers a cell that it held before. The others are left to entries that own none.

--- a/rhubarbfall-scheduler/src/ownership/watch.rs
+++ b/rhubarbfall-scheduler/src/ownership/watch.rs
@@ -127,8 +127,9 @@
         left.clamp(MIN_LONG_POLL_TIMEOUT, LONG_POLL_TIMEOUT)
     }
 
-    /// Returns a cell that this entry may take over, its preferred one first. Entries prefer
-    /// different cells, so that several free ones are not all claimed by the same entries.
+    /// Returns a cell that this entry may take over, its preferred one first. That is one that it
+    /// held before, since others may not take it yet; otherwise entries prefer different cells, so that
+    /// several free ones are not all claimed by the same entries.
     pub(super) fn next_takeover(&self, node: &Node) -> Option<Rc<CellState>> {
         let now = node.now();
         let store_available_since = self.store_available_since?;
@@ -142,11 +143,16 @@
                 && now.since(store_available_since) > STORE_STABLE_AFTER;
             holder.entry == node.settings.entry || is_silent
         };
+        let was_held_here = |cell: &CellState| {
+            let known_owner = cell.known_owner.borrow();
+            let holder = known_owner.holder.as_ref();
+            holder.is_some_and(|holder| holder.entry == node.settings.entry)
+        };
         let candidates = node.cells().into_iter().filter(|cell| !cell.is_owned());
         candidates.filter(is_free).min_by_key(|cell| {
             let mut hasher = DefaultHasher::new();
             (node.settings.entry.as_str(), cell.id).hash(&mut hasher);
-            hasher.finish()
+            (!was_held_here(cell), hasher.finish())
         })
     }
 }
