test(runs): late work never runs while VMs are spare, known red

`needed_vms` counts what can still be useful only. The rule is older than cells; a pool of 1,100 VMs seldom becomes empty.

--- a/rhubarbfall-runs/tests/large_tasks.rs
+++ b/rhubarbfall-runs/tests/large_tasks.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use model::{Model, WORKER_CAPACITY, step, submission};
+use rhubarbfall_runs::JobState;
 
 /// Guards against a lasting task that waits while VMs are spare: six tasks of six tenths of a VM need
 /// six VMs, where the sum of their demands and the headroom for packing ask for five.
@@ -39,3 +40,23 @@
     assert_eq!(model.runs_of(7).len(), 2);
     assert!(model.moves <= moves + 4, "{} moves", model.moves);
 }
+
+/// Guards against work that has become late and never runs although VMs are spare: a pool that nothing
+/// else needs gives all of its VMs away.
+#[test]
+fn late_work_runs_while_vms_are_spare() {
+    let mut model = Model::new(&[("labels", 2), ("spare", 6)], 1);
+    let limit = |model: &mut Model, cpu_millis| {
+        model.update_config(|config| config.customers[0].limit.cpu_millis = cpu_millis);
+    };
+    limit(&mut model, 1);
+    model.run_for(Duration::from_secs(1));
+    model.submit(
+        submission(7, "labels", step(4, 1_000)),
+        Duration::from_secs(1),
+    );
+    model.run_for(Duration::from_secs(12));
+    limit(&mut model, 0);
+    model.run_for(Duration::from_secs(6));
+    assert_eq!(model.count(JobState::Completed), 1);
+}
