--- a/rhubarbfall-scheduler/src/cell_state.rs
+++ b/rhubarbfall-scheduler/src/cell_state.rs
@@ -124,7 +124,7 @@
         }
         if fencing_number > known_owner.fencing_number || holder != known_owner.holder {
             log::info!(
-                "event=owner_changed cell={} fence={fencing_number} holder={holder:?}",
+                "event=owner_changed fence={fencing_number} cell={} holder={holder:?}",
                 self.id
             );
             // The source of this update was in contact with the owner recently.
@@ -145,9 +145,9 @@
     pub(crate) fn drop_ownership(&self, node: &Node, reason: &str) {
         if let Some(owner) = self.owner.borrow_mut().take() {
             log::warn!(
-                "event=ownership_lost cell={} fence={} reason={reason}",
-                self.id,
-                owner.fencing_number()
+                "event=ownership_lost fence={} reason={reason} cell={}",
+                owner.fencing_number(),
+                self.id
             );
             metrics::gauge!("is_owner").decrement(1.0);
             owner.end();
--- a/rhubarbfall-scheduler/src/ownership.rs
+++ b/rhubarbfall-scheduler/src/ownership.rs
@@ -327,7 +327,7 @@
         Ok(CommitOutcome::Stored(version)) => {
             let silent_for = sent_at.since(watch.last_change_at);
             log::info!(
-                "event=ownership_gained cell={} fence={fencing_number} silent_for={silent_for:?}",
+                "event=ownership_gained fence={fencing_number} cell={} silent_for={silent_for:?}",
                 cell.id
             );
             cell.update_known_owner(node, fencing_number, Some(this_entry));
