fix(runs): keep shares that a new lender does not know the limits of

The lender gave up an account whose limit it did not know and which no report that it had read showed as used. A new lender has read no reports, and may not have read a wave yet: cells that had borrowed the whole limit would go on while the others start their equal parts.

Change: accounts of customers are kept; that of a wave ends once every cell has reported that its part is completed.

Result: a_lender_that_knows_no_limits_yet_keeps_the_shares (tests/lending.rs) failed before, and passes; tests/lending.rs, cell_shares.rs, cell_layout.rs and growing_fleet.rs pass.

--- a/rhubarbfall-runs/src/lending/lender.rs
+++ b/rhubarbfall-runs/src/lending/lender.rs
@@ -38,16 +38,21 @@
             }
         }
     }
-    let is_kept = |account: &Account| limits.get(account).is_some() || is_used(account, reports);
-    next.accounts.retain(|account, _| is_kept(account));
+    next.accounts
+        .retain(|account, _| !is_over(account, reports, cells));
     (next.accounts != grants.accounts).then_some(next)
 }
 
-fn is_used(account: &Account, reports: &LiteMap<CellId, CellReport>) -> bool {
-    let mut uses = reports
-        .iter()
-        .filter_map(|(_, report)| report.uses.get(account));
-    uses.any(|of_cell| of_cell.used > 0)
+/// Returns whether no cell will use an account any more: it is of a wave that all of them have
+/// completed. Shares of other accounts are kept, since a cell may be using them that has not reported.
+fn is_over(account: &Account, reports: &LiteMap<CellId, CellReport>, cells: u16) -> bool {
+    let Account::Wave(wave) = account else {
+        return false;
+    };
+    (0..cells).all(|cell| {
+        let report = reports.get(&CellId::new(cell));
+        report.is_some_and(|report| report.completed_waves.contains(wave))
+    })
 }
 
 /// One look at an account.
--- a/rhubarbfall-runs/tests/lending.rs
+++ b/rhubarbfall-runs/tests/lending.rs
@@ -302,3 +302,20 @@
     assert!(Grants::decode(&[255, 255]).is_err());
     assert!(CellReport::decode(&[18, 3, 10, 1, 120]).is_err());
 }
+
+/// Guards against a new lender that has not read what is limited, or what cells use, and gives up shares
+/// that cells have borrowed: the others would start their equal parts beside them.
+#[test]
+fn a_lender_that_knows_no_limits_yet_keeps_the_shares() {
+    let mut fleet = Fleet::new(3, 9, 2);
+    fleet.cells[1].wanted = 9;
+    fleet.settle();
+    assert_eq!(fleet.cells[1].used, 9);
+    let nothing = LiteMap::new();
+    assert_eq!(lend(&fleet.grants, &nothing, &LiteMap::new(), 3), None);
+    for cell in &mut fleet.cells {
+        cell.used = 0;
+    }
+    let reports = (0..3).map(|id| (CellId::new(id), fleet.cells[usize::from(id)].report()));
+    assert_eq!(lend(&fleet.grants, &nothing, &reports.collect(), 3), None);
+}
