--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/cases ] || exit 2
 [ -x target/release/rhubarbfall ] || exit 2
-exec target/review-2/cases unhealthy review/10/record.txt
+exec target/review-2/cases schedule review/10/record.txt
