--- a/review/stand_in_2/fleet.rs
+++ b/review/stand_in_2/fleet.rs
@@ -57,7 +57,10 @@
 }
 
 pub fn config(version: u64, routes: Vec<Json>) -> Json {
-    let service = object(&[("name", text("svc")), ("enforces_capacity", Json::Bool(false))]);
+    let service = object(&[
+        ("name", text("svc")),
+        ("enforces_capacity", Json::Bool(false)),
+    ]);
     let tenant = object(&[
         ("name", text("tenant-1")),
         ("api_keys", Json::List(vec![text(KEY)])),
@@ -75,7 +78,12 @@
 impl Fleet {
     /// Starts the platform's stand-ins and `entries` processes, and waits until they are ready.
     /// A process over `memory_mb` is killed and started again, as DEPLOY.md says.
-    pub fn start(record: &Record, entries: usize, minions: usize, memory_mb: Option<u64>) -> Option<Self> {
+    pub fn start(
+        record: &Record,
+        entries: usize,
+        minions: usize,
+        memory_mb: Option<u64>,
+    ) -> Option<Self> {
         let store = Store::start();
         let all = (0..minions).map(|index| Minion::start(index, 64_000, 128_000, record));
         let minions: Vec<Minion> = all.collect();
@@ -84,10 +92,14 @@
             store.put("servers", &minion.id, &minion.entry());
         }
         let machines = serve_machines(minions.clone());
-        let folder = std::env::temp_dir().join(format!("rhubarbfall-review-{}", std::process::id()));
+        let folder =
+            std::env::temp_dir().join(format!("rhubarbfall-review-{}", std::process::id()));
         fs::create_dir_all(&folder).ok()?;
         let ports: Vec<[SocketAddr; 5]> = (0..entries).map(|_| free_addresses()).collect();
-        let seeds: Vec<String> = ports.iter().map(|ports| format!("\"{}\"", ports[2])).collect();
+        let seeds: Vec<String> = ports
+            .iter()
+            .map(|ports| format!("\"{}\"", ports[2]))
+            .collect();
         let mut running = Vec::new();
         for (index, [front, ready, control, metrics, _]) in ports.iter().enumerate() {
             let name = format!("front-{}", index + 1);
@@ -104,7 +116,15 @@
             fs::write(&settings, content).ok()?;
             let child = spawn(&folder, &settings, &name)?;
             let is_wanted = true;
-            running.push(Entry { name, front: *front, settings, child, is_wanted, own_ends: 0, restart_at: None });
+            running.push(Entry {
+                name,
+                front: *front,
+                settings,
+                child,
+                is_wanted,
+                own_ends: 0,
+                restart_at: None,
+            });
         }
         let fleet = Self {
             store,
@@ -119,7 +139,11 @@
 
     /// Starts processes again that have ended, and ends those over the memory limit.
     fn supervise(&self, memory_mb: Option<u64>) {
-        let (entries, record, folder) = (Arc::clone(&self.entries), self.record.clone(), self.folder.clone());
+        let (entries, record, folder) = (
+            Arc::clone(&self.entries),
+            self.record.clone(),
+            self.folder.clone(),
+        );
         let began = Instant::now();
         thread::spawn(move || {
             loop {
@@ -128,7 +152,12 @@
                     end(&entries, &folder);
                     std::process::exit(2);
                 }
-                for entry in entries.lock().unwrap().iter_mut().filter(|entry| entry.is_wanted) {
+                for entry in entries
+                    .lock()
+                    .unwrap()
+                    .iter_mut()
+                    .filter(|entry| entry.is_wanted)
+                {
                     if let Some(at) = entry.restart_at {
                         if Instant::now() >= at {
                             if let Some(child) = spawn(&folder, &entry.settings, &entry.name) {
@@ -174,7 +203,12 @@
     }
 
     pub fn fronts(&self) -> Vec<SocketAddr> {
-        self.entries.lock().unwrap().iter().map(|entry| entry.front).collect()
+        self.entries
+            .lock()
+            .unwrap()
+            .iter()
+            .map(|entry| entry.front)
+            .collect()
     }
 
     /// Sends SIGTERM to all processes, which the platform starts again once they have ended.
@@ -182,7 +216,10 @@
         let mut entries = self.entries.lock().unwrap();
         for entry in entries.iter_mut() {
             self.record.line(format!("{} gets SIGTERM", entry.name));
-            let _ = Command::new("kill").arg("-TERM").arg(entry.child.id().to_string()).status();
+            let _ = Command::new("kill")
+                .arg("-TERM")
+                .arg(entry.child.id().to_string())
+                .status();
         }
     }
 
@@ -190,7 +227,13 @@
     pub fn record_ownerships(&self) {
         for entry in self.entries.lock().unwrap().iter() {
             let log = fs::read_to_string(self.folder.join(format!("{}.log", entry.name)));
-            let events = ["event=ownership_", "event=loaded", "event=superseded", "event=task_panicked", "event=load_failed"];
+            let events = [
+                "event=ownership_",
+                "event=loaded",
+                "event=superseded",
+                "event=task_panicked",
+                "event=load_failed",
+            ];
             for line in log.unwrap_or_default().lines() {
                 if events.iter().any(|event| line.contains(event)) {
                     self.record.line(format!("log of {}: {line}", entry.name));
@@ -208,7 +251,11 @@
 
 /// Ends all processes and removes their files.
 fn end(entries: &Mutex<Vec<Entry>>, folder: &Path) {
-    for entry in entries.lock().unwrap_or_else(std::sync::PoisonError::into_inner).iter_mut() {
+    for entry in entries
+        .lock()
+        .unwrap_or_else(std::sync::PoisonError::into_inner)
+        .iter_mut()
+    {
         entry.is_wanted = false;
         let _ = entry.child.kill();
         let _ = entry.child.wait();
@@ -218,7 +265,11 @@
 
 fn spawn(folder: &Path, settings: &Path, name: &str) -> Option<Child> {
     let path = folder.join(format!("{name}.log"));
-    let log = fs::OpenOptions::new().create(true).append(true).open(path).ok()?;
+    let log = fs::OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(path)
+        .ok()?;
     Command::new("target/release/rhubarbfall")
         .args(["schedule", "--settings"])
         .arg(settings)
@@ -243,13 +294,29 @@
 }
 
 /// One consumer's call on a channel of its own.
-pub fn call(front: SocketAddr, method: &str, id: &str, body: &str, wait: Duration) -> Result<Response, String> {
+pub fn call(
+    front: SocketAddr,
+    method: &str,
+    id: &str,
+    body: &str,
+    wait: Duration,
+) -> Result<Response, String> {
     call_with(&mut Client::new(front), method, id, body, wait)
 }
 
-pub fn call_with(client: &mut Client, method: &str, id: &str, body: &str, wait: Duration) -> Result<Response, String> {
+pub fn call_with(
+    client: &mut Client,
+    method: &str,
+    id: &str,
+    body: &str,
+    wait: Duration,
+) -> Result<Response, String> {
     let deadline_ms = wait.as_millis().to_string();
-    let headers = [("host", HOST), ("api-key", KEY), ("x-deadline-ms", deadline_ms.as_str())];
+    let headers = [
+        ("host", HOST),
+        ("api-key", KEY),
+        ("x-deadline-ms", deadline_ms.as_str()),
+    ];
     client.call(method, &format!("/print/{id}"), &headers, body, wait)
 }
 
@@ -260,8 +327,13 @@
     let fronts = fleet.fronts();
     for front in fronts.iter().cycle() {
         let answer = call(*front, "POST", id, body, Duration::from_secs(3));
-        let status = answer.as_ref().map(|answer| answer.status).map_err(String::as_str);
-        fleet.record.line(format!("POST {id} at {front}: {status:?}"));
+        let status = answer
+            .as_ref()
+            .map(|answer| answer.status)
+            .map_err(String::as_str);
+        fleet
+            .record
+            .line(format!("POST {id} at {front}: {status:?}"));
         if status == Ok(200) {
             return true;
         }
--- a/review/stand_in_2/http.rs
+++ b/review/stand_in_2/http.rs
@@ -33,7 +33,10 @@
 
 impl Response {
     pub fn new(status: u16, body: impl Into<String>) -> Self {
-        Self { status, body: body.into() }
+        Self {
+            status,
+            body: body.into(),
+        }
     }
 }
 
@@ -131,7 +134,9 @@
         headers.push((name.to_ascii_lowercase(), value.trim().to_owned()));
     }
     let length = headers.iter().find(|(name, _)| name == "content-length");
-    let length = length.and_then(|(_, value)| value.parse().ok()).unwrap_or(0);
+    let length = length
+        .and_then(|(_, value)| value.parse().ok())
+        .unwrap_or(0);
     let mut body = vec![0; length];
     reader.read_exact(&mut body).ok()?;
     Some((headers, body))
@@ -167,7 +172,10 @@
 
 impl Client {
     pub fn new(address: SocketAddr) -> Self {
-        Self { address, connection: None }
+        Self {
+            address,
+            connection: None,
+        }
     }
 
     /// Sends a request; `Err` says how the channel ended without a complete answer.
@@ -195,28 +203,46 @@
         timeout: Duration,
     ) -> Result<Response, String> {
         if self.connection.is_none() {
-            let stream = TcpStream::connect_timeout(&self.address, timeout.min(Duration::from_secs(1)))
-                .map_err(|error| format!("not connected: {error}"))?;
-            stream.set_nodelay(true).map_err(|error| error.to_string())?;
+            let stream =
+                TcpStream::connect_timeout(&self.address, timeout.min(Duration::from_secs(1)))
+                    .map_err(|error| format!("not connected: {error}"))?;
+            stream
+                .set_nodelay(true)
+                .map_err(|error| error.to_string())?;
             self.connection = Some(BufReader::new(stream));
         }
         let reader = self.connection.as_mut().ok_or("no connection")?;
         let text = |error: std::io::Error| error.to_string();
-        reader.get_ref().set_read_timeout(Some(timeout)).map_err(text)?;
-        let mut head = format!("{method} {path} HTTP/1.1\r\ncontent-length: {}\r\n", body.len());
+        reader
+            .get_ref()
+            .set_read_timeout(Some(timeout))
+            .map_err(text)?;
+        let mut head = format!(
+            "{method} {path} HTTP/1.1\r\ncontent-length: {}\r\n",
+            body.len()
+        );
         for (name, value) in headers {
             head += &format!("{name}: {value}\r\n");
         }
         head += "\r\n";
-        reader.get_mut().write_all((head + body).as_bytes()).map_err(text)?;
+        reader
+            .get_mut()
+            .write_all((head + body).as_bytes())
+            .map_err(text)?;
         let mut line = String::new();
         if reader.read_line(&mut line).map_err(text)? == 0 {
             return Err("closed without an answer".to_owned());
         }
-        let status = line.split_whitespace().nth(1).and_then(|status| status.parse().ok());
+        let status = line
+            .split_whitespace()
+            .nth(1)
+            .and_then(|status| status.parse().ok());
         let status = status.ok_or("no status")?;
         let (headers, body) = read_rest(reader).ok_or("answer cut off")?;
-        if headers.iter().any(|(name, value)| name == "connection" && value == "close") {
+        if headers
+            .iter()
+            .any(|(name, value)| name == "connection" && value == "close")
+        {
             self.connection = None;
         }
         Ok(Response::new(status, String::from_utf8_lossy(&body)))
--- a/review/stand_in_2/json.rs
+++ b/review/stand_in_2/json.rs
@@ -45,7 +45,10 @@
     }
 
     pub fn parse(text: &str) -> Option<Json> {
-        let mut reader = Reader { bytes: text.as_bytes(), at: 0 };
+        let mut reader = Reader {
+            bytes: text.as_bytes(),
+            at: 0,
+        };
         let value = reader.value()?;
         reader.skip_space();
         (reader.at == reader.bytes.len()).then_some(value)
--- a/review/stand_in_2/main.rs
+++ b/review/stand_in_2/main.rs
@@ -86,13 +86,17 @@
         thread::sleep(Duration::from_millis(20));
     }
     let state = state(fleet, id);
-    fleet.record.line(format!("GET {id}: {state}; nothing of it ran for 3 s"));
+    fleet
+        .record
+        .line(format!("GET {id}: {state}; nothing of it ran for 3 s"));
     state == "completed"
 }
 
 /// A consumer hands in work with a schedule that began a week ago.
 fn schedule(record: &Record, has_trouble: bool) -> Option<bool> {
-    let limit_mb = std::env::var("MEMORY_MB").ok().and_then(|text| text.parse().ok());
+    let limit_mb = std::env::var("MEMORY_MB")
+        .ok()
+        .and_then(|text| text.parse().ok());
     let fleet = Fleet::start(record, 3, 8, Some(limit_mb.unwrap_or(260)))?;
     let victim = id(2, 0);
     let step = r#"{"count":2,"cpu":1000,"mem_mb":64,"estimate_ms":4000}"#;
@@ -128,7 +132,10 @@
     let late = submit(&fleet, &id(3, 0), &body, Duration::from_secs(3));
     record.line(format!("a submission afterwards: accepted {late}"));
     for entry in fleet.entries.lock().unwrap().iter() {
-        record.line(format!("{} ended {} times by itself", entry.name, entry.own_ends));
+        record.line(format!(
+            "{} ended {} times by itself",
+            entry.name, entry.own_ends
+        ));
     }
     fleet.record_ownerships();
     Some(is_served)
@@ -153,7 +160,8 @@
         record.line(format!("{} is unhealthy for 1 s", free.id));
     }
     // The twelfth minion has room for it twice over.
-    let waiting = r#"{"spec":"lasts","steps":[{"count":1,"cpu":30000,"mem_mb":64,"long_running":true}]}"#;
+    let waiting =
+        r#"{"spec":"lasts","steps":[{"count":1,"cpu":30000,"mem_mb":64,"long_running":true}]}"#;
     if !submit(&fleet, &id(2, 0), waiting, Duration::from_secs(10)) {
         return None;
     }
@@ -252,7 +260,10 @@
     }
     thread::sleep(Duration::from_secs(4));
     let starts = record.starts(&format!("{}.0.0.0", id(2, 0)));
-    record.line(format!("GET: {}; {starts} starts, 3 attempts are allowed", state(&fleet, &id(2, 0))));
+    record.line(format!(
+        "GET: {}; {starts} starts, 3 attempts are allowed",
+        state(&fleet, &id(2, 0))
+    ));
     Some(starts <= 3)
 }
 
@@ -278,7 +289,8 @@
 /// A minion crashes and starts again under its id, several times.
 fn crash(record: &Record, has_trouble: bool) -> Option<bool> {
     let fleet = Fleet::start(record, 3, 12, None)?;
-    let body = r#"{"spec":"work_ms=15","steps":[{"count":1,"cpu":1000,"mem_mb":64,"estimate_ms":15}]}"#;
+    let body =
+        r#"{"spec":"work_ms=15","steps":[{"count":1,"cpu":1000,"mem_mb":64,"estimate_ms":15}]}"#;
     let began = Instant::now();
     let (fronts, of_caller) = (fleet.fronts(), record.clone());
     let caller = thread::spawn(move || {
@@ -286,7 +298,13 @@
         let mut number = 0;
         while began.elapsed() < Duration::from_secs(62) {
             number += 1;
-            let answer = call_with(&mut client, "POST", &id(1, number), body, Duration::from_secs(3));
+            let answer = call_with(
+                &mut client,
+                "POST",
+                &id(1, number),
+                body,
+                Duration::from_secs(3),
+            );
             let answer = answer.map(|answer| answer.status);
             of_caller.line(format!("POST {}: {answer:?}", id(1, number)));
             thread::sleep(Duration::from_millis(100));
--- a/review/stand_in_2/minion.rs
+++ b/review/stand_in_2/minion.rs
@@ -140,11 +140,16 @@
             thread::sleep(Duration::from_millis(2));
         }
         let born_ms = self.life.0.lock().unwrap().born_ms;
-        self.record.line(format!("{} starts again, born {born_ms}", self.id));
+        self.record
+            .line(format!("{} starts again, born {born_ms}", self.id));
     }
 
     fn capacity(&self) -> Json {
-        object(&[("cpu", number(self.cpu)), ("mem_mb", number(self.memory_mb)), ("gpu", number(0))])
+        object(&[
+            ("cpu", number(self.cpu)),
+            ("mem_mb", number(self.memory_mb)),
+            ("gpu", number(0)),
+        ])
     }
 
     fn labels(&self) -> Json {
@@ -173,14 +178,22 @@
     }
 
     pub fn cut_off_for(&self, time: Duration) {
-        self.record.line(format!("{} is cut off for {time:?}", self.id));
+        self.record
+            .line(format!("{} is cut off for {time:?}", self.id));
         self.life.0.lock().unwrap().cut_until = Some(Instant::now() + time);
     }
 
     /// Returns whether it was cut off; what came meanwhile is lost with its channel.
     fn wait_while_cut(&self) -> bool {
         let mut was_cut = false;
-        while self.life.0.lock().unwrap().cut_until.is_some_and(|until| Instant::now() < until) {
+        while self
+            .life
+            .0
+            .lock()
+            .unwrap()
+            .cut_until
+            .is_some_and(|until| Instant::now() < until)
+        {
             was_cut = true;
             thread::sleep(Duration::from_millis(5));
         }
@@ -217,10 +230,23 @@
             life.running.remove(&task);
             life.last_end += 1;
             let number = life.last_end;
-            self.record.line(format!("{} ended {task} run {run} {how}", self.id));
+            self.record
+                .line(format!("{} ended {task} run {run} {how}", self.id));
             close(&mut life, &task, run);
-            self.record.event(&task, if how == "done" { Event::Done } else { Event::Ended });
-            life.ends.push(End { number, task, run, how });
+            self.record.event(
+                &task,
+                if how == "done" {
+                    Event::Done
+                } else {
+                    Event::Ended
+                },
+            );
+            life.ends.push(End {
+                number,
+                task,
+                run,
+                how,
+            });
             self.life.1.notify_all();
         }
     }
@@ -252,13 +278,23 @@
 
     fn run_start(&self, body: &Json) -> Response {
         let mut life = self.life.0.lock().unwrap();
-        if life.unhealthy_until.is_some_and(|until| Instant::now() < until) {
-            self.record.line(format!("{} answers 503 to a start of {}", self.id, body.get("task").text()));
+        if life
+            .unhealthy_until
+            .is_some_and(|until| Instant::now() < until)
+        {
+            self.record.line(format!(
+                "{} answers 503 to a start of {}",
+                self.id,
+                body.get("task").text()
+            ));
             return Response::new(503, "{}");
         }
         let now_ms = life.began.elapsed().as_millis() as u64;
         let (task, run) = (body.get("task").text().to_owned(), body.get("run").number());
-        let (fence, deadline_ms) = (body.get("fencing_token").number(), body.get("deadline_ms").number());
+        let (fence, deadline_ms) = (
+            body.get("fencing_token").number(),
+            body.get("deadline_ms").number(),
+        );
         if fence < life.fence {
             return self.answer(&life, 409, Some("fence"));
         }
@@ -267,7 +303,11 @@
             return self.answer(&life, 409, Some("late"));
         }
         extend(&mut life, deadline_ms, now_ms);
-        if life.running.get(&task).is_some_and(|present| present.number == run) {
+        if life
+            .running
+            .get(&task)
+            .is_some_and(|present| present.number == run)
+        {
             return self.answer(&life, 200, None);
         }
         if life.closed.get(&task).is_some_and(|closed| run <= *closed) {
@@ -276,9 +316,12 @@
         let spec = body.get("spec").text();
         let field = |name: &str| {
             let mut words = spec.split(' ').filter_map(|word| word.split_once('='));
-            words.find(|(field, _)| *field == name).and_then(|(_, value)| value.parse::<u64>().ok())
+            words
+                .find(|(field, _)| *field == name)
+                .and_then(|(_, value)| value.parse::<u64>().ok())
         };
-        self.record.line(format!("{} starts {task} run {run} fence {fence}", self.id));
+        self.record
+            .line(format!("{} starts {task} run {run} fence {fence}", self.id));
         self.record.event(&task, Event::Started);
         let new = Run {
             number: run,
@@ -299,7 +342,11 @@
             return self.answer(&life, 409, Some("fence"));
         }
         life.fence = fence;
-        match life.running.get_mut(&task).filter(|present| present.number == run) {
+        match life
+            .running
+            .get_mut(&task)
+            .filter(|present| present.number == run)
+        {
             Some(present) => drop(present.stops_at.get_or_insert(Instant::now() + STOP)),
             None => close(&mut life, &task, run),
         }
@@ -321,7 +368,10 @@
         let acknowledged = body.get("ack_cursor").number();
         for end in life.ends.iter().filter(|end| end.number <= acknowledged) {
             let (task, number) = (&end.task, end.number);
-            self.record.line(format!("{} end {number} of {task} is taken note of, ack_cursor {acknowledged}", self.id));
+            self.record.line(format!(
+                "{} end {number} of {task} is taken note of, ack_cursor {acknowledged}",
+                self.id
+            ));
             if end.how == "done" {
                 self.record.event(task, Event::Noted);
             }
@@ -338,11 +388,23 @@
                 let done = run.started.elapsed().as_secs_f64() / work.as_secs_f64().max(0.001);
                 (done * 100.0).min(99.0) as u64
             });
-            Json::List(vec![text(task), number(run.number), text(""), number(percent), number(0)])
+            Json::List(vec![
+                text(task),
+                number(run.number),
+                text(""),
+                number(percent),
+                number(0),
+            ])
         });
         let ends = life.ends.iter().take(MAX_ENDS).map(|end| {
             let task = text(&end.task);
-            Json::List(vec![number(end.number), task, number(end.run), text(end.how), text("")])
+            Json::List(vec![
+                number(end.number),
+                task,
+                number(end.run),
+                text(end.how),
+                text(""),
+            ])
         });
         let answer = object(&[
             ("clock_ms", number(life.began.elapsed().as_millis() as u64)),
@@ -382,13 +444,18 @@
                 ("id", text(&minion.id)),
             ])
         });
-        let list = object(&[("machines", Json::List(rows.collect())), ("next_token", text(""))]);
+        let list = object(&[
+            ("machines", Json::List(rows.collect())),
+            ("next_token", text("")),
+        ]);
         Some(Response::new(200, list.to_string()))
     })
 }
 
 pub fn object(fields: &[(&str, Json)]) -> Json {
-    let fields = fields.iter().map(|(name, value)| ((*name).to_owned(), value.clone()));
+    let fields = fields
+        .iter()
+        .map(|(name, value)| ((*name).to_owned(), value.clone()));
     Json::Object(fields.collect())
 }
 
--- a/review/stand_in_2/record.rs
+++ b/review/stand_in_2/record.rs
@@ -29,16 +29,27 @@
     pub fn create(path: &str) -> Self {
         let file = File::create(path).expect("the record can be written");
         let file = Arc::new(Mutex::new(BufWriter::new(file)));
-        Self { began: Instant::now(), omitted: None, file, events: Arc::default() }
+        Self {
+            began: Instant::now(),
+            omitted: None,
+            file,
+            events: Arc::default(),
+        }
     }
 
     /// Leaves out lines with a text, of which there are too many.
     pub fn without(&self, text: &'static str) -> Self {
-        Self { omitted: Some(text), ..self.clone() }
+        Self {
+            omitted: Some(text),
+            ..self.clone()
+        }
     }
 
     pub fn line(&self, line: impl AsRef<str>) {
-        if self.omitted.is_some_and(|text| line.as_ref().contains(text)) {
+        if self
+            .omitted
+            .is_some_and(|text| line.as_ref().contains(text))
+        {
             return;
         }
         let at = self.began.elapsed().as_secs_f64();
@@ -53,7 +64,10 @@
 
     pub fn starts(&self, task: &str) -> usize {
         let events = self.events.lock().unwrap();
-        events.iter().filter(|event| event.0 == task && event.1 == Event::Started).count()
+        events
+            .iter()
+            .filter(|event| event.0 == task && event.1 == Event::Started)
+            .count()
     }
 
     /// Returns the subtasks that were run twice: two runs at the same time, or a start after an end
@@ -64,7 +78,12 @@
         tasks.sort();
         tasks.dedup();
         let is_run_twice = |task: &&String| {
-            let of_task = || events.iter().filter(|(of, _)| of == *task).map(|(_, event)| *event);
+            let of_task = || {
+                events
+                    .iter()
+                    .filter(|(of, _)| of == *task)
+                    .map(|(_, event)| *event)
+            };
             let (mut running, mut is_done, mut is_twice) = (0, false, false);
             let is_noted = of_task().any(|event| event == Event::Noted);
             for event in of_task() {
--- a/review/stand_in_2/store.rs
+++ b/review/stand_in_2/store.rs
@@ -80,8 +80,11 @@
             let text = |name| row.get(name).text().to_owned();
             (text("table"), text("part"), text("key"))
         };
-        let (expected, writes, removed) =
-            (body.get("expected").list(), body.get("writes").list(), body.get("remove").list());
+        let (expected, writes, removed) = (
+            body.get("expected").list(),
+            body.get("writes").list(),
+            body.get("remove").list(),
+        );
         let all = || expected.iter().chain(writes).chain(removed).map(key);
         let Some(part) = all().next().map(|key| key.1) else {
             return Response::new(400, "{}");
@@ -89,7 +92,11 @@
         if all().any(|key| key.1 != part) || all().count() > 100 {
             return Response::new(400, "{}");
         }
-        if writes.iter().chain(removed).any(|row| ["op", "servers"].contains(&row.get("table").text())) {
+        if writes
+            .iter()
+            .chain(removed)
+            .any(|row| ["op", "servers"].contains(&row.get("table").text()))
+        {
             return Response::new(403, "{}");
         }
         let lock = Arc::clone(self.parts.lock().unwrap().entry(part).or_default());
@@ -99,7 +106,10 @@
             thread::sleep(TRANSACTION);
             let mut rows = self.rows.0.lock().unwrap();
             let version = |key: &Key| rows.current.get(key).map_or(0, |row| row.1);
-            if expected.iter().any(|row| version(&key(row)) != row.get("ver").number()) {
+            if expected
+                .iter()
+                .any(|row| version(&key(row)) != row.get("ver").number())
+            {
                 let found = expected.iter().map(key).filter_map(|key| {
                     let (value, version) = rows.current.get(&key)?;
                     Some(wire_row(&key, Some(value), *version))
@@ -122,11 +132,18 @@
     fn page(&self, request: &Request) -> Response {
         let (table, part) = (request.parameter("table"), request.parameter("part"));
         let (from, to) = (request.parameter("from"), request.parameter("to"));
-        let limit = request.parameter("limit").parse().unwrap_or(PAGE_ROWS).min(PAGE_ROWS);
+        let limit = request
+            .parameter("limit")
+            .parse()
+            .unwrap_or(PAGE_ROWS)
+            .min(PAGE_ROWS);
         let rows = self.rows.0.lock().unwrap();
         let (mut page, mut bytes, mut has_more) = (Vec::new(), 0, false);
         let first = (table.to_owned(), part.to_owned(), from.to_owned());
-        for (key, (value, version)) in rows.current.range((Bound::Included(first), Bound::Unbounded)) {
+        for (key, (value, version)) in rows
+            .current
+            .range((Bound::Included(first), Bound::Unbounded))
+        {
             if key.0 != table || key.1 != part || (!to.is_empty() && key.2.as_str() >= to) {
                 break;
             }
@@ -210,7 +227,9 @@
     const DIGITS: &[u8] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut out = String::new();
     for chunk in bytes.chunks(3) {
-        let group = chunk.iter().fold(0_u32, |group, byte| group << 8 | u32::from(*byte));
+        let group = chunk
+            .iter()
+            .fold(0_u32, |group, byte| group << 8 | u32::from(*byte));
         let group = group << (8 * (3 - chunk.len()));
         for index in 0..4 {
             if index <= chunk.len() {
