fix(platform): acknowledge ends only to the incarnation that has them

Cause: ends are numbered anew by each incarnation. The lease renewal after the crash went out on a new connection with the number of the earlier incarnation's last end, and the worker forgot ends that no owner had seen.

--- a/rhubarbfall-runs/src/scheduler/lease_renewal.rs
+++ b/rhubarbfall-runs/src/scheduler/lease_renewal.rs
@@ -18,6 +18,9 @@
 pub struct LeaseRenewalRequest {
     /// The address at which the worker accepts calls.
     pub address: SocketAddr,
+    /// The worker's incarnation that the call is meant for: another one has a clock and numbers of
+    /// its own.
+    pub incarnation_unix_ms: u64,
     /// The end of the leases in milliseconds on the worker's clock, or `None` to renew no lease.
     pub lease_deadline_ms: Option<u64>,
     /// The number of the last run end that the worker may discard.
@@ -45,6 +48,7 @@
             is_busy && lease > now && worker.state == WorkerState::Reachable && !is_unreachable;
         Some(LeaseRenewalRequest {
             address: worker.report.address,
+            incarnation_unix_ms: worker.report.incarnation_unix_ms,
             lease_deadline_ms: if wants_lease {
                 worker.grant_lease(lease)
             } else {
--- a/rhubarbfall-runs/tests/cancellation.rs
+++ b/rhubarbfall-runs/tests/cancellation.rs
@@ -82,3 +82,13 @@
     let found = violations(&Trouble::ALL, |_| true);
     assert!(found.is_empty(), "{}", found.join("\n"));
 }
+
+/// A call that is meant for an earlier life of a worker: its acknowledgement makes the present life
+/// forget ends, its lease outlasts what the owner counts, and its start runs beside another one.
+#[test]
+fn calls_for_earlier_lives_of_restarted_workers_have_no_effect() {
+    let mut trouble = Trouble::ALL.to_vec();
+    trouble.push(Trouble::Restarts);
+    let found = violations(&trouble, |_| true);
+    assert!(found.is_empty(), "{}", found.join("\n"));
+}
--- a/rhubarbfall-runs/tests/hostile/faults.rs
+++ b/rhubarbfall-runs/tests/hostile/faults.rs
@@ -32,9 +32,12 @@
     Gangs,
     /// The owner pauses.
     Pauses,
+    /// Workers start again under their name and at their address, in series, while short tasks run.
+    Restarts,
 }
 
 impl Trouble {
+    /// All classes but [`Trouble::Restarts`].
     pub(crate) const ALL: [Self; 12] = [
         Self::Calls,
         Self::Cuts,
--- a/rhubarbfall-runs/tests/hostile/mod.rs
+++ b/rhubarbfall-runs/tests/hostile/mod.rs
@@ -22,7 +22,7 @@
     Action, Batch, SchedulerSettings, StoredJob, VmOperation, VmRow, Wave,
 };
 use rhubarbfall_runs::{
-    FleetConfig, RunEndKind, Scheduler, WorkerReport, decode_progress, decode_submission,
+    FleetConfig, RunEnd, RunEndKind, Scheduler, WorkerReport, decode_progress, decode_submission,
     decode_wave,
 };
 
@@ -52,6 +52,9 @@
 /// A task of an ended submission that stays placed; the simulation goes on.
 pub(crate) const STUCK_TASK: &str = "stuck task";
 
+/// The end of a run that has done its task, which its worker forgets before it is stored.
+pub(crate) const FORGOTTEN_END: &str = "forgotten end";
+
 /// Returns the scheduler's settings, with a retention after which a simulation still goes on.
 fn settings() -> SchedulerSettings {
     SchedulerSettings {
@@ -311,6 +314,24 @@
         }
     }
 
+    /// Describes the end of a run if its task was done by it and the store does not know.
+    fn forgotten_end(&self, end: &RunEnd) -> Option<String> {
+        let (bytes, _) = self.store.progress.get(&end.task.submission)?;
+        let progress = decode_progress(bytes).expect("valid progress record");
+        let client = self
+            .clients
+            .iter()
+            .find(|client| client.submission.id == end.task.submission)?;
+        let step = &client.submission.steps[usize::from(end.task.step)];
+        let task = &end.task;
+        let position = (task.occurrence, task.step, task.index);
+        let is_known = progress.state.is_final()
+            || progress.done.contains(&position)
+            || task.occurrence < progress.done_occurrences;
+        let was_done = end.kind == RunEndKind::Done && !step.is_long_running;
+        (was_done && !is_known).then(|| format!("{end:?} is forgotten before it is stored"))
+    }
+
     fn advance_processes(&mut self) {
         let now = self.now;
         self.advance_gangs();
--- a/rhubarbfall-runs/tests/hostile/network.rs
+++ b/rhubarbfall-runs/tests/hostile/network.rs
@@ -5,12 +5,12 @@
 
 use rand::RngExt;
 use rhubarbfall_core::{BootTime, WorkerId};
-use rhubarbfall_runs::scheduler::{StartOrder, StopOrder};
+use rhubarbfall_runs::scheduler::{LeaseRenewalRequest, StartOrder, StopOrder};
 use rhubarbfall_runs::{LeaseRenewalResponse, StartOutcome};
 
 use super::faults::{Fate, Trouble};
 use super::worker::{MAX_STOP, Parked, ProcessRun};
-use super::{Event, RowChange, World};
+use super::{Event, FORGOTTEN_END, RowChange, World};
 
 /// The timeout of an order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(700);
@@ -38,8 +38,7 @@
     Start(StartOrder),
     Stop(StopOrder),
     Renew {
-        deadline_ms: Option<u64>,
-        acknowledged: u64,
+        request: LeaseRenewalRequest,
         wait: Duration,
         /// The loop that sent the call.
         from: usize,
@@ -145,8 +144,7 @@
             (true, false) => IDLE_WAIT,
         };
         let message = Message::Renew {
-            deadline_ms: order.lease_deadline_ms,
-            acknowledged: order.acknowledged,
+            request: order,
             wait,
             from: index,
         };
@@ -249,15 +247,18 @@
                 let takes = Duration::from_millis(stop_takes);
                 Some(Reply::Stop(process.stop(order, call.fence, takes, now)))
             }
-            Message::Renew {
-                deadline_ms,
-                acknowledged,
-                wait,
-                ..
-            } => {
-                if !process.renew(*deadline_ms, *acknowledged, call.fence, now) {
+            Message::Renew { request, wait, .. } => {
+                let is_meant = request.incarnation_unix_ms == process.report.incarnation_unix_ms;
+                let deadline_ms = request.lease_deadline_ms;
+                let acknowledged = if is_meant { request.acknowledged } else { 0 };
+                let Some(discarded) = process.renew(deadline_ms, acknowledged, call.fence, now)
+                else {
                     return Some(Reply::NotSent);
+                };
+                if let Some(text) = discarded.iter().find_map(|end| self.forgotten_end(end)) {
+                    self.violation(FORGOTTEN_END, &text);
                 }
+                let process = &mut self.processes[index];
                 process.parked.push(Parked {
                     call: id,
                     until: now + *wait,
--- a/rhubarbfall-runs/tests/hostile/places.rs
+++ b/rhubarbfall-runs/tests/hostile/places.rs
@@ -95,6 +95,17 @@
         self.expire_row(process.report.id, is_graceful);
     }
 
+    /// Ends a process, which starts again soon with the same name and address.
+    pub(super) fn restart_process(&mut self, index: usize) {
+        let process = self.processes.swap_remove(index);
+        let returns_at = self.now + self.millis(10..600);
+        let vm = &mut self.vms[process.vm];
+        vm.state = VmState::Down;
+        vm.returns_at = Some(returns_at);
+        vm.name = Some(process.report.id);
+        vm.address = Some(process.report.address);
+    }
+
     /// Removes a row of the worker list once the platform knows that the worker has gone.
     fn expire_row(&mut self, id: WorkerId, is_graceful: bool) {
         if self.vms.iter().any(|vm| vm.name.as_ref() == Some(&id)) && self.rng.random_bool(0.5) {
--- a/rhubarbfall-runs/tests/hostile/scenario.rs
+++ b/rhubarbfall-runs/tests/hostile/scenario.rs
@@ -38,6 +38,12 @@
         {
             self.end_process(index, false);
         }
+        if self.has_now(Trouble::Restarts)
+            && self.chance(1.5)
+            && let Some(index) = self.any_process()
+        {
+            self.restart_process(index);
+        }
         if self.has(Trouble::Drains) && self.chance(0.25) {
             self.drain_one();
         }
@@ -77,6 +83,9 @@
         let tasks = self.rng.random_range(1..6);
         let cpu_millis = self.rng.random_range(1..12) * 1_000;
         let mut duration = self.millis(200..4_000);
+        if self.has(Trouble::Restarts) && self.rng.random_bool(0.5) {
+            duration = self.millis(10..80);
+        }
         let mut first = step(tasks, cpu_millis);
         let mut steps = Vec::new();
         match self.rng.random_range(0..10) {
--- a/rhubarbfall-runs/tests/hostile/worker.rs
+++ b/rhubarbfall-runs/tests/hostile/worker.rs
@@ -54,6 +54,8 @@
     pub(crate) closed: BTreeMap<TaskId, u64>,
     pub(crate) ends: Vec<RunEnd>,
     pub(crate) next_end: u64,
+    /// The number of the last end before the leases last lapsed.
+    pub(crate) last_end_before_lapse: u64,
     pub(crate) parked: Vec<Parked>,
     /// No call and no response passes before this time.
     pub(crate) cut_until: BootTime,
@@ -76,6 +78,7 @@
             closed: BTreeMap::new(),
             ends: Vec::new(),
             next_end: 1,
+            last_end_before_lapse: 0,
             parked: Vec::new(),
             cut_until: BootTime::default(),
             leaves_at: None,
@@ -149,22 +152,26 @@
         true
     }
 
-    /// Accepts a lease renewal and returns whether it is to be answered.
+    /// Accepts a lease renewal and returns the ends that it lets the worker forget, or returns `None`
+    /// if the renewal is not to be answered. Ends after which the leases have lapsed are left out: by
+    /// the platform's rules the tasks of such runs may run again.
     pub(crate) fn renew(
         &mut self,
         deadline_ms: Option<u64>,
         acknowledged: u64,
         fence: u64,
         now: BootTime,
-    ) -> bool {
+    ) -> Option<Vec<RunEnd>> {
         if !self.accept_fence(fence) {
-            return false;
+            return None;
         }
         if let Some(deadline_ms) = deadline_ms {
             self.extend_lease(deadline_ms, now);
         }
-        self.ends.retain(|end| end.number > acknowledged);
-        true
+        let is_acknowledged = |end: &mut RunEnd| end.number <= acknowledged;
+        let mut forgotten: Vec<RunEnd> = self.ends.extract_if(.., is_acknowledged).collect();
+        forgotten.retain(|end| end.number > self.last_end_before_lapse);
+        Some(forgotten)
     }
 
     pub(crate) fn response(&self, now: BootTime) -> LeaseRenewalResponse {
@@ -212,6 +219,9 @@
     /// Advances the runs by `step` and returns the renewals to be answered now.
     pub(crate) fn advance(&mut self, now: BootTime, step: Duration) -> Vec<Parked> {
         let has_lapsed = self.clock_ms(now) > self.lease_deadline_ms;
+        if has_lapsed {
+            self.last_end_before_lapse = self.next_end - 1;
+        }
         for run in self.runs.iter_mut().filter(|run| !run.is_gang) {
             run.remaining = run.remaining.saturating_sub(step);
         }
--- a/rhubarbfall-scheduler/src/owner/worker_loop.rs
+++ b/rhubarbfall-scheduler/src/owner/worker_loop.rs
@@ -80,10 +80,7 @@
             (true, false) => IDLE_LONG_POLL_TIMEOUT,
         };
         let fence = owner.fencing_number();
-        match client
-            .renew_leases(order.lease_deadline_ms, order.acknowledged, wait, fence)
-            .await
-        {
+        match client.renew_leases(&order, wait, fence).await {
             Ok(answer) => {
                 telemetry::count_worker_call("hold", "answered");
                 let now = node.now();
