fix(platform): send a start only to the incarnation that it is meant for

Cause: a start that is sent while its worker is away reaches the next incarnation when the connection opens after the restart. The end of its lease is a time on the earlier clock, so that the run lasts for 10 s. Only the owner knows; when it is lost, its successor counts 2.8 s and starts the task elsewhere.

--- a/rhubarbfall-runs/src/scheduler/action.rs
+++ b/rhubarbfall-runs/src/scheduler/action.rs
@@ -36,6 +36,8 @@
 pub struct StartOrder {
     /// The worker to run the task.
     pub worker: WorkerId,
+    /// The worker's incarnation that the order is meant for; no other one may receive it.
+    pub incarnation_unix_ms: u64,
     /// The address at which the worker accepts calls.
     pub address: SocketAddr,
     /// The task to start.
--- a/rhubarbfall-runs/src/scheduler/orders.rs
+++ b/rhubarbfall-runs/src/scheduler/orders.rs
@@ -76,7 +76,7 @@
         if let Some(worker) = self.workers.get_mut(worker) {
             match outcome {
                 StartOutcome::OtherWorker => worker.is_listed = false,
-                StartOutcome::Refused | StartOutcome::NotSent => {
+                StartOutcome::Refused | StartOutcome::NotSent | StartOutcome::OtherIncarnation => {
                     worker.quarantined_until = now + self.settings.unreachable_after;
                 }
                 _ => {}
--- a/rhubarbfall-runs/src/scheduler/starting.rs
+++ b/rhubarbfall-runs/src/scheduler/starting.rs
@@ -113,6 +113,7 @@
             .flatten();
         let order = StartOrder {
             worker: worker_id,
+            incarnation_unix_ms: worker.report.incarnation_unix_ms,
             address: worker.report.address,
             task: id.clone(),
             run,
--- a/rhubarbfall-runs/src/worker_events.rs
+++ b/rhubarbfall-runs/src/worker_events.rs
@@ -107,6 +107,8 @@
     NoRoom,
     /// Another worker listens at the address.
     OtherWorker,
+    /// The worker has started again since the start was decided; the start was not sent.
+    OtherIncarnation,
     /// The worker refused the ticket or requires one.
     TicketRefused,
     /// The worker refused the start for another reason.
@@ -128,6 +130,7 @@
             Self::LeaseTooOld => "lease_too_old",
             Self::NoRoom => "no_room",
             Self::OtherWorker => "other_worker",
+            Self::OtherIncarnation => "other_incarnation",
             Self::TicketRefused => "ticket_refused",
             Self::Refused => "refused",
             Self::NotSent => "not_sent",
--- a/rhubarbfall-runs/tests/hostile/network.rs
+++ b/rhubarbfall-runs/tests/hostile/network.rs
@@ -222,7 +222,12 @@
         let fails = self.has(Trouble::Failures) && self.rng.random_bool(0.15);
         let is_refused = self.has_now(Trouble::Failures) && self.rng.random_bool(0.1);
         let process = &mut self.processes[index];
+        let incarnation = process.report.incarnation_unix_ms;
         match &call.message {
+            // A call for one incarnation goes out on its connections only.
+            Message::Start(order) if order.incarnation_unix_ms != incarnation => {
+                Some(Reply::Start(StartOutcome::OtherIncarnation))
+            }
             Message::Start(_) if is_refused => Some(Reply::Start(StartOutcome::Refused)),
             Message::Start(order) => {
                 self.starts += 1;
@@ -248,7 +253,7 @@
                 Some(Reply::Stop(process.stop(order, call.fence, takes, now)))
             }
             Message::Renew { request, wait, .. } => {
-                let is_meant = request.incarnation_unix_ms == process.report.incarnation_unix_ms;
+                let is_meant = request.incarnation_unix_ms == incarnation;
                 let deadline_ms = request.lease_deadline_ms.filter(|_| is_meant);
                 let acknowledged = if is_meant { request.acknowledged } else { 0 };
                 let Some(discarded) = process.renew(deadline_ms, acknowledged, call.fence, now)
--- a/rhubarbfall-runs/tests/pending_after_takeover.rs
+++ b/rhubarbfall-runs/tests/pending_after_takeover.rs
@@ -39,6 +39,7 @@
         let mut predecessor = Self {
             start: StartOrder {
                 worker: id("w-1"),
+                incarnation_unix_ms: 1,
                 address: "127.0.0.1:1".parse().expect("valid address"),
                 task: "0000000000000001.0.0.0".parse().expect("valid task name"),
                 run: 1,
