fix(runs): let no ended incarnation of a worker replace the present one

Cause: a higher incarnation number was taken for a later incarnation. The old entry of a worker that has started again with a lower number, read once more, or a late answer, made the owner requeue runs that the present incarnation has listed. A restart also set the expiry of the leases to zero, also of those that the present incarnation holds.

Change: a worker remembers the incarnations that the present one has followed. Their entries replace nothing, nor do their answers to calls from before the present one was known. A restart keeps the expiry of the leases.

Tests, red before: worker_restarts.rs, an_entry_of_an_ended_incarnation_with_a_higher_number_replaces_nothing, an_answer_of_an_ended_incarnation_with_a_higher_number_requeues_nothing, a_restart_shortens_no_lease.

--- a/rhubarbfall-runs/src/scheduler/lease_renewal.rs
+++ b/rhubarbfall-runs/src/scheduler/lease_renewal.rs
@@ -72,9 +72,9 @@
             return;
         };
         // A call that was sent earlier may have reached an earlier incarnation.
-        if answer.incarnation_unix_ms < worker.report.incarnation_unix_ms
-            && sent_at < worker.incarnation_known_since
-        {
+        let is_earlier = answer.incarnation_unix_ms < worker.report.incarnation_unix_ms
+            || worker.has_ended(answer.incarnation_unix_ms);
+        if is_earlier && sent_at < worker.incarnation_known_since {
             log::info!("event=renewal_answer_outdated worker={id}");
             return;
         }
--- a/rhubarbfall-runs/src/scheduler/listing.rs
+++ b/rhubarbfall-runs/src/scheduler/listing.rs
@@ -18,15 +18,21 @@
             self.reserve_inherited(&id);
             return true;
         };
-        if report.incarnation_unix_ms < worker.report.incarnation_unix_ms {
+        let incarnation_unix_ms = report.incarnation_unix_ms;
+        if incarnation_unix_ms < worker.report.incarnation_unix_ms
+            || worker.has_ended(incarnation_unix_ms)
+        {
             log::debug!("event=worker_entry_outdated worker={id}");
             return false;
         }
         let has_moved = worker.report.address != report.address;
         worker.is_listed = true;
-        if worker.report.incarnation_unix_ms < report.incarnation_unix_ms {
-            let incarnation_unix_ms = report.incarnation_unix_ms;
-            worker.report = report;
+        let known = worker.report.incarnation_unix_ms;
+        if known < incarnation_unix_ms {
+            worker.report = WorkerReport {
+                incarnation_unix_ms: known,
+                ..report
+            };
             self.worker_restarted(&id, incarnation_unix_ms, now);
             return has_moved;
         }
--- a/rhubarbfall-runs/src/worker.rs
+++ b/rhubarbfall-runs/src/worker.rs
@@ -12,6 +12,10 @@
 /// timers fire late.
 const LEASE_EXPIRY_MARGIN: Duration = Duration::from_millis(100);
 
+/// The number of ended incarnations of a worker that are remembered. Entries and answers of earlier
+/// ones have long arrived.
+const MAX_ENDED_INCARNATIONS: usize = 8;
+
 /// A worker with the state that its owner keeps.
 #[derive(Debug, Clone)]
 pub struct Worker {
@@ -21,6 +25,9 @@
     pub is_listed: bool,
     /// When this owner learned of the worker's current incarnation.
     pub incarnation_known_since: BootTime,
+    /// The incarnations that the present one has followed, the latest one last. Their numbers may be
+    /// higher, since the clock of the worker's VM may have been set back.
+    pub ended_incarnations: Vec<u64>,
     /// Whether the worker answers lease renewals.
     pub state: WorkerState,
     /// The worker's clock in milliseconds, and when the answer that contained it arrived.
@@ -77,6 +84,7 @@
             report,
             is_listed: true,
             incarnation_known_since: now,
+            ended_incarnations: Vec::new(),
             state: WorkerState::New,
             clock: None,
             answered_at: BootTime::default(),
@@ -150,11 +158,28 @@
         self.lease_expiry = self.lease_expiry.max(expiry);
     }
 
-    /// Resets the state after the worker has started again, except for the tasks placed on it.
+    /// Returns whether an entry or an answer is of an incarnation that the present one has followed.
+    #[must_use]
+    pub fn has_ended(&self, incarnation_unix_ms: u64) -> bool {
+        self.ended_incarnations.contains(&incarnation_unix_ms)
+    }
+
+    /// Resets the state after the worker has started again, except for the tasks placed on it and for
+    /// the leases, which may have been granted to the present incarnation.
     pub fn restart(&mut self, incarnation_unix_ms: u64, now: BootTime) {
         let mut report = self.report.clone();
-        report.incarnation_unix_ms = incarnation_unix_ms;
+        let ended = std::mem::replace(&mut report.incarnation_unix_ms, incarnation_unix_ms);
         let earlier = std::mem::replace(self, Self::new(report, now));
+        self.ended_incarnations = earlier.ended_incarnations;
+        self.ended_incarnations
+            .retain(|known| ![ended, incarnation_unix_ms].contains(known));
+        self.ended_incarnations.push(ended);
+        let excess = self
+            .ended_incarnations
+            .len()
+            .saturating_sub(MAX_ENDED_INCARNATIONS);
+        self.ended_incarnations.drain(..excess);
+        self.lease_expiry = earlier.lease_expiry;
         self.reserved = earlier.reserved;
         self.placed = earlier.placed;
         self.latency_sensitive_tasks = earlier.latency_sensitive_tasks;
--- a/rhubarbfall-runs/tests/worker_restarts.rs
+++ b/rhubarbfall-runs/tests/worker_restarts.rs
@@ -394,3 +394,55 @@
     let worker = owner.scheduler.worker(&id("w-1")).expect("listed worker");
     assert_eq!(worker.report.incarnation_unix_ms, 2);
 }
+
+/// Lets a worker start again after its VM's clock was set back, so that its present incarnation has a
+/// lower number than the earlier one, and starts a task on it that it lists.
+fn owner_of_a_worker_whose_clock_was_set_back() -> (Owner, StartOrder) {
+    let mut owner = Owner::new();
+    owner.list_incarnation("w-1", 2);
+    owner.answer("w-1", 2, Vec::new(), Vec::new());
+    owner.now = owner.now + Duration::from_secs(2);
+    owner.answer("w-1", 1, Vec::new(), Vec::new());
+    owner
+        .scheduler
+        .submit(submission(1, "labels", step(1, 4_000)), owner.now);
+    let start = owner.starts().remove(0);
+    owner.accept(&start);
+    owner.answer("w-1", 1, vec![running(&start)], Vec::new());
+    owner.list("w-2");
+    owner.answer("w-2", 1, Vec::new(), Vec::new());
+    (owner, start)
+}
+
+/// The entry of an incarnation that has ended comes again, as in a list that is read anew before the
+/// worker has written the next one: the task ran elsewhere beside its run on the present incarnation.
+#[test]
+fn an_entry_of_an_ended_incarnation_with_a_higher_number_replaces_nothing() {
+    let (mut owner, start) = owner_of_a_worker_whose_clock_was_set_back();
+    owner.list_incarnation("w-1", 2);
+    assert_eq!(owner.starts(), vec![]);
+    owner.answer("w-1", 1, vec![running(&start)], Vec::new());
+    assert_eq!(owner.starts(), vec![]);
+}
+
+/// The same with an answer that arrives late.
+#[test]
+fn an_answer_of_an_ended_incarnation_with_a_higher_number_requeues_nothing() {
+    let (mut owner, _) = owner_of_a_worker_whose_clock_was_set_back();
+    let sent_at = owner.now.before(Duration::from_secs(3));
+    owner.answer_call_sent_at(sent_at, "w-1", 2, Vec::new(), Vec::new());
+    assert_eq!(owner.starts(), vec![]);
+}
+
+/// What was granted to an incarnation before its owner learns of it by another way counts on: an owner
+/// that forgets it starts tasks elsewhere too early.
+#[test]
+fn a_restart_shortens_no_lease() {
+    let (mut owner, _) = owner_of_a_restarted_worker(true, StartOutcome::Accepted);
+    let worker = owner.scheduler.worker(&id("w-1")).expect("listed worker");
+    assert!(worker.lease_expiry > owner.now + Duration::from_secs(2));
+    owner.now = owner.now + Duration::from_millis(1);
+    owner.list_incarnation("w-1", 3);
+    let worker = owner.scheduler.worker(&id("w-1")).expect("listed worker");
+    assert!(worker.lease_expiry > owner.now + Duration::from_secs(2));
+}
