--- a/rhubarbfall/tests/soak/fleet.rs
+++ b/rhubarbfall/tests/soak/fleet.rs
@@ -176,6 +176,26 @@
         self.slots()[worker] = after;
     }
 
+    /// Returns the platform's stand-in.
+    pub(crate) const fn site(&self) -> &StandInSite {
+        &self.site
+    }
+
+    /// Reserves a worker for restarts that take this long, and returns whether they can begin.
+    pub(crate) fn begin_restarts(&self, worker: usize, length: Duration) -> bool {
+        let can_begin = self.begin(worker, ChangeKind::Restart).is_some();
+        if can_begin {
+            self.disturbances
+                .add(DisturbanceScope::Worker(worker), length);
+        }
+        can_begin
+    }
+
+    /// Ends the restarts of a worker.
+    pub(crate) fn end_restarts(&self, worker: usize) {
+        self.slots()[worker] = WorkerSlot::Up;
+    }
+
     /// Reserves a worker for a change, and returns its state before, unless the change cannot begin.
     fn begin(&self, worker: usize, kind: ChangeKind) -> Option<WorkerSlot> {
         let mut slots = self.slots();
--- a/rhubarbfall/tests/soak/main.rs
+++ b/rhubarbfall/tests/soak/main.rs
@@ -3,7 +3,7 @@
 //!
 //! `cargo test --release -p rhubarbfall --test soak -- --seed 7` runs one seed, `--seeds 50` runs
 //! fifty from `--first`, and without either the regression seeds and a few more are run. `--cells 2` divides
-//! the fleet into two cells.
+//! the fleet into two cells; with `--restarts` workers start again under their identifiers, in series.
 
 mod callers;
 mod cancels;
@@ -12,6 +12,7 @@
 mod entry;
 mod faults;
 mod fleet;
+mod restarts;
 #[path = "../../../platform/tests/stand_in/mod.rs"]
 mod stand_in;
 #[path = "../support/mod.rs"]
@@ -33,7 +34,8 @@
 use disturbances::DisturbanceLog;
 use entry::Entries;
 use faults::Fault;
-use fleet::Fleet;
+use fleet::{Fleet, FleetChange};
+use restarts::RestartSeries;
 
 /// Seeds that failed before, each with the cause. CI runs them every time.
 const REGRESSION_SEEDS: [(u64, &str); 4] = [
@@ -60,6 +62,9 @@
 /// Seeds that CI runs with the fleet divided, each with the number of cells.
 const CI_CELL_SEEDS: [(u64, usize); 2] = [(1, 2), (2, 3)];
 
+/// Seeds that CI runs with restarts of workers.
+const CI_RESTART_SEEDS: [u64; 2] = [1, 2];
+
 /// The number of workers that each cell of a divided fleet has at first.
 const WORKERS_PER_CELL: usize = 5;
 
@@ -110,6 +115,8 @@
     workers: usize,
     callers: usize,
     cells: usize,
+    /// Whether workers start again under their identifiers, in series.
+    has_restarts: bool,
 }
 
 impl SoakConfig {
@@ -146,6 +153,15 @@
         }
     }
 
+    /// Returns for how long workers restart.
+    const fn restart_duration(&self) -> Duration {
+        if self.has_restarts {
+            FAULT_DURATION
+        } else {
+            Duration::ZERO
+        }
+    }
+
     /// Returns the settings that divide the fleet.
     fn settings(&self) -> String {
         if !self.is_divided() {
@@ -168,18 +184,22 @@
     }
     let first = arguments.get_one::<u64>("first").copied().unwrap_or(1_000);
     let cells = arguments.get_one::<usize>("cells").copied().unwrap_or(1);
-    let seeds: Vec<(u64, usize)> = match (
+    let has_restarts = arguments.get_flag("restarts");
+    let seeds: Vec<(u64, usize, bool)> = match (
         arguments.get_one::<u64>("seed"),
         arguments.get_one::<u64>("seeds"),
     ) {
-        (Some(seed), _) => vec![(*seed, cells)],
-        (None, Some(count)) => (first..first + count).map(|seed| (seed, cells)).collect(),
+        (Some(seed), _) => vec![(*seed, cells, has_restarts)],
+        (None, Some(count)) => (first..first + count)
+            .map(|seed| (seed, cells, has_restarts))
+            .collect(),
         (None, None) => REGRESSION_SEEDS
             .iter()
             .map(|(seed, _)| *seed)
             .chain(CI_SEEDS)
-            .map(|seed| (seed, cells))
-            .chain(CI_CELL_SEEDS)
+            .map(|seed| (seed, cells, false))
+            .chain(CI_CELL_SEEDS.map(|(seed, cells)| (seed, cells, false)))
+            .chain(CI_RESTART_SEEDS.map(|seed| (seed, cells, true)))
             .collect(),
     };
     let config = SoakConfig {
@@ -187,12 +207,19 @@
         workers: arguments.get_one::<usize>("workers").copied().unwrap_or(6),
         callers: arguments.get_one::<usize>("callers").copied().unwrap_or(8),
         cells: 1,
+        has_restarts: false,
     };
     let runtime = tokio::runtime::Runtime::new().expect("the runtime starts");
-    let failed: Vec<(u64, usize)> = seeds
+    let failed: Vec<(u64, usize, bool)> = seeds
         .iter()
         .copied()
-        .filter(|(seed, cells)| !runtime.block_on(run_seed(*seed, config.with_cells(*cells))))
+        .filter(|(seed, cells, has_restarts)| {
+            let config = SoakConfig {
+                has_restarts: *has_restarts,
+                ..config.with_cells(*cells)
+            };
+            !runtime.block_on(run_seed(*seed, config))
+        })
         .collect();
     println!(
         "{} passed, {} failed",
@@ -202,7 +229,9 @@
     if failed.is_empty() {
         ExitCode::SUCCESS
     } else {
-        println!("failed seeds, each with the number of cells: {failed:?}");
+        println!(
+            "failed seeds, each with the number of cells and whether workers restart: {failed:?}"
+        );
         ExitCode::FAILURE
     }
 }
@@ -229,6 +258,7 @@
         .arg(count("workers"))
         .arg(count("callers"))
         .arg(count("cells"))
+        .arg(flag("restarts"))
         // Arguments that the test harness of the workspace passes to every test program.
         .arg(flag("list"))
         .arg(flag("exact"))
@@ -288,6 +318,7 @@
     let cancelling = spawn_callers(CANCELLING_CALLERS, &mut rng, &shared, cancels::run);
     let changes = fleet::schedule(&mut rng, FAULT_DURATION, worker_relays.len());
     let leaving = spawn_callers(LEAVING_CALLERS, &mut rng, &shared, cancels::run_leaving);
+    let restarts = restarts::schedule(&mut rng, config.restart_duration(), config.workers);
     let faults_end = tokio::time::Instant::now() + FAULT_DURATION;
     tokio::join!(
         async {
@@ -296,6 +327,7 @@
             end_faults(&entries, &site, &worker_relays).await;
         },
         fleet.play(&changes),
+        restarts::play(&restarts, &fleet, &worker_relays),
     );
     history.stop();
     for caller in submitting.into_iter().chain(cancelling).chain(leaving) {
@@ -319,26 +351,38 @@
         history.summary()
     );
     if !verdict.violations.is_empty() {
-        for fault in &schedule {
-            println!("  fault: {fault:?}");
-        }
-        for change in &changes {
-            println!("  change: {change:?}");
-        }
+        print_plan(&schedule, &changes, &restarts);
         print_violations(seed, config, &verdict, &entries);
     }
     entries.kill_all();
     verdict.violations.is_empty()
 }
 
+fn print_plan(faults: &[Fault], changes: &[FleetChange], restarts: &[RestartSeries]) {
+    for fault in faults {
+        println!("  fault: {fault:?}");
+    }
+    for change in changes {
+        println!("  change: {change:?}");
+    }
+    for series in restarts {
+        println!("  restarts: {series:?}");
+    }
+}
+
 fn print_violations(seed: u64, config: SoakConfig, verdict: &SoakVerdict, entries: &Entries) {
     for violation in &verdict.violations {
         println!("  broken: {violation}");
     }
     println!("  logs: {}", entries.keep_logs().display());
     println!(
-        "  again: cargo test --release -p rhubarbfall --test soak -- --seed {seed} --cells {}",
-        config.cells
+        "  again: cargo test --release -p rhubarbfall --test soak -- --seed {seed} --cells {}{}",
+        config.cells,
+        if config.has_restarts {
+            " --restarts"
+        } else {
+            ""
+        }
     );
 }
 
