fix(scheduler): allow for the longest leases of owners of earlier versions

Cause: such an owner states an end on the clock of the incarnation before, a lease of 10 s, and its successor counts 2.8 s.

Change: a renewal of the ownership states how long leases of earlier versions may last. A successor of an owner that does not state it waits for the longest lease, as after a silent owner, and allows for it on workers that answer once and fall silent.

Test, red before: worker_restarts.rs a_lease_by_an_owner_of_an_earlier_version_may_be_the_longest_one (the task started elsewhere after 2 s). A fleet of both versions was not run.

--- a/rhubarbfall-runs/src/scheduler/lease_renewal.rs
+++ b/rhubarbfall-runs/src/scheduler/lease_renewal.rs
@@ -87,7 +87,13 @@
         };
         if worker.state == WorkerState::New {
             // The renewal fenced off earlier owners, so their last lease was granted before it.
-            worker.bound_inherited_lease(now, self.settings.lease);
+            let has_usual_lease = self.longest_leases_until <= now;
+            let lease = if has_usual_lease {
+                self.settings.lease
+            } else {
+                self.settings.max_lease
+            };
+            worker.bound_inherited_lease(now, lease);
         }
         worker.may_have_earlier_starts = has_earlier_start;
         if has_earlier_start {
--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -72,6 +72,8 @@
     /// When runs placed by earlier owners have certainly ended on workers that do not answer;
     /// `None` once they have been requeued.
     inherited_lease_expiry: Option<BootTime>,
+    /// Until when workers may hold leases that are longer than owners grant them.
+    longest_leases_until: BootTime,
     /// Tasks that an earlier owner placed on workers that are not listed yet.
     inherited_on_unlisted: LiteMap<WorkerId, Vec<TaskId>>,
     /// Whether a change since the last placement may let a waiting task start.
@@ -116,6 +118,7 @@
             last_batched_job: None,
             max_lease_end: BootTime::default(),
             inherited_lease_expiry: None,
+            longest_leases_until: BootTime::default(),
             inherited_on_unlisted: LiteMap::new(),
             needs_placement: true,
             vm_ops: vm_operations::VmOperations::default(),
--- a/rhubarbfall-runs/src/scheduler/recovery.rs
+++ b/rhubarbfall-runs/src/scheduler/recovery.rs
@@ -160,6 +160,13 @@
             .map_or(Duration::ZERO, |until| until.since(now))
     }
 
+    /// Allows for earlier owners that reached workers which had started again, as owners of earlier
+    /// versions may: until then, such a worker may hold the longest lease that workers grant, however
+    /// long its owner's leases are.
+    pub const fn expect_longest_leases_until(&mut self, until: BootTime) {
+        self.longest_leases_until = until;
+    }
+
     /// Records that leases of earlier owners last until `until` at most, which is earlier than what
     /// was known at the takeover.
     pub fn bound_inherited_leases(&mut self, until: BootTime) {
--- a/rhubarbfall-runs/tests/worker_restarts.rs
+++ b/rhubarbfall-runs/tests/worker_restarts.rs
@@ -10,7 +10,9 @@
 use model::{step, submission};
 use rhubarbfall_core::RowVersion;
 use rhubarbfall_runs::scheduler::{Action, StartOrder};
-use rhubarbfall_runs::{JobState, PlacedRun, RunEnd, RunEndKind, StartOutcome, Submission};
+use rhubarbfall_runs::{
+    ActiveRun, JobState, PlacedRun, RunEnd, RunEndKind, StartOutcome, Submission,
+};
 use single_owner::{Owner, id, owner_with_gang, report_done, running, stored_job};
 
 /// A worker that starts again under its name and carries out a start that was meant for its earlier
@@ -446,3 +448,46 @@
     let worker = owner.scheduler.worker(&id("w-1")).expect("listed worker");
     assert!(worker.lease_expiry > owner.now + Duration::from_secs(2));
 }
+
+/// An owner of an earlier version may have renewed leases of a worker that had just started again, with
+/// an end on the clock of the incarnation before. A worker that answers its successor once and falls
+/// silent may hold such a lease: its task must not start elsewhere before the longest one has lapsed.
+#[test]
+fn a_lease_by_an_owner_of_an_earlier_version_may_be_the_longest_one() {
+    for (is_earlier_version, lapses_within) in [(false, 4), (true, 11)] {
+        let mut owner = Owner::new();
+        let placed = PlacedRun {
+            worker: id("w-1"),
+            incarnation_unix_ms: 1,
+            run: 1,
+        };
+        let stored = stored_job(JobState::Active, placed);
+        let until = owner.now + Duration::from_secs(10);
+        owner
+            .scheduler
+            .recover([stored], until, owner.now, owner.now.as_millis());
+        if is_earlier_version {
+            owner.scheduler.expect_longest_leases_until(until);
+        }
+        owner.list("w-1");
+        owner.list("w-2");
+        let run = ActiveRun {
+            task: "0000000000000001.0.0.0".parse().expect("valid task name"),
+            run: 1,
+            checkpoint: None,
+            percent: 0,
+            tail_ms_or_cpu_millis: None,
+        };
+        owner.answer("w-1", 1, vec![run], Vec::new());
+        let fell_silent_at = owner.now;
+        let mut starts = Vec::new();
+        while starts.is_empty() {
+            owner.confirm_ownership();
+            owner.answer("w-2", 1, Vec::new(), Vec::new());
+            starts = owner.starts();
+        }
+        let lapsed_after = owner.now.since(fell_silent_at).as_secs();
+        assert!(lapsed_after < lapses_within, "{lapsed_after} s");
+        assert_eq!(lapsed_after >= 10, is_earlier_version, "{lapsed_after} s");
+    }
+}
--- a/rhubarbfall-scheduler/src/owner/mod.rs
+++ b/rhubarbfall-scheduler/src/owner/mod.rs
@@ -116,6 +116,8 @@
     pub(crate) vm_orders: Rc<VmOrdersOnTheWay>,
     /// When all leases that earlier owners granted to workers have expired.
     inherited_leases_until: Cell<BootTime>,
+    /// Until when leases of owners of earlier versions may last.
+    earlier_version_leases_until: BootTime,
     /// Shares of the limits that cells have together.
     lending: RefCell<Lending>,
 }
@@ -124,9 +126,11 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Inheritance {
     /// Until when their orders may reach the VM service.
-    pub(crate) vm_orders_until: BootTime,
+    pub(crate) vm_orders_arrive_by: BootTime,
     /// Until when the leases that they granted to workers may last.
     pub(crate) leases_until: BootTime,
+    /// Until when those of the leases may last that owners of earlier versions granted.
+    pub(crate) earlier_version_leases_until: BootTime,
 }
 
 /// Caller waiting until a version of a job is stored.
@@ -183,9 +187,10 @@
             timer_lateness: Cell::default(),
             vm_orders: Rc::new(VmOrdersOnTheWay::new(
                 node.settings.vm_order_time(),
-                inheritance.vm_orders_until,
+                inheritance.vm_orders_arrive_by,
             )),
             inherited_leases_until: Cell::new(inheritance.leases_until),
+            earlier_version_leases_until: inheritance.earlier_version_leases_until,
             lending: RefCell::default(),
         };
         owner.confirm_renewal(confirmed_at);
@@ -318,6 +323,7 @@
             ownership_lease,
             vm_orders_on_the_way: self.vm_orders.remaining(sent_at),
             inherited_leases: self.inherited_leases_remaining(sent_at),
+            earlier_version_leases: self.earlier_version_leases_until.since(sent_at),
         }
     }
 
--- a/rhubarbfall-scheduler/src/owner/start.rs
+++ b/rhubarbfall-scheduler/src/owner/start.rs
@@ -64,6 +64,7 @@
     owner.with(|scheduler| {
         scheduler.set_config(config);
         scheduler.recover(jobs, inherited_until, now, unix_ms);
+        scheduler.expect_longest_leases_until(owner.earlier_version_leases_until);
         scheduler.await_inherited_vm_orders(now + owner.vm_orders.remaining(now));
         scheduler.apply_stored_cancellations(early_cancellations, now);
         scheduler.recover_unreadable(unreadable);
--- a/rhubarbfall-scheduler/src/ownership.rs
+++ b/rhubarbfall-scheduler/src/ownership.rs
@@ -120,6 +120,8 @@
     pub(crate) vm_orders_on_the_way: Duration,
     /// How long leases that earlier owners granted to workers may last.
     pub(crate) inherited_leases: Duration,
+    /// How long those of them may last that owners of earlier versions granted.
+    pub(crate) earlier_version_leases: Duration,
 }
 
 impl Renewal {
@@ -132,6 +134,7 @@
             lease_ms: milliseconds(self.ownership_lease),
             vm_orders_on_the_way_ms: Some(milliseconds(self.vm_orders_on_the_way)),
             inherited_leases_ms: Some(milliseconds(self.inherited_leases)),
+            earlier_version_leases_ms: Some(milliseconds(self.earlier_version_leases)),
         };
         (cell_row(cell, RENEWAL_KEY), renewal.encode_to_vec())
     }
@@ -236,12 +239,30 @@
     lease.mul_f64(CLOCK_DRIFT_FACTOR) + LEASE_EXPIRY_MARGIN
 }
 
+/// Returns until when leases that owners of earlier versions granted may last: as long as workers grant
+/// them, if the last owner was one.
+fn earlier_version_leases_until(node: &Node, watch: &OwnershipWatch) -> BootTime {
+    if watch.owner_row_version.is_none() {
+        return BootTime::default();
+    }
+    let left = watch.earlier_version_leases.unwrap_or_else(|| {
+        max_inherited_lease(
+            None,
+            node.settings.scheduler().lease,
+            node.settings.max_lease(),
+        )
+    });
+    watch.last_change_at + left
+}
+
 /// Returns until when leases of earlier owners may last. Without an owner row there was none.
 fn inherited_leases_until(node: &Node, watch: &OwnershipWatch, end: PredecessorEnd) -> BootTime {
     if watch.owner_row_version.is_none() {
         return BootTime::default();
     }
     let inherited = match end {
+        // Its leases may be longer than it states.
+        _ if node.now() < earlier_version_leases_until(node, watch) => None,
         PredecessorEnd::Released => watch.inherited_at_release,
         // It ended before this process first read the rows.
         PredecessorEnd::EarlierProcess => watch.inherited_leases,
@@ -299,6 +320,7 @@
     let end = predecessor_end(node, watch, known_owner);
     let vm_orders_until = inherited_vm_orders_until(node, watch, end);
     let leases_until = inherited_leases_until(node, watch, end);
+    let earlier_version_leases_until = earlier_version_leases_until(node, watch);
     let owner_row = OwnerRow {
         fencing_number: fencing_number.get(),
         holder: Some(HolderMessage::from(&this_entry)),
@@ -310,6 +332,7 @@
         ownership_lease: MIN_OWNERSHIP_LEASE,
         vm_orders_on_the_way: vm_orders_until.since(node.now()),
         inherited_leases: leases_until.since(node.now()),
+        earlier_version_leases: earlier_version_leases_until.since(node.now()),
     };
     let transaction = Transaction {
         expected: vec![
@@ -332,8 +355,9 @@
             );
             cell.update_known_owner(node, fencing_number, Some(this_entry));
             let inheritance = Inheritance {
-                vm_orders_until,
+                vm_orders_arrive_by: vm_orders_until,
                 leases_until,
+                earlier_version_leases_until,
             };
             let owner = Owner::new(node, cell, fencing_number, version, sent_at, inheritance);
             if let Some(predecessor) = &known_owner.holder
@@ -341,7 +365,9 @@
             {
                 let stated = Stated {
                     vm_orders: watch.vm_orders_on_the_way,
-                    inherited_leases: watch.inherited_leases,
+                    inherited_leases: watch
+                        .inherited_leases
+                        .filter(|_| earlier_version_leases_until <= node.now()),
                 };
                 predecessor::ask(node, &owner, predecessor.clone(), stated);
             }
--- a/rhubarbfall-scheduler/src/ownership/rows.rs
+++ b/rhubarbfall-scheduler/src/ownership/rows.rs
@@ -43,6 +43,11 @@
     /// milliseconds. Earlier versions do not write it.
     #[prost(uint64, optional, tag = "5")]
     pub(super) inherited_leases_ms: Option<u64>,
+    /// How long leases that owners of earlier versions granted to workers may last after this write;
+    /// in milliseconds. Earlier versions do not write it: their leases can be as long as workers grant
+    /// them, since they also reached workers that had started again.
+    #[prost(uint64, optional, tag = "6")]
+    pub(super) earlier_version_leases_ms: Option<u64>,
 }
 
 pub(super) fn cell_row(cell: &CellState, key: &str) -> RowKey {
--- a/rhubarbfall-scheduler/src/ownership/tests.rs
+++ b/rhubarbfall-scheduler/src/ownership/tests.rs
@@ -37,10 +37,12 @@
         ownership_lease: MIN_OWNERSHIP_LEASE,
         vm_orders_on_the_way: Duration::ZERO,
         inherited_leases: Duration::from_millis(1_700),
+        earlier_version_leases: Duration::from_millis(900),
     };
     let (_, value) = renewal.write(&CellState::new(CellId::FIRST));
     let row = RenewalRow::decode(&*value).expect("valid renewal row");
     assert_eq!(row.inherited_leases_ms, Some(1_700));
+    assert_eq!(row.earlier_version_leases_ms, Some(900));
 }
 
 /// Renewals of the earlier version say nothing, which must not be taken for no leases.
@@ -53,4 +55,5 @@
     };
     let row = RenewalRow::decode(&*earlier.encode_to_vec()).expect("valid renewal row");
     assert_eq!(row.inherited_leases_ms, None);
+    assert_eq!(row.earlier_version_leases_ms, None);
 }
--- a/rhubarbfall-scheduler/src/ownership/watch.rs
+++ b/rhubarbfall-scheduler/src/ownership/watch.rs
@@ -40,6 +40,9 @@
     pub(super) vm_orders_on_the_way: Option<Duration>,
     /// What the latest renewal states of leases of the owners before its writer.
     pub(super) inherited_leases: Option<Duration>,
+    /// What the latest renewal states of leases of owners of earlier versions; `None` if its writer is
+    /// one.
+    pub(super) earlier_version_leases: Option<Duration>,
     /// Time when a change of either row was last seen.
     pub(super) last_change_at: BootTime,
     /// Whether this entry owned the cell when it was last looked at.
@@ -56,6 +59,7 @@
             inherited_at_release: None,
             vm_orders_on_the_way: None,
             inherited_leases: None,
+            earlier_version_leases: None,
             last_change_at: now,
             was_owned: false,
         }
@@ -209,6 +213,8 @@
                 watch.vm_orders_on_the_way =
                     renewal.vm_orders_on_the_way_ms.map(Duration::from_millis);
                 watch.inherited_leases = renewal.inherited_leases_ms.map(Duration::from_millis);
+                watch.earlier_version_leases =
+                    renewal.earlier_version_leases_ms.map(Duration::from_millis);
             }
             Err(error) => log::error!("event=renewal_row_malformed error={error}"),
         }
--- a/rhubarbfall-scheduler/src/predecessor.rs
+++ b/rhubarbfall-scheduler/src/predecessor.rs
@@ -23,7 +23,8 @@
 pub(crate) struct Stated {
     /// How long orders for VMs may be on their way.
     pub(crate) vm_orders: Option<Duration>,
-    /// How long leases of the owners before it may last.
+    /// How long leases of the owners before it may last; `None` while leases that an owner of an earlier
+    /// version granted may last.
     pub(crate) inherited_leases: Option<Duration>,
 }
 
