fix(runs): keep looking for delayed tasks beside a gang that fits nowhere

Cause: place_gang cleared needs_placement when the gang did not fit, and with it the mark that a delayed task is to be looked at again.

Change: place_gang restores the mark to what it was before.

Test, red before: placements.rs a_delayed_task_starts_beside_a_gang_that_fits_nowhere (0 starts).

--- a/rhubarbfall-runs/src/scheduler/placing.rs
+++ b/rhubarbfall-runs/src/scheduler/placing.rs
@@ -334,6 +334,7 @@
             return true;
         }
         let run = tasks.iter().map(|id| self.next_run(id)).max().unwrap_or(1);
+        let needs_placement = self.needs_placement;
         let mut placed: Vec<(TaskId, WorkerId)> = Vec::new();
         for id in tasks {
             let Some(worker) = self.choose_worker(id, step, waiting_step, pass) else {
@@ -353,7 +354,8 @@
                 task.phase = TaskPhase::Waiting;
             }
         }
-        self.needs_placement = false;
+        // Releasing the members makes no room that was not there before.
+        self.needs_placement = needs_placement;
         false
     }
 
--- a/rhubarbfall-runs/tests/placements.rs
+++ b/rhubarbfall-runs/tests/placements.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 
 use model::{step, submission};
-use rhubarbfall_runs::{JobProgress, JobState, PlacedRun, StartOutcome};
+use rhubarbfall_core::RowVersion;
+use rhubarbfall_runs::{JobProgress, JobState, PlacedRun, RunEnd, RunEndKind, StartOutcome, Step};
 use single_owner::{Owner, id, owner_with_gang, report_done, running, stored_job};
 
 /// Starts the gang on two workers and reports it as done by one member's end.
@@ -193,3 +194,39 @@
         "the cancel is acknowledged and {starts} run starts"
     );
 }
+
+/// A gang that fits nowhere waits beside a task whose run has failed: looking for its workers discarded
+/// that the task was to be looked at again after its delay, and the task never started.
+#[test]
+fn a_delayed_task_starts_beside_a_gang_that_fits_nowhere() {
+    let mut owner = Owner::new();
+    owner.list("w-1");
+    owner.answer("w-1", 1, Vec::new(), Vec::new());
+    let gang = Step {
+        is_gang: true,
+        ..step(3, 1_000_000)
+    };
+    owner
+        .scheduler
+        .submit(submission(1, "labels", gang), owner.now);
+    owner
+        .scheduler
+        .submit(submission(2, "labels", step(1, 4_000)), owner.now);
+    let start = owner.starts().remove(0);
+    owner.accept(&start);
+    let end = RunEnd {
+        number: 1,
+        task: start.task.clone(),
+        run: start.run,
+        kind: RunEndKind::Failed,
+        checkpoint: None,
+    };
+    owner.answer("w-1", 1, Vec::new(), vec![end]);
+    // The end is stored before the task's delay is over.
+    let batch = owner.scheduler.next_batch().expect("the end of the run");
+    owner.rows += 1;
+    let version = RowVersion::new(owner.rows);
+    owner.scheduler.batch_stored(&batch, version, owner.now);
+    owner.scheduler.tick(owner.now, owner.now.as_millis());
+    assert_eq!(owner.starts().len(), 1);
+}
