fix(runs): place waiting tasks when a worker may get work again

Cause: tasks are placed only after an event, and that a worker may get work again because time has passed was none: the end of a quarantine, the answer of a worker that was silent for 1.3 s, the end of an operation on its VM.

Change: a placement pass notes when the first quarantine ends, and placement is due again then; the other two wake placement.

Tests, red before: placements.rs a_refused_task_starts_again_once_its_worker_is_out_of_quarantine, a_task_starts_once_a_silent_worker_answers_again (0 starts each).

--- a/rhubarbfall-runs/src/scheduler/lease_renewal.rs
+++ b/rhubarbfall-runs/src/scheduler/lease_renewal.rs
@@ -104,6 +104,8 @@
             worker.state = WorkerState::Reachable;
             self.needs_placement = true;
         }
+        // A worker that was silent for a moment gets work again.
+        self.needs_placement |= now.since(worker.answered_at) > self.settings.unreachable_after;
         worker.clock = Some((answer.clock_ms, now));
         worker.answered_at = now;
         let new_ends: Vec<RunEnd> = answer
--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -78,6 +78,8 @@
     inherited_on_unlisted: LiteMap<WorkerId, Vec<TaskId>>,
     /// Whether a change since the last placement may let a waiting task start.
     needs_placement: bool,
+    /// When the first of the quarantines ends that the last placement has met.
+    quarantine_end: Option<BootTime>,
     vm_ops: vm_operations::VmOperations,
     /// The progress of waves that an earlier owner has stored and that are not requested yet; `None`
     /// for a wave whose row cannot be read.
@@ -121,6 +123,7 @@
             longest_leases_until: BootTime::default(),
             inherited_on_unlisted: LiteMap::new(),
             needs_placement: true,
+            quarantine_end: None,
             vm_ops: vm_operations::VmOperations::default(),
             recovered_waves: LiteMap::new(),
             advice: advice::Advice::default(),
--- a/rhubarbfall-runs/src/scheduler/placing.rs
+++ b/rhubarbfall-runs/src/scheduler/placing.rs
@@ -42,7 +42,8 @@
 impl Scheduler {
     /// Places waiting tasks on workers in the order of their ranks.
     pub(super) fn place_waiting(&mut self, now: BootTime) {
-        if !std::mem::take(&mut self.needs_placement) {
+        let has_quarantine_ended = self.quarantine_end.is_some_and(|end| end <= now);
+        if !std::mem::take(&mut self.needs_placement) && !has_quarantine_ended {
             self.start_rate.observe(false, now);
             return;
         }
@@ -51,6 +52,7 @@
         self.demote_beyond_start_rate(&mut waiting_steps, now);
         waiting_steps.sort_by_key(|waiting_step| waiting_step.rank);
         let mut pass = self.new_pass(now);
+        self.quarantine_end = self.first_quarantine_end(now);
         let mut is_limited = false;
         for waiting_step in &waiting_steps {
             is_limited = self.pending_starts.len() >= self.settings.max_pending_starts;
@@ -79,6 +81,12 @@
         pass
     }
 
+    /// Returns when the first of the workers in quarantine may get work again.
+    fn first_quarantine_end(&self, now: BootTime) -> Option<BootTime> {
+        let ends = self.workers().map(|worker| worker.quarantined_until);
+        ends.filter(|end| *end > now).min()
+    }
+
     /// Returns whether tasks may start on a worker, given the sorted workers on VMs with an active
     /// operation.
     pub(super) fn is_usable(&self, worker: &Worker, cordoned: &[WorkerId], now: BootTime) -> bool {
--- a/rhubarbfall-runs/src/scheduler/vm_operations.rs
+++ b/rhubarbfall-runs/src/scheduler/vm_operations.rs
@@ -277,6 +277,8 @@
     /// Ends an operation that was certainly not carried out.
     fn end_operation(&mut self, vm: &VmId, operation: &VmOperation, now: BootTime) {
         self.vm_ops.active.remove(vm);
+        // The VM's worker gets work again.
+        self.needs_placement = true;
         self.vm_ops.backoff_until = now + REFUSAL_BACKOFF;
         if let VmOperation::Maintain(wave) = operation {
             self.remove_call(vm, wave);
--- a/rhubarbfall-runs/tests/placements.rs
+++ b/rhubarbfall-runs/tests/placements.rs
@@ -195,6 +195,63 @@
     );
 }
 
+/// A worker refuses a start and gets no work for a while. On a quiet fleet nothing else happens: the
+/// task stayed queued for good, with room for it.
+#[test]
+fn a_refused_task_starts_again_once_its_worker_is_out_of_quarantine() {
+    let mut owner = Owner::new();
+    owner.list("w-1");
+    owner.answer("w-1", 1, Vec::new(), Vec::new());
+    owner
+        .scheduler
+        .submit(submission(1, "labels", step(1, 4_000)), owner.now);
+    let start = owner.starts().remove(0);
+    let (task, worker) = (&start.task, &start.worker);
+    owner
+        .scheduler
+        .start_answered(task, worker, start.run, StartOutcome::Refused, owner.now);
+    let refused_at = owner.now;
+    let mut starts = Vec::new();
+    for _ in 0..30 {
+        owner.answer("w-1", 1, Vec::new(), Vec::new());
+        owner.confirm_ownership();
+        starts.extend(owner.starts());
+        if !starts.is_empty() {
+            break;
+        }
+    }
+    assert_eq!(starts.len(), 1);
+    let waited = owner.now.since(refused_at);
+    assert!(waited < Duration::from_millis(1_500), "{waited:?}");
+}
+
+/// A worker that was silent for a moment answers before its leases have lapsed: the same without a
+/// refusal.
+#[test]
+fn a_task_starts_once_a_silent_worker_answers_again() {
+    let mut owner = Owner::new();
+    owner.list("w-1");
+    owner.answer("w-1", 1, Vec::new(), Vec::new());
+    owner
+        .scheduler
+        .submit(submission(1, "labels", step(1, 4_000)), owner.now);
+    let first = owner.starts().remove(0);
+    owner.accept(&first);
+    owner.answer("w-1", 1, vec![running(&first)], Vec::new());
+    for _ in 0..14 {
+        assert_eq!(owner.starts(), vec![]);
+    }
+    owner
+        .scheduler
+        .submit(submission(2, "labels", step(1, 4_000)), owner.now);
+    // The second time nothing is left to be stored.
+    for _ in 0..2 {
+        assert_eq!(owner.starts(), vec![]);
+    }
+    owner.answer("w-1", 1, vec![running(&first)], Vec::new());
+    assert_eq!(owner.starts().len(), 1);
+}
+
 /// A gang that fits nowhere waits beside a task whose run has failed: looking for its workers discarded
 /// that the task was to be looked at again after its delay, and the task never started.
 #[test]
