test(soak): record when a process that was told to stop has exited

Trace: entry-3 had got SIGTERM 3.8 s before (stopping, t_ms=2218683) and exited with in_flight=0 at 2222481; the cancel was sent after 2219512, when the submission was stored, and the entry, which logs every cancel that it reads, did not log it. So it was sent in the last moment before the exit and never read. The next process of the entry started 3.4 s later.

The check held a process that was told to stop before the cancel for one that lives on. It now also records the exit; a cancel that was sent before SIGTERM or a kill was excused before, and one that was sent to a process that then exits is now. A process that does not exit is held to the same as before.

--- a/rhubarbfall/tests/soak/entry.rs
+++ b/rhubarbfall/tests/soak/entry.rs
@@ -23,15 +23,18 @@
 const RESTART_INTERVAL: Duration = Duration::from_millis(500);
 const RESTART_ATTEMPTS: usize = 13;
 
+/// The interval at which the exit of a process is looked for.
+const EXIT_CHECK_INTERVAL: Duration = Duration::from_millis(2);
+
 /// One entry, whose process may be stopped.
 pub(crate) struct SchedulerEntry {
     pub(crate) caller_address: SocketAddr,
     pub(crate) store_relay: Relay,
     settings: PathBuf,
-    child: Mutex<Option<Child>>,
+    child: Arc<Mutex<Option<Child>>>,
     start_count: Mutex<u32>,
-    /// When the process was killed or told to stop.
-    ends: Mutex<Vec<Instant>>,
+    /// When the process was killed or told to stop, and when it has exited.
+    ends: Arc<Mutex<Vec<Instant>>>,
     disturbances: Arc<DisturbanceLog>,
 }
 
@@ -71,9 +74,9 @@
                 caller_address: addresses.callers,
                 store_relay,
                 settings,
-                child: Mutex::default(),
+                child: Arc::default(),
                 start_count: Mutex::default(),
-                ends: Mutex::default(),
+                ends: Arc::default(),
                 disturbances: Arc::clone(disturbances),
             });
         }
@@ -159,12 +162,29 @@
         {
             if signal == Signal::TERM {
                 lock(&self.ends).push(Instant::now());
+                self.record_exit(child.id());
             }
             kill_process(id, signal).expect("the signal is sent");
         }
     }
 
-    /// Returns whether the process was neither killed nor told to stop since `from`.
+    /// Records when a process exits that is told to stop: it serves its callers for seconds until then.
+    fn record_exit(&self, id: u32) {
+        let (child, ends) = (Arc::clone(&self.child), Arc::clone(&self.ends));
+        std::thread::spawn(move || {
+            let is_this = |child: &&mut Child| child.id() == id;
+            while lock(&child)
+                .as_mut()
+                .filter(is_this)
+                .is_some_and(is_running)
+            {
+                std::thread::sleep(EXIT_CHECK_INTERVAL);
+            }
+            lock(&ends).push(Instant::now());
+        });
+    }
+
+    /// Returns whether the process was neither killed nor told to stop since `from`, nor has exited.
     pub(crate) fn has_lived_since(&self, from: Instant) -> bool {
         lock(&self.ends).iter().all(|end| *end < from)
     }
