--- a/rhubarbfall-runs/src/scheduler/placing.rs
+++ b/rhubarbfall-runs/src/scheduler/placing.rs
@@ -461,6 +461,7 @@
             return;
         };
         let state = RunState::Storing(job.version + 1);
+        let demand = job.step(id).demand;
         job.has_begun = true;
         job.placed_at.get_or_insert(now);
         job.stages.end(Stage::Waiting, now);
@@ -477,7 +478,11 @@
                 pace_percent: 100,
             });
         }
-        log::info!("event=run_placed id={id} run={run} worker={worker_id}");
+        let left = self.workers.get(worker_id).map(Worker::free_capacity);
+        log::info!(
+            "event=run_placed id={id} run={run} worker={worker_id} demand={demand} left={}",
+            left.unwrap_or_default()
+        );
         self.set_start_pending(id, true);
         self.mark_dirty(&id.submission);
     }
