fix(runs): give overdue work the VMs that other work leaves

Cause: the VMs that a pool needs left out work without value any more, so that a pool with such work only gave all its VMs away and asked for none.

Change: a pool also states what it needs with its overdue work, of its real size. That is met only from VMs that no pool needs for other work. Work beyond its customer's limit, or that no VM of the cell can run (too large, an unknown label, a gang wider than the cell), asks for nothing.

--- a/rhubarbfall-runs/benches/owner_start.rs
+++ b/rhubarbfall-runs/benches/owner_start.rs
@@ -101,6 +101,7 @@
                 state: VmState::Up,
                 worker: Some(id.clone()),
                 capacity: WORKER_CAPACITY,
+                labels: Vec::new(),
             });
             fleet.workers.insert(id.clone(), BenchWorker::default());
             fleet.ids.push(id);
--- a/rhubarbfall-runs/src/scheduler/pools.rs
+++ b/rhubarbfall-runs/src/scheduler/pools.rs
@@ -3,24 +3,15 @@
 
 use std::time::Duration;
 
-use rhubarbfall_core::{BootTime, ServiceId, VmId};
+use litemap::LiteMap;
+use rhubarbfall_core::{BootTime, ServiceId};
 
 use super::Scheduler;
-use super::ordering::is_still_useful;
+use super::pool_demand::ServiceDemand;
+use super::pool_plan::{PoolLoad, plan_moves};
 use super::token_bucket::TokenBucket;
 use super::vm_operations::{VmOperation, VmState};
-use crate::{JobState, Resources, Task, TaskPhase, WorkerState};
-
-/// The factor on the sum of demands that allows for capacity lost in packing tasks of different
-/// sizes.
-const PACKING_HEADROOM_FACTOR: f64 = 1.15;
-
-/// How long a VM is idle before it moves to the spare pool: a move costs about as much as one
-/// second in a pool.
-const MIN_IDLE_BEFORE_SPARE: Duration = Duration::from_secs(1);
-
-/// How long a VM is idle before it may move to another pool.
-const MIN_IDLE_BEFORE_MOVE: Duration = Duration::from_millis(300);
+use crate::{Resources, Service, WorkerState};
 
 /// The burst of moves, as a duration at their rate: with a quarter of a second, the platform's
 /// limit for any one second holds if the rate is three quarters of it.
@@ -29,110 +20,20 @@
 /// The interval between log entries about the pools.
 const POOL_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The demand and supply of a pool.
-#[derive(Debug, Clone, PartialEq)]
-pub struct PoolLoad {
-    /// The service that the pool belongs to.
-    pub service: ServiceId,
-    /// Whether this is the spare pool, whose VMs are switched off until another pool needs them.
-    pub is_spare: bool,
-    /// The number of VMs that the open work needs.
-    pub needed: usize,
-    /// The number of usable VMs, including those that are moving to the pool.
-    pub supply: usize,
-    /// The VMs without work, and for how long they have been idle.
-    pub idle: Vec<(VmId, Duration)>,
-}
+/// How long a VM is idle beside overdue work that waits before the work counts as unable to use it.
+const MAX_IDLE_BESIDE_OVERDUE: Duration = Duration::from_millis(500);
 
-/// Plans moves of VMs between pools: idle VMs move to pools with waiting work, those of the spare
-/// pool first, and the others move to the spare pool if no pool needs them.
-///
-/// # Examples
-///
-/// ```
-/// use std::time::Duration;
-/// use rhubarbfall_runs::scheduler::{PoolLoad, plan_moves};
-///
-/// let pool = |name: &str, is_spare, needed, supply, idle: &[&str]| PoolLoad {
-///     service: name.parse().unwrap(),
-///     is_spare,
-///     needed,
-///     supply,
-///     idle: idle.iter().map(|vm| (vm.parse().unwrap(), Duration::from_secs(9))).collect(),
-/// };
-/// let pools = [
-///     pool("labels", false, 3, 1, &[]),
-///     pool("permits", false, 0, 1, &["vm-2"]),
-///     pool("spare", true, 0, 1, &["vm-3"]),
-/// ];
-/// let moves = plan_moves(&pools);
-/// assert_eq!(moves.len(), 2);
-/// assert!(moves.iter().all(|(_, to)| to.as_str() == "labels"));
-/// ```
-#[must_use]
-pub fn plan_moves(pools: &[PoolLoad]) -> Vec<(VmId, ServiceId)> {
-    let mut donors = donors(pools);
-    let mut moves = Vec::new();
-    let mut short_pools: Vec<(usize, &PoolLoad)> = pools
-        .iter()
-        .filter(|pool| !pool.is_spare && pool.needed > pool.supply)
-        .map(|pool| (pool.needed - pool.supply, pool))
-        .collect();
-    short_pools.sort_by_key(|(missing, _)| std::cmp::Reverse(*missing));
-    // Pools that are short get one VM in turn, so that one surge does not take all of them.
-    while !donors.is_empty() && short_pools.iter().any(|(missing, _)| *missing > 0) {
-        for (missing, pool) in short_pools.iter_mut().filter(|(missing, _)| *missing > 0) {
-            if let Some(index) = donors.iter().rposition(|donor| donor.pool != pool.service) {
-                moves.push((donors.remove(index).vm, pool.service.clone()));
-            }
-            *missing -= 1;
-        }
-    }
-    if let Some(spare) = pools.iter().find(|pool| pool.is_spare) {
-        let unused = donors
-            .into_iter()
-            .filter(|donor| donor.pool != spare.service && donor.idle_for >= MIN_IDLE_BEFORE_SPARE);
-        moves.extend(unused.map(|donor| (donor.vm, spare.service.clone())));
-    }
-    moves
-}
+/// How long a pool gets no VMs for overdue work that was unable to use them.
+const OVERDUE_RETRY_INTERVAL: Duration = Duration::from_secs(10);
 
-struct Donor {
-    vm: VmId,
-    pool: ServiceId,
-    idle_for: Duration,
-}
-
-/// Returns the VMs that their pools can spare, the preferred ones last.
-fn donors(pools: &[PoolLoad]) -> Vec<Donor> {
-    let mut donors = Vec::new();
-    for pool in pools {
-        let surplus = if pool.is_spare {
-            pool.idle.len()
-        } else {
-            pool.supply.saturating_sub(pool.needed)
-        };
-        let mut idle = pool.idle.clone();
-        idle.sort_by_key(|(_, idle_for)| std::cmp::Reverse(*idle_for));
-        let is_ready = |idle_for: Duration| pool.is_spare || idle_for >= MIN_IDLE_BEFORE_MOVE;
-        for (vm, idle_for) in idle.into_iter().take(surplus) {
-            if is_ready(idle_for) {
-                donors.push(Donor {
-                    vm,
-                    pool: pool.service.clone(),
-                    idle_for,
-                });
-            }
-        }
-    }
-    // Idle VMs that are switched on cost money; they come last and are thus moved first.
-    let is_spare = |donor: &Donor| {
-        pools
-            .iter()
-            .any(|pool| pool.is_spare && pool.service == donor.pool)
-    };
-    donors.sort_by_key(|donor| (!is_spare(donor), donor.idle_for));
-    donors
+/// The overdue work of a pool.
+#[derive(Debug)]
+pub(super) struct OverdueWork {
+    /// Since when the work has needed VMs.
+    since: BootTime,
+    /// When the pool may get VMs for the work again after it left some idle; from then on it gets as
+    /// many as it uses already, and one at least.
+    paused_until: Option<BootTime>,
 }
 
 impl Scheduler {
@@ -148,7 +49,8 @@
         if free_calls == 0 {
             return;
         }
-        let pools = self.pool_loads(now);
+        let mut pools = self.pool_loads(now);
+        self.limit_unused_overdue(&mut pools, now);
         self.log_pools(&pools, now);
         let rate_per_s = self.settings.vm_moves_per_s / f64::from(self.settings.cells);
         // A bucket holds one token at least.
@@ -170,9 +72,10 @@
         self.pools_logged_at = now;
         for pool in pools {
             log::info!(
-                "event=pool service={} needed={} supply={} idle={}",
+                "event=pool service={} needed={} with_overdue={} supply={} idle={}",
                 pool.service,
                 pool.needed,
+                pool.needed_with_overdue,
                 pool.supply,
                 pool.idle.len()
             );
@@ -180,121 +83,116 @@
     }
 
     fn pool_loads(&self, now: BootTime) -> Vec<PoolLoad> {
-        let mut loads = Vec::with_capacity(self.config.services.len());
-        for service in &self.config.services {
-            let mut load = PoolLoad {
-                service: service.id.clone(),
-                is_spare: service.is_spare,
-                needed: 0,
-                supply: self.vm_ops.moving_to(&service.id),
-                idle: Vec::new(),
+        let vm_sizes = self.vm_sizes();
+        let vm_size = |service: &ServiceId| vm_sizes.get(service).copied().unwrap_or_default();
+        let demands = self.service_demands(vm_size, now);
+        let services = self.config.services.iter();
+        let mut loads: Vec<PoolLoad> = services
+            .map(|service| self.pool_supply(service, now))
+            .collect();
+        for load in loads.iter_mut().filter(|load| !load.is_spare) {
+            let no_demand = ServiceDemand::default();
+            let demand = demands.get(&load.service).unwrap_or(&no_demand);
+            let vm_size = vm_size(&load.service);
+            let arriving = self.recent_work.forecast(&load.service, now);
+            let for_waiting = match demand.for_waiting_long_running {
+                0 => 0,
+                waiting => load.supply - load.idle.len() + waiting,
             };
-            let mut vm_size = Resources::default();
-            for row in self.vm_ops.vms().filter(|row| row.pool == service.id) {
-                vm_size = vm_size.max(row.capacity);
-                if row.state != VmState::Up && !service.is_spare || self.vm_ops.is_busy(&row.vm) {
-                    continue;
-                }
-                if service.is_spare {
-                    load.supply += 1;
-                    load.idle.push((row.vm.clone(), Duration::MAX));
-                    continue;
-                }
-                let worker = row.worker.as_ref().and_then(|id| self.workers.get(id));
-                // An unusable worker is replaced; one that has not answered yet is expected to
-                // answer soon.
-                let is_lost = worker.is_some_and(|worker| {
-                    worker.state != WorkerState::New
-                        && !worker.accepts_work(now, self.settings.unreachable_after)
-                });
-                if is_lost {
-                    continue;
-                }
-                load.supply += 1;
-                if let Some(worker) = worker.filter(|worker| worker.is_empty()) {
-                    load.idle
-                        .push((row.vm.clone(), now.since(worker.idle_since)));
-                }
-            }
-            if !service.is_spare {
-                let occupied = load.supply - load.idle.len();
-                let for_waiting = self.vms_for_waiting_long_running(&service.id, vm_size, now);
-                load.needed = self.needed_vms(&service.id, vm_size, now);
-                if for_waiting > 0 {
-                    load.needed = load.needed.max(occupied + for_waiting);
-                }
-            }
-            loads.push(load);
+            load.needed = demand.vms(vm_size, arriving).max(for_waiting);
+            let with_overdue = demand.vms_with_overdue(vm_size, arriving);
+            load.needed_with_overdue = with_overdue.max(load.needed);
         }
         loads
     }
 
-    /// Returns the number of empty VMs of this size that the waiting long-running tasks of a service
-    /// need. They may wait although the pool has the resources that all tasks need together, since
-    /// what is left on each VM is too small for them.
-    fn vms_for_waiting_long_running(
-        &self,
-        service: &ServiceId,
-        vm_size: Resources,
-        now: BootTime,
-    ) -> usize {
-        let mut vms = 0;
-        for job in self.jobs().filter(|job| job.state == JobState::Active) {
-            let queue = self.config.queue(&job.submission.queue);
-            if queue.is_none_or(|queue| queue.service != *service) {
+    /// Returns the load of a pool without what it needs.
+    fn pool_supply(&self, service: &Service, now: BootTime) -> PoolLoad {
+        let mut load = PoolLoad {
+            service: service.id.clone(),
+            is_spare: service.is_spare,
+            needed: 0,
+            needed_with_overdue: 0,
+            supply: self.vm_ops.moving_to(&service.id),
+            idle: Vec::new(),
+        };
+        for row in self.vm_ops.vms().filter(|row| row.pool == service.id) {
+            if row.state != VmState::Up && !service.is_spare || self.vm_ops.is_busy(&row.vm) {
+                continue;
+            }
+            if service.is_spare {
+                load.supply += 1;
+                load.idle.push((row.vm.clone(), Duration::MAX));
+                continue;
+            }
+            let worker = row.worker.as_ref().and_then(|id| self.workers.get(id));
+            // An unusable worker is replaced; one that has not answered yet is expected to
+            // answer soon.
+            let is_lost = worker.is_some_and(|worker| {
+                worker.state != WorkerState::New
+                    && !worker.accepts_work(now, self.settings.unreachable_after)
+            });
+            if is_lost {
                 continue;
             }
-            let customer = job.submission.customer.as_ref();
-            for (_, _, step, run) in job.open_steps() {
-                if !step.is_long_running || !self.is_within_customer_limit(customer, step.demand) {
-                    continue;
-                }
-                let is_waiting =
-                    |task: &&Task| task.phase == TaskPhase::Waiting && task.not_before <= now;
-                let waiting = run.tasks.iter().filter(is_waiting).count();
-                let share = step.reserved().fraction_of(vm_size);
-                let per_vm = if share > 0.0 {
-                    (1.0 / share) as usize
-                } else {
-                    waiting
-                };
-                vms += waiting.div_ceil(per_vm.max(1));
+            load.supply += 1;
+            if let Some(worker) = worker.filter(|worker| worker.is_empty()) {
+                load.idle
+                    .push((row.vm.clone(), now.since(worker.idle_since)));
             }
         }
-        vms
+        load
     }
 
-    /// Returns the number of VMs of this size that the open work of a service needs.
-    fn needed_vms(&self, service: &ServiceId, vm_size: Resources, now: BootTime) -> usize {
-        let vm_size = if vm_size == Resources::default() {
-            self.vm_ops
-                .vms()
-                .map(|row| row.capacity)
-                .fold(vm_size, Resources::max)
-        } else {
-            vm_size
-        };
-        let mut demand = Resources::default();
-        let mut min_spread_vms = 0_usize;
-        for job in self.jobs().filter(|job| job.state == JobState::Active) {
-            let Some(queue) = self.config.queue(&job.submission.queue) else {
-                continue;
-            };
-            if queue.service != *service || !is_still_useful(job, queue, now) {
+    /// Returns the size of each pool's largest VM; an empty pool gets VMs of any pool.
+    fn vm_sizes(&self) -> LiteMap<ServiceId, Resources> {
+        let mut largest = Resources::default();
+        let mut sizes: LiteMap<ServiceId, Resources> = LiteMap::new();
+        for row in self.vm_ops.vms() {
+            let size = sizes.entry(row.pool.clone()).or_default();
+            *size = size.max(row.capacity);
+            largest = largest.max(row.capacity);
+        }
+        for service in &self.config.services {
+            let size = sizes.entry(service.id.clone()).or_default();
+            if *size == Resources::default() {
+                *size = largest;
+            }
+        }
+        sizes
+    }
+
+    /// Asks for no more VMs than other work needs in pools whose overdue work leaves VMs idle: it
+    /// waits for something else.
+    fn limit_unused_overdue(&mut self, pools: &mut [PoolLoad], now: BootTime) {
+        for pool in pools.iter_mut().filter(|pool| !pool.is_spare) {
+            let arriving = self.vm_ops.moving_to(&pool.service);
+            let known = &mut self.vm_ops.overdue;
+            if pool.needed_with_overdue <= pool.needed {
+                known.remove(&pool.service);
                 continue;
             }
-            for (_, _, step, run) in job.open_steps() {
-                let open = run.tasks.len() - run.done as usize;
-                demand += step.reserved().times(open as u64);
-                if let Some(max_per_worker) = step.max_per_worker {
-                    min_spread_vms =
-                        min_spread_vms.max(open.div_ceil(max_per_worker.max(1) as usize));
-                }
+            let begin = || OverdueWork {
+                since: now,
+                paused_until: None,
+            };
+            let overdue = known.entry(pool.service.clone()).or_insert_with(begin);
+            let is_unused = |idle_for: Duration| idle_for >= MAX_IDLE_BESIDE_OVERDUE;
+            if is_unused(now.since(overdue.since))
+                && pool.idle.iter().any(|(_, idle_for)| is_unused(*idle_for))
+            {
+                overdue.paused_until = Some(now + OVERDUE_RETRY_INTERVAL);
             }
+            let Some(paused_until) = overdue.paused_until else {
+                continue;
+            };
+            let in_use = (pool.supply - pool.idle.len()).saturating_sub(arriving);
+            let allowed = if now < paused_until {
+                0
+            } else {
+                in_use + in_use.max(1)
+            };
+            pool.needed_with_overdue = pool.needed_with_overdue.min(allowed).max(pool.needed);
         }
-        let open = demand.fraction_of(vm_size);
-        let arriving = self.recent_work.forecast(service, now).fraction_of(vm_size);
-        let vms = (open * PACKING_HEADROOM_FACTOR).max(arriving);
-        (vms.ceil() as usize).max(min_spread_vms)
     }
 }
--- a/rhubarbfall-runs/src/scheduler/vm_operations.rs
+++ b/rhubarbfall-runs/src/scheduler/vm_operations.rs
@@ -1,6 +1,7 @@
 //! Moves and maintenance of VMs: a VM is drained, the platform is called, and the VM returns with a
 //! new worker.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use litemap::LiteMap;
@@ -8,6 +9,7 @@
 
 use super::Scheduler;
 use super::action::Action;
+use super::pools::OverdueWork;
 use super::token_bucket::TokenBucket;
 use super::waves::ActiveWave;
 use crate::{Resources, WorkerState};
@@ -36,6 +38,8 @@
     pub worker: Option<WorkerId>,
     /// The total resources of the VM.
     pub capacity: Resources,
+    /// The labels that the workers of the VM have.
+    pub labels: Vec<Arc<str>>,
 }
 
 /// The state of a VM.
@@ -104,6 +108,8 @@
     pub(super) waves: LiteMap<WaveId, ActiveWave>,
     /// Limits the rate of moves.
     pub(super) move_bucket: Option<TokenBucket>,
+    /// The overdue work of each pool that needs VMs for it.
+    pub(super) overdue: LiteMap<ServiceId, OverdueWork>,
     /// The earliest time at which another VM is drained after a refused call.
     backoff_until: BootTime,
     /// The time until which an order of an earlier owner may still reach the VM service.
--- a/rhubarbfall-runs/tests/faults.rs
+++ b/rhubarbfall-runs/tests/faults.rs
@@ -141,6 +141,7 @@
         state: VmState::Up,
         worker: Some(format!("w-{vm}").parse().expect("valid worker name")),
         capacity: Resources::default(),
+        labels: Vec::new(),
     };
     (0..count).map(row).collect()
 }
--- a/rhubarbfall-runs/tests/hostile/places.rs
+++ b/rhubarbfall-runs/tests/hostile/places.rs
@@ -186,6 +186,7 @@
                 .find(|process| process.vm == index)
                 .map(|process| process.report.id.clone()),
             capacity: WORKER_CAPACITY,
+            labels: Vec::new(),
         });
         let rows = rows.collect();
         let mut delay = Duration::from_millis(10);
--- a/rhubarbfall-runs/tests/inherited_vm_orders.rs
+++ b/rhubarbfall-runs/tests/inherited_vm_orders.rs
@@ -52,6 +52,7 @@
         state: VmState::Up,
         worker: None,
         capacity: Resources::default(),
+        labels: Vec::new(),
     });
     scheduler.vms_listed(rows.collect(), TAKEOVER_AT, TAKEOVER_AT);
     let mut orders = Vec::new();
--- a/rhubarbfall-runs/tests/late_wave.rs
+++ b/rhubarbfall-runs/tests/late_wave.rs
@@ -47,6 +47,7 @@
         state: VmState::Up,
         worker: None,
         capacity: Resources::default(),
+        labels: Vec::new(),
     });
     let rows: Vec<VmRow> = rows.collect();
     let (mut now, mut version) = (NOW, 1);
--- a/rhubarbfall-runs/tests/model/mod.rs
+++ b/rhubarbfall-runs/tests/model/mod.rs
@@ -282,6 +282,7 @@
                 },
                 worker: worker.map(|worker| worker.report.id.clone()),
                 capacity: WORKER_CAPACITY,
+                labels: vec!["a".into(), "r1".into()],
             }
         });
         let rows = rows.collect();
--- /dev/null
+++ b/rhubarbfall-runs/tests/overdue_work.rs
@@ -0,0 +1,113 @@
+//! Work that has become too late to have any value and still has to run: how many VMs it gets, and
+//! from whom.
+
+mod model;
+
+use std::time::Duration;
+
+use model::{Model, WORKER_CAPACITY, step, submission};
+use rhubarbfall_runs::{AdviceTiming, JobState, Step};
+
+/// How long the submissions of these tests wait for their customer's limit: long enough that no
+/// objective is left.
+const WAIT: Duration = Duration::from_secs(12);
+
+/// Submits work to the queue `labels` that may start only once it has no value any more.
+fn submit_overdue(model: &mut Model, steps: impl IntoIterator<Item = (u64, Step)>) {
+    model.update_config(|config| config.customers[0].limit.cpu_millis = 1);
+    model.run_for(Duration::from_secs(1));
+    for (number, step) in steps {
+        let work = submission(number, "labels", step);
+        model.submit(work, Duration::from_secs(1));
+    }
+    model.run_for(WAIT);
+    assert!(model.starts == 0, "the submissions wait for the limit");
+    model.update_config(|config| config.customers[0].limit.cpu_millis = 0);
+}
+
+/// Returns the largest number of runs of these submissions at once over `duration`.
+fn most_runs(model: &mut Model, numbers: std::ops::Range<u64>, duration: Duration) -> usize {
+    let end = model.now + duration;
+    let mut most = 0;
+    while model.now < end {
+        model.step();
+        let runs = numbers.clone().map(|number| model.runs_of(number).len());
+        most = most.max(runs.sum());
+    }
+    most
+}
+
+/// A step of which a VM holds one task.
+fn large_step(tasks: u32) -> Step {
+    step(tasks, WORKER_CAPACITY.cpu_millis * 9 / 10)
+}
+
+/// Guards against overdue work that gets one VM at a time, whatever its size, while all others are
+/// spare: a backlog would take as long as all of its tasks one after the other.
+#[test]
+fn overdue_work_gets_as_many_vms_as_it_can_use() {
+    let mut model = Model::new(&[("labels", 2), ("permits", 3), ("spare", 6)], 1);
+    submit_overdue(&mut model, (0..8).map(|number| (number, large_step(1))));
+    let most = most_runs(&mut model, 0..8, Duration::from_secs(6));
+    assert_eq!(most, 8);
+    assert_eq!(model.count(JobState::Completed), 8);
+    assert_eq!(model.violations, Vec::<String>::new());
+}
+
+/// Guards against VMs that stay in a pool after its overdue work has ended.
+#[test]
+fn overdue_work_gives_its_vms_back_once_it_has_ended() {
+    let mut model = Model::new(&[("labels", 2), ("permits", 3), ("spare", 6)], 1);
+    submit_overdue(&mut model, (0..8).map(|number| (number, large_step(1))));
+    model.run_for(Duration::from_secs(12));
+    assert_eq!(model.count(JobState::Completed), 8);
+    assert_eq!(model.workers.len(), 0);
+}
+
+/// Guards against overdue work that takes spare VMs from work which can still be in time.
+#[test]
+fn work_in_time_comes_before_overdue_work() {
+    let mut model = Model::new(&[("labels", 2), ("permits", 2), ("spare", 4)], 1);
+    submit_overdue(&mut model, (0..40).map(|number| (number, large_step(1))));
+    let in_time = submission(100, "permits", large_step(6));
+    model.submit(in_time, Duration::from_secs(1));
+    let most = most_runs(&mut model, 100..101, Duration::from_secs(4));
+    assert_eq!(most, 6);
+}
+
+/// Guards against VMs that move to and fro for overdue work that no VM can run.
+#[test]
+fn overdue_work_that_no_vm_can_run_takes_no_vm() {
+    let mut model = Model::new(&[("labels", 2), ("spare", 6)], 1);
+    let mut unknown_label = step(4, 1_000);
+    unknown_label.required_label = Some("tpu".into());
+    let too_large = step(4, WORKER_CAPACITY.cpu_millis + 1);
+    let mut too_wide = large_step(9);
+    too_wide.is_gang = true;
+    let steps = [unknown_label, too_large, too_wide];
+    submit_overdue(&mut model, (0..).zip(steps));
+    let moves = model.moves;
+    model.run_for(Duration::from_secs(30));
+    assert_eq!(model.moves, moves);
+}
+
+/// Guards against VMs that move to and fro for overdue work that waits for something else than
+/// VMs: here the advice service denies every worker.
+#[test]
+fn overdue_work_that_leaves_its_vms_idle_gets_few_more() {
+    let mut model = Model::new(&[("labels", 2), ("spare", 6)], 1);
+    model.may_run_step = Some(|_| false);
+    model.update_config(|config| {
+        config.queues[0].advice = Some(AdviceTiming {
+            call_time: Duration::from_millis(40),
+            time_per_worker: Duration::from_millis(2),
+            ticket_validity: Duration::from_secs(3),
+        });
+    });
+    submit_overdue(&mut model, (0..6).map(|number| (number, large_step(1))));
+    let moves = model.moves;
+    model.run_for(Duration::from_secs(30));
+    // All VMs come and go once, and then one of them every ten seconds.
+    let all_vms = model.vm_names().len() as u64;
+    assert!(model.moves - moves <= 2 * (all_vms + 3), "{}", model.moves);
+}
--- a/rhubarbfall-runs/tests/row_size.rs
+++ b/rhubarbfall-runs/tests/row_size.rs
@@ -338,5 +338,6 @@
         state: VmState::Up,
         worker: None,
         capacity: Resources::default(),
+        labels: Vec::new(),
     }
 }
--- a/rhubarbfall-runs/tests/unanswered_vm_calls.rs
+++ b/rhubarbfall-runs/tests/unanswered_vm_calls.rs
@@ -57,6 +57,7 @@
                 state: *state,
                 worker: None,
                 capacity: Resources::default(),
+                labels: Vec::new(),
             });
             self.scheduler
                 .vms_listed(rows.collect(), self.now, self.now);
--- a/rhubarbfall-runs/tests/unconfirmed_starts.rs
+++ b/rhubarbfall-runs/tests/unconfirmed_starts.rs
@@ -297,6 +297,7 @@
             state: VmState::Up,
             worker: Some(worker.report.id.clone()),
             capacity: WORKER_CAPACITY,
+            labels: Vec::new(),
         };
         self.workers.iter().enumerate().map(row).collect()
     }
