fix(runs): move busy VMs to pools that are far below their share

Cause: only idle VMs moved, and a VM beside a backlog is never idle, whatever the backlog is worth. Who held a VM last kept it.

Change: all VMs are divided among the pools by shares: what work in time needs first, then other work with value, then overdue work, each in proportion where it exceeds what is left; VMs with long-running tasks count towards the share of their pool. A pool with less than three quarters of its share gets VMs that hold short tasks only, the least loaded first, from the pools furthest beyond theirs. They are cordoned and move once empty. A drain that takes over 3 s is withdrawn, and the VM not drained again for 10 s.

--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -43,7 +43,7 @@
 pub use early_cancellations::encode_early_cancellation;
 pub use intake::SubmissionState;
 pub use lease_renewal::LeaseRenewalRequest;
-pub use pool_plan::{PoolLoad, plan_moves};
+pub use pool_plan::{PoolLoad, PoolNeed, plan_moves};
 pub use recovery::StoredJob;
 pub use settings::SchedulerSettings;
 pub use storing::{Batch, BatchRow, WaveRow};
--- a/rhubarbfall-runs/src/scheduler/ordering.rs
+++ b/rhubarbfall-runs/src/scheduler/ordering.rs
@@ -152,6 +152,11 @@
         .sum()
 }
 
+/// Returns whether a job is long-running or can still meet its objective.
+pub(super) fn is_in_time(job: &Job, queue: &Queue, now: BootTime) -> bool {
+    rank(job, queue, now).tier <= Tier::InTime
+}
+
 /// Returns whether a job can still complete while it has value.
 pub(super) fn is_still_useful(job: &Job, queue: &Queue, now: BootTime) -> bool {
     rank(job, queue, now).tier != Tier::TooLate
--- a/rhubarbfall-runs/src/scheduler/pool_demand.rs
+++ b/rhubarbfall-runs/src/scheduler/pool_demand.rs
@@ -4,7 +4,8 @@
 use rhubarbfall_core::{BootTime, CustomerId, ServiceId};
 
 use super::Scheduler;
-use super::ordering::is_still_useful;
+use super::ordering::{is_in_time, is_still_useful};
+use super::pool_plan::PoolNeed;
 use crate::{Job, JobState, Resources, Step, Task, TaskPhase};
 
 /// The factor on the sum of demands that allows for capacity lost in packing tasks of different
@@ -14,8 +15,10 @@
 /// What the open work of a service needs.
 #[derive(Debug, Default)]
 pub(super) struct ServiceDemand {
-    /// Work that still has value.
-    valuable: Demand,
+    /// Work that is long-running or can still be in time.
+    in_time: Demand,
+    /// Other work that still has value.
+    late: Demand,
     /// The number of empty VMs that the waiting long-running tasks need. They may wait although the
     /// pool has the resources that all tasks need together, since what is left on each VM is too
     /// small for them.
@@ -57,15 +60,15 @@
 }
 
 impl ServiceDemand {
-    /// Returns the number of VMs of this size for the work that still has value and for what is
-    /// forecast to arrive.
-    pub(super) fn vms(&self, vm_size: Resources, arriving: Resources) -> usize {
-        self.valuable.vms(vm_size, arriving)
-    }
-
-    /// Returns the number of VMs of this size for all work and for what is forecast to arrive.
-    pub(super) fn vms_with_overdue(&self, vm_size: Resources, arriving: Resources) -> usize {
-        self.valuable.plus(&self.overdue).vms(vm_size, arriving)
+    /// Returns the number of VMs of this size that a pool needs for the work and for what is forecast
+    /// to arrive.
+    pub(super) fn vms(&self, vm_size: Resources, arriving: Resources) -> PoolNeed {
+        let valuable = self.in_time.plus(&self.late);
+        PoolNeed {
+            in_time: self.in_time.vms(vm_size, arriving),
+            valuable: valuable.vms(vm_size, arriving),
+            total: valuable.plus(&self.overdue).vms(vm_size, arriving),
+        }
     }
 }
 
@@ -86,13 +89,17 @@
             let demand = demands.entry(queue.service.clone()).or_default();
             demand.for_waiting_long_running +=
                 self.vms_for_waiting_long_running(job, vm_size(&queue.service), now);
-            if is_still_useful(job, queue, now) {
-                for (_, _, step, run) in job.open_steps() {
-                    let open = run.tasks.len() - run.done as usize;
-                    demand.valuable.add(step, open);
-                }
-            } else {
+            if !is_still_useful(job, queue, now) {
                 self.add_overdue(job, &mut demand.overdue, &mut overdue_usage);
+                continue;
+            }
+            let of_urgency = if is_in_time(job, queue, now) {
+                &mut demand.in_time
+            } else {
+                &mut demand.late
+            };
+            for (_, _, step, run) in job.open_steps() {
+                of_urgency.add(step, run.tasks.len() - run.done as usize);
             }
         }
         demands
--- a/rhubarbfall-runs/src/scheduler/pool_plan.rs
+++ b/rhubarbfall-runs/src/scheduler/pool_plan.rs
@@ -11,6 +11,13 @@
 /// How long a VM is idle before it may move to another pool.
 const MIN_IDLE_BEFORE_MOVE: Duration = Duration::from_millis(300);
 
+/// The part of its share below which a pool gets VMs that hold work. Shares change with every
+/// arrival, and a VM that is drained does no work for about as long as a task and a move take.
+const STARVED_BELOW: f64 = 0.75;
+
+/// The bisections of the part of the needs that can be met: enough for single VMs of thousands.
+const PART_BISECTIONS: usize = 16;
+
 /// The demand and supply of a pool.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PoolLoad {
@@ -18,34 +25,68 @@
     pub service: ServiceId,
     /// Whether this is the spare pool, whose VMs are switched off until another pool needs them.
     pub is_spare: bool,
-    /// The number of VMs that the open work needs, without overdue work.
-    pub needed: usize,
-    /// The number of VMs that all open work needs. Overdue work has no value any more and still has
-    /// to run; it gets VMs that no pool needs for other work.
-    pub needed_with_overdue: usize,
+    /// What the open work needs.
+    pub need: PoolNeed,
     /// The number of usable VMs, including those that are moving to the pool.
     pub supply: usize,
     /// The VMs without work, and for how long they have been idle.
     pub idle: Vec<(VmId, Duration)>,
+    /// The VMs that are empty soon if they get no new work, the least loaded ones first.
+    pub drainable: Vec<VmId>,
+}
+
+/// The numbers of VMs that the open work of a pool needs, each with the more urgent work included.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PoolNeed {
+    /// For work that is long-running or can still be in time.
+    pub in_time: usize,
+    /// For all work that still has value.
+    pub valuable: usize,
+    /// For all work. Overdue work has no value any more and still has to run.
+    pub total: usize,
+}
+
+impl PoolNeed {
+    /// The needs in the order in which they are met.
+    const BY_URGENCY: [fn(&Self) -> usize; 3] =
+        [|need| need.in_time, |need| need.valuable, |need| need.total];
+
+    /// Returns the need of work that can all be in time.
+    #[must_use]
+    pub const fn in_time(vms: usize) -> Self {
+        Self {
+            in_time: vms,
+            valuable: vms,
+            total: vms,
+        }
+    }
+
+    /// Raises each number to at least `vms`.
+    pub(super) fn raise(&mut self, vms: usize) {
+        self.in_time = self.in_time.max(vms);
+        self.valuable = self.valuable.max(vms);
+        self.total = self.total.max(vms);
+    }
 }
 
 /// Plans moves of VMs between pools: idle VMs move to pools with waiting work, those of the spare
 /// pool first, and the others move to the spare pool if no pool needs them. Overdue work gets what
-/// the other work of all pools leaves.
+/// the other work of all pools leaves. A pool that still has far fewer VMs than its share gets some
+/// that hold work, from pools beyond theirs.
 ///
 /// # Examples
 ///
 /// ```
 /// use std::time::Duration;
-/// use rhubarbfall_runs::scheduler::{PoolLoad, plan_moves};
+/// use rhubarbfall_runs::scheduler::{PoolLoad, PoolNeed, plan_moves};
 ///
 /// let pool = |name: &str, is_spare, needed, supply, idle: &[&str]| PoolLoad {
 ///     service: name.parse().unwrap(),
 ///     is_spare,
-///     needed,
-///     needed_with_overdue: needed,
+///     need: PoolNeed::in_time(needed),
 ///     supply,
 ///     idle: idle.iter().map(|vm| (vm.parse().unwrap(), Duration::from_secs(9))).collect(),
+///     drainable: Vec::new(),
 /// };
 /// let pools = [
 ///     pool("labels", false, 3, 1, &[]),
@@ -60,23 +101,22 @@
 pub fn plan_moves(pools: &[PoolLoad]) -> Vec<(VmId, ServiceId)> {
     let mut donors = donors(pools);
     let mut moves = Vec::new();
-    supply_short_pools(pools, |pool| pool.needed, &mut donors, &mut moves);
-    let needed_with_overdue = |pool: &PoolLoad| pool.needed_with_overdue;
-    supply_short_pools(pools, needed_with_overdue, &mut donors, &mut moves);
+    supply_short_pools(pools, |need| need.valuable, &mut donors, &mut moves);
+    supply_short_pools(pools, |need| need.total, &mut donors, &mut moves);
     if let Some(spare) = pools.iter().find(|pool| pool.is_spare) {
         let unused = donors
             .into_iter()
             .filter(|donor| donor.pool != spare.service && donor.idle_for >= MIN_IDLE_BEFORE_SPARE);
         moves.extend(unused.map(|donor| (donor.vm, spare.service.clone())));
     }
+    drain_for_starved_pools(pools, &mut moves);
     moves
 }
 
-/// Moves VMs of donors to the pools that have fewer VMs than `needed` returns. These get one VM in
-/// turn, so that one surge does not take all of them.
+/// Moves VMs of donors to the pools that have fewer VMs than they need. These get one VM in turn, so that one surge does not take all of them.
 fn supply_short_pools(
     pools: &[PoolLoad],
-    needed: impl Fn(&PoolLoad) -> usize,
+    needed: impl Fn(&PoolNeed) -> usize,
     donors: &mut Vec<Donor>,
     moves: &mut Vec<(VmId, ServiceId)>,
 ) {
@@ -85,7 +125,8 @@
         .filter(|pool| !pool.is_spare)
         .map(|pool| {
             let gained = moves.iter().filter(|(_, to)| *to == pool.service).count();
-            (needed(pool).saturating_sub(pool.supply + gained), pool)
+            let missing = needed(&pool.need).saturating_sub(pool.supply + gained);
+            (missing, pool)
         })
         .filter(|(missing, _)| *missing > 0)
         .collect();
@@ -113,7 +154,7 @@
         let surplus = if pool.is_spare {
             pool.idle.len()
         } else {
-            pool.supply.saturating_sub(pool.needed)
+            pool.supply.saturating_sub(pool.need.valuable)
         };
         let mut idle = pool.idle.clone();
         idle.sort_by_key(|(_, idle_for)| std::cmp::Reverse(*idle_for));
@@ -137,3 +178,73 @@
     donors.sort_by_key(|donor| (!is_spare(donor), donor.idle_for));
     donors
 }
+
+/// Moves VMs that hold work to pools that have less than [`STARVED_BELOW`] of their share, from the
+/// pools that are furthest beyond theirs.
+fn drain_for_starved_pools(pools: &[PoolLoad], moves: &mut Vec<(VmId, ServiceId)>) {
+    let shares = shares(pools);
+    let gained = |service: &ServiceId| moves.iter().filter(|(_, to)| to == service).count();
+    let mut short: Vec<(usize, &PoolLoad)> = Vec::new();
+    let mut beyond: Vec<(usize, &[VmId])> = Vec::new();
+    for (pool, share) in pools.iter().zip(&shares).filter(|(pool, _)| !pool.is_spare) {
+        let supply = pool.supply + gained(&pool.service);
+        if (supply as f64) < *share as f64 * STARVED_BELOW {
+            short.push((share - supply, pool));
+        } else if pool.supply > *share {
+            beyond.push((pool.supply - share, &pool.drainable));
+        }
+    }
+    while let Some((missing, pool)) = short.iter_mut().max_by_key(|(missing, _)| *missing)
+        && *missing > 0
+        && let Some((excess, drainable)) = beyond
+            .iter_mut()
+            .filter(|(_, drainable)| !drainable.is_empty())
+            .max_by_key(|(excess, _)| *excess)
+        && *excess > 0
+    {
+        moves.push((drainable[0].clone(), pool.service.clone()));
+        *drainable = &drainable[1..];
+        *excess -= 1;
+        *missing -= 1;
+    }
+}
+
+/// Divides all VMs among the pools: what the most urgent work needs first, and in proportion to the
+/// needs where they exceed what is left. VMs that cannot leave their pool count towards its share.
+fn shares(pools: &[PoolLoad]) -> Vec<usize> {
+    let vms: usize = pools.iter().map(|pool| pool.supply).sum();
+    let fixed = |pool: &PoolLoad| pool.supply - pool.idle.len() - pool.drainable.len();
+    let mut shares: Vec<usize> = pools.iter().map(fixed).collect();
+    for needed in PoolNeed::BY_URGENCY {
+        let met = |part: f64| {
+            let needs = pools.iter().map(|pool| needed(&pool.need) as f64 * part);
+            let met = needs
+                .zip(&shares)
+                .map(|(need, share)| (*share).max(need as usize));
+            met.collect::<Vec<usize>>()
+        };
+        let part = largest_part(|part| met(part).iter().sum::<usize>() <= vms);
+        shares = met(part);
+        if part < 1.0 {
+            break;
+        }
+    }
+    shares
+}
+
+/// Returns the largest part from 0 to 1 that fits, where smaller parts fit as well.
+fn largest_part(fits: impl Fn(f64) -> bool) -> f64 {
+    if fits(1.0) {
+        return 1.0;
+    }
+    let (mut low, mut high) = (0.0, 1.0);
+    for _ in 0..PART_BISECTIONS {
+        let middle = f64::midpoint(low, high);
+        if fits(middle) {
+            low = middle;
+        } else {
+            high = middle;
+        }
+    }
+    low
+}
--- a/rhubarbfall-runs/src/scheduler/pools.rs
+++ b/rhubarbfall-runs/src/scheduler/pools.rs
@@ -4,14 +4,14 @@
 use std::time::Duration;
 
 use litemap::LiteMap;
-use rhubarbfall_core::{BootTime, ServiceId};
+use rhubarbfall_core::{BootTime, ServiceId, VmId};
 
 use super::Scheduler;
 use super::pool_demand::ServiceDemand;
-use super::pool_plan::{PoolLoad, plan_moves};
+use super::pool_plan::{PoolLoad, PoolNeed, plan_moves};
 use super::token_bucket::TokenBucket;
-use super::vm_operations::{VmOperation, VmState};
-use crate::{Resources, Service, WorkerState};
+use super::vm_operations::{ActiveOperation, VmOperation, VmPhase, VmState};
+use crate::{Resources, Service, Step, Worker, WorkerState};
 
 /// The burst of moves, as a duration at their rate: with a quarter of a second, the platform's
 /// limit for any one second holds if the rate is three quarters of it.
@@ -26,6 +26,12 @@
 /// How long a pool gets no VMs for overdue work that was unable to use them.
 const OVERDUE_RETRY_INTERVAL: Duration = Duration::from_secs(10);
 
+/// How long a VM may take to become empty for a move.
+const MAX_MOVE_DRAIN: Duration = Duration::from_secs(3);
+
+/// How long a VM is not drained for a move again after a drain of it was withdrawn.
+const WITHDRAWN_DRAIN_INTERVAL: Duration = Duration::from_secs(10);
+
 /// The overdue work of a pool.
 #[derive(Debug)]
 pub(super) struct OverdueWork {
@@ -61,7 +67,7 @@
             if !move_bucket.admit(rate_per_s, now) {
                 break;
             }
-            self.begin_drain(&vm, VmOperation::Move(to));
+            self.begin_drain(&vm, VmOperation::Move(to), now);
         }
     }
 
@@ -72,12 +78,14 @@
         self.pools_logged_at = now;
         for pool in pools {
             log::info!(
-                "event=pool service={} needed={} with_overdue={} supply={} idle={}",
+                "event=pool service={} in_time={} needed={} with_overdue={} supply={} idle={} drainable={}",
                 pool.service,
-                pool.needed,
-                pool.needed_with_overdue,
+                pool.need.in_time,
+                pool.need.valuable,
+                pool.need.total,
                 pool.supply,
-                pool.idle.len()
+                pool.idle.len(),
+                pool.drainable.len()
             );
         }
     }
@@ -99,9 +107,8 @@
                 0 => 0,
                 waiting => load.supply - load.idle.len() + waiting,
             };
-            load.needed = demand.vms(vm_size, arriving).max(for_waiting);
-            let with_overdue = demand.vms_with_overdue(vm_size, arriving);
-            load.needed_with_overdue = with_overdue.max(load.needed);
+            load.need = demand.vms(vm_size, arriving);
+            load.need.raise(for_waiting);
         }
         loads
     }
@@ -111,11 +118,12 @@
         let mut load = PoolLoad {
             service: service.id.clone(),
             is_spare: service.is_spare,
-            needed: 0,
-            needed_with_overdue: 0,
+            need: PoolNeed::default(),
             supply: self.vm_ops.moving_to(&service.id),
             idle: Vec::new(),
+            drainable: Vec::new(),
         };
+        let mut drainable = Vec::new();
         for row in self.vm_ops.vms().filter(|row| row.pool == service.id) {
             if row.state != VmState::Up && !service.is_spare || self.vm_ops.is_busy(&row.vm) {
                 continue;
@@ -136,14 +144,56 @@
                 continue;
             }
             load.supply += 1;
-            if let Some(worker) = worker.filter(|worker| worker.is_empty()) {
+            let Some(worker) = worker else {
+                continue;
+            };
+            if worker.is_empty() {
                 load.idle
                     .push((row.vm.clone(), now.since(worker.idle_since)));
+            } else if self.is_empty_soon(&row.vm, worker, now) {
+                drainable.push((worker.reserved.cpu_millis, row.vm.clone()));
             }
         }
+        drainable.sort();
+        load.drainable = drainable.into_iter().map(|(_, vm)| vm).collect();
         load
     }
 
+    /// Returns whether a VM with work is empty soon if it gets no new work: all of its tasks are short,
+    /// and a drain of it was not withdrawn lately.
+    fn is_empty_soon(&self, vm: &VmId, worker: &Worker, now: BootTime) -> bool {
+        let is_short = |step: &Step| !step.is_long_running && step.estimate <= MAX_MOVE_DRAIN;
+        let is_withdrawn = |at: &BootTime| now.since(*at) < WITHDRAWN_DRAIN_INTERVAL;
+        worker.unexpected_load == Resources::default()
+            && !self
+                .vm_ops
+                .withdrawn_drains
+                .get(vm)
+                .is_some_and(is_withdrawn)
+            && worker.placed.iter().all(|id| {
+                let job = self.jobs.get(&id.submission);
+                job.is_some_and(|job| is_short(job.step(id)))
+            })
+    }
+
+    /// Ends the drains for moves that have taken too long: their VMs get work again.
+    pub(super) fn withdraw_slow_drains(&mut self, now: BootTime) {
+        let is_slow = |active: &ActiveOperation| {
+            matches!(active.operation, VmOperation::Move(_))
+                && active.phase == VmPhase::Draining
+                && now.since(active.since) > MAX_MOVE_DRAIN
+        };
+        let operations = self.vm_ops.active.iter();
+        let slow = operations.filter(|(_, active)| is_slow(active));
+        let slow: Vec<VmId> = slow.map(|(vm, _)| vm.clone()).collect();
+        for vm in slow {
+            log::info!("event=vm_drain_withdrawn vm={vm}");
+            self.vm_ops.active.remove(&vm);
+            self.vm_ops.withdrawn_drains.insert(vm, now);
+            self.needs_placement = true;
+        }
+    }
+
     /// Returns the size of each pool's largest VM; an empty pool gets VMs of any pool.
     fn vm_sizes(&self) -> LiteMap<ServiceId, Resources> {
         let mut largest = Resources::default();
@@ -168,7 +218,7 @@
         for pool in pools.iter_mut().filter(|pool| !pool.is_spare) {
             let arriving = self.vm_ops.moving_to(&pool.service);
             let known = &mut self.vm_ops.overdue;
-            if pool.needed_with_overdue <= pool.needed {
+            if pool.need.total <= pool.need.valuable {
                 known.remove(&pool.service);
                 continue;
             }
@@ -192,7 +242,7 @@
             } else {
                 in_use + in_use.max(1)
             };
-            pool.needed_with_overdue = pool.needed_with_overdue.min(allowed).max(pool.needed);
+            pool.need.total = pool.need.total.min(allowed).max(pool.need.valuable);
         }
     }
 }
--- a/rhubarbfall-runs/src/scheduler/vm_operations.rs
+++ b/rhubarbfall-runs/src/scheduler/vm_operations.rs
@@ -81,6 +81,8 @@
 #[derive(Debug, Clone)]
 pub(super) struct ActiveOperation {
     pub(super) operation: VmOperation,
+    /// When this owner began or recovered the operation.
+    pub(super) since: BootTime,
     pub(super) phase: VmPhase,
     pub(super) worker: Option<WorkerId>,
     /// Whether a call of the operation, by this owner or an earlier one, got no answer: it may have
@@ -110,6 +112,8 @@
     pub(super) move_bucket: Option<TokenBucket>,
     /// The overdue work of each pool that needs VMs for it.
     pub(super) overdue: LiteMap<ServiceId, OverdueWork>,
+    /// When a drain for a move was last withdrawn from each VM.
+    pub(super) withdrawn_drains: LiteMap<VmId, BootTime>,
     /// The earliest time at which another VM is drained after a refused call.
     backoff_until: BootTime,
     /// The time until which an order of an earlier owner may still reach the VM service.
@@ -294,6 +298,7 @@
     /// Advances moves and maintenance waves.
     pub(super) fn tick_vm_operations(&mut self, now: BootTime) {
         self.repeat_unconfirmed(now);
+        self.withdraw_slow_drains(now);
         let may_order = now >= self.vm_ops.inherited_orders_until;
         if may_order && now >= self.vm_ops.backoff_until {
             self.start_wave_drains(now);
@@ -328,11 +333,12 @@
         }
     }
 
-    pub(super) fn begin_drain(&mut self, vm: &VmId, operation: VmOperation) {
+    pub(super) fn begin_drain(&mut self, vm: &VmId, operation: VmOperation, now: BootTime) {
         let worker = self.vm_ops.vms.get(vm).and_then(|row| row.worker.clone());
         log::info!("event=vm_draining vm={vm} operation={operation:?}");
         let active = ActiveOperation {
             operation,
+            since: now,
             phase: VmPhase::Draining,
             worker,
             has_unanswered_call: false,
--- a/rhubarbfall-runs/src/scheduler/wave_choice.rs
+++ b/rhubarbfall-runs/src/scheduler/wave_choice.rs
@@ -14,7 +14,7 @@
         let waves: Vec<WaveId> = self.vm_ops.waves.iter().map(|(id, _)| id.clone()).collect();
         for wave in waves {
             for vm in self.next_vms_of_wave(&wave, now) {
-                self.begin_drain(&vm, VmOperation::Maintain(wave.clone()));
+                self.begin_drain(&vm, VmOperation::Maintain(wave.clone()), now);
             }
         }
     }
--- a/rhubarbfall-runs/src/scheduler/waves.rs
+++ b/rhubarbfall-runs/src/scheduler/waves.rs
@@ -223,6 +223,7 @@
             };
             let active = ActiveOperation {
                 operation: VmOperation::Maintain(wave.id.clone()),
+                since: now,
                 phase,
                 worker: called.worker.clone(),
                 has_unanswered_call: !called.has_begun,
