fix(runs): hold no VMs for tasks beyond their customer's limit

Cause: what a pool needs counted tasks that wait for their customer's limit, and not for a VM. Work of a customer beyond its rate never becomes too late, so that its pool kept idle VMs for good.

Change: waiting tasks count only within the limit of their customer, the most urgent first, for all work as for overdue work before.

Test, red before: pool_shares.rs work_beyond_its_customers_limit_holds_no_vms (0 of 4 completed).

--- a/rhubarbfall-runs/src/scheduler/ordering.rs
+++ b/rhubarbfall-runs/src/scheduler/ordering.rs
@@ -152,9 +152,23 @@
         .sum()
 }
 
-/// Returns whether a job is long-running or can still meet its objective.
-pub(super) fn is_in_time(job: &Job, queue: &Queue, now: BootTime) -> bool {
-    rank(job, queue, now).tier <= Tier::InTime
+/// How much the VMs for a job matter, the most urgent first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Urgency {
+    /// The job is long-running or can still meet its objective.
+    InTime,
+    /// The job still has value.
+    Late,
+    /// The job has no value any more and still has to run.
+    Overdue,
+}
+
+pub(super) fn urgency(job: &Job, queue: &Queue, now: BootTime) -> Urgency {
+    match rank(job, queue, now).tier {
+        Tier::LongRunning | Tier::InTime => Urgency::InTime,
+        Tier::Late | Tier::Excess => Urgency::Late,
+        Tier::TooLate => Urgency::Overdue,
+    }
 }
 
 /// Returns whether a job can still complete while it has value.
--- a/rhubarbfall-runs/src/scheduler/pool_demand.rs
+++ b/rhubarbfall-runs/src/scheduler/pool_demand.rs
@@ -4,9 +4,9 @@
 use rhubarbfall_core::{BootTime, CustomerId, ServiceId};
 
 use super::Scheduler;
-use super::ordering::{is_in_time, is_still_useful};
+use super::ordering::{Urgency, urgency};
 use super::pool_plan::PoolNeed;
-use crate::{Job, JobState, Resources, Step, Task, TaskPhase};
+use crate::{Job, JobState, Queue, Resources, Step, StepState, Task, TaskPhase};
 
 /// The factor on the sum of demands that allows for capacity lost in packing tasks of different
 /// sizes.
@@ -80,58 +80,45 @@
         vm_size: impl Fn(&ServiceId) -> Resources,
         now: BootTime,
     ) -> LiteMap<ServiceId, ServiceDemand> {
-        let mut demands: LiteMap<ServiceId, ServiceDemand> = LiteMap::new();
-        let mut overdue_usage: LiteMap<CustomerId, Resources> = LiteMap::new();
+        let mut jobs: Vec<(Urgency, &Job, &Queue)> = Vec::new();
         for job in self.jobs().filter(|job| job.state == JobState::Active) {
-            let Some(queue) = self.config.queue(&job.submission.queue) else {
-                continue;
-            };
-            let demand = demands.entry(queue.service.clone()).or_default();
-            demand.for_waiting_long_running +=
-                self.vms_for_waiting_long_running(job, vm_size(&queue.service), now);
-            if !is_still_useful(job, queue, now) {
-                self.add_overdue(job, &mut demand.overdue, &mut overdue_usage);
-                continue;
+            if let Some(queue) = self.config.queue(&job.submission.queue) {
+                jobs.push((urgency(job, queue, now), job, queue));
             }
-            let of_urgency = if is_in_time(job, queue, now) {
-                &mut demand.in_time
-            } else {
-                &mut demand.late
-            };
+        }
+        // The most urgent work comes first within the limit of its customer.
+        jobs.sort_by_key(|(urgency, ..)| *urgency);
+        let mut demands: LiteMap<ServiceId, ServiceDemand> = LiteMap::new();
+        let mut usage: LiteMap<CustomerId, Resources> = LiteMap::new();
+        for (urgency, job, queue) in jobs {
+            let demand = demands.entry(queue.service.clone()).or_default();
             for (_, _, step, run) in job.open_steps() {
-                of_urgency.add(step, run.tasks.len() - run.done as usize);
+                let waiting = waiting_tasks(run);
+                let placed = run.tasks.len() - run.done as usize - waiting;
+                let customer = job.submission.customer.as_ref();
+                let allowed = self.within_limit(customer, step, waiting, &mut usage);
+                if step.is_long_running {
+                    let ready = ready_tasks(run, now).min(allowed);
+                    demand.for_waiting_long_running +=
+                        empty_vms_for(step, ready, vm_size(&queue.service));
+                }
+                let of_urgency = match urgency {
+                    Urgency::InTime => &mut demand.in_time,
+                    Urgency::Late => &mut demand.late,
+                    Urgency::Overdue => &mut demand.overdue,
+                };
+                // Overdue work waits without end, so that what no VM can run would hold VMs for as
+                // long.
+                let is_hopeless =
+                    urgency == Urgency::Overdue && allowed > 0 && !self.has_vm_for(step);
+                of_urgency.add(step, placed + if is_hopeless { 0 } else { allowed });
             }
         }
         demands
     }
 
-    /// Adds the tasks of an overdue job that run, and those that could run in this fleet and within
-    /// the limit of their customer. Overdue work waits without end, so that what cannot run would
-    /// hold VMs for as long.
-    fn add_overdue(
-        &self,
-        job: &Job,
-        demand: &mut Demand,
-        usage: &mut LiteMap<CustomerId, Resources>,
-    ) {
-        for (_, _, step, run) in job.open_steps() {
-            let is_waiting = |task: &&Task| task.phase == TaskPhase::Waiting;
-            let waiting = run.tasks.iter().filter(is_waiting).count();
-            let placed = run.tasks.len() - run.done as usize - waiting;
-            let mut runnable = 0;
-            if waiting > 0 && self.has_vm_for(step) {
-                runnable =
-                    self.within_limit(job.submission.customer.as_ref(), step, waiting, usage);
-            }
-            if step.is_gang && runnable < waiting {
-                runnable = 0;
-            }
-            demand.add(step, placed + runnable);
-        }
-    }
-
-    /// Returns how many of the waiting tasks of a step the limit of their customer allows, and adds
-    /// them to what waiting tasks use of the limit.
+    /// Returns how many of the waiting tasks of a step the limit of their customer allows, none for a
+    /// gang that does not fit whole, and adds them to what waiting tasks use of the limit.
     fn within_limit(
         &self,
         customer: Option<&CustomerId>,
@@ -143,13 +130,21 @@
             return waiting;
         };
         let used = usage.entry(customer.clone()).or_default();
-        let mut allowed = 0;
-        while allowed < waiting
-            && self.is_within_customer_limit(Some(customer), *used + step.demand)
-        {
-            *used += step.demand;
-            allowed += 1;
+        let with = |tasks: usize| *used + step.demand.times(tasks as u64);
+        let fits = |tasks: usize| self.is_within_customer_limit(Some(customer), with(tasks));
+        let (mut allowed, mut too_many) = (0, waiting + 1);
+        while too_many - allowed > 1 {
+            let middle = usize::midpoint(allowed, too_many);
+            if fits(middle) {
+                allowed = middle;
+            } else {
+                too_many = middle;
+            }
+        }
+        if step.is_gang && allowed < waiting {
+            allowed = 0;
         }
+        *used = with(allowed);
         allowed
     }
 
@@ -176,26 +171,26 @@
         };
         able.map(fitting).fold(0, u64::saturating_add) >= u64::from(step.tasks)
     }
+}
 
-    /// Returns the number of empty VMs of this size that the waiting long-running tasks of a job need.
-    fn vms_for_waiting_long_running(&self, job: &Job, vm_size: Resources, now: BootTime) -> usize {
-        let mut vms = 0;
-        let customer = job.submission.customer.as_ref();
-        for (_, _, step, run) in job.open_steps() {
-            if !step.is_long_running || !self.is_within_customer_limit(customer, step.demand) {
-                continue;
-            }
-            let is_waiting =
-                |task: &&Task| task.phase == TaskPhase::Waiting && task.not_before <= now;
-            let waiting = run.tasks.iter().filter(is_waiting).count();
-            let share = step.reserved().fraction_of(vm_size);
-            let per_vm = if share > 0.0 {
-                (1.0 / share) as usize
-            } else {
-                waiting
-            };
-            vms += waiting.div_ceil(per_vm.max(1));
-        }
-        vms
-    }
+fn waiting_tasks(run: &StepState) -> usize {
+    let is_waiting = |task: &&Task| task.phase == TaskPhase::Waiting;
+    run.tasks.iter().filter(is_waiting).count()
+}
+
+/// Returns the number of waiting tasks that may start now.
+fn ready_tasks(run: &StepState, now: BootTime) -> usize {
+    let is_ready = |task: &&Task| task.phase == TaskPhase::Waiting && task.not_before <= now;
+    run.tasks.iter().filter(is_ready).count()
+}
+
+/// Returns the number of empty VMs of this size that tasks of a step need.
+fn empty_vms_for(step: &Step, tasks: usize, vm_size: Resources) -> usize {
+    let share = step.reserved().fraction_of(vm_size);
+    let per_vm = if share > 0.0 {
+        (1.0 / share) as usize
+    } else {
+        tasks
+    };
+    tasks.div_ceil(per_vm.max(1))
 }
--- a/rhubarbfall-runs/tests/pool_shares.rs
+++ b/rhubarbfall-runs/tests/pool_shares.rs
@@ -190,3 +190,38 @@
     let moves = model.moves - moves_at_overload;
     assert!(moves <= 10, "{moves} moves in 15 s");
 }
+
+/// Guards against VMs that idle in a pool whose work waits for its customer's limit, while another
+/// pool is short.
+#[test]
+fn work_beyond_its_customers_limit_holds_no_vms() {
+    let mut model = Model::new(&[("labels", 6), ("permits", 2), ("spare", 0)], 1);
+    model.update_config(|config| {
+        let mut other = config.customers[0].clone();
+        other.id = "house-b".parse().expect("valid customer name");
+        config.customers.push(other);
+        config.customers[0].limit.cpu_millis = WORKER_CAPACITY.cpu_millis;
+    });
+    model.run_for(Duration::from_secs(1));
+    for number in 0..30 {
+        let work = submission(number, "labels", step(10, 6_400));
+        model.submit(work, Duration::from_secs(1));
+    }
+    model.run_for(Duration::from_secs(2));
+    for number in 100..104 {
+        let mut work = submission(number, "permits", step(10, 6_400));
+        work.customer = Some("house-b".parse().expect("valid customer name"));
+        model.submit(work, Duration::from_secs(1));
+    }
+    model.run_for(Duration::from_millis(3_500));
+    let done = (100..104).filter(|number| is_completed(&model, *number));
+    assert_eq!(done.count(), 4);
+}
+
+fn is_completed(model: &Model, number: u64) -> bool {
+    let id = format!("{number:016x}");
+    model
+        .scheduler
+        .jobs()
+        .any(|job| job.submission.id.as_str() == id && job.state == JobState::Completed)
+}
