fix(runs): give VMs to late submissions by their age

Cause: three orders put them last and none bounds the wait. Late work with some value came before all work without, and that of long chains keeps it for half a minute; work of a customer beyond its rate came before others' overdue work; and what was left was shared in proportion to the needs, so that a large backlog left a small one nearly nothing.

Change: VMs that work in time leaves go to late submissions by age, whatever their service and value, then to those beyond their customer's rate, until the VMs are used up. Within a service, overdue submissions start before those beyond a customer's rate. The need of a pool has two numbers now, in time and in all.

Tests, red before: overdue_work.rs overdue_work_gets_vms_by_its_age, overdue_work_comes_before_work_beyond_a_customers_rate.

--- a/rhubarbfall-runs/src/scheduler/ordering.rs
+++ b/rhubarbfall-runs/src/scheduler/ordering.rs
@@ -26,10 +26,10 @@
     InTime,
     /// The submission can only complete late.
     Late,
-    /// The customer exceeded the rate that its weight allows.
-    Excess,
     /// The submission has no value any more.
     TooLate,
+    /// The customer exceeded the rate that its weight allows.
+    Excess,
 }
 
 /// Ranks a job: long-running work first, then jobs that can still meet their objective by latest
@@ -157,17 +157,17 @@
 pub(super) enum Urgency {
     /// The job is long-running or can still meet its objective.
     InTime,
-    /// The job still has value.
+    /// The job can only be late, or has no value any more.
     Late,
-    /// The job has no value any more and still has to run.
-    Overdue,
+    /// The customer exceeded the rate that its weight allows.
+    Excess,
 }
 
 pub(super) fn urgency(job: &Job, queue: &Queue, now: BootTime) -> Urgency {
     match rank(job, queue, now).tier {
         Tier::LongRunning | Tier::InTime => Urgency::InTime,
-        Tier::Late | Tier::Excess => Urgency::Late,
-        Tier::TooLate => Urgency::Overdue,
+        Tier::Late | Tier::TooLate => Urgency::Late,
+        Tier::Excess => Urgency::Excess,
     }
 }
 
--- a/rhubarbfall-runs/src/scheduler/pool_demand.rs
+++ b/rhubarbfall-runs/src/scheduler/pool_demand.rs
@@ -17,14 +17,42 @@
 pub(super) struct ServiceDemand {
     /// Work that is long-running or can still be in time.
     in_time: Demand,
-    /// Other work that still has value.
-    late: Demand,
     /// The number of empty VMs that the waiting long-running tasks need. They may wait although the
     /// pool has the resources that all tasks need together, since what is left on each VM is too
     /// small for them.
     pub(super) for_waiting_long_running: usize,
-    /// Work without value any more.
-    overdue: Demand,
+    /// The other work that may have VMs.
+    late: Demand,
+}
+
+/// What the open work of all services needs.
+#[derive(Debug, Default)]
+pub(super) struct FleetDemand {
+    pub(super) services: LiteMap<ServiceId, ServiceDemand>,
+    /// The submissions that are late, in the order in which they get VMs that work in time leaves.
+    late: Vec<LateDemand>,
+}
+
+#[derive(Debug)]
+struct LateDemand {
+    service: ServiceId,
+    demand: Demand,
+}
+
+impl FleetDemand {
+    /// Admits late submissions, the oldest first, until they need this number of VMs, so that the
+    /// backlog of one service does not keep older submissions of another one waiting.
+    pub(super) fn admit_late(&mut self, vms: usize, vm_size: impl Fn(&ServiceId) -> Resources) {
+        let mut left = vms as f64;
+        for job in &self.late {
+            if left <= 0.0 {
+                break;
+            }
+            left -= job.demand.fraction_of(vm_size(&job.service));
+            let demand = self.services.entry(job.service.clone()).or_default();
+            demand.late = demand.late.plus(&job.demand);
+        }
+    }
 }
 
 /// The sum of the demands of tasks.
@@ -51,9 +79,14 @@
         }
     }
 
+    /// Returns the tasks' part of a VM of this size, with the headroom for packing.
+    fn fraction_of(&self, vm_size: Resources) -> f64 {
+        self.resources.fraction_of(vm_size) * PACKING_HEADROOM_FACTOR
+    }
+
     /// Returns the number of VMs of this size for the tasks and for what is forecast to arrive.
     fn vms(&self, vm_size: Resources, arriving: Resources) -> usize {
-        let open = self.resources.fraction_of(vm_size) * PACKING_HEADROOM_FACTOR;
+        let open = self.fraction_of(vm_size);
         let vms = open.max(arriving.fraction_of(vm_size)).ceil() as usize;
         vms.max(self.min_spread_vms)
     }
@@ -63,23 +96,21 @@
     /// Returns the number of VMs of this size that a pool needs for the work and for what is forecast
     /// to arrive.
     pub(super) fn vms(&self, vm_size: Resources, arriving: Resources) -> PoolNeed {
-        let valuable = self.in_time.plus(&self.late);
         PoolNeed {
             in_time: self.in_time.vms(vm_size, arriving),
-            valuable: valuable.vms(vm_size, arriving),
-            total: valuable.plus(&self.overdue).vms(vm_size, arriving),
+            total: self.in_time.plus(&self.late).vms(vm_size, arriving),
         }
     }
 }
 
 impl Scheduler {
-    /// Returns what the open work of each service needs, where a VM of a service has the size that
+    /// Returns what the open work of all services needs, where a VM of a service has the size that
     /// `vm_size` returns.
-    pub(super) fn service_demands(
+    pub(super) fn fleet_demand(
         &self,
         vm_size: impl Fn(&ServiceId) -> Resources,
         now: BootTime,
-    ) -> LiteMap<ServiceId, ServiceDemand> {
+    ) -> FleetDemand {
         let mut jobs: Vec<(Urgency, &Job, &Queue)> = Vec::new();
         for job in self.jobs().filter(|job| job.state == JobState::Active) {
             if let Some(queue) = self.config.queue(&job.submission.queue) {
@@ -87,11 +118,12 @@
             }
         }
         // The most urgent work comes first within the limit of its customer.
-        jobs.sort_by_key(|(urgency, ..)| *urgency);
-        let mut demands: LiteMap<ServiceId, ServiceDemand> = LiteMap::new();
+        jobs.sort_by_key(|(urgency, job, _)| (*urgency, job.accepted_at));
+        let mut fleet = FleetDemand::default();
         let mut usage: LiteMap<CustomerId, Resources> = LiteMap::new();
         for (urgency, job, queue) in jobs {
-            let demand = demands.entry(queue.service.clone()).or_default();
+            let demand = fleet.services.entry(queue.service.clone()).or_default();
+            let mut late = Demand::default();
             for (_, _, step, run) in job.open_steps() {
                 let waiting = waiting_tasks(run);
                 let placed = run.tasks.len() - run.done as usize - waiting;
@@ -102,19 +134,24 @@
                     demand.for_waiting_long_running +=
                         empty_vms_for(step, ready, vm_size(&queue.service));
                 }
-                let of_urgency = match urgency {
-                    Urgency::InTime => &mut demand.in_time,
-                    Urgency::Late => &mut demand.late,
-                    Urgency::Overdue => &mut demand.overdue,
-                };
-                // Overdue work waits without end, so that what no VM can run would hold VMs for as
-                // long.
-                let is_hopeless =
-                    urgency == Urgency::Overdue && allowed > 0 && !self.has_vm_for(step);
-                of_urgency.add(step, placed + if is_hopeless { 0 } else { allowed });
+                match urgency {
+                    Urgency::InTime => demand.in_time.add(step, placed + allowed),
+                    // Late work waits without end, so that what no VM can run would hold VMs for as
+                    // long.
+                    Urgency::Late | Urgency::Excess if allowed > 0 && !self.has_vm_for(step) => {
+                        late.add(step, placed);
+                    }
+                    Urgency::Late | Urgency::Excess => late.add(step, placed + allowed),
+                }
+            }
+            if late.resources != Resources::default() {
+                fleet.late.push(LateDemand {
+                    service: queue.service.clone(),
+                    demand: late,
+                });
             }
         }
-        demands
+        fleet
     }
 
     /// Returns how many of the waiting tasks of a step the limit of their customer allows, none for a
--- a/rhubarbfall-runs/src/scheduler/pool_plan.rs
+++ b/rhubarbfall-runs/src/scheduler/pool_plan.rs
@@ -40,23 +40,19 @@
 pub struct PoolNeed {
     /// For work that is long-running or can still be in time.
     pub in_time: usize,
-    /// For all work that still has value.
-    pub valuable: usize,
-    /// For all work. Overdue work has no value any more and still has to run.
+    /// With the late work that may have VMs.
     pub total: usize,
 }
 
 impl PoolNeed {
     /// The needs in the order in which they are met.
-    const BY_URGENCY: [fn(&Self) -> usize; 3] =
-        [|need| need.in_time, |need| need.valuable, |need| need.total];
+    const BY_URGENCY: [fn(&Self) -> usize; 2] = [|need| need.in_time, |need| need.total];
 
     /// Returns the need of work that can all be in time.
     #[must_use]
     pub const fn in_time(vms: usize) -> Self {
         Self {
             in_time: vms,
-            valuable: vms,
             total: vms,
         }
     }
@@ -64,14 +60,13 @@
     /// Raises each number to at least `vms`.
     pub(super) fn raise(&mut self, vms: usize) {
         self.in_time = self.in_time.max(vms);
-        self.valuable = self.valuable.max(vms);
         self.total = self.total.max(vms);
     }
 }
 
 /// Plans moves of VMs between pools: idle VMs move to pools with waiting work, those of the spare
-/// pool first, and the others move to the spare pool if no pool needs them. Overdue work gets what
-/// the other work of all pools leaves. A pool that still has far fewer VMs than its share gets some
+/// pool first, and the others move to the spare pool if no pool needs them. Late work gets what the
+/// work in time of all pools leaves. A pool that still has far fewer VMs than its share gets some
 /// that hold work, from pools beyond theirs.
 ///
 /// # Examples
@@ -101,7 +96,7 @@
 pub fn plan_moves(pools: &[PoolLoad]) -> Vec<(VmId, ServiceId)> {
     let mut donors = donors(pools);
     let mut moves = Vec::new();
-    supply_short_pools(pools, |need| need.valuable, &mut donors, &mut moves);
+    supply_short_pools(pools, |need| need.in_time, &mut donors, &mut moves);
     supply_short_pools(pools, |need| need.total, &mut donors, &mut moves);
     if let Some(spare) = pools.iter().find(|pool| pool.is_spare) {
         let unused = donors
@@ -154,7 +149,7 @@
         let surplus = if pool.is_spare {
             pool.idle.len()
         } else {
-            pool.supply.saturating_sub(pool.need.valuable)
+            pool.supply.saturating_sub(pool.need.in_time)
         };
         let mut idle = pool.idle.clone();
         idle.sort_by_key(|(_, idle_for)| std::cmp::Reverse(*idle_for));
@@ -209,12 +204,23 @@
     }
 }
 
+/// Returns the number of VMs that work in time leaves.
+pub(super) fn vms_left(pools: &[PoolLoad]) -> usize {
+    let vms: usize = pools.iter().map(|pool| pool.supply).sum();
+    let in_time: usize = pools.iter().map(|pool| pool.need.in_time).sum();
+    vms.saturating_sub(in_time)
+}
+
+/// Returns the number of VMs that cannot leave a pool soon.
+fn fixed_vms(pool: &PoolLoad) -> usize {
+    pool.supply - pool.idle.len() - pool.drainable.len()
+}
+
 /// Divides all VMs among the pools: what the most urgent work needs first, and in proportion to the
 /// needs where they exceed what is left. VMs that cannot leave their pool count towards its share.
 fn shares(pools: &[PoolLoad]) -> Vec<usize> {
     let vms: usize = pools.iter().map(|pool| pool.supply).sum();
-    let fixed = |pool: &PoolLoad| pool.supply - pool.idle.len() - pool.drainable.len();
-    let mut shares: Vec<usize> = pools.iter().map(fixed).collect();
+    let mut shares: Vec<usize> = pools.iter().map(fixed_vms).collect();
     for needed in PoolNeed::BY_URGENCY {
         let met = |part: f64| {
             let needs = pools.iter().map(|pool| needed(&pool.need) as f64 * part);
--- a/rhubarbfall-runs/src/scheduler/pools.rs
+++ b/rhubarbfall-runs/src/scheduler/pools.rs
@@ -7,8 +7,8 @@
 use rhubarbfall_core::{BootTime, ServiceId, VmId};
 
 use super::Scheduler;
-use super::pool_demand::ServiceDemand;
-use super::pool_plan::{PoolLoad, PoolNeed, plan_moves};
+use super::pool_demand::{FleetDemand, ServiceDemand};
+use super::pool_plan::{PoolLoad, PoolNeed, plan_moves, vms_left};
 use super::token_bucket::TokenBucket;
 use super::vm_operations::{ActiveOperation, VmOperation, VmPhase, VmState};
 use crate::{Resources, Service, Step, Worker, WorkerState};
@@ -20,11 +20,11 @@
 /// The interval between log entries about the pools.
 const POOL_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
-/// How long a VM is idle beside overdue work that waits before the work counts as unable to use it.
-const MAX_IDLE_BESIDE_OVERDUE: Duration = Duration::from_millis(500);
+/// How long a VM is idle beside late work that waits before the work counts as unable to use it.
+const MAX_IDLE_BESIDE_LATE: Duration = Duration::from_millis(500);
 
-/// How long a pool gets no VMs for overdue work that was unable to use them.
-const OVERDUE_RETRY_INTERVAL: Duration = Duration::from_secs(10);
+/// How long a pool gets no VMs for late work that was unable to use them.
+const LATE_RETRY_INTERVAL: Duration = Duration::from_secs(10);
 
 /// How long a VM may take to become empty for a move.
 const MAX_MOVE_DRAIN: Duration = Duration::from_secs(3);
@@ -32,9 +32,9 @@
 /// How long a VM is not drained for a move again after a drain of it was withdrawn.
 const WITHDRAWN_DRAIN_INTERVAL: Duration = Duration::from_secs(10);
 
-/// The overdue work of a pool.
+/// The late work of a pool.
 #[derive(Debug)]
-pub(super) struct OverdueWork {
+pub(super) struct LateWork {
     /// Since when the work has needed VMs.
     since: BootTime,
     /// When the pool may get VMs for the work again after it left some idle; from then on it gets as
@@ -56,7 +56,7 @@
             return;
         }
         let mut pools = self.pool_loads(now);
-        self.limit_unused_overdue(&mut pools, now);
+        self.limit_unused_late_work(&mut pools, now);
         self.log_pools(&pools, now);
         let rate_per_s = self.settings.vm_moves_per_s / f64::from(self.settings.cells);
         // A bucket holds one token at least.
@@ -78,10 +78,9 @@
         self.pools_logged_at = now;
         for pool in pools {
             log::info!(
-                "event=pool service={} in_time={} needed={} with_overdue={} supply={} idle={} drainable={}",
+                "event=pool service={} in_time={} needed={} supply={} idle={} drainable={}",
                 pool.service,
                 pool.need.in_time,
-                pool.need.valuable,
                 pool.need.total,
                 pool.supply,
                 pool.idle.len(),
@@ -93,24 +92,35 @@
     fn pool_loads(&self, now: BootTime) -> Vec<PoolLoad> {
         let vm_sizes = self.vm_sizes();
         let vm_size = |service: &ServiceId| vm_sizes.get(service).copied().unwrap_or_default();
-        let demands = self.service_demands(vm_size, now);
+        let mut demand = self.fleet_demand(vm_size, now);
         let services = self.config.services.iter();
         let mut loads: Vec<PoolLoad> = services
             .map(|service| self.pool_supply(service, now))
             .collect();
+        self.set_needs(&mut loads, &demand, vm_size, now);
+        demand.admit_late(vms_left(&loads), vm_size);
+        self.set_needs(&mut loads, &demand, vm_size, now);
+        loads
+    }
+
+    fn set_needs(
+        &self,
+        loads: &mut [PoolLoad],
+        demand: &FleetDemand,
+        vm_size: impl Fn(&ServiceId) -> Resources,
+        now: BootTime,
+    ) {
         for load in loads.iter_mut().filter(|load| !load.is_spare) {
             let no_demand = ServiceDemand::default();
-            let demand = demands.get(&load.service).unwrap_or(&no_demand);
-            let vm_size = vm_size(&load.service);
-            let arriving = self.recent_work.forecast(&load.service, now);
+            let demand = demand.services.get(&load.service).unwrap_or(&no_demand);
             let for_waiting = match demand.for_waiting_long_running {
                 0 => 0,
                 waiting => load.supply - load.idle.len() + waiting,
             };
-            load.need = demand.vms(vm_size, arriving);
+            let arriving = self.recent_work.forecast(&load.service, now);
+            load.need = demand.vms(vm_size(&load.service), arriving);
             load.need.raise(for_waiting);
         }
-        loads
     }
 
     /// Returns the load of a pool without what it needs.
@@ -212,28 +222,28 @@
         sizes
     }
 
-    /// Asks for no more VMs than other work needs in pools whose overdue work leaves VMs idle: it
+    /// Asks for no more VMs than work in time needs in pools whose late work leaves VMs idle: it
     /// waits for something else.
-    fn limit_unused_overdue(&mut self, pools: &mut [PoolLoad], now: BootTime) {
+    fn limit_unused_late_work(&mut self, pools: &mut [PoolLoad], now: BootTime) {
         for pool in pools.iter_mut().filter(|pool| !pool.is_spare) {
             let arriving = self.vm_ops.moving_to(&pool.service);
-            let known = &mut self.vm_ops.overdue;
-            if pool.need.total <= pool.need.valuable {
+            let known = &mut self.vm_ops.late_work;
+            if pool.need.total <= pool.need.in_time {
                 known.remove(&pool.service);
                 continue;
             }
-            let begin = || OverdueWork {
+            let begin = || LateWork {
                 since: now,
                 paused_until: None,
             };
-            let overdue = known.entry(pool.service.clone()).or_insert_with(begin);
-            let is_unused = |idle_for: Duration| idle_for >= MAX_IDLE_BESIDE_OVERDUE;
-            if is_unused(now.since(overdue.since))
+            let late_work = known.entry(pool.service.clone()).or_insert_with(begin);
+            let is_unused = |idle_for: Duration| idle_for >= MAX_IDLE_BESIDE_LATE;
+            if is_unused(now.since(late_work.since))
                 && pool.idle.iter().any(|(_, idle_for)| is_unused(*idle_for))
             {
-                overdue.paused_until = Some(now + OVERDUE_RETRY_INTERVAL);
+                late_work.paused_until = Some(now + LATE_RETRY_INTERVAL);
             }
-            let Some(paused_until) = overdue.paused_until else {
+            let Some(paused_until) = late_work.paused_until else {
                 continue;
             };
             let in_use = (pool.supply - pool.idle.len()).saturating_sub(arriving);
@@ -242,7 +252,7 @@
             } else {
                 in_use + in_use.max(1)
             };
-            pool.need.total = pool.need.total.min(allowed).max(pool.need.valuable);
+            pool.need.total = pool.need.total.min(allowed).max(pool.need.in_time);
         }
     }
 }
--- a/rhubarbfall-runs/src/scheduler/vm_operations.rs
+++ b/rhubarbfall-runs/src/scheduler/vm_operations.rs
@@ -9,7 +9,7 @@
 
 use super::Scheduler;
 use super::action::Action;
-use super::pools::OverdueWork;
+use super::pools::LateWork;
 use super::token_bucket::TokenBucket;
 use super::waves::ActiveWave;
 use crate::{Resources, WorkerState};
@@ -110,8 +110,8 @@
     pub(super) waves: LiteMap<WaveId, ActiveWave>,
     /// Limits the rate of moves.
     pub(super) move_bucket: Option<TokenBucket>,
-    /// The overdue work of each pool that needs VMs for it.
-    pub(super) overdue: LiteMap<ServiceId, OverdueWork>,
+    /// The late work of each pool that needs VMs for it.
+    pub(super) late_work: LiteMap<ServiceId, LateWork>,
     /// When a drain for a move was last withdrawn from each VM.
     pub(super) withdrawn_drains: LiteMap<VmId, BootTime>,
     /// The earliest time at which another VM is drained after a refused call.
--- a/rhubarbfall-runs/tests/overdue_work.rs
+++ b/rhubarbfall-runs/tests/overdue_work.rs
@@ -111,3 +111,75 @@
     let all_vms = model.vm_names().len() as u64;
     assert!(model.moves - moves <= 2 * (all_vms + 3), "{}", model.moves);
 }
+
+/// Submits to a queue of a model with the queues `labels` and `permits`, for a customer.
+fn submit_for(model: &mut Model, number: u64, queue: &str, customer: &str, step: Step) {
+    let mut work = submission(number, queue, step);
+    work.customer = Some(customer.parse().expect("valid customer name"));
+    model.submit(work, Duration::from_secs(1));
+}
+
+/// Returns a model with two customers, both at a limit that lets nothing start.
+fn model_with_two_limited_customers() -> Model {
+    let mut model = Model::new(&[("labels", 2), ("permits", 2), ("spare", 6)], 1);
+    model.update_config(|config| {
+        let mut other = config.customers[0].clone();
+        other.id = "house-b".parse().expect("valid customer name");
+        config.customers.push(other);
+        for customer in &mut config.customers {
+            customer.limit.cpu_millis = 1;
+        }
+    });
+    model.run_for(Duration::from_secs(1));
+    model
+}
+
+fn lift_limits(model: &mut Model) {
+    model.update_config(|config| {
+        for customer in &mut config.customers {
+            customer.limit.cpu_millis = 0;
+        }
+    });
+}
+
+/// Guards against overdue work that waits until the backlog of another queue is done, however much
+/// younger and larger that is: shares in proportion to the needs leave a small queue with nothing.
+#[test]
+fn overdue_work_gets_vms_by_its_age() {
+    let mut model = model_with_two_limited_customers();
+    submit_for(&mut model, 1, "permits", "house-b", large_step(2));
+    model.run_for(Duration::from_secs(3));
+    for number in 100..300 {
+        submit_for(&mut model, number, "labels", "house-a", large_step(1));
+    }
+    model.run_for(WAIT);
+    model.update_config(|config| config.customers[0].limit.cpu_millis = 0);
+    model.run_for(Duration::from_secs(4));
+    lift_limits(&mut model);
+    model.run_for(Duration::from_secs(5));
+    assert!(model.count(JobState::Active) > 100);
+    assert!(has_begun(&model, 1));
+}
+
+/// Guards against overdue submissions that wait behind those of a customer that sends far more than
+/// its weight allows.
+#[test]
+fn overdue_work_comes_before_work_beyond_a_customers_rate() {
+    let mut model = model_with_two_limited_customers();
+    model.update_config(|config| config.customers[0].weight = 1);
+    for number in 100..300 {
+        submit_for(&mut model, number, "labels", "house-a", large_step(1));
+    }
+    submit_for(&mut model, 1, "labels", "house-b", large_step(2));
+    model.run_for(WAIT);
+    lift_limits(&mut model);
+    model.run_for(Duration::from_secs(4));
+    assert!(model.count(JobState::Active) > 100);
+    assert!(has_begun(&model, 1));
+}
+
+fn has_begun(model: &Model, number: u64) -> bool {
+    let id = format!("{number:016x}");
+    let mut jobs = model.scheduler.jobs();
+    jobs.any(|job| job.submission.id.as_str() == id && job.has_begun)
+}
--- a/rhubarbfall-runs/tests/pool_shares.rs
+++ b/rhubarbfall-runs/tests/pool_shares.rs
@@ -35,18 +35,14 @@
     lines.collect()
 }
 
-fn need(in_time: usize, valuable: usize, total: usize) -> PoolNeed {
-    PoolNeed {
-        in_time,
-        valuable,
-        total,
-    }
+fn need(in_time: usize, total: usize) -> PoolNeed {
+    PoolNeed { in_time, total }
 }
 
 #[test]
 fn work_in_time_gets_vms_from_late_and_overdue_work() {
     let pools = [
-        busy_pool("labels", need(2, 8, 40), 20),
+        busy_pool("labels", need(2, 40), 20),
         busy_pool("permits", PoolNeed::in_time(6), 0),
     ];
     expect![[r"
@@ -91,8 +87,8 @@
 #[test]
 fn overdue_work_of_two_pools_shares_what_is_left() {
     let pools = [
-        busy_pool("labels", need(0, 0, 40), 10),
-        busy_pool("permits", need(0, 0, 40), 0),
+        busy_pool("labels", need(0, 40), 10),
+        busy_pool("permits", need(0, 40), 0),
     ];
     expect![[r"
         labels -> permits: 5
