--- a/rhubarbfall-runs/tests/single_owner/mod.rs
+++ b/rhubarbfall-runs/tests/single_owner/mod.rs
@@ -35,10 +35,15 @@
     }
 
     pub(crate) fn list_incarnation(&mut self, worker: &str, incarnation_unix_ms: u64) {
+        self.list_in_pool(worker, incarnation_unix_ms, "labels");
+    }
+
+    /// Lists an incarnation of a worker in the pool of a service.
+    pub(crate) fn list_in_pool(&mut self, worker: &str, incarnation_unix_ms: u64, service: &str) {
         let report = WorkerReport {
             id: id(worker),
             address: "127.0.0.1:1".parse().expect("valid address"),
-            service: "labels".parse().expect("valid service name"),
+            service: service.parse().expect("valid service name"),
             availability_zone: "zone-a".parse().expect("valid availability zone name"),
             capacity: WORKER_CAPACITY,
             labels: vec!["a".into(), "r1".into()],
--- a/rhubarbfall-runs/tests/worker_restarts.rs
+++ b/rhubarbfall-runs/tests/worker_restarts.rs
@@ -491,3 +491,49 @@
         assert_eq!(lapsed_after >= 10, is_earlier_version, "{lapsed_after} s");
     }
 }
+
+/// A worker that starts again under its name in the pool of another service: its tasks start elsewhere
+/// once its list shows that they are over, and it gets none of its former service any more.
+#[test]
+fn a_worker_that_starts_again_in_another_pool_gets_no_task_of_its_former_one() {
+    let (mut owner, _) = owner_of_a_restarted_worker(false, StartOutcome::Accepted);
+    owner.list_in_pool("w-1", 3, "permits");
+    owner.answer("w-1", 3, Vec::new(), Vec::new());
+    assert_eq!(owner.starts(), vec![]);
+    owner.list("w-2");
+    owner.answer("w-2", 1, Vec::new(), Vec::new());
+    let starts = owner.starts();
+    assert_eq!(starts.len(), 1);
+    assert_eq!(starts[0].worker, id("w-2"));
+}
+
+/// The same where the present life carries out the start: the task must not start beside its run.
+#[test]
+fn a_run_that_goes_on_in_another_pool_is_not_started_again() {
+    let (mut owner, start) = owner_of_a_restarted_worker(false, StartOutcome::Accepted);
+    owner.list_in_pool("w-1", 3, "permits");
+    owner.list("w-2");
+    owner.answer("w-2", 1, Vec::new(), Vec::new());
+    assert_eq!(owner.starts(), vec![]);
+    for _ in 0..20 {
+        owner.answer("w-1", 3, vec![running(&start)], Vec::new());
+        owner.answer("w-2", 1, Vec::new(), Vec::new());
+        assert_eq!(owner.starts(), vec![]);
+    }
+    assert_eq!(owner.reserved().len(), 1);
+}
+
+/// A row of a placement for a life that is over, read by the next owner while the platform's list still
+/// shows that life: the answer of the present one tells that the run is over, and it starts once.
+#[test]
+fn an_inherited_placement_for_a_life_that_is_over_starts_once() {
+    let mut owner = successor_with_a_run_on_a_restarted_worker();
+    owner.list("w-2");
+    owner.answer("w-2", 1, Vec::new(), Vec::new());
+    assert_eq!(owner.starts(), vec![]);
+    owner.answer("w-1", 2, Vec::new(), Vec::new());
+    assert_eq!(owner.starts().len(), 1);
+    owner.list_incarnation("w-1", 1);
+    owner.answer("w-1", 2, Vec::new(), Vec::new());
+    assert_eq!(owner.starts(), vec![]);
+}
