fix(runs): count a VM for each task that needs more than half of one

Cause: what a pool needs is the sum of the demands with a headroom for packing, and no two such tasks share a VM.

Change: a pool needs at least as many VMs as it has tasks of more than half a VM.

Test, red before: overdue_work.rs tasks_that_need_more_than_half_a_vm_get_one_each (6 of 8 at once).

--- a/rhubarbfall-runs/src/scheduler/ordering.rs
+++ b/rhubarbfall-runs/src/scheduler/ordering.rs
@@ -163,6 +163,7 @@
     Excess,
 }
 
+/// Returns how much the VMs for a job matter.
 pub(super) fn urgency(job: &Job, queue: &Queue, now: BootTime) -> Urgency {
     match rank(job, queue, now).tier {
         Tier::LongRunning | Tier::InTime => Urgency::InTime,
--- a/rhubarbfall-runs/src/scheduler/pool_demand.rs
+++ b/rhubarbfall-runs/src/scheduler/pool_demand.rs
@@ -33,6 +33,7 @@
     late: Vec<LateDemand>,
 }
 
+/// What a late submission needs.
 #[derive(Debug)]
 struct LateDemand {
     service: ServiceId,
@@ -61,10 +62,16 @@
     resources: Resources,
     /// The number of VMs that the step with the lowest `max_per_worker` has to use.
     min_spread_vms: usize,
+    /// The number of tasks that need more than half a VM, each of which takes one.
+    large_tasks: usize,
 }
 
 impl Demand {
-    fn add(&mut self, step: &Step, tasks: usize) {
+    /// Adds tasks of a step, for VMs of this size.
+    fn add(&mut self, step: &Step, tasks: usize, vm_size: Resources) {
+        if step.reserved().fraction_of(vm_size) > 0.5 {
+            self.large_tasks += tasks;
+        }
         self.resources += step.reserved().times(tasks as u64);
         if let Some(max_per_worker) = step.max_per_worker {
             let spread_vms = tasks.div_ceil(max_per_worker.max(1) as usize);
@@ -76,12 +83,14 @@
         Self {
             resources: self.resources + other.resources,
             min_spread_vms: self.min_spread_vms.max(other.min_spread_vms),
+            large_tasks: self.large_tasks + other.large_tasks,
         }
     }
 
     /// Returns the tasks' part of a VM of this size, with the headroom for packing.
     fn fraction_of(&self, vm_size: Resources) -> f64 {
-        self.resources.fraction_of(vm_size) * PACKING_HEADROOM_FACTOR
+        let packed = self.resources.fraction_of(vm_size) * PACKING_HEADROOM_FACTOR;
+        packed.max(self.large_tasks as f64)
     }
 
     /// Returns the number of VMs of this size for the tasks and for what is forecast to arrive.
@@ -124,6 +133,7 @@
         for (urgency, job, queue) in jobs {
             let demand = fleet.services.entry(queue.service.clone()).or_default();
             let mut late = Demand::default();
+            let vm_size = vm_size(&queue.service);
             for (_, _, step, run) in job.open_steps() {
                 let waiting = waiting_tasks(run);
                 let placed = run.tasks.len() - run.done as usize - waiting;
@@ -131,17 +141,16 @@
                 let allowed = self.within_limit(customer, step, waiting, &mut usage);
                 if step.is_long_running {
                     let ready = ready_tasks(run, now).min(allowed);
-                    demand.for_waiting_long_running +=
-                        empty_vms_for(step, ready, vm_size(&queue.service));
+                    demand.for_waiting_long_running += empty_vms_for(step, ready, vm_size);
                 }
                 match urgency {
-                    Urgency::InTime => demand.in_time.add(step, placed + allowed),
+                    Urgency::InTime => demand.in_time.add(step, placed + allowed, vm_size),
                     // Late work waits without end, so that what no VM can run would hold VMs for as
                     // long.
                     Urgency::Late | Urgency::Excess if allowed > 0 && !self.has_vm_for(step) => {
-                        late.add(step, placed);
+                        late.add(step, placed, vm_size);
                     }
-                    Urgency::Late | Urgency::Excess => late.add(step, placed + allowed),
+                    Urgency::Late | Urgency::Excess => late.add(step, placed + allowed, vm_size),
                 }
             }
             if late.resources != Resources::default() {
--- a/rhubarbfall-runs/src/scheduler/pool_plan.rs
+++ b/rhubarbfall-runs/src/scheduler/pool_plan.rs
@@ -6,7 +6,7 @@
 
 /// How long a VM is idle before it moves to the spare pool: a move costs about as much as one
 /// second in a pool.
-pub(super) const MIN_IDLE_BEFORE_SPARE: Duration = Duration::from_secs(1);
+const MIN_IDLE_BEFORE_SPARE: Duration = Duration::from_secs(1);
 
 /// How long a VM is idle before it may move to another pool.
 const MIN_IDLE_BEFORE_MOVE: Duration = Duration::from_millis(300);
@@ -108,7 +108,8 @@
     moves
 }
 
-/// Moves VMs of donors to the pools that have fewer VMs than they need. These get one VM in turn, so that one surge does not take all of them.
+/// Moves VMs of donors to the pools that have fewer VMs than they need. These get one VM in turn, so
+/// that one surge does not take all of them.
 fn supply_short_pools(
     pools: &[PoolLoad],
     needed: impl Fn(&PoolNeed) -> usize,
--- a/rhubarbfall-runs/src/scheduler/pools.rs
+++ b/rhubarbfall-runs/src/scheduler/pools.rs
@@ -160,7 +160,7 @@
             if worker.is_empty() {
                 load.idle
                     .push((row.vm.clone(), now.since(worker.idle_since)));
-            } else if self.is_empty_soon(&row.vm, worker, now) {
+            } else if self.is_empty_soon(&row.vm, worker) {
                 drainable.push((worker.reserved.cpu_millis, row.vm.clone()));
             }
         }
@@ -171,15 +171,10 @@
 
     /// Returns whether a VM with work is empty soon if it gets no new work: all of its tasks are short,
     /// and a drain of it was not withdrawn lately.
-    fn is_empty_soon(&self, vm: &VmId, worker: &Worker, now: BootTime) -> bool {
+    fn is_empty_soon(&self, vm: &VmId, worker: &Worker) -> bool {
         let is_short = |step: &Step| !step.is_long_running && step.estimate <= MAX_MOVE_DRAIN;
-        let is_withdrawn = |at: &BootTime| now.since(*at) < WITHDRAWN_DRAIN_INTERVAL;
         worker.unexpected_load == Resources::default()
-            && !self
-                .vm_ops
-                .withdrawn_drains
-                .get(vm)
-                .is_some_and(is_withdrawn)
+            && self.vm_ops.withdrawn_drains.get(vm).is_none()
             && worker.placed.iter().all(|id| {
                 let job = self.jobs.get(&id.submission);
                 job.is_some_and(|job| is_short(job.step(id)))
@@ -193,6 +188,8 @@
                 && active.phase == VmPhase::Draining
                 && now.since(active.since) > MAX_MOVE_DRAIN
         };
+        let is_recent = |at: &BootTime| now.since(*at) < WITHDRAWN_DRAIN_INTERVAL;
+        self.vm_ops.withdrawn_drains.retain(|_, at| is_recent(at));
         let operations = self.vm_ops.active.iter();
         let slow = operations.filter(|(_, active)| is_slow(active));
         let slow: Vec<VmId> = slow.map(|(vm, _)| vm.clone()).collect();
--- a/rhubarbfall-runs/src/scheduler/vm_operations.rs
+++ b/rhubarbfall-runs/src/scheduler/vm_operations.rs
@@ -112,7 +112,7 @@
     pub(super) move_bucket: Option<TokenBucket>,
     /// The late work of each pool that needs VMs for it.
     pub(super) late_work: LiteMap<ServiceId, LateWork>,
-    /// When a drain for a move was last withdrawn from each VM.
+    /// The VMs from which a drain for a move was withdrawn lately, and when.
     pub(super) withdrawn_drains: LiteMap<VmId, BootTime>,
     /// The earliest time at which another VM is drained after a refused call.
     backoff_until: BootTime,
--- a/rhubarbfall-runs/tests/overdue_work.rs
+++ b/rhubarbfall-runs/tests/overdue_work.rs
@@ -54,6 +54,17 @@
     assert_eq!(model.violations, Vec::<String>::new());
 }
 
+/// Guards against tasks that wait for each other while VMs are spare: tasks of six tenths of a VM take
+/// one each, where the sum of their demands asks for less.
+#[test]
+fn tasks_that_need_more_than_half_a_vm_get_one_each() {
+    let mut model = Model::new(&[("labels", 2), ("permits", 3), ("spare", 6)], 1);
+    let step = step(1, WORKER_CAPACITY.cpu_millis * 6 / 10);
+    submit_overdue(&mut model, (0..8).map(|number| (number, step.clone())));
+    let most = most_runs(&mut model, 0..8, Duration::from_secs(6));
+    assert_eq!(most, 8);
+}
+
 /// Guards against VMs that stay in a pool after its overdue work has ended.
 #[test]
 fn overdue_work_gives_its_vms_back_once_it_has_ended() {
