feat(runs): start nothing in an evacuated availability zone

Cause: operators request that nothing more be sent to a zone (op/evacuate/ZONE); no entry read the request, so that tasks started there until the zone was lost.

Change: entries follow the requests with the operators' rows and pass them, with the age of their view, to the owners. An owner places and starts nothing in an evacuated zone, counts no VM of it for its pool and moves none. Where the deployment states a bound for such requests (evacuation_bound_ms), an owner whose view is older than the bound less the delivery of a start withholds all starts. Without the setting and without a request nothing changes.

--- a/rhubarbfall-runs/benches/owner_start.rs
+++ b/rhubarbfall-runs/benches/owner_start.rs
@@ -100,6 +100,7 @@
                 pool: pool.parse().expect("valid service name"),
                 state: VmState::Up,
                 worker: Some(id.clone()),
+                availability_zone: None,
                 capacity: WORKER_CAPACITY,
                 labels: Vec::new(),
             });
--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -6,6 +6,7 @@
 mod cell_shares;
 mod clearing;
 mod early_cancellations;
+mod evacuation;
 mod intake;
 mod interruptions;
 mod late_jobs;
@@ -93,6 +94,7 @@
     pending_starts: Vec<TaskId>,
     start_rate: start_rate::StartRate,
     shares: cell_shares::CellShares,
+    evacuation: evacuation::Evacuation,
     pools_logged_at: BootTime,
     /// When the long-running tasks that do not run were last logged.
     absence_logged_at: BootTime,
@@ -133,6 +135,7 @@
             pending_starts: Vec::new(),
             start_rate: start_rate::StartRate::default(),
             shares: cell_shares::CellShares::default(),
+            evacuation: evacuation::Evacuation::default(),
             pools_logged_at: BootTime::default(),
             absence_logged_at: BootTime::default(),
             checked_at: BootTime::default(),
@@ -184,6 +187,7 @@
     pub fn tick(&mut self, now: BootTime, unix_ms: u64) {
         if now.since(self.checked_at) >= self.settings.check_interval {
             self.checked_at = now;
+            self.check_operator_view(now);
             self.drop_expired_workers(now);
             self.requeue_unreachable_inherited(now);
             self.stop_stalled(now);
--- a/rhubarbfall-runs/src/scheduler/placing.rs
+++ b/rhubarbfall-runs/src/scheduler/placing.rs
@@ -71,6 +71,9 @@
             awaiting_wave: self.workers_awaiting_wave(),
             ..PlacementPass::default()
         };
+        if !self.is_operator_view_current(now) {
+            return pass;
+        }
         for (index, worker) in self.workers().enumerate() {
             if !self.is_usable(worker, &cordoned, now) {
                 continue;
@@ -91,6 +94,7 @@
     /// operation.
     pub(super) fn is_usable(&self, worker: &Worker, cordoned: &[WorkerId], now: BootTime) -> bool {
         cordoned.binary_search(&worker.report.id).is_err()
+            && !self.evacuation.includes(&worker.report.availability_zone)
             && worker.accepts_work(now, self.settings.unreachable_after)
     }
 
@@ -208,7 +212,9 @@
     fn usable_workers(&self, service: &ServiceId, now: BootTime) -> usize {
         let unreachable_after = self.settings.unreachable_after;
         let is_usable = |worker: &&Worker| {
-            worker.report.service == *service && worker.accepts_work(now, unreachable_after)
+            worker.report.service == *service
+                && !self.evacuation.includes(&worker.report.availability_zone)
+                && worker.accepts_work(now, unreachable_after)
         };
         self.workers().filter(is_usable).count() + self.vm_ops.moving_to(service)
     }
--- a/rhubarbfall-runs/src/scheduler/pools.rs
+++ b/rhubarbfall-runs/src/scheduler/pools.rs
@@ -138,6 +138,10 @@
             if row.state != VmState::Up && !service.is_spare || self.vm_ops.is_busy(&row.vm) {
                 continue;
             }
+            // VMs of an evacuated zone do no work for their pool and move to no other one.
+            if self.is_in_evacuated_zone(row) {
+                continue;
+            }
             if service.is_spare {
                 load.supply += 1;
                 load.idle.push((row.vm.clone(), Duration::MAX));
--- a/rhubarbfall-runs/src/scheduler/starting.rs
+++ b/rhubarbfall-runs/src/scheduler/starting.rs
@@ -58,6 +58,12 @@
         if worker.report.incarnation_unix_ms != placement.incarnation_unix_ms {
             return Some("worker_reborn");
         }
+        if !self.is_operator_view_current(now) {
+            return Some("operator_view_outdated");
+        }
+        if self.evacuation.includes(&worker.report.availability_zone) {
+            return Some("zone_evacuated");
+        }
         if !self.is_usable(worker, cordoned, now) {
             return Some("worker_unusable");
         }
--- a/rhubarbfall-runs/src/scheduler/vm_operations.rs
+++ b/rhubarbfall-runs/src/scheduler/vm_operations.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use litemap::LiteMap;
-use rhubarbfall_core::{BootTime, ServiceId, VmId, WaveId, WorkerId};
+use rhubarbfall_core::{AvailabilityZoneId, BootTime, ServiceId, VmId, WaveId, WorkerId};
 
 use super::Scheduler;
 use super::action::Action;
@@ -36,6 +36,8 @@
     pub state: VmState,
     /// The worker that runs on the VM.
     pub worker: Option<WorkerId>,
+    /// The availability zone of the VM, if the platform states it.
+    pub availability_zone: Option<AvailabilityZoneId>,
     /// The total resources of the VM.
     pub capacity: Resources,
     /// The labels that the workers of the VM have.
--- a/rhubarbfall-runs/tests/faults.rs
+++ b/rhubarbfall-runs/tests/faults.rs
@@ -140,6 +140,7 @@
         pool: "labels".parse().expect("valid service name"),
         state: VmState::Up,
         worker: Some(format!("w-{vm}").parse().expect("valid worker name")),
+        availability_zone: None,
         capacity: Resources::default(),
         labels: Vec::new(),
     };
--- a/rhubarbfall-runs/tests/hostile/places.rs
+++ b/rhubarbfall-runs/tests/hostile/places.rs
@@ -185,6 +185,7 @@
                 .iter()
                 .find(|process| process.vm == index)
                 .map(|process| process.report.id.clone()),
+            availability_zone: None,
             capacity: WORKER_CAPACITY,
             labels: Vec::new(),
         });
--- a/rhubarbfall-runs/tests/inherited_vm_orders.rs
+++ b/rhubarbfall-runs/tests/inherited_vm_orders.rs
@@ -51,6 +51,7 @@
         pool: "labels".parse().expect("valid service name"),
         state: VmState::Up,
         worker: None,
+        availability_zone: None,
         capacity: Resources::default(),
         labels: Vec::new(),
     });
--- a/rhubarbfall-runs/tests/late_wave.rs
+++ b/rhubarbfall-runs/tests/late_wave.rs
@@ -46,6 +46,7 @@
         pool: "labels".parse().expect("valid service name"),
         state: VmState::Up,
         worker: None,
+        availability_zone: None,
         capacity: Resources::default(),
         labels: Vec::new(),
     });
--- a/rhubarbfall-runs/tests/model/mod.rs
+++ b/rhubarbfall-runs/tests/model/mod.rs
@@ -281,6 +281,7 @@
                     VmState::Up
                 },
                 worker: worker.map(|worker| worker.report.id.clone()),
+                availability_zone: None,
                 capacity: WORKER_CAPACITY,
                 labels: vec!["a".into(), "r1".into()],
             }
--- a/rhubarbfall-runs/tests/row_size.rs
+++ b/rhubarbfall-runs/tests/row_size.rs
@@ -337,6 +337,7 @@
         pool: "labels".parse().expect("valid service name"),
         state: VmState::Up,
         worker: None,
+        availability_zone: None,
         capacity: Resources::default(),
         labels: Vec::new(),
     }
--- a/rhubarbfall-runs/tests/unanswered_vm_calls.rs
+++ b/rhubarbfall-runs/tests/unanswered_vm_calls.rs
@@ -56,6 +56,7 @@
                 pool: "labels".parse().expect("valid service name"),
                 state: *state,
                 worker: None,
+                availability_zone: None,
                 capacity: Resources::default(),
                 labels: Vec::new(),
             });
--- a/rhubarbfall-runs/tests/unconfirmed_starts.rs
+++ b/rhubarbfall-runs/tests/unconfirmed_starts.rs
@@ -296,6 +296,7 @@
             pool: "labels".parse().expect("valid service name"),
             state: VmState::Up,
             worker: Some(worker.report.id.clone()),
+            availability_zone: None,
             capacity: WORKER_CAPACITY,
             labels: Vec::new(),
         };
--- a/rhubarbfall-scheduler/src/node.rs
+++ b/rhubarbfall-scheduler/src/node.rs
@@ -9,9 +9,9 @@
 use bytes::Bytes;
 use litemap::LiteMap;
 use metrics_exporter_prometheus::PrometheusHandle;
-use rhubarbfall_core::{BootTime, CellId, SharedClock, SubmissionId, WaveId};
+use rhubarbfall_core::{AvailabilityZoneId, BootTime, CellId, SharedClock, SubmissionId, WaveId};
 use rhubarbfall_runs::scheduler::Wave;
-use rhubarbfall_runs::{CellLayout, FleetConfig};
+use rhubarbfall_runs::{CellLayout, FleetConfig, Scheduler};
 use rhubarbfall_site::{AdviceServiceClient, HttpClient, StoreClient, VmServiceClient};
 use tokio::sync::Notify;
 
@@ -55,6 +55,10 @@
     pub(crate) config_polled_at: Cell<BootTime>,
     /// Waves requested by operators.
     pub(crate) waves: RefCell<LiteMap<WaveId, Wave>>,
+    /// Availability zones that operators have evacuated, sorted.
+    evacuated_zones: RefCell<Vec<AvailabilityZoneId>>,
+    /// All operator rows that were stored before this time are known; `None` until they have been read.
+    operator_view_at: Cell<Option<BootTime>>,
     /// How the fleet is divided; `None` until the store or an active owner has told.
     layout: RefCell<Option<Arc<CellLayout>>>,
     /// The cells, by number; only the first one until the layout is known.
@@ -96,6 +100,8 @@
             config_text: RefCell::default(),
             config_polled_at: Cell::default(),
             waves: RefCell::new(LiteMap::new()),
+            evacuated_zones: RefCell::default(),
+            operator_view_at: Cell::default(),
             layout: RefCell::default(),
             cells: RefCell::new(vec![Rc::new(CellState::new(CellId::FIRST))]),
             ownership_ended: Notify::new(),
@@ -199,6 +205,42 @@
         peer
     }
 
+    /// Records that all operator rows that were stored before `viewed_at` are known.
+    pub(crate) fn confirm_operator_view(&self, viewed_at: BootTime) {
+        self.operator_view_at.set(Some(viewed_at));
+        for owner in self.owners() {
+            owner.with(|scheduler| self.pass_operator_view(scheduler));
+        }
+    }
+
+    /// Passes the evacuated zones, and when they were read, to an owner's scheduler.
+    pub(crate) fn pass_operator_view(&self, scheduler: &mut Scheduler) {
+        let Some(viewed_at) = self.operator_view_at.get() else {
+            return;
+        };
+        let zones = self.evacuated_zones.borrow();
+        if scheduler.evacuated_zones() != zones.as_slice() {
+            scheduler.set_evacuated_zones(zones.iter().cloned());
+        }
+        scheduler.confirm_operator_view(viewed_at);
+    }
+
+    /// Replaces the evacuated zones.
+    pub(crate) fn set_evacuated_zones(&self, mut zones: Vec<AvailabilityZoneId>) {
+        zones.sort();
+        *self.evacuated_zones.borrow_mut() = zones;
+    }
+
+    /// Adds or removes an evacuated zone.
+    pub(crate) fn set_evacuated(&self, zone: AvailabilityZoneId, is_evacuated: bool) {
+        let mut zones = self.evacuated_zones.borrow_mut();
+        match (zones.binary_search(&zone), is_evacuated) {
+            (Err(index), true) => zones.insert(index, zone),
+            (Ok(index), false) => drop(zones.remove(index)),
+            (Ok(_), true) | (Err(_), false) => {}
+        }
+    }
+
     /// Applies a configuration if it is newer than the one in force.
     pub(crate) fn accept_config(&self, config: FleetConfig, text: Bytes, source: &str) {
         let in_force = self.config.borrow().version;
--- a/rhubarbfall-scheduler/src/owner/start.rs
+++ b/rhubarbfall-scheduler/src/owner/start.rs
@@ -63,6 +63,7 @@
         .collect();
     owner.with(|scheduler| {
         scheduler.set_config(config);
+        node.pass_operator_view(scheduler);
         scheduler.recover(jobs, inherited_until, now, unix_ms);
         scheduler.expect_longest_leases_until(owner.earlier_version_leases_until);
         scheduler.await_inherited_vm_orders(now + owner.vm_orders.remaining(now));
--- a/rhubarbfall-scheduler/src/settings.rs
+++ b/rhubarbfall-scheduler/src/settings.rs
@@ -39,6 +39,14 @@
 /// connection is reset.
 const MIN_VM_ORDER_GAP_MS: u64 = 1_500;
 
+/// Time from an owner's decision to start a run until its worker begins it, at most: the order is
+/// withdrawn when its timeout has passed, and its packets may be on their way.
+const START_DELIVERY_TIME: Duration = Duration::from_millis(1_200);
+
+/// Shortest time after which an evacuation can be in force: the delivery of a start, and a view of the
+/// operators' requests that is renewed once a second.
+const MIN_EVACUATION_BOUND_MS: u64 = 3_000;
+
 /// Smallest row that the store may hold: one with the longest program that callers may send.
 const MIN_STORE_ROW_BYTES: usize = 16 * 1024;
 
@@ -86,6 +94,11 @@
     /// time for which an order may be on its way.
     #[serde(default = "default_vm_order_gap_ms")]
     pub vm_order_gap_ms: u64,
+    /// Time after which an evacuation of an availability zone is in force, in milliseconds from when
+    /// it is stored; at least 3000. Without it, an owner does not check how recent its view of such
+    /// requests is.
+    #[serde(default)]
+    pub evacuation_bound_ms: Option<u64>,
     /// Number of VMs from which on a fleet is divided into cells; at least 2.
     #[serde(default = "default_min_divided_vms")]
     pub min_divided_vms: usize,
@@ -152,6 +165,7 @@
             // Base64 has four characters for three bytes.
             max_row_bytes: self.store_row_bytes / 4 * 3,
             vm_moves_per_s: self.vm_calls_per_s * VM_MOVE_SHARE,
+            max_operator_view_age: self.max_operator_view_age(),
             ..SchedulerSettings::default()
         }
     }
@@ -166,6 +180,13 @@
         }
     }
 
+    /// Returns the age up to which a view of the operators' requests allows starts, or `None` without
+    /// a bound for evacuations.
+    fn max_operator_view_age(&self) -> Option<Duration> {
+        let bound = Duration::from_millis(self.evacuation_bound_ms?);
+        Some(bound.saturating_sub(START_DELIVERY_TIME))
+    }
+
     /// Returns how long an order for a VM may be on its way after its call has ended without an
     /// answer; zero if the VM service refuses the orders of earlier owners.
     #[must_use]
@@ -219,6 +240,14 @@
             "vm_order_gap_ms must be at least 1500",
         ));
     }
+    if settings
+        .evacuation_bound_ms
+        .is_some_and(|bound_ms| bound_ms < MIN_EVACUATION_BOUND_MS)
+    {
+        return Err(SchedulerSettingsError::Invalid(
+            "evacuation_bound_ms must be at least 3000",
+        ));
+    }
     if settings.min_divided_vms < 2 {
         return Err(SchedulerSettingsError::Invalid(
             "min_divided_vms must be at least 2",
