--- a/rhubarbfall-runs/tests/single_owner/mod.rs
+++ b/rhubarbfall-runs/tests/single_owner/mod.rs
@@ -19,8 +19,12 @@
 
 impl Owner {
     pub(crate) fn new() -> Self {
+        Self::with_settings(SchedulerSettings::default())
+    }
+
+    pub(crate) fn with_settings(settings: SchedulerSettings) -> Self {
         let now = BootTime::new(Duration::from_secs(100));
-        let mut scheduler = Scheduler::new(SchedulerSettings::default());
+        let mut scheduler = Scheduler::new(settings);
         scheduler.set_config(config(&["labels", "spare"]).into());
         scheduler.confirm_ownership(now + Duration::from_secs(9));
         Self {
@@ -41,19 +45,22 @@
     /// Lists an incarnation of a worker in the pool of a service.
     pub(crate) fn list_in_pool(&mut self, worker: &str, incarnation_unix_ms: u64, service: &str) {
         let report = WorkerReport {
-            id: id(worker),
-            address: "127.0.0.1:1".parse().expect("valid address"),
             service: service.parse().expect("valid service name"),
-            availability_zone: "zone-a".parse().expect("valid availability zone name"),
-            capacity: WORKER_CAPACITY,
-            labels: vec!["a".into(), "r1".into()],
-            rack: Some("r1".parse().expect("valid rack name")),
-            is_draining: false,
-            incarnation_unix_ms,
+            ..report(worker, incarnation_unix_ms)
         };
         self.scheduler.worker_listed(report, self.now);
     }
 
+    /// Lists a worker in an availability zone, which answers its first lease renewal.
+    pub(crate) fn list_in_zone(&mut self, worker: &str, zone: &str) {
+        let report = WorkerReport {
+            availability_zone: zone.parse().expect("valid availability zone name"),
+            ..report(worker, 1)
+        };
+        self.scheduler.worker_listed(report, self.now);
+        self.answer(worker, 1, Vec::new(), Vec::new());
+    }
+
     /// Passes a worker's response to a lease renewal to the scheduler.
     pub(crate) fn answer(
         &mut self,
@@ -149,6 +156,20 @@
     }
 }
 
+fn report(worker: &str, incarnation_unix_ms: u64) -> WorkerReport {
+    WorkerReport {
+        id: id(worker),
+        address: "127.0.0.1:1".parse().expect("valid address"),
+        service: "labels".parse().expect("valid service name"),
+        availability_zone: "zone-a".parse().expect("valid availability zone name"),
+        capacity: WORKER_CAPACITY,
+        labels: vec!["a".into(), "r1".into()],
+        rack: Some("r1".parse().expect("valid rack name")),
+        is_draining: false,
+        incarnation_unix_ms,
+    }
+}
+
 pub(crate) fn running(start: &StartOrder) -> ActiveRun {
     ActiveRun {
         task: start.task.clone(),
