perf(runs): keep ended jobs apart from active ones

Cause: a pass walked every job, also those that ended up to 150 s ago, once for the waiting steps, once a service for the load that has begun, and for the pools, the backlog and what is due. Change: scheduler/job_index.rs keeps active and ended jobs in two sorted vectors; jobs() merges them, so that its order stays. All tests of rhubarbfall-runs pass, the digests of same_decisions unchanged.

--- a/rhubarbfall-runs/src/scheduler/absence.rs
+++ b/rhubarbfall-runs/src/scheduler/absence.rs
@@ -6,7 +6,7 @@
 use rhubarbfall_core::BootTime;
 
 use super::Scheduler;
-use crate::{Job, JobState, RunState, Task, TaskId, TaskPhase};
+use crate::{Job, RunState, Task, TaskId, TaskPhase};
 
 /// The interval between lines about the same task.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
@@ -25,7 +25,7 @@
             let state = task.placement().map(|placed| placed.state);
             !matches!(state, Some(RunState::Accepted(_)))
         };
-        let jobs = self.jobs().filter(|job| job.state == JobState::Active);
+        let jobs = self.jobs.active();
         let lasting = jobs.filter(|job| job.submission.is_long_running());
         let absent = lasting.flat_map(|job| {
             let ids = job.tasks_where(is_absent).into_iter();
--- a/rhubarbfall-runs/src/scheduler/cell_shares.rs
+++ b/rhubarbfall-runs/src/scheduler/cell_shares.rs
@@ -5,7 +5,7 @@
 
 use super::Scheduler;
 use crate::lending::{Account, AccountUse, CellReport, Dimension, Grants};
-use crate::{Customer, FleetConfig, JobState, Resources, Task, TaskPhase};
+use crate::{Customer, FleetConfig, Resources, Task, TaskPhase};
 
 /// The shares that a cell follows.
 #[derive(Debug, Default)]
@@ -187,7 +187,7 @@
     /// as well.
     fn waiting_demand(&self) -> LiteMap<CustomerId, WaitingDemand> {
         let mut waiting: LiteMap<CustomerId, WaitingDemand> = LiteMap::new();
-        for job in self.jobs().filter(|job| job.state == JobState::Active) {
+        for job in self.jobs.active() {
             let Some(customer) = &job.submission.customer else {
                 continue;
             };
--- a/rhubarbfall-runs/src/scheduler/intake.rs
+++ b/rhubarbfall-runs/src/scheduler/intake.rs
@@ -66,7 +66,7 @@
         );
         // Occurrences that are due later begin in `tick`.
         begin_due_of(&mut job, 0);
-        self.jobs.insert(id.clone(), Box::new(job));
+        self.jobs.insert(job);
         if is_cancelled {
             self.finish(&id, JobState::Cancelled, now);
         } else {
@@ -170,9 +170,10 @@
     /// Returns the number of a queue's accepted submissions that have not started.
     #[must_use]
     pub fn pending(&self, queue: &QueueId) -> usize {
-        self.jobs()
+        self.jobs
+            .active()
             .filter(|job| job.submission.queue == *queue)
-            .filter(|job| job.is_accepted && !job.has_started && !job.state.is_final())
+            .filter(|job| job.is_accepted && !job.has_started)
             .count()
     }
 
@@ -222,6 +223,7 @@
         for task in &placed {
             self.set_start_pending(task, false);
         }
+        self.jobs.set_ended(id);
         self.mark_dirty(id);
         self.needs_placement = true;
         self.record_cleared(id, now);
@@ -229,7 +231,7 @@
 
     /// Begins the occurrences that are due.
     pub(super) fn begin_due(&mut self, unix_ms: u64) {
-        for (_, job) in self.jobs.iter_mut() {
+        for job in self.jobs.active_mut() {
             self.needs_placement |= begin_due_of(job, unix_ms);
         }
     }
@@ -249,7 +251,8 @@
             is_due && !has_placed(job)
         };
         let expired: Vec<SubmissionId> = self
-            .jobs()
+            .jobs
+            .ended()
             .filter(|job| is_expired(job))
             .map(|job| job.submission.id.clone())
             .collect();
--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -9,6 +9,7 @@
 mod evacuation;
 mod intake;
 mod interruptions;
+mod job_index;
 mod late_jobs;
 mod lease_renewal;
 mod listing;
@@ -57,7 +58,7 @@
 pub struct Scheduler {
     settings: SchedulerSettings,
     config: Arc<FleetConfig>,
-    jobs: LiteMap<SubmissionId, Box<Job>>,
+    jobs: job_index::JobIndex,
     early_cancellations: early_cancellations::EarlyCancellations,
     /// The submissions whose stored rows cannot be read.
     unreadable: Vec<SubmissionId>,
@@ -112,7 +113,7 @@
         Self {
             settings,
             config: Arc::new(FleetConfig::default()),
-            jobs: LiteMap::new(),
+            jobs: job_index::JobIndex::default(),
             early_cancellations: early_cancellations::EarlyCancellations::new(),
             unreadable: Vec::new(),
             workers: LiteMap::new(),
@@ -158,7 +159,7 @@
 
     /// Returns the jobs, sorted by identifier.
     pub fn jobs(&self) -> impl Iterator<Item = &Job> {
-        self.jobs.iter().map(|(_, job)| &**job)
+        self.jobs.iter()
     }
 
     /// Returns the known workers, sorted by identifier.
--- a/rhubarbfall-runs/src/scheduler/placing.rs
+++ b/rhubarbfall-runs/src/scheduler/placing.rs
@@ -6,9 +6,7 @@
 use super::Scheduler;
 use super::ordering::{Candidate, Rank, beyond_capacity, load_s, rank};
 use crate::row_size::{always_fits, room_for_new_tasks};
-use crate::{
-    JobState, Placement, Resources, RunState, Stage, Step, StepId, TaskId, TaskPhase, Worker,
-};
+use crate::{Placement, Resources, RunState, Stage, Step, StepId, TaskId, TaskPhase, Worker};
 
 /// The average share of work that is still to be done in the open tasks of a submission that has
 /// begun: they are taken as halfway through.
@@ -197,8 +195,9 @@
 
     /// Returns the remaining work of a service's submissions that have begun and can be in time.
     fn begun_load_s(&self, service: &ServiceId, worker_size: Resources, now: BootTime) -> f64 {
-        self.jobs()
-            .filter(|job| job.state == JobState::Active && job.has_begun)
+        self.jobs
+            .active()
+            .filter(|job| job.has_begun)
             .filter(|job| {
                 let queue = self.config.queue(&job.submission.queue);
                 queue.is_some_and(|queue| {
@@ -229,10 +228,7 @@
     fn waiting_steps(&mut self, now: BootTime) -> Vec<WaitingStep> {
         let mut waiting_steps = Vec::new();
         let mut has_delayed_tasks = false;
-        for (id, job) in self.jobs.iter() {
-            if job.state != JobState::Active {
-                continue;
-            }
+        for job in self.jobs.active() {
             let Some(queue) = self.config.queue(&job.submission.queue) else {
                 continue;
             };
@@ -252,7 +248,7 @@
                     waiting_steps.push(WaitingStep {
                         rank: rank(job, queue, now),
                         step: StepId {
-                            submission: id.clone(),
+                            submission: job.submission.id.clone(),
                             occurrence,
                             step: number as u16,
                         },
--- a/rhubarbfall-runs/src/scheduler/pool_demand.rs
+++ b/rhubarbfall-runs/src/scheduler/pool_demand.rs
@@ -6,7 +6,7 @@
 use super::Scheduler;
 use super::ordering::{Urgency, urgency};
 use super::pool_plan::PoolNeed;
-use crate::{Job, JobState, Queue, Resources, Step, StepState, Task, TaskPhase};
+use crate::{Job, Queue, Resources, Step, StepState, Task, TaskPhase};
 
 /// The factor on the sum of demands that allows for capacity lost in packing tasks of different
 /// sizes.
@@ -121,7 +121,7 @@
         now: BootTime,
     ) -> FleetDemand {
         let mut jobs: Vec<(Urgency, &Job, &Queue)> = Vec::new();
-        for job in self.jobs().filter(|job| job.state == JobState::Active) {
+        for job in self.jobs.active() {
             if let Some(queue) = self.config.queue(&job.submission.queue) {
                 jobs.push((urgency(job, queue, now), job, queue));
             }
--- a/rhubarbfall-runs/src/scheduler/recovery.rs
+++ b/rhubarbfall-runs/src/scheduler/recovery.rs
@@ -113,8 +113,7 @@
     /// Adds a job that an earlier owner has stored, and reserves the resources of its placed tasks.
     fn insert_recovered(&mut self, job: Job) {
         let placed = job.tasks_where(|task| task.placement().is_some());
-        let id = job.submission.id.clone();
-        self.jobs.insert(id, Box::new(job));
+        self.jobs.insert(job);
         for task in placed {
             let worker = self.placement(&task).map(|placed| placed.worker.clone());
             if let Some(worker) = worker {
--- a/rhubarbfall-runs/src/scheduler/start_rate.rs
+++ b/rhubarbfall-runs/src/scheduler/start_rate.rs
@@ -12,7 +12,7 @@
 
 use super::Scheduler;
 use super::ordering::{is_still_useful, slack};
-use crate::{JobState, Submission, TaskPhase};
+use crate::{Submission, TaskPhase};
 
 /// The time over which answers to starts are counted.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
@@ -143,7 +143,7 @@
         if self.start_rate.per_s(now).is_none() {
             return;
         }
-        let active = self.jobs().filter(|job| job.state == JobState::Active);
+        let active = self.jobs.active();
         let wanted = active.filter(|job| {
             let queue = self.config.queue(&job.submission.queue);
             !job.is_excess && queue.is_some_and(|queue| is_still_useful(job, queue, now))
--- a/rhubarbfall-runs/tests/same_decisions.rs
+++ b/rhubarbfall-runs/tests/same_decisions.rs
@@ -116,5 +116,6 @@
         seed 3: ddb40eb8d2d25108, 1250 starts, 84 moves, 144 completed, 29 cancelled
         seed 4: 806259307e24f5f9, 1273 starts, 74 moves, 154 completed, 28 cancelled
         seed 5: 755e2005c114fc5a, 1281 starts, 79 moves, 158 completed, 28 cancelled
-    "#]].assert_eq(&seen);
+    "#]]
+    .assert_eq(&seen);
 }
