perf(runs): look at each worker once in a pass, and at those with room in a placement

Cause: a pass walked all workers twice for each service, and each placed task all usable workers of its service. Change: scheduler/service_view.rs gathers what a pass needs in one walk; scheduler/free_room.rs keeps a service's usable workers sorted by what they have left, so that the first one without an objection is the same choice as before (test same_decisions). Tests run: same_decisions, advice, placements, evacuation.

--- a/rhubarbfall-runs/src/scheduler/placing.rs
+++ b/rhubarbfall-runs/src/scheduler/placing.rs
@@ -5,6 +5,7 @@
 
 use super::Scheduler;
 use super::ordering::{Candidate, Rank, beyond_capacity, load_s, rank};
+use super::service_view::FleetView;
 use crate::row_size::{always_fits, room_for_new_tasks};
 use crate::{Placement, Resources, RunState, Stage, Step, StepId, TaskId, TaskPhase, Worker};
 
@@ -17,8 +18,8 @@
 struct PlacementPass {
     /// The time of the pass.
     now: BootTime,
-    /// The indexes of each service's workers that accept work.
-    usable: LiteMap<ServiceId, Vec<usize>>,
+    /// The workers of each service.
+    fleet: FleetView,
     /// The demands for which no worker of a service has capacity; demands at least as large are
     /// skipped.
     unplaceable: LiteMap<ServiceId, Vec<Resources>>,
@@ -26,6 +27,17 @@
     awaiting_wave: Vec<WorkerId>,
 }
 
+/// What speaks against a worker for a task, the most important first; the least free capacity decides
+/// between equals.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+struct WorkerPreference {
+    is_avoided: bool,
+    awaits_wave: bool,
+    interferes: bool,
+    is_suspect: bool,
+    is_on_other_rack: bool,
+}
+
 /// The tasks of one step that are waiting and may start.
 #[derive(Debug)]
 struct WaitingStep {
@@ -45,12 +57,18 @@
             self.start_rate.observe(false, now);
             return;
         }
+        let fleet = self.fleet_view(now);
+        self.quarantine_end = fleet.first_quarantine_end;
         let mut waiting_steps = self.waiting_steps(now);
-        self.demote_beyond_capacity(&mut waiting_steps, now);
+        self.demote_beyond_capacity(&mut waiting_steps, &fleet, now);
         self.demote_beyond_start_rate(&mut waiting_steps, now);
         waiting_steps.sort_by_key(|waiting_step| waiting_step.rank);
-        let mut pass = self.new_pass(now);
-        self.quarantine_end = self.first_quarantine_end(now);
+        let mut pass = PlacementPass {
+            now,
+            fleet,
+            awaiting_wave: self.workers_awaiting_wave(),
+            ..PlacementPass::default()
+        };
         let mut is_limited = false;
         for waiting_step in &waiting_steps {
             is_limited = self.pending_starts.len() >= self.settings.max_pending_starts;
@@ -62,32 +80,6 @@
         self.start_rate.observe(is_limited, now);
     }
 
-    fn new_pass(&self, now: BootTime) -> PlacementPass {
-        let cordoned = self.vm_ops.cordoned();
-        let mut pass = PlacementPass {
-            now,
-            awaiting_wave: self.workers_awaiting_wave(),
-            ..PlacementPass::default()
-        };
-        if !self.is_operator_view_current(now) {
-            return pass;
-        }
-        for (index, worker) in self.workers().enumerate() {
-            if !self.is_usable(worker, &cordoned, now) {
-                continue;
-            }
-            let service = worker.report.service.clone();
-            pass.usable.entry(service).or_default().push(index);
-        }
-        pass
-    }
-
-    /// Returns when the first of the workers in quarantine may get work again.
-    fn first_quarantine_end(&self, now: BootTime) -> Option<BootTime> {
-        let ends = self.workers().map(|worker| worker.quarantined_until);
-        ends.filter(|end| *end > now).min()
-    }
-
     /// Returns whether tasks may start on a worker, given the sorted workers on VMs with an active
     /// operation.
     pub(super) fn is_usable(&self, worker: &Worker, cordoned: &[WorkerId], now: BootTime) -> bool {
@@ -97,12 +89,17 @@
     }
 
     /// Ranks submissions that exceed the capacity with those that can only be late.
-    fn demote_beyond_capacity(&mut self, waiting_steps: &mut [WaitingStep], now: BootTime) {
+    fn demote_beyond_capacity(
+        &mut self,
+        waiting_steps: &mut [WaitingStep],
+        fleet: &FleetView,
+        now: BootTime,
+    ) {
         let config = Arc::clone(&self.config);
         for service in &config.services {
             let of_service = |waiting_step: &&WaitingStep| waiting_step.service == service.id;
-            let workers = self.usable_workers(&service.id, now);
-            let worker_size = self.worker_size(&service.id);
+            let view = fleet.service(&service.id);
+            let worker_size = view.map_or_else(Resources::default, |view| view.worker_size);
             let mut candidates: Vec<Candidate> = Vec::new();
             for waiting_step in waiting_steps.iter().filter(of_service) {
                 let is_listed = candidates
@@ -122,6 +119,8 @@
             if candidates.is_empty() {
                 continue;
             }
+            let accepting = view.map_or(0, |view| view.accepting);
+            let workers = accepting + self.vm_ops.moving_to(&service.id);
             let begun_load_s = self.begun_load_s(&service.id, worker_size, now);
             let capacity_per_s = workers.max(1) as f64;
             let mut deferred = beyond_capacity(candidates, begun_load_s, capacity_per_s, now);
@@ -208,23 +207,6 @@
             .sum()
     }
 
-    fn usable_workers(&self, service: &ServiceId, now: BootTime) -> usize {
-        let unreachable_after = self.settings.unreachable_after;
-        let is_usable = |worker: &&Worker| {
-            worker.report.service == *service
-                && !self.evacuation.includes(&worker.report.availability_zone)
-                && worker.accepts_work(now, unreachable_after)
-        };
-        self.workers().filter(is_usable).count() + self.vm_ops.moving_to(service)
-    }
-
-    fn worker_size(&self, service: &ServiceId) -> Resources {
-        self.workers()
-            .filter(|worker| worker.report.service == *service)
-            .map(|worker| worker.report.capacity)
-            .fold(Resources::default(), Resources::max)
-    }
-
     fn waiting_steps(&mut self, now: BootTime) -> Vec<WaitingStep> {
         let mut waiting_steps = Vec::new();
         let mut has_delayed_tasks = false;
@@ -278,8 +260,8 @@
             self.place_each(waiting_step, &step, tasks, pass, now)
         };
         if !are_placed && waiting_step.needs_ticket {
-            let usable = pass.usable.get(&waiting_step.service);
-            let usable = usable.map_or(&[][..], Vec::as_slice);
+            let service = pass.fleet.service(&waiting_step.service);
+            let usable = service.map_or(&[][..], |service| &service.usable);
             self.request_advice(&waiting_step.step, &step, usable, now);
         }
     }
@@ -307,7 +289,9 @@
                 return false;
             };
             let run = self.next_run(&id);
-            self.place(&id, &worker, run, now);
+            self.with_room_of(&mut pass.fleet, &worker, |scheduler| {
+                scheduler.place(&id, &worker, run, now);
+            });
             room -= usize::from(is_new);
         }
         true
@@ -350,14 +334,18 @@
             let Some(worker) = self.choose_worker(id, step, waiting_step, pass) else {
                 break;
             };
-            self.place(id, &worker, run, now);
+            self.with_room_of(&mut pass.fleet, &worker, |scheduler| {
+                scheduler.place(id, &worker, run, now);
+            });
             placed.push((id.clone(), worker));
         }
         if placed.len() == tasks.len() {
             return true;
         }
-        for (id, _) in placed {
-            self.release(&id, now);
+        for (id, worker) in placed {
+            self.with_room_of(&mut pass.fleet, &worker, |scheduler| {
+                scheduler.release(&id, now);
+            });
             if let Some(job) = self.jobs.get_mut(&id.submission)
                 && let Some(task) = job.task_mut(&id)
             {
@@ -397,41 +385,45 @@
         {
             return None;
         }
-        let usable = pass.usable.get(&waiting_step.service)?;
-        let fitting = usable
-            .iter()
-            .filter_map(|index| self.workers.get_indexed(*index).map(|(_, worker)| worker))
-            .filter(|worker| reserved.fits_in(worker.free_capacity()));
+        self.sort_by_room(&mut pass.fleet, &waiting_step.service);
+        let fleet_service = pass.fleet.service(&waiting_step.service)?;
         let mut has_room = false;
-        let chosen = fitting
-            .inspect(|_| has_room = true)
-            .filter(|worker| has_label(worker, step))
-            .filter(|worker| {
-                let ticket = || self.advice.ticket(&waiting_step.step, worker, pass.now);
-                !waiting_step.needs_ticket || ticket().is_some()
-            })
-            .filter(|worker| !is_step_full(worker, &waiting_step.step, step))
-            .min_by_key(|worker| {
-                let is_avoided = task.avoided_worker.as_ref() == Some(&worker.report.id);
-                let is_suspect = !worker.failed_submissions.is_empty();
-                let is_on_other_rack =
-                    step.data_rack.is_some() && step.data_rack != worker.report.rack;
-                let interferes = (step.is_best_effort && worker.latency_sensitive_tasks > 0)
-                    || (step.tail_latency_target.is_some() && worker.best_effort_tasks > 0);
-                let awaits_wave = step.is_long_running
-                    && pass.awaiting_wave.binary_search(&worker.report.id).is_ok();
-                let remaining = worker.free_capacity().saturating_sub(step.reserved());
-                (
-                    is_avoided,
-                    awaits_wave,
-                    interferes,
-                    is_suspect,
-                    is_on_other_rack,
-                    remaining.cpu_millis,
-                    remaining.memory_mb,
-                )
-            })
-            .map(|worker| worker.report.id.clone());
+        let mut chosen: Option<(WorkerPreference, &Worker)> = None;
+        // Workers come with the least free capacity first, so that only an earlier part of the
+        // preference can make a later one better.
+        for index in fleet_service.fitting(reserved) {
+            let Some((_, worker)) = self.workers.get_indexed(index) else {
+                continue;
+            };
+            if !reserved.fits_in(worker.free_capacity()) {
+                continue;
+            }
+            has_room = true;
+            if !has_label(worker, step) || is_step_full(worker, &waiting_step.step, step) {
+                continue;
+            }
+            let ticket = || self.advice.ticket(&waiting_step.step, worker, pass.now);
+            if waiting_step.needs_ticket && ticket().is_none() {
+                continue;
+            }
+            let awaits_wave =
+                step.is_long_running && pass.awaiting_wave.binary_search(&worker.report.id).is_ok();
+            let preference = WorkerPreference {
+                is_avoided: task.avoided_worker.as_ref() == Some(&worker.report.id),
+                awaits_wave,
+                interferes: (step.is_best_effort && worker.latency_sensitive_tasks > 0)
+                    || (step.tail_latency_target.is_some() && worker.best_effort_tasks > 0),
+                is_suspect: !worker.failed_submissions.is_empty(),
+                is_on_other_rack: step.data_rack.is_some() && step.data_rack != worker.report.rack,
+            };
+            if chosen.is_none_or(|(best, _)| preference < best) {
+                chosen = Some((preference, worker));
+            }
+            if preference == WorkerPreference::default() {
+                break;
+            }
+        }
+        let chosen = chosen.map(|(_, worker)| worker.report.id.clone());
         if !has_room {
             let unplaceable = pass.unplaceable.entry(waiting_step.service.clone());
             unplaceable.or_default().push(reserved);
