perf(runs): gather waiting steps and work in time in one walk over the active jobs

Cause: ranks were computed once a step and again for each service, the indexes of all waiting tasks were listed although a pass places 200 at most, and each step was copied. Change: one walk ranks each job once and sums what has begun by service; the tasks of a step are listed when its turn comes, and not if nothing of its size has room.

--- a/rhubarbfall-runs/src/scheduler/placing.rs
+++ b/rhubarbfall-runs/src/scheduler/placing.rs
@@ -7,7 +7,9 @@
 use super::ordering::{Candidate, Rank, beyond_capacity, load_s, rank};
 use super::service_view::FleetView;
 use crate::row_size::{always_fits, room_for_new_tasks};
-use crate::{Placement, Resources, RunState, Stage, Step, StepId, TaskId, TaskPhase, Worker};
+use crate::{
+    Job, Placement, Resources, RunState, Service, Stage, Step, StepId, TaskId, TaskPhase, Worker,
+};
 
 /// The average share of work that is still to be done in the open tasks of a submission that has
 /// begun: they are taken as halfway through.
@@ -27,6 +29,15 @@
     awaiting_wave: Vec<WorkerId>,
 }
 
+impl PlacementPass {
+    /// Returns whether no worker of a service has capacity for a task of a step.
+    fn is_unplaceable(&self, service: &ServiceId, step: &Step) -> bool {
+        let reserved = step.reserved();
+        let unplaceable = self.unplaceable.get(service);
+        unplaceable.is_some_and(|demands| demands.iter().any(|demand| demand.fits_in(reserved)))
+    }
+}
+
 /// What speaks against a worker for a task, the most important first; the least free capacity decides
 /// between equals.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -44,9 +55,21 @@
     rank: Rank,
     step: StepId,
     service: ServiceId,
+    /// The position of the service in the configuration.
+    service_number: Option<usize>,
     /// Whether starting the tasks requires a ticket of the advice service.
     needs_ticket: bool,
-    indexes: Vec<u32>,
+    /// The number of the tasks.
+    tasks: usize,
+}
+
+/// The work of one service that can be in time.
+#[derive(Debug, Default)]
+struct WorkInTime {
+    /// The submissions that have not begun.
+    candidates: Vec<Candidate>,
+    /// The remaining work of those that have begun, in seconds of one whole worker.
+    begun_load_s: f64,
 }
 
 impl Scheduler {
@@ -59,8 +82,8 @@
         }
         let fleet = self.fleet_view(now);
         self.quarantine_end = fleet.first_quarantine_end;
-        let mut waiting_steps = self.waiting_steps(now);
-        self.demote_beyond_capacity(&mut waiting_steps, &fleet, now);
+        let (mut waiting_steps, work) = self.waiting_steps(&fleet, now);
+        self.demote_beyond_capacity(&mut waiting_steps, work, &fleet, now);
         self.demote_beyond_start_rate(&mut waiting_steps, now);
         waiting_steps.sort_by_key(|waiting_step| waiting_step.rank);
         let mut pass = PlacementPass {
@@ -92,48 +115,29 @@
     fn demote_beyond_capacity(
         &mut self,
         waiting_steps: &mut [WaitingStep],
+        work: Vec<WorkInTime>,
         fleet: &FleetView,
         now: BootTime,
     ) {
         let config = Arc::clone(&self.config);
-        for service in &config.services {
-            let of_service = |waiting_step: &&WaitingStep| waiting_step.service == service.id;
-            let view = fleet.service(&service.id);
-            let worker_size = view.map_or_else(Resources::default, |view| view.worker_size);
-            let mut candidates: Vec<Candidate> = Vec::new();
-            for waiting_step in waiting_steps.iter().filter(of_service) {
-                let is_listed = candidates
-                    .last()
-                    .is_some_and(|last| last.id == waiting_step.step.submission);
-                if !waiting_step.rank.is_new_in_time() || is_listed {
-                    continue;
-                }
-                if let Some(job) = self.jobs.get(&waiting_step.step.submission) {
-                    candidates.push(Candidate {
-                        id: waiting_step.step.submission.clone(),
-                        latest_start: waiting_step.rank.latest_start(),
-                        load_s: load_s(job, worker_size),
-                    });
-                }
-            }
-            if candidates.is_empty() {
+        let services = config.services.iter().zip(work).enumerate();
+        let with_candidates = services.filter(|(_, (_, work))| !work.candidates.is_empty());
+        for (number, (service, work)) in with_candidates {
+            let accepting = fleet.service(&service.id).map_or(0, |view| view.accepting);
+            let workers = accepting + self.vm_ops.moving_to(&service.id);
+            let (capacity_per_s, begun_load_s) = (workers.max(1) as f64, work.begun_load_s);
+            let mut deferred = beyond_capacity(work.candidates, begun_load_s, capacity_per_s, now);
+            if deferred.is_empty() {
                 continue;
             }
-            let accepting = view.map_or(0, |view| view.accepting);
-            let workers = accepting + self.vm_ops.moving_to(&service.id);
-            let begun_load_s = self.begun_load_s(&service.id, worker_size, now);
-            let capacity_per_s = workers.max(1) as f64;
-            let mut deferred = beyond_capacity(candidates, begun_load_s, capacity_per_s, now);
             deferred.sort();
             self.record_deferred(&deferred, workers, begun_load_s);
-            for waiting_step in waiting_steps
-                .iter_mut()
-                .filter(|waiting_step| waiting_step.service == service.id)
-            {
-                if deferred
-                    .binary_search(&waiting_step.step.submission)
-                    .is_ok()
-                {
+            let of_service = |waiting_step: &&mut WaitingStep| {
+                waiting_step.service_number == Some(number) && waiting_step.rank.is_new_in_time()
+            };
+            for waiting_step in waiting_steps.iter_mut().filter(of_service) {
+                let id = &waiting_step.step.submission;
+                if deferred.binary_search(id).is_ok() {
                     waiting_step.rank.demote();
                 }
             }
@@ -150,7 +154,7 @@
         let mut begun_starts = 0;
         for waiting_step in waiting_steps.iter() {
             let id = &waiting_step.step.submission;
-            let starts = waiting_step.indexes.len();
+            let starts = waiting_step.tasks;
             if waiting_step.rank.is_begun_in_time() {
                 begun_starts += starts;
             }
@@ -192,77 +196,91 @@
         }
     }
 
-    /// Returns the remaining work of a service's submissions that have begun and can be in time.
-    fn begun_load_s(&self, service: &ServiceId, worker_size: Resources, now: BootTime) -> f64 {
-        self.jobs
-            .active()
-            .filter(|job| job.has_begun)
-            .filter(|job| {
-                let queue = self.config.queue(&job.submission.queue);
-                queue.is_some_and(|queue| {
-                    queue.service == *service && rank(job, queue, now).is_begun_in_time()
-                })
-            })
-            .map(|job| load_s(job, worker_size) * BEGUN_REMAINING_SHARE)
-            .sum()
-    }
-
-    fn waiting_steps(&mut self, now: BootTime) -> Vec<WaitingStep> {
+    /// Returns the steps with tasks that may start, and the work in time of each configured service,
+    /// from one walk over the active jobs.
+    fn waiting_steps(
+        &mut self,
+        fleet: &FleetView,
+        now: BootTime,
+    ) -> (Vec<WaitingStep>, Vec<WorkInTime>) {
+        let services = &self.config.services;
+        let size = |service: &Service| fleet.service(&service.id).map(|view| view.worker_size);
+        let sizes: Vec<Resources> = services
+            .iter()
+            .map(|service| size(service).unwrap_or_default())
+            .collect();
+        let mut work: Vec<WorkInTime> = Vec::new();
+        work.resize_with(services.len(), WorkInTime::default);
         let mut waiting_steps = Vec::new();
         let mut has_delayed_tasks = false;
         for job in self.jobs.active() {
             let Some(queue) = self.config.queue(&job.submission.queue) else {
                 continue;
             };
+            let rank = rank(job, queue, now);
+            let service_number = services
+                .iter()
+                .position(|service| service.id == queue.service);
+            let steps_before = waiting_steps.len();
             for (occurrence, number, _, run) in job.open_steps() {
-                let mut indexes = Vec::new();
-                for (index, task) in run.tasks.iter().enumerate() {
-                    if task.phase != TaskPhase::Waiting {
-                        continue;
-                    }
-                    if task.not_before <= now {
-                        indexes.push(index as u32);
-                    } else {
-                        has_delayed_tasks = true;
-                    }
+                let mut tasks = 0;
+                for task in &run.tasks {
+                    let is_waiting = task.phase == TaskPhase::Waiting;
+                    let is_due = task.not_before <= now;
+                    tasks += usize::from(is_waiting && is_due);
+                    has_delayed_tasks |= is_waiting && !is_due;
                 }
-                if !indexes.is_empty() {
+                if tasks > 0 {
                     waiting_steps.push(WaitingStep {
-                        rank: rank(job, queue, now),
+                        rank,
                         step: StepId {
                             submission: job.submission.id.clone(),
                             occurrence,
                             step: number as u16,
                         },
                         service: queue.service.clone(),
+                        service_number,
                         needs_ticket: queue.advice.is_some(),
-                        indexes,
+                        tasks,
                     });
                 }
             }
+            let Some(number) = service_number else {
+                continue;
+            };
+            if rank.is_begun_in_time() {
+                work[number].begun_load_s += load_s(job, sizes[number]) * BEGUN_REMAINING_SHARE;
+            } else if rank.is_new_in_time() && waiting_steps.len() > steps_before {
+                work[number].candidates.push(Candidate {
+                    id: job.submission.id.clone(),
+                    latest_start: rank.latest_start(),
+                    load_s: load_s(job, sizes[number]),
+                });
+            }
         }
         self.needs_placement |= has_delayed_tasks;
-        waiting_steps
+        (waiting_steps, work)
     }
 
     fn place_step(&mut self, waiting_step: &WaitingStep, pass: &mut PlacementPass, now: BootTime) {
         let Some(job) = self.jobs.get(&waiting_step.step.submission) else {
             return;
         };
-        let step = job.submission.steps[usize::from(waiting_step.step.step)].clone();
-        let tasks = waiting_step
-            .indexes
-            .iter()
-            .map(|index| waiting_step.step.task(*index));
+        let submission = Arc::clone(&job.submission);
+        let step = &submission.steps[usize::from(waiting_step.step.step)];
+        if !waiting_step.needs_ticket && pass.is_unplaceable(&waiting_step.service, step) {
+            return;
+        }
+        let tasks = ready_tasks(job, &waiting_step.step, now);
         let are_placed = if step.is_gang {
-            self.place_gang(waiting_step, &step, &tasks.collect::<Vec<_>>(), pass, now)
+            self.place_gang(waiting_step, step, &tasks, pass, now)
         } else {
-            self.place_each(waiting_step, &step, tasks, pass, now)
+            self.place_each(waiting_step, step, tasks.into_iter(), pass, now)
         };
         if !are_placed && waiting_step.needs_ticket {
             let service = pass.fleet.service(&waiting_step.service);
             let usable = service.map_or(&[][..], |service| &service.usable);
-            self.request_advice(&waiting_step.step, &step, usable, now);
+            self.request_advice(&waiting_step.step, step, usable, now);
         }
     }
 
@@ -379,10 +397,7 @@
             return None;
         }
         let reserved = step.reserved();
-        let unplaceable = pass.unplaceable.get(&waiting_step.service);
-        if unplaceable
-            .is_some_and(|unplaceable| unplaceable.iter().any(|demand| demand.fits_in(reserved)))
-        {
+        if pass.is_unplaceable(&waiting_step.service, step) {
             return None;
         }
         self.sort_by_room(&mut pass.fleet, &waiting_step.service);
@@ -482,6 +497,17 @@
     }
 }
 
+/// Returns the tasks of a step that may start.
+fn ready_tasks(job: &Job, step: &StepId, now: BootTime) -> Vec<TaskId> {
+    let occurrence = job.occurrences.get(step.occurrence as usize);
+    let run = occurrence.and_then(|occurrence| occurrence.steps.get(usize::from(step.step)));
+    let tasks = run.into_iter().flat_map(|run| run.tasks.iter().enumerate());
+    tasks
+        .filter(|(_, task)| task.phase == TaskPhase::Waiting && task.not_before <= now)
+        .map(|(index, _)| step.task(index as u32))
+        .collect()
+}
+
 fn has_label(worker: &Worker, step: &Step) -> bool {
     step.required_label
         .as_ref()
--- a/rhubarbfall-runs/src/submission.rs
+++ b/rhubarbfall-runs/src/submission.rs
@@ -221,6 +221,14 @@
     /// Returns the estimated duration of the longest chain of dependent steps, counting steps for
     /// which `is_done` returns true as zero.
     pub(crate) fn longest_path(&self, is_done: impl Fn(usize) -> bool) -> Duration {
+        // Most submissions have one step, and this is called for each job in every pass.
+        if let [only] = &self.steps[..] {
+            return if is_done(0) {
+                Duration::ZERO
+            } else {
+                only.estimate
+            };
+        }
         let mut ends: Vec<Duration> = Vec::with_capacity(self.steps.len());
         for (number, step) in self.steps.iter().enumerate() {
             let earlier = step.after.iter().map(|earlier| ends[usize::from(*earlier)]);
