perf(runs): acknowledge ends of the worker that answered

Cause: each answer with an end went through the unacknowledged ends of all workers, and copied its ends. Change: an answer looks at its own worker; the others' ends follow when a batch is stored, which is when they change. Ends are read where they are.

--- a/rhubarbfall-runs/src/scheduler/lease_renewal.rs
+++ b/rhubarbfall-runs/src/scheduler/lease_renewal.rs
@@ -108,17 +108,19 @@
         self.needs_placement |= now.since(worker.answered_at) > self.settings.unreachable_after;
         worker.clock = Some((answer.clock_ms, now));
         worker.answered_at = now;
-        let new_ends: Vec<RunEnd> = answer
-            .ended
-            .iter()
-            .filter(|end| end.number > worker.last_processed_end)
-            .cloned()
-            .collect();
-        for end in &new_ends {
+        let processed = worker.last_processed_end;
+        let new_ends = answer.ended.iter().filter(|end| end.number > processed);
+        let mut has_new_ends = false;
+        for end in new_ends {
             self.process_run_end(id, end, now);
+            has_new_ends = true;
         }
-        if !new_ends.is_empty() {
-            self.acknowledge_stored();
+        if has_new_ends && let Some(worker) = self.workers.get_mut(id) {
+            // What other workers wait for is not stored by this answer.
+            worker.acknowledge_stored_ends(|id, version| {
+                let job = self.jobs.get(id);
+                job.is_none_or(|job| job.stored_version >= version)
+            });
         }
         self.reconcile_running(id, sent_at, answer, now);
         self.pace_best_effort(id, answer, now);
--- a/rhubarbfall-runs/src/scheduler/storing.rs
+++ b/rhubarbfall-runs/src/scheduler/storing.rs
@@ -190,18 +190,11 @@
 
     /// Advances the acknowledged run end of each worker as far as the jobs are stored.
     pub(super) fn acknowledge_stored(&mut self) {
+        let jobs = &self.jobs;
         for (_, worker) in self.workers.iter_mut() {
-            while let Some((number, id, version)) = worker.unacknowledged_ends.front() {
-                let is_stored = self
-                    .jobs
-                    .get(id)
-                    .is_none_or(|job| job.stored_version >= *version);
-                if !is_stored {
-                    break;
-                }
-                worker.last_stored_end = worker.last_stored_end.max(*number);
-                worker.unacknowledged_ends.pop_front();
-            }
+            worker.acknowledge_stored_ends(|id, version| {
+                jobs.get(id).is_none_or(|job| job.stored_version >= version)
+            });
         }
     }
 }
--- a/rhubarbfall-runs/src/worker.rs
+++ b/rhubarbfall-runs/src/worker.rs
@@ -205,6 +205,18 @@
         self.best_effort_tasks -= u32::from(step.is_best_effort);
     }
 
+    /// Advances the last run end that may be acknowledged, as far as `is_stored` returns true for the
+    /// submissions and versions of the ends.
+    pub fn acknowledge_stored_ends(&mut self, is_stored: impl Fn(&SubmissionId, u64) -> bool) {
+        while let Some((number, id, version)) = self.unacknowledged_ends.front() {
+            if !is_stored(id, *version) {
+                break;
+            }
+            self.last_stored_end = self.last_stored_end.max(*number);
+            self.unacknowledged_ends.pop_front();
+        }
+    }
+
     /// Returns whether the worker has no placed tasks and no unexpected load.
     #[must_use]
     pub fn is_empty(&self) -> bool {
