feat(scheduler): take ends together while the processor limits the starts

Cause: while an owner's processor limits the starts, each end costs an answer of its own, and room that is known to be free 100 ms earlier starts nothing. Change: the pause between a worker's renewals is decided in a module without I/O. While 200 starts are pending, tasks wait and the timers fire a tick late or more, it is the longest one that was allowed before (300 ms), instead of growing to it. Otherwise, with a slow store, and for a worker with an unconfirmed start, it is as before. Bounds, unchanged: lease, unreachable_after, half of the shortest objective for an end.

--- a/rhubarbfall-runs/src/scheduler/start_rate.rs
+++ b/rhubarbfall-runs/src/scheduler/start_rate.rs
@@ -78,6 +78,12 @@
         }
     }
 
+    /// Returns whether the limit on pending starts was reached just now.
+    fn is_limited(&self, now: BootTime) -> bool {
+        self.limited
+            .is_some_and(|(_, last)| now.since(last) <= MAX_INTERRUPTION)
+    }
+
     /// Returns the rate in starts per second if it was the limit recently.
     pub(super) fn per_s(&self, now: BootTime) -> Option<f64> {
         let (rate_per_s, at) = self.measured?;
@@ -86,6 +92,12 @@
 }
 
 impl Scheduler {
+    /// Returns whether tasks wait because the maximum number of starts is pending.
+    #[must_use]
+    pub fn are_starts_limited(&self, now: BootTime) -> bool {
+        self.start_rate.is_limited(now)
+    }
+
     /// Decides whether a submission is accepted, and returns after how long its caller may come back
     /// if it is not. A refused submission has left no trace and never runs.
     ///
--- a/rhubarbfall-scheduler/src/owner/mod.rs
+++ b/rhubarbfall-scheduler/src/owner/mod.rs
@@ -4,6 +4,7 @@
 mod cancellation_feed;
 mod division;
 mod lending_loop;
+mod renewal_pacing;
 mod round_trip;
 mod start;
 mod state_rows;
--- a/rhubarbfall-scheduler/src/owner/worker_loop.rs
+++ b/rhubarbfall-scheduler/src/owner/worker_loop.rs
@@ -11,6 +11,7 @@
 use rhubarbfall_site::{RenewalError, WorkerClient};
 
 use super::Owner;
+use super::renewal_pacing::{BUSY_LONG_POLL_TIMEOUT, RenewalLoad, call_pause};
 use crate::node::Node;
 use crate::processor_time::{Activity, metered};
 use crate::supervision::spawn_owner_loop;
@@ -20,9 +21,6 @@
 /// only after a second.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Time for which a worker with runs may hold a lease renewal: a third of a lease.
-const BUSY_LONG_POLL_TIMEOUT: Duration = Duration::from_millis(700);
-
 /// Time for which a worker without runs may hold a lease renewal.
 const IDLE_LONG_POLL_TIMEOUT: Duration = Duration::from_millis(900);
 
@@ -33,15 +31,6 @@
 /// Pause after a failed lease renewal.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
-/// Shortest pause between two lease renewals, so that one answer reports several ended runs.
-const MIN_CALL_PAUSE: Duration = Duration::from_millis(20);
-
-/// Multiple of the timer lateness that is added to `MIN_CALL_PAUSE`.
-const LATENESS_PAUSE_FACTOR: u32 = 6;
-
-/// Longest pause between two lease renewals: a small part of a lease and of most tasks.
-const MAX_CALL_PAUSE: Duration = Duration::from_millis(300);
-
 /// Time for which the next lease renewal waits until reported run ends are stored. A worker repeats
 /// ends that are not acknowledged.
 const STORE_WAIT_LIMIT: Duration = Duration::from_millis(500);
@@ -87,7 +76,12 @@
                 let has_run_ends = !answer.ended.is_empty();
                 owner
                     .with(|scheduler| scheduler.lease_renewal_answered(&id, sent_at, &answer, now));
-                tokio::time::sleep(call_pause(owner.timer_lateness.get())).await;
+                let load = RenewalLoad {
+                    timer_lateness: owner.timer_lateness.get(),
+                    are_starts_limited: owner.scheduler.borrow().are_starts_limited(now),
+                    has_unconfirmed_starts: order.has_unconfirmed_starts,
+                };
+                tokio::time::sleep(call_pause(load)).await;
                 if has_run_ends {
                     wait_until_run_ends_stored(&owner, &id).await;
                 }
@@ -111,12 +105,6 @@
     }
 }
 
-/// Returns the pause between two lease renewals. A busy owner renews less often, so that each
-/// answer reports more ended runs and calls use less processor time.
-fn call_pause(timer_lateness: Duration) -> Duration {
-    (MIN_CALL_PAUSE + timer_lateness * LATENESS_PAUSE_FACTOR).min(MAX_CALL_PAUSE)
-}
-
 async fn wait_until_run_ends_stored(owner: &Owner, id: &WorkerId) {
     let is_stored = || {
         let scheduler = owner.scheduler.borrow();
