--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -23,6 +23,7 @@
 mod recovery;
 mod refused_rows;
 mod settings;
+mod start_backlog;
 mod start_rate;
 mod starting;
 mod storing;
