--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -26,6 +26,7 @@
 mod refused_rows;
 mod service_view;
 mod settings;
+mod start_backlog;
 mod start_rate;
 mod starting;
 mod storing;
