fix(runs): VMs without workers come back as soon as they are listed as up again

Cause: a VM counted as back when its worker was another one than before, or 6 s after the call. A VM of the spare pool has no worker before or after, so it always waited the 6 s; its maintenance takes 2 s.

Change: a VM is back when it is listed as up and an earlier list, requested after the call, showed it away, or when it is listed in the pool that it was to move to; a changed worker counts as before. What no list showed away waits the 6 s as before, since a list may be older than the call's effect.

--- a/rhubarbfall-runs/src/scheduler/storing.rs
+++ b/rhubarbfall-runs/src/scheduler/storing.rs
@@ -182,7 +182,7 @@
         cancellations.stored(&batch.early_cancellations);
         cancellations.removed(&batch.expired_cancellations);
         for wave in &batch.waves {
-            self.wave_stored(wave, row_version);
+            self.wave_stored(wave, row_version, now);
         }
         self.acknowledge_stored();
         self.needs_placement = true;
--- a/rhubarbfall-runs/src/scheduler/vm_operations.rs
+++ b/rhubarbfall-runs/src/scheduler/vm_operations.rs
@@ -21,9 +21,9 @@
 /// called many times a second.
 const REFUSAL_BACKOFF: Duration = Duration::from_millis(400);
 
-/// How long after the call a VM that is listed with its old worker counts as returned: moves and
+/// How long after the call a VM counts as returned that no list has shown as away: moves and
 /// maintenance take two seconds, and a worker may return under the same name.
-const SAME_WORKER_RETURN_DELAY: Duration = Duration::from_secs(6);
+const UNSEEN_RETURN_DELAY: Duration = Duration::from_secs(6);
 
 /// A VM in the platform's list.
 #[derive(Debug, Clone, PartialEq)]
@@ -72,8 +72,8 @@
     Draining,
     /// The call waits until this version of its wave is stored.
     Storing(u64),
-    /// The call has no answer yet.
-    CallInFlight,
+    /// The call was sent at this time and has no answer yet.
+    CallInFlight(BootTime),
     /// The call failed without an answer at this time.
     Unconfirmed(BootTime),
     /// The call succeeded at this time, and the VM has not returned yet.
@@ -90,9 +90,40 @@
     /// Whether a call of the operation, by this owner or an earlier one, got no answer: it may have
     /// been carried out, whatever a repetition is answered.
     pub(super) has_unanswered_call: bool,
+    /// Whether a list that was requested after the call has shown the VM as away.
+    pub(super) was_listed_away: bool,
 }
 
 impl ActiveOperation {
+    /// Returns whether a list requested at `asked_at` shows the VM away for the operation.
+    fn is_away_in(&self, row: &VmRow, asked_at: BootTime) -> bool {
+        match self.phase {
+            VmPhase::InProgress(since) => since < asked_at && row.state != VmState::Up,
+            VmPhase::CallInFlight(since) => since < asked_at && row.state == self.listed_state(),
+            VmPhase::Draining | VmPhase::Storing(_) | VmPhase::Unconfirmed(_) => false,
+        }
+    }
+
+    /// Returns whether a list requested at `asked_at` shows the VM back in service.
+    fn has_returned_in(&self, row: &VmRow, asked_at: BootTime, now: BootTime) -> bool {
+        let VmPhase::InProgress(since) = self.phase else {
+            return false;
+        };
+        let has_changed = row.worker != self.worker
+            || matches!(&self.operation, VmOperation::Move(to) if *to == row.pool);
+        since < asked_at
+            && row.state == VmState::Up
+            && (has_changed || self.was_listed_away || now.since(since) > UNSEEN_RETURN_DELAY)
+    }
+
+    /// Returns the state in which a VM is listed while the operation is carried out.
+    fn listed_state(&self) -> VmState {
+        match self.operation {
+            VmOperation::Move(_) => VmState::Moving,
+            VmOperation::Maintain(_) => VmState::Maintenance,
+        }
+    }
+
     /// Returns whether the VM may be down for the operation.
     pub(super) fn may_be_down(&self) -> bool {
         self.has_unanswered_call || self.phase != VmPhase::Draining
@@ -162,7 +193,7 @@
     pub(super) fn calls_in_flight(&self) -> usize {
         self.active
             .iter()
-            .filter(|(_, active)| active.phase == VmPhase::CallInFlight)
+            .filter(|(_, active)| matches!(active.phase, VmPhase::CallInFlight(_)))
             .count()
     }
 }
@@ -177,15 +208,14 @@
         self.vm_ops.vms = vms;
         self.update_wave_vms();
         self.confirm_listed_operations(asked_at, now);
+        self.note_listed_away(asked_at);
         self.drop_workers_of_absent(now);
-        let has_returned = |active: &ActiveOperation, row: Option<&VmRow>| match (active.phase, row)
-        {
-            (VmPhase::InProgress(since), Some(row)) if since < asked_at => {
-                row.state == VmState::Up
-                    && (row.worker != active.worker || now.since(since) > SAME_WORKER_RETURN_DELAY)
-            }
-            (VmPhase::InProgress(_) | VmPhase::Draining | VmPhase::Unconfirmed(_), None) => true,
-            _ => false,
+        let has_returned = |active: &ActiveOperation, row: Option<&VmRow>| match row {
+            Some(row) => active.has_returned_in(row, asked_at, now),
+            None => matches!(
+                active.phase,
+                VmPhase::InProgress(_) | VmPhase::Draining | VmPhase::Unconfirmed(_)
+            ),
         };
         let returned: Vec<VmId> = self
             .vm_ops
@@ -207,12 +237,8 @@
     fn confirm_listed_operations(&mut self, asked_at: BootTime, now: BootTime) {
         let is_carried_out = |vm: &VmId, active: &ActiveOperation| {
             let state = self.vm_ops.vms.get(vm).map(|row| row.state);
-            let expected = match active.operation {
-                VmOperation::Move(_) => VmState::Moving,
-                VmOperation::Maintain(_) => VmState::Maintenance,
-            };
             matches!(active.phase, VmPhase::Unconfirmed(since) if since < asked_at)
-                && state == Some(expected)
+                && state == Some(active.listed_state())
         };
         let operations = self.vm_ops.active.iter();
         let carried_out: Vec<VmId> = operations
@@ -222,6 +248,20 @@
         for vm in carried_out {
             log::info!("event=vm_call_confirmed vm={vm}");
             self.vm_answered(&vm, Some(true), now);
+            if let Some(active) = self.vm_ops.active.get_mut(&vm) {
+                active.was_listed_away = true;
+            }
+        }
+    }
+
+    /// Records which VMs a list requested at `asked_at` shows away for their operation.
+    fn note_listed_away(&mut self, asked_at: BootTime) {
+        let VmOperations { vms, active, .. } = &mut self.vm_ops;
+        for (vm, active) in active.iter_mut() {
+            let is_away = vms
+                .get(vm)
+                .is_some_and(|row| active.is_away_in(row, asked_at));
+            active.was_listed_away |= is_away;
         }
     }
 
@@ -331,7 +371,7 @@
             .map(|(vm, _)| vm.clone())
             .collect();
         for vm in due {
-            self.send_call(&vm);
+            self.send_call(&vm, now);
         }
     }
 
@@ -344,6 +384,7 @@
             phase: VmPhase::Draining,
             worker,
             has_unanswered_call: false,
+            was_listed_away: false,
         };
         self.vm_ops.active.insert(vm.clone(), active);
     }
@@ -359,7 +400,7 @@
             }
         }
         for vm in ready {
-            self.call_once_stored(&vm);
+            self.call_once_stored(&vm, now);
         }
     }
 
@@ -388,11 +429,11 @@
         }
     }
 
-    pub(super) fn send_call(&mut self, vm: &VmId) {
+    pub(super) fn send_call(&mut self, vm: &VmId, now: BootTime) {
         let Some(active) = self.vm_ops.active.get_mut(vm) else {
             return;
         };
-        active.phase = VmPhase::CallInFlight;
+        active.phase = VmPhase::CallInFlight(now);
         self.actions.push(Action::Vm {
             vm: vm.clone(),
             operation: active.operation.clone(),
--- a/rhubarbfall-runs/src/scheduler/waves.rs
+++ b/rhubarbfall-runs/src/scheduler/waves.rs
@@ -227,6 +227,7 @@
                 phase,
                 worker: called.worker.clone(),
                 has_unanswered_call: !called.has_begun,
+                was_listed_away: false,
             };
             self.vm_ops.active.insert(called.vm.clone(), active);
         }
@@ -331,7 +332,7 @@
     }
 
     /// Records that a wave's progress is stored, and makes the calls that waited for it.
-    pub(super) fn wave_stored(&mut self, stored: &WaveRow, row: RowVersion) {
+    pub(super) fn wave_stored(&mut self, stored: &WaveRow, row: RowVersion, now: BootTime) {
         let Some(active_wave) = self.vm_ops.waves.get_mut(&stored.id) else {
             return;
         };
@@ -349,7 +350,7 @@
             .map(|(vm, _)| vm.clone())
             .collect();
         for vm in ready {
-            self.send_call(&vm);
+            self.send_call(&vm, now);
         }
     }
 
@@ -444,12 +445,12 @@
 
     /// Calls for a move immediately, and for maintenance once the call is stored: a successor must
     /// know which VMs of a wave may be down.
-    pub(super) fn call_once_stored(&mut self, vm: &VmId) {
+    pub(super) fn call_once_stored(&mut self, vm: &VmId, now: BootTime) {
         let Some(active) = self.vm_ops.active.get(vm) else {
             return;
         };
         let VmOperation::Maintain(wave) = &active.operation else {
-            return self.send_call(vm);
+            return self.send_call(vm, now);
         };
         let wave = wave.clone();
         if !self.has_room_in_wave(&wave, vm) {
