perf(runs): look a listed run's job up twice, not four times

Cause: for each run of an answer the job was looked up for runs that are gone, for adoption, for its progress and for revoked starts. Change: adoption uses the look-up for progress, and starts are gone through for revocation only if the first walk has seen one that is unconfirmed or being revoked; what follows in an answer confirms starts and leaves none unconfirmed.

--- a/rhubarbfall-runs/src/scheduler/lease_renewal.rs
+++ b/rhubarbfall-runs/src/scheduler/lease_renewal.rs
@@ -5,8 +5,8 @@
 use super::clearing::log_late_run;
 use super::{Action, Scheduler};
 use crate::{
-    ActiveRun, JobState, LeaseRenewalResponse, Placement, Resources, RunEnd, RunEndKind, RunState,
-    Stage, Step, Task, TaskId, TaskPhase, WorkerState,
+    ActiveRun, Job, JobState, LeaseRenewalResponse, Placement, Resources, RunEnd, RunEndKind,
+    RunState, Stage, Step, Task, TaskId, TaskPhase, WorkerState,
 };
 
 /// The number of different submissions with failures, and no success in between, after which a
@@ -344,11 +344,17 @@
         answer: &LeaseRenewalResponse,
         now: BootTime,
     ) {
-        self.requeue_unlisted(worker_id, sent_at, answer, now);
+        // The answer may confirm starts, but leaves none unconfirmed that was not before.
+        let may_have_unconfirmed_starts = self.requeue_unlisted(worker_id, sent_at, answer, now);
         let mut unexpected_load = Resources::default();
         for running in &answer.running {
-            self.adopt_run(worker_id, answer.incarnation_unix_ms, running, now);
-            let Some(job) = self.jobs.get_mut(&running.task.submission) else {
+            let id = &running.task;
+            let mut job = self.jobs.get_mut(&id.submission);
+            if job.as_ref().is_some_and(|job| is_to_be_adopted(job, id)) {
+                self.adopt_run(worker_id, answer.incarnation_unix_ms, running, now);
+                job = self.jobs.get_mut(&id.submission);
+            }
+            let Some(job) = job else {
                 self.push_stop(worker_id, &running.task, running.run, "unknown_job");
                 continue;
             };
@@ -407,15 +413,17 @@
                 self.mark_dirty(&running.task.submission);
             }
         }
-        self.revoke_unlisted_starts(worker_id, sent_at, now);
+        if may_have_unconfirmed_starts {
+            self.revoke_unlisted_starts(worker_id, sent_at, now);
+        }
         if let Some(worker) = self.workers.get_mut(worker_id) {
             self.needs_placement |= worker.unexpected_load != unexpected_load;
             worker.unexpected_load = unexpected_load;
         }
     }
 
-    /// Places a task on a worker that lists a run of it, if the task has no other run: it must not
-    /// start elsewhere while that run goes on. A gang's member is stopped, because the others do
+    /// Places a task without another run on a worker that lists a run of it: it must not start
+    /// elsewhere while that run goes on. A gang's member is stopped, because the others do
     /// not run with it.
     fn adopt_run(
         &mut self,
@@ -428,10 +436,6 @@
         let Some(job) = self.jobs.get(&id.submission) else {
             return;
         };
-        let has_no_run = job.task(id).is_some_and(Task::has_no_run);
-        if job.state != JobState::Active || !has_no_run {
-            return;
-        }
         log::warn!(
             "event=run_adopted id={id} run={} worker={worker_id}",
             running.run
@@ -467,38 +471,54 @@
     }
 
     /// Requeues runs that the worker does not report and can no longer start. A response that may
-    /// leave out ends proves nothing of the runs that it does not list.
+    /// leave out ends proves nothing of the runs that it does not list. Returns whether starts on the
+    /// worker may be unconfirmed or being revoked.
     fn requeue_unlisted(
         &mut self,
         worker_id: &WorkerId,
         sent_at: BootTime,
         answer: &LeaseRenewalResponse,
         now: BootTime,
-    ) {
-        if answer.may_have_more_ends {
-            return;
-        }
-        let is_gone = |id: &&TaskId| {
-            self.placement(id).is_some_and(|placed| {
-                let is_over = match placed.state {
-                    RunState::Accepted(at) => at < sent_at,
-                    RunState::Stopping { confirmed_at, .. }
-                    | RunState::RevokingStart { confirmed_at, .. } => {
-                        confirmed_at.is_some_and(|at| at < sent_at)
-                    }
-                    RunState::Inherited => true,
-                    RunState::Storing(_) | RunState::Sending | RunState::Unconfirmed(_) => false,
-                };
-                let mut running = answer.running.iter();
-                is_over && !running.any(|entry| entry.run == placed.run && entry.task == **id)
-            })
-        };
+    ) -> bool {
         let Some(worker) = self.workers.get(worker_id) else {
-            return;
+            return false;
         };
-        let gone: Vec<TaskId> = worker.placed.iter().filter(is_gone).cloned().collect();
+        if answer.may_have_more_ends {
+            return true;
+        }
+        let mut has_unconfirmed_starts = false;
+        let mut gone = Vec::new();
+        for id in &worker.placed {
+            let Some(placed) = self.placement(id) else {
+                continue;
+            };
+            has_unconfirmed_starts |= matches!(
+                placed.state,
+                RunState::Unconfirmed(_) | RunState::RevokingStart { .. }
+            );
+            let is_over = match placed.state {
+                RunState::Accepted(at) => at < sent_at,
+                RunState::Stopping { confirmed_at, .. }
+                | RunState::RevokingStart { confirmed_at, .. } => {
+                    confirmed_at.is_some_and(|at| at < sent_at)
+                }
+                RunState::Inherited => true,
+                RunState::Storing(_) | RunState::Sending | RunState::Unconfirmed(_) => false,
+            };
+            let is_listed = |run: &ActiveRun| run.run == placed.run && run.task == *id;
+            if is_over && !answer.running.iter().any(is_listed) {
+                gone.push(id.clone());
+            }
+        }
         for id in gone {
             self.requeue(&id, now, "not_listed");
         }
+        has_unconfirmed_starts
     }
 }
+
+/// Returns whether a listed run becomes that of its task: the job goes on, and the task has no other
+/// run.
+fn is_to_be_adopted(job: &Job, id: &TaskId) -> bool {
+    job.state == JobState::Active && job.task(id).is_some_and(Task::has_no_run)
+}
