--- a/rhubarbfall-runs/tests/start_rate.rs
+++ b/rhubarbfall-runs/tests/start_rate.rs
@@ -130,3 +130,22 @@
     assert_eq!(model.scheduler.admit(&lasting, now), Ok(()));
     assert!(model.scheduler.admit(&new, now).is_err());
 }
+
+/// Renewals are spaced while starts are limited. A limit that outlasts its cause, or that a calm owner
+/// reports, would delay the ends of a fleet without need.
+#[test]
+fn starts_are_limited_only_while_tasks_wait_for_pending_ones() {
+    let mut model = Model::new(&[("labels", 60), ("spare", 0)], 1);
+    model.run_for(Duration::from_millis(300));
+    model.submit(submission(1, "labels", step(TASKS, 1_000)), TASK_TIME);
+    model.run_for(Duration::from_millis(300));
+    assert!(!model.scheduler.are_starts_limited(model.now));
+    model.starts_per_step = Some(STARTS_PER_S / 50);
+    for number in 2..62 {
+        model.submit(submission(number, "labels", step(TASKS, 1_000)), TASK_TIME);
+    }
+    model.run_for(Duration::from_millis(200));
+    assert!(model.scheduler.are_starts_limited(model.now));
+    model.run_for(Duration::from_secs(4));
+    assert!(!model.scheduler.are_starts_limited(model.now));
+}
--- a/rhubarbfall-scheduler/src/owner/renewal_pacing/tests.rs
+++ b/rhubarbfall-scheduler/src/owner/renewal_pacing/tests.rs
@@ -120,8 +120,7 @@
         assert!(short.latest_end <= SHORTEST_OBJECTIVE / 2 + lateness);
         assert!(short.longest_gap + lateness <= settings.unreachable_after);
     }
-    // A worker whose runs go on answers after its full wait. One answer may be lost then before the
-    // lease ends, which began when the last answered call was sent.
+    // A worker whose runs go on answers after its full wait; a lease outlasts two such intervals.
     let gap = MAX_CALL_PAUSE + BUSY_LONG_POLL_TIMEOUT;
     assert!(gap < settings.unreachable_after);
     assert!(gap * 2 < settings.lease);
