perf(runs): acknowledge one worker after its renewal, list cordoned workers once a batch

Cause: each renewal with ends looked at the ends of all workers, and each row of a stored batch listed and sorted the cordoned workers again. Change: a renewal acknowledges its own worker's ends; the list of cordoned workers is made once a batch. The checks of all workers after a batch stay. Tests run: same_decisions (digests unchanged), full_end_lists, stored_submissions, waiting_starts, cancellation.

--- a/rhubarbfall-runs/src/scheduler/lease_renewal.rs
+++ b/rhubarbfall-runs/src/scheduler/lease_renewal.rs
@@ -118,7 +118,7 @@
             self.process_run_end(id, end, now);
         }
         if !new_ends.is_empty() {
-            self.acknowledge_stored();
+            self.acknowledge_stored_of(id);
         }
         self.reconcile_running(id, sent_at, answer, now);
         self.pace_best_effort(id, answer, now);
--- a/rhubarbfall-runs/src/scheduler/starting.rs
+++ b/rhubarbfall-runs/src/scheduler/starting.rs
@@ -9,9 +9,14 @@
 impl Scheduler {
     /// Sends the starts whose placements are stored. What a placement was decided on may have
     /// changed while it waited; such tasks are requeued. A gang starts with all its members or
-    /// none, because a member waits for the others.
-    pub(super) fn send_stored_starts(&mut self, ready: &[TaskId], now: BootTime) {
-        let cordoned = self.vm_ops.cordoned();
+    /// none, because a member waits for the others. `cordoned` are the sorted workers on VMs with an
+    /// active operation.
+    pub(super) fn send_stored_starts(
+        &mut self,
+        ready: &[TaskId],
+        cordoned: &[WorkerId],
+        now: BootTime,
+    ) {
         let mut rest = ready;
         while let Some(first) = rest.first() {
             let members = self.gang_members(first);
@@ -26,7 +31,7 @@
                 Some("gang_incomplete")
             } else {
                 let mut obstacles = group.iter();
-                obstacles.find_map(|id| self.start_obstacle(id, &cordoned, now))
+                obstacles.find_map(|id| self.start_obstacle(id, cordoned, now))
             };
             for id in group {
                 match obstacle {
--- a/rhubarbfall-runs/src/scheduler/storing.rs
+++ b/rhubarbfall-runs/src/scheduler/storing.rs
@@ -1,9 +1,10 @@
-use rhubarbfall_core::{BootTime, RowVersion, SubmissionId, WaveId};
+use rhubarbfall_core::{BootTime, RowVersion, SubmissionId, WaveId, WorkerId};
 
 use super::Scheduler;
+use super::job_index::JobIndex;
 use super::late_jobs::log_if_late;
 use crate::{
-    Job, JobProgress, JobState, RunState, Stage, encode_progress_within, encode_submission,
+    Job, JobProgress, JobState, RunState, Stage, Worker, encode_progress_within, encode_submission,
 };
 
 /// The maximum number of entries in one transaction, as stated by the platform, less the condition
@@ -155,6 +156,7 @@
     /// Records that a batch was stored under `row_version`, and continues the starts and calls that
     /// waited for it.
     pub fn batch_stored(&mut self, batch: &Batch, row_version: RowVersion, now: BootTime) {
+        let cordoned = self.vm_ops.cordoned();
         for row in &batch.rows {
             let Some(job) = self.jobs.get_mut(&row.id) else {
                 continue;
@@ -176,7 +178,7 @@
                     |run| matches!(run.state, RunState::Storing(version) if version <= stored),
                 )
             });
-            self.send_stored_starts(&ready, now);
+            self.send_stored_starts(&ready, &cordoned, now);
         }
         let cancellations = &mut self.early_cancellations;
         cancellations.stored(&batch.early_cancellations);
@@ -191,17 +193,27 @@
     /// Advances the acknowledged run end of each worker as far as the jobs are stored.
     pub(super) fn acknowledge_stored(&mut self) {
         for (_, worker) in self.workers.iter_mut() {
-            while let Some((number, id, version)) = worker.unacknowledged_ends.front() {
-                let is_stored = self
-                    .jobs
-                    .get(id)
-                    .is_none_or(|job| job.stored_version >= *version);
-                if !is_stored {
-                    break;
-                }
-                worker.last_stored_end = worker.last_stored_end.max(*number);
-                worker.unacknowledged_ends.pop_front();
-            }
+            acknowledge(worker, &self.jobs);
+        }
+    }
+
+    /// Advances the acknowledged run end of one worker as far as the jobs are stored.
+    pub(super) fn acknowledge_stored_of(&mut self, id: &WorkerId) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            acknowledge(worker, &self.jobs);
+        }
+    }
+}
+
+fn acknowledge(worker: &mut Worker, jobs: &JobIndex) {
+    while let Some((number, id, version)) = worker.unacknowledged_ends.front() {
+        let is_stored = jobs
+            .get(id)
+            .is_none_or(|job| job.stored_version >= *version);
+        if !is_stored {
+            break;
         }
+        worker.last_stored_end = worker.last_stored_end.max(*number);
+        worker.unacknowledged_ends.pop_front();
     }
 }
