perf(runs): no search for the job of each placed task in the checks of stalls and drains

Cause: every 80 ms two checks searched the job of every placed task: for runs without progress, and for VMs that are empty soon. Change: stalled runs are looked for among the active jobs, and listed by worker only if there is one; a worker counts its tasks that are not short.

--- a/rhubarbfall-runs/benches/passes.rs
+++ b/rhubarbfall-runs/benches/passes.rs
@@ -58,7 +58,7 @@
     for index in (number % RENEWAL_TICKS..fleet.ids.len()).step_by(RENEWAL_TICKS) {
         fleet.renew(index);
     }
-    spent.renewals += fleet.spent - began_at;
+    spent.renewals += fleet.spent.saturating_sub(began_at);
     let jobs_before = ENDED_JOBS as u64;
     while (fleet.submitted - jobs_before) * u64::from(TASKS) < fleet.starts + waiting {
         fleet.submit(fleet.submitted as usize % QUEUES.len());
--- a/rhubarbfall-runs/src/scheduler/orders.rs
+++ b/rhubarbfall-runs/src/scheduler/orders.rs
@@ -5,8 +5,8 @@
 use super::Scheduler;
 use super::action::{Action, StopOrder};
 use crate::{
-    Job, JobState, Placement, RunState, Stage, StartOutcome, Step, StepId, Task, TaskId, Worker,
-    WorkerState,
+    Job, JobState, Occurrence, Placement, RunState, Stage, StartOutcome, Step, StepId, Task,
+    TaskId, Worker, WorkerState,
 };
 
 /// The part of a task's estimate that may pass without progress, as a divisor: a long task may show
@@ -338,16 +338,22 @@
                 worker.answered_at.since(placed.progress_at)
             })
         };
-        let stalled = self.placed_where(|_, step, task| {
+        let timeout = |step: &Step| stall_timeout.max(step.estimate / STALL_ESTIMATE_DIVISOR);
+        // Runs of ended jobs are being stopped already.
+        let is_stalled = |step: &Step, task: &Task| {
             let can_stall = !step.is_best_effort && !step.is_long_running && !step.is_gang;
             can_stall
                 && task.placement().is_some_and(|placed| {
                     matches!(placed.state, RunState::Accepted(_))
                         && placed.progress_percent < 100
-                        && reported_without_progress(placed)
-                            > stall_timeout.max(step.estimate / STALL_ESTIMATE_DIVISOR)
+                        && now.since(placed.progress_at) > timeout(step)
+                        && reported_without_progress(placed) > timeout(step)
                 })
-        });
+        };
+        if !self.any_active_task(is_stalled) {
+            return;
+        }
+        let stalled = self.placed_where(|_, step, task| is_stalled(step, task));
         for id in stalled {
             let Some(worker) = self.placement(&id).map(|placed| placed.worker.clone()) else {
                 continue;
@@ -358,6 +364,17 @@
         }
     }
 
+    /// Returns whether `select` returns true for a task of an active job; unlike a list of tasks by
+    /// worker, this takes no search for the job of each.
+    fn any_active_task(&self, select: impl Fn(&Step, &Task) -> bool) -> bool {
+        let any_in = |job: &Job, occurrence: &Occurrence| {
+            let mut steps = job.submission.steps.iter().zip(&occurrence.steps);
+            steps.any(|(step, run)| run.tasks.iter().any(|task| select(step, task)))
+        };
+        let mut jobs = self.jobs.active();
+        jobs.any(|job| job.occurrences.iter().any(|of_job| any_in(job, of_job)))
+    }
+
     /// Returns the tasks on known workers for which `select` returns true.
     fn placed_where(&self, select: impl Fn(&Job, &Step, &Task) -> bool) -> Vec<TaskId> {
         let placed = self.workers().flat_map(|worker| &worker.placed);
--- a/rhubarbfall-runs/src/scheduler/pools.rs
+++ b/rhubarbfall-runs/src/scheduler/pools.rs
@@ -11,7 +11,8 @@
 use super::pool_plan::{PoolLoad, PoolNeed, plan_moves, vms_left};
 use super::token_bucket::TokenBucket;
 use super::vm_operations::{ActiveOperation, VmOperation, VmPhase, VmState};
-use crate::{Resources, Service, Step, Worker, WorkerState};
+use crate::worker::MAX_SHORT_ESTIMATE;
+use crate::{Resources, Service, Worker, WorkerState};
 
 /// The burst of moves, as a duration at their rate: with a quarter of a second, the platform's
 /// limit for any one second holds if the rate is three quarters of it.
@@ -27,7 +28,7 @@
 const LATE_RETRY_INTERVAL: Duration = Duration::from_secs(10);
 
 /// How long a VM may take to become empty for a move.
-const MAX_MOVE_DRAIN: Duration = Duration::from_secs(3);
+const MAX_MOVE_DRAIN: Duration = MAX_SHORT_ESTIMATE;
 
 /// How long a VM is not drained for a move again after a drain of it was withdrawn.
 const WITHDRAWN_DRAIN_INTERVAL: Duration = Duration::from_secs(10);
@@ -176,13 +177,9 @@
     /// Returns whether a VM with work is empty soon if it gets no new work: all of its tasks are short,
     /// and a drain of it was not withdrawn lately.
     fn is_empty_soon(&self, vm: &VmId, worker: &Worker) -> bool {
-        let is_short = |step: &Step| !step.is_long_running && step.estimate <= MAX_MOVE_DRAIN;
         worker.unexpected_load == Resources::default()
             && self.vm_ops.withdrawn_drains.get(vm).is_none()
-            && worker.placed.iter().all(|id| {
-                let job = self.jobs.get(&id.submission);
-                job.is_some_and(|job| is_short(job.step(id)))
-            })
+            && worker.lasting_tasks == 0
     }
 
     /// Ends the drains for moves that have taken too long: their VMs get work again.
--- a/rhubarbfall-runs/src/scheduler/service_view.rs
+++ b/rhubarbfall-runs/src/scheduler/service_view.rs
@@ -5,7 +5,7 @@
 
 use super::Scheduler;
 use super::free_room::FreeRoom;
-use crate::Resources;
+use crate::{Resources, Worker};
 
 /// The workers of one service at the time of a pass.
 #[derive(Debug, Default)]
@@ -98,7 +98,7 @@
         };
         let (service, before) = (worker.report.service.clone(), worker.free_capacity());
         change(self);
-        let after = self.workers.get(id).map(|worker| worker.free_capacity());
+        let after = self.workers.get(id).map(Worker::free_capacity);
         let room = view.services.get_mut(&service);
         if let Some(room) = room.and_then(|service| service.free_room.as_mut()) {
             room.update(index, before, after.unwrap_or_default());
--- a/rhubarbfall-runs/src/worker.rs
+++ b/rhubarbfall-runs/src/worker.rs
@@ -16,6 +16,9 @@
 /// ones have long arrived.
 const MAX_ENDED_INCARNATIONS: usize = 8;
 
+/// The longest estimate of a short task: its VM is empty soon after work stops coming.
+pub(crate) const MAX_SHORT_ESTIMATE: Duration = Duration::from_secs(3);
+
 /// A worker with the state that its owner keeps.
 #[derive(Debug, Clone)]
 pub struct Worker {
@@ -44,6 +47,8 @@
     pub may_have_earlier_starts: bool,
     /// The number of placed tasks that have a tail latency target.
     pub latency_sensitive_tasks: u32,
+    /// The number of placed tasks that are long-running or have a longer estimate than a short task.
+    pub lasting_tasks: u32,
     /// The number of placed best-effort tasks.
     pub best_effort_tasks: u32,
     /// The resources reserved by runs that the worker reports but this owner did not place.
@@ -93,6 +98,7 @@
             placed: Vec::new(),
             may_have_earlier_starts: true,
             latency_sensitive_tasks: 0,
+            lasting_tasks: 0,
             best_effort_tasks: 0,
             unexpected_load: Resources::default(),
             unacknowledged_ends: VecDeque::new(),
@@ -184,6 +190,7 @@
         self.placed = earlier.placed;
         self.latency_sensitive_tasks = earlier.latency_sensitive_tasks;
         self.best_effort_tasks = earlier.best_effort_tasks;
+        self.lasting_tasks = earlier.lasting_tasks;
     }
 
     /// Adds a task and reserves the resources of its step.
@@ -192,6 +199,7 @@
         self.reserved += step.reserved();
         self.latency_sensitive_tasks += u32::from(step.tail_latency_target.is_some());
         self.best_effort_tasks += u32::from(step.is_best_effort);
+        self.lasting_tasks += u32::from(is_lasting(step));
     }
 
     /// Removes a task and releases the resources of its step, if it is placed on the worker.
@@ -203,6 +211,7 @@
         self.reserved -= step.reserved();
         self.latency_sensitive_tasks -= u32::from(step.tail_latency_target.is_some());
         self.best_effort_tasks -= u32::from(step.is_best_effort);
+        self.lasting_tasks -= u32::from(is_lasting(step));
     }
 
     /// Returns whether the worker has no placed tasks and no unexpected load.
@@ -211,3 +220,7 @@
         self.placed.is_empty() && self.unexpected_load == Resources::default()
     }
 }
+
+fn is_lasting(step: &Step) -> bool {
+    step.is_long_running || step.estimate > MAX_SHORT_ESTIMATE
+}
