--- a/rhubarbfall-runs/src/scheduler/storing.rs
+++ b/rhubarbfall-runs/src/scheduler/storing.rs
@@ -155,6 +155,7 @@
     /// Records that a batch was stored under `row_version`, and continues the starts and calls that
     /// waited for it.
     pub fn batch_stored(&mut self, batch: &Batch, row_version: RowVersion, now: BootTime) {
+        let cordoned = self.vm_ops.cordoned();
         for row in &batch.rows {
             let Some(job) = self.jobs.get_mut(&row.id) else {
                 continue;
@@ -176,7 +177,7 @@
                     |run| matches!(run.state, RunState::Storing(version) if version <= stored),
                 )
             });
-            self.send_stored_starts(&ready, now);
+            self.send_stored_starts(&ready, &cordoned, now);
         }
         let cancellations = &mut self.early_cancellations;
         cancellations.stored(&batch.early_cancellations);
