fix(scheduler): keep the view of operators' requests recent while the store is slow

Cause (review): a poll of the operator table ended 0.5 s after its wait. In a store that takes longer no poll succeeded, and an owner that needs a recent view would have started nothing for as long as the store was slow, although it stores its batches then. A view also dates from when its poll was sent, so that the store's holding it made it old.

Change: where evacuations have a bound, polls are short while answers are slow, and may take up to 1.5 s after failures.

--- a/rhubarbfall-scheduler/src/operator_feed.rs
+++ b/rhubarbfall-scheduler/src/operator_feed.rs
@@ -4,6 +4,8 @@
 //! the same time. Nothing starts in an evacuated availability zone; owners also need to know how
 //! recent their view of these requests is.
 
+mod pace;
+
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,40 +13,41 @@
 use rhubarbfall_core::{AvailabilityZoneId, BootTime};
 use rhubarbfall_site::{OPERATOR_TABLE, OperatorRow, StoreError, StoredRow, decode_operator_row};
 
+use self::pace::PollPace;
 use crate::node::Node;
 use crate::table_feed::{TableFeed, TableUpdate};
 
-/// How long the store may hold a poll without changes. A poll on a dead connection times out
-/// shortly afterwards, well within the time limit for applying a new configuration.
-const LONG_POLL_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// How long the store may hold the poll after one without an answer, so that a view of the operators'
-/// requests that has become old is replaced soon.
-const RETRY_POLL_TIMEOUT: Duration = Duration::from_millis(100);
-
 /// Pause after a failed poll.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
 /// Polls the operator table until the process ends.
 pub(crate) async fn run(node: Rc<Node>) {
     let mut feed = TableFeed::new(OPERATOR_TABLE, "");
-    let mut wait = LONG_POLL_TIMEOUT;
+    // Without a bound, the age of the view does not matter.
+    let adapts = node.settings.evacuation_bound_ms.is_some();
+    let mut pace = PollPace::default();
     loop {
-        match follow(&node, &mut feed, wait).await {
-            Ok(()) => wait = LONG_POLL_TIMEOUT,
-            Err(error) => {
-                log::debug!("event=operator_feed_failed error={error}");
-                wait = RETRY_POLL_TIMEOUT;
-                tokio::time::sleep(RETRY_PAUSE).await;
-            }
+        let sent_at = node.now();
+        let followed = follow(&node, &mut feed, pace).await;
+        let adapted = match &followed {
+            Ok(()) => pace.after_answer(node.now().since(sent_at)),
+            Err(_) => pace.after_failure(),
+        };
+        if adapts {
+            pace = adapted;
+        }
+        if let Err(error) = followed {
+            log::debug!("event=operator_feed_failed error={error}");
+            tokio::time::sleep(RETRY_PAUSE).await;
         }
     }
 }
 
-async fn follow(node: &Node, feed: &mut TableFeed, wait: Duration) -> Result<(), StoreError> {
+async fn follow(node: &Node, feed: &mut TableFeed, pace: PollPace) -> Result<(), StoreError> {
     // The answer has what was stored when the poll was sent, and possibly more.
     let sent_at = node.now();
-    match feed.next(&node.store, wait).await? {
+    let update = feed.next_within(&node.store, pace.wait, pace.answer_time);
+    match update.await? {
         TableUpdate::Snapshot(rows) => {
             let zones = rows.iter().filter_map(evacuated_zone).collect();
             node.set_evacuated_zones(zones);
--- a/rhubarbfall-scheduler/src/table_feed.rs
+++ b/rhubarbfall-scheduler/src/table_feed.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use rhubarbfall_core::RowVersion;
-use rhubarbfall_site::{FeedOutcome, StoreClient, StoreError, StoredRow};
+use rhubarbfall_site::{FEED_ANSWER_TIME, FeedOutcome, StoreClient, StoreError, StoredRow};
 
 /// Follows partitions of a table: a snapshot first, then changes, and a new snapshot when the store no
 /// longer has the change history.
@@ -56,6 +56,16 @@
         &mut self,
         store: &StoreClient,
         wait: Duration,
+    ) -> Result<TableUpdate, StoreError> {
+        self.next_within(store, wait, FEED_ANSWER_TIME).await
+    }
+
+    /// Polls the store as [`Self::next`] does, with a time limit for the answer beyond `wait`.
+    pub(crate) async fn next_within(
+        &mut self,
+        store: &StoreClient,
+        wait: Duration,
+        answer_time: Duration,
     ) -> Result<TableUpdate, StoreError> {
         let Some(after) = self.after else {
             let (mut all_rows, mut first_as_of) = (Vec::new(), None);
@@ -68,7 +78,8 @@
             self.after = first_as_of;
             return Ok(TableUpdate::Snapshot(all_rows));
         };
-        match store.poll_feed(self.table, after, wait).await? {
+        let polled = store.poll_feed(self.table, after, wait, answer_time);
+        match polled.await? {
             FeedOutcome::Changes(mut rows, newest) => {
                 self.after = Some(newest.max(after));
                 rows.retain(|row| self.parts.contains(&row.key.part));
