feat(runs): tasks leave an evacuated zone, and it is taken back step by step

Cause: what ran in an evacuated zone stayed until the zone was lost.

Change: long-running tasks leave as max_unavailable allows, checkpointed ones with more than 3 s to go once, gangs whole, each only if another zone has room. The lease of a start ends within the bound, so that the worker refuses a later delivery; the view may be 3.4 s old instead of 3.8 s for a bound of 5 s. Drains for moves in the zone are withdrawn, its VMs on the way count for no pool, and the pools are asked for room for those that leave next. Workers of a zone that is taken back open one after the other over at most 3 s. Log lines and the gauge evacuated_zone_runs show what is left.

--- a/rhubarbfall-runs/src/scheduler/interruptions.rs
+++ b/rhubarbfall-runs/src/scheduler/interruptions.rs
@@ -26,7 +26,7 @@
                 .get(&worker)
                 .map(|worker| worker.placed.clone());
             for id in placed.unwrap_or_default() {
-                if self.may_interrupt(&id, now) {
+                if self.may_interrupt(&id, 0, now) {
                     log::info!("event=run_stopped id={id} reason=vm_draining");
                     self.set_run_state(&id, RunState::STOP_REQUESTED);
                 }
@@ -35,7 +35,7 @@
     }
 
     /// Returns whether a worker has answered recently; runs on other workers may have ended.
-    fn is_reachable(&self, worker: &WorkerId, now: BootTime) -> bool {
+    pub(super) fn is_reachable(&self, worker: &WorkerId, now: BootTime) -> bool {
         let unreachable_after = self.settings.unreachable_after;
         self.workers
             .get(worker)
@@ -43,8 +43,8 @@
     }
 
     /// Returns whether a long-running task is available and fewer than `max_unavailable` tasks of
-    /// its step are not.
-    fn may_interrupt(&self, id: &TaskId, now: BootTime) -> bool {
+    /// its step are not, beside `interrupted` others that are about to be stopped.
+    pub(super) fn may_interrupt(&self, id: &TaskId, interrupted: usize, now: BootTime) -> bool {
         let Some(job) = self.jobs.get(&id.submission) else {
             return false;
         };
@@ -66,6 +66,6 @@
         let unavailable = tasks.map_or(0, |tasks| {
             tasks.iter().filter(|task| !is_available(task)).count()
         });
-        unavailable < step.max_unavailable.max(1) as usize
+        unavailable + interrupted < step.max_unavailable.max(1) as usize
     }
 }
--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -11,6 +11,7 @@
 mod interruptions;
 mod late_jobs;
 mod lease_renewal;
+mod leaving;
 mod listing;
 mod ordering;
 mod orders;
@@ -44,6 +45,7 @@
 pub use early_cancellations::encode_early_cancellation;
 pub use intake::SubmissionState;
 pub use lease_renewal::LeaseRenewalRequest;
+pub use leaving::ZoneRuns;
 pub use pool_plan::{PoolLoad, PoolNeed, plan_moves};
 pub use recovery::StoredJob;
 pub use settings::SchedulerSettings;
@@ -188,6 +190,7 @@
         if now.since(self.checked_at) >= self.settings.check_interval {
             self.checked_at = now;
             self.check_operator_view(now);
+            self.open_taken_back(now);
             self.drop_expired_workers(now);
             self.requeue_unreachable_inherited(now);
             self.stop_stalled(now);
@@ -196,6 +199,7 @@
             self.stop_long_running_on_draining();
             self.begin_due(unix_ms);
             self.tick_vm_operations(now);
+            self.leave_evacuated_zones(now);
             self.send_due_stops(now);
             self.count_start_backlog(now);
         }
--- a/rhubarbfall-runs/src/scheduler/placing.rs
+++ b/rhubarbfall-runs/src/scheduler/placing.rs
@@ -94,7 +94,7 @@
     /// operation.
     pub(super) fn is_usable(&self, worker: &Worker, cordoned: &[WorkerId], now: BootTime) -> bool {
         cordoned.binary_search(&worker.report.id).is_err()
-            && !self.evacuation.includes(&worker.report.availability_zone)
+            && self.evacuation.allows(worker, now)
             && worker.accepts_work(now, self.settings.unreachable_after)
     }
 
@@ -216,7 +216,7 @@
                 && !self.evacuation.includes(&worker.report.availability_zone)
                 && worker.accepts_work(now, unreachable_after)
         };
-        self.workers().filter(is_usable).count() + self.vm_ops.moving_to(service)
+        self.workers().filter(is_usable).count() + self.usable_moving_to(service)
     }
 
     fn worker_size(&self, service: &ServiceId) -> Resources {
@@ -494,6 +494,12 @@
     }
 }
 
+/// Returns whether a worker can run another task of a step, as far as its labels and the step's limit
+/// for a worker are concerned.
+pub(super) fn may_run(worker: &Worker, id: &StepId, step: &Step) -> bool {
+    has_label(worker, step) && !is_step_full(worker, id, step)
+}
+
 fn has_label(worker: &Worker, step: &Step) -> bool {
     step.required_label
         .as_ref()
--- a/rhubarbfall-runs/src/scheduler/pool_demand.rs
+++ b/rhubarbfall-runs/src/scheduler/pool_demand.rs
@@ -141,6 +141,7 @@
                 let allowed = self.within_limit(customer, step, waiting, &mut usage);
                 if step.is_long_running {
                     let ready = ready_tasks(run, now).min(allowed);
+                    let ready = ready + self.long_running_to_leave(step, &run.tasks);
                     demand.for_waiting_long_running += empty_vms_for(step, ready, vm_size);
                 }
                 match urgency {
@@ -200,6 +201,7 @@
         let demand = step.reserved();
         let can_run = |row: &&super::VmRow| {
             demand.fits_in(row.capacity)
+                && !self.is_in_evacuated_zone(row)
                 && step
                     .required_label
                     .as_ref()
--- a/rhubarbfall-runs/src/scheduler/pools.rs
+++ b/rhubarbfall-runs/src/scheduler/pools.rs
@@ -129,7 +129,7 @@
             service: service.id.clone(),
             is_spare: service.is_spare,
             need: PoolNeed::default(),
-            supply: self.vm_ops.moving_to(&service.id),
+            supply: self.usable_moving_to(&service.id),
             idle: Vec::new(),
             drainable: Vec::new(),
         };
@@ -185,18 +185,32 @@
             })
     }
 
-    /// Ends the drains for moves that have taken too long: their VMs get work again.
+    /// Returns the number of VMs that move to a pool and will get work there.
+    pub(super) fn usable_moving_to(&self, service: &ServiceId) -> usize {
+        let is_unusable = |vm: &VmId| {
+            let row = self.vm_ops.vms.get(vm);
+            row.is_some_and(|row| self.is_in_evacuated_zone(row))
+        };
+        self.vm_ops.moving_to(service, is_unusable)
+    }
+
+    /// Ends the drains for moves that have taken too long, or that an evacuation has made useless:
+    /// their VMs get work again when they may.
     pub(super) fn withdraw_slow_drains(&mut self, now: BootTime) {
-        let is_slow = |active: &ActiveOperation| {
+        let is_evacuated = |vm: &VmId| {
+            let row = self.vm_ops.vms.get(vm);
+            row.is_some_and(|row| self.is_in_evacuated_zone(row))
+        };
+        let is_slow = |vm: &VmId, active: &ActiveOperation| {
             matches!(active.operation, VmOperation::Move(_))
                 && active.phase == VmPhase::Draining
-                && now.since(active.since) > MAX_MOVE_DRAIN
+                && (now.since(active.since) > MAX_MOVE_DRAIN || is_evacuated(vm))
         };
-        let is_recent = |at: &BootTime| now.since(*at) < WITHDRAWN_DRAIN_INTERVAL;
-        self.vm_ops.withdrawn_drains.retain(|_, at| is_recent(at));
         let operations = self.vm_ops.active.iter();
-        let slow = operations.filter(|(_, active)| is_slow(active));
+        let slow = operations.filter(|(vm, active)| is_slow(vm, active));
         let slow: Vec<VmId> = slow.map(|(vm, _)| vm.clone()).collect();
+        let is_recent = |at: &BootTime| now.since(*at) < WITHDRAWN_DRAIN_INTERVAL;
+        self.vm_ops.withdrawn_drains.retain(|_, at| is_recent(at));
         for vm in slow {
             log::info!("event=vm_drain_withdrawn vm={vm}");
             self.vm_ops.active.remove(&vm);
@@ -227,7 +241,7 @@
     /// waits for something else.
     fn limit_unused_late_work(&mut self, pools: &mut [PoolLoad], now: BootTime) {
         for pool in pools.iter_mut().filter(|pool| !pool.is_spare) {
-            let arriving = self.vm_ops.moving_to(&pool.service);
+            let arriving = self.usable_moving_to(&pool.service);
             let known = &mut self.vm_ops.late_work;
             if pool.need.total <= pool.need.in_time {
                 known.remove(&pool.service);
--- a/rhubarbfall-runs/src/scheduler/settings.rs
+++ b/rhubarbfall-runs/src/scheduler/settings.rs
@@ -44,9 +44,9 @@
     pub max_vm_calls: usize,
     /// The maximum size of a row's value in bytes.
     pub max_row_bytes: usize,
-    /// The age up to which a view of the operators' requests to evacuate availability zones allows
-    /// starts; `None` if operators are promised no bound for such requests.
-    pub max_operator_view_age: Option<Duration>,
+    /// The time after which operators' requests to evacuate availability zones are in force; `None` if
+    /// operators are promised no bound.
+    pub evacuation_bound: Option<Duration>,
     /// The maximum number of moves per second by all entries together, as limited by the platform.
     pub vm_moves_per_s: f64,
 }
@@ -70,7 +70,7 @@
             max_pending_starts: 200,
             max_vm_calls: 32,
             max_row_bytes: 48 * 1024,
-            max_operator_view_age: None,
+            evacuation_bound: None,
             vm_moves_per_s: 48.0,
         }
     }
--- a/rhubarbfall-runs/src/scheduler/starting.rs
+++ b/rhubarbfall-runs/src/scheduler/starting.rs
@@ -61,7 +61,7 @@
         if !self.is_operator_view_current(now) {
             return Some("operator_view_outdated");
         }
-        if self.evacuation.includes(&worker.report.availability_zone) {
+        if !self.evacuation.allows(worker, now) {
             return Some("zone_evacuated");
         }
         if !self.is_usable(worker, cordoned, now) {
@@ -103,7 +103,10 @@
             return;
         };
         let (worker_id, run) = (placement.worker.clone(), placement.run);
-        let lease = (now + self.settings.lease).min(self.max_lease_end);
+        let usual_lease = (now + self.settings.lease).min(self.max_lease_end);
+        let Some(lease) = self.start_lease(usual_lease, now) else {
+            return;
+        };
         let (Some(job), Some(worker)) = (
             self.jobs.get(&id.submission),
             self.workers.get_mut(&worker_id),
--- a/rhubarbfall-runs/src/scheduler/vm_operations.rs
+++ b/rhubarbfall-runs/src/scheduler/vm_operations.rs
@@ -146,15 +146,19 @@
         cordoned
     }
 
-    /// Returns the number of VMs that are moving to a pool.
-    pub(super) fn moving_to(&self, service: &ServiceId) -> usize {
+    /// Returns the number of VMs that are moving to a pool, without the unusable ones.
+    pub(super) fn moving_to(
+        &self,
+        service: &ServiceId,
+        is_unusable: impl Fn(&VmId) -> bool,
+    ) -> usize {
         let is_to = |active: &ActiveOperation| {
             matches!(&active.operation,
                 VmOperation::Move(to) if to == service)
         };
         self.active
             .iter()
-            .filter(|(_, active)| is_to(active))
+            .filter(|(vm, active)| is_to(active) && !is_unusable(vm))
             .count()
     }
 
@@ -378,7 +382,7 @@
 
     /// Returns whether nothing runs on a VM with this worker. A worker that is unknown or has not
     /// answered may still run tasks started by an earlier owner.
-    fn is_known_empty(&self, worker: Option<&WorkerId>) -> bool {
+    pub(super) fn is_known_empty(&self, worker: Option<&WorkerId>) -> bool {
         let Some(id) = worker else { return true };
         let has_inherited_leases = self.inherited_lease_expiry.is_some();
         match self.workers.get(id) {
--- a/rhubarbfall-runs/tests/single_owner/mod.rs
+++ b/rhubarbfall-runs/tests/single_owner/mod.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use rhubarbfall_core::{BootTime, RowVersion, WorkerId};
+use rhubarbfall_core::{AvailabilityZoneId, BootTime, RowVersion, WorkerId};
 use rhubarbfall_runs::scheduler::{Action, SchedulerSettings, StartOrder, StopOrder, StoredJob};
 use rhubarbfall_runs::{
     ActiveRun, JobProgress, JobState, LeaseRenewalResponse, OpenTask, PlacedRun, Resources, RunEnd,
@@ -61,6 +61,11 @@
         self.answer(worker, 1, Vec::new(), Vec::new());
     }
 
+    /// Passes the zones that operators have evacuated to the scheduler.
+    pub(crate) fn evacuate(&mut self, zones: impl IntoIterator<Item = AvailabilityZoneId>) {
+        self.scheduler.set_evacuated_zones(zones, self.now);
+    }
+
     /// Passes a worker's response to a lease renewal to the scheduler.
     pub(crate) fn answer(
         &mut self,
--- a/rhubarbfall-scheduler/src/node.rs
+++ b/rhubarbfall-scheduler/src/node.rs
@@ -220,7 +220,7 @@
         };
         let zones = self.evacuated_zones.borrow();
         if scheduler.evacuated_zones() != zones.as_slice() {
-            scheduler.set_evacuated_zones(zones.iter().cloned());
+            scheduler.set_evacuated_zones(zones.iter().cloned(), self.now());
         }
         scheduler.confirm_operator_view(viewed_at);
     }
--- a/rhubarbfall-scheduler/src/owner/tick_loop.rs
+++ b/rhubarbfall-scheduler/src/owner/tick_loop.rs
@@ -31,6 +31,9 @@
             owner.scheduler.borrow_mut().tick_without_lease(now);
         }
         dispatch(&node, &owner, now);
+        for zone in owner.scheduler.borrow_mut().take_zone_runs() {
+            telemetry::set_zone_runs(owner.cell.id, &zone.zone, zone.runs);
+        }
         for cleared in owner.scheduler.borrow_mut().take_cleared_jobs() {
             telemetry::record_cleared_job(&cleared);
         }
@@ -44,6 +47,9 @@
             logged_at = node.now();
         }
     }
+    for zone in owner.scheduler.borrow().evacuated_zones() {
+        telemetry::set_zone_runs(owner.cell.id, zone, 0);
+    }
 }
 
 fn dispatch(node: &Rc<Node>, owner: &Rc<Owner>, now: BootTime) {
--- a/rhubarbfall-scheduler/src/settings.rs
+++ b/rhubarbfall-scheduler/src/settings.rs
@@ -39,10 +39,6 @@
 /// connection is reset.
 const MIN_VM_ORDER_GAP_MS: u64 = 1_500;
 
-/// Time from an owner's decision to start a run until its worker begins it, at most: the order is
-/// withdrawn when its timeout has passed, and its packets may be on their way.
-const START_DELIVERY_TIME: Duration = Duration::from_millis(1_200);
-
 /// Shortest time after which an evacuation can be in force: the delivery of a start, and a view of the
 /// operators' requests that is renewed once a second.
 const MIN_EVACUATION_BOUND_MS: u64 = 3_000;
@@ -165,7 +161,7 @@
             // Base64 has four characters for three bytes.
             max_row_bytes: self.store_row_bytes / 4 * 3,
             vm_moves_per_s: self.vm_calls_per_s * VM_MOVE_SHARE,
-            max_operator_view_age: self.max_operator_view_age(),
+            evacuation_bound: self.evacuation_bound(),
             ..SchedulerSettings::default()
         }
     }
@@ -180,11 +176,9 @@
         }
     }
 
-    /// Returns the age up to which a view of the operators' requests allows starts, or `None` without
-    /// a bound for evacuations.
-    fn max_operator_view_age(&self) -> Option<Duration> {
-        let bound = Duration::from_millis(self.evacuation_bound_ms?);
-        Some(bound.saturating_sub(START_DELIVERY_TIME))
+    /// Returns the time after which an evacuation is in force, or `None` without a bound.
+    fn evacuation_bound(&self) -> Option<Duration> {
+        self.evacuation_bound_ms.map(Duration::from_millis)
     }
 
     /// Returns how long an order for a VM may be on its way after its call has ended without an
--- a/rhubarbfall-scheduler/src/telemetry.rs
+++ b/rhubarbfall-scheduler/src/telemetry.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
+use rhubarbfall_core::{AvailabilityZoneId, CellId};
 use rhubarbfall_runs::scheduler::ClearedJob;
 
 /// Upper bounds of the latency histograms, in seconds: from a call within one zone to the longest
@@ -37,6 +38,14 @@
     metrics::histogram!("job_clearing_seconds", "state" => state).record(job.took.as_secs_f64());
 }
 
+/// Sets how many tasks of a cell an evacuated availability zone still runs.
+pub(crate) fn set_zone_runs(cell: CellId, zone: &AvailabilityZoneId, runs: usize) {
+    metrics::gauge!(
+        "evacuated_zone_runs", "cell" => cell.to_string(), "zone" => zone.to_string()
+    )
+    .set(runs as f64);
+}
+
 /// Counts an order to a worker as confirmed or unconfirmed.
 pub(crate) fn count_worker_order(call: &'static str, is_confirmed: bool) {
     let result = if is_confirmed {
