test(runs): evacuations as an event of the model of cancellations and runs

Cause: the request to evacuate a zone met neither takeovers nor calls that are held back, lost or carried out late. Change: class Zones of the model: zones are evacuated and taken back, also within a second, the owner polls for them with late and lost answers, a new owner has the view or not; no run may begin in a zone later than the bound.

--- a/rhubarbfall-runs/tests/cancellation.rs
+++ b/rhubarbfall-runs/tests/cancellation.rs
@@ -83,6 +83,16 @@
     assert!(found.is_empty(), "{}", found.join("\n"));
 }
 
+/// A start that is on its way, held back or repeated by a new owner while its zone is evacuated, and
+/// tasks that leave such a zone beside every other trouble.
+#[test]
+fn nothing_starts_in_an_evacuated_zone_beyond_the_bound() {
+    let mut trouble = Trouble::ALL.to_vec();
+    trouble.push(Trouble::Zones);
+    let found = violations(&trouble, |_| true);
+    assert!(found.is_empty(), "{}", found.join("\n"));
+}
+
 /// A call that is meant for an earlier life of a worker: its acknowledgement makes the present life
 /// forget ends, its lease outlasts what the owner counts, and its start runs beside another one.
 #[test]
--- a/rhubarbfall-runs/tests/hostile/faults.rs
+++ b/rhubarbfall-runs/tests/hostile/faults.rs
@@ -34,10 +34,12 @@
     Pauses,
     /// Workers start again under their name and at their address, in series, while short tasks run.
     Restarts,
+    /// Availability zones are evacuated and taken back, and the owner learns of it late.
+    Zones,
 }
 
 impl Trouble {
-    /// All classes but [`Trouble::Restarts`].
+    /// All classes but [`Trouble::Restarts`] and [`Trouble::Zones`].
     pub(crate) const ALL: [Self; 12] = [
         Self::Calls,
         Self::Cuts,
--- a/rhubarbfall-runs/tests/hostile/former.rs
+++ b/rhubarbfall-runs/tests/hostile/former.rs
@@ -28,7 +28,7 @@
     /// Keeps the present owner as a former one, or ends it.
     pub(super) fn retire_owner(&mut self) {
         let mut former = Former {
-            scheduler: Scheduler::new(settings()),
+            scheduler: Scheduler::new(settings(&self.trouble)),
             epoch: self.epoch + 1,
             loops: Vec::new(),
             order_clients: BTreeMap::new(),
--- a/rhubarbfall-runs/tests/hostile/mod.rs
+++ b/rhubarbfall-runs/tests/hostile/mod.rs
@@ -11,13 +11,14 @@
 mod scenario;
 pub(crate) mod trace;
 pub(crate) mod worker;
+mod zones;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use rhubarbfall_core::{BootTime, RowVersion, SubmissionId, WorkerId};
+use rhubarbfall_core::{AvailabilityZoneId, BootTime, RowVersion, SubmissionId, WorkerId};
 use rhubarbfall_runs::scheduler::{
     Action, Batch, SchedulerSettings, StoredJob, VmOperation, VmRow, Wave,
 };
@@ -32,6 +33,7 @@
 use network::{Message, RenewalLoop, Reply, SentCall};
 use places::Vm;
 use worker::Process;
+use zones::{EVACUATION_BOUND, Zones};
 
 /// The virtual time of one simulation step.
 pub(crate) const STEP: Duration = Duration::from_millis(10);
@@ -56,8 +58,10 @@
 pub(crate) const FORGOTTEN_END: &str = "forgotten end";
 
 /// Returns the scheduler's settings, with a retention after which a simulation still goes on.
-fn settings() -> SchedulerSettings {
+fn settings(trouble: &[Trouble]) -> SchedulerSettings {
+    let has_zones = trouble.contains(&Trouble::Zones);
     SchedulerSettings {
+        evacuation_bound: has_zones.then_some(EVACUATION_BOUND),
         ended_retention: Duration::from_secs(12),
         ..SchedulerSettings::default()
     }
@@ -75,6 +79,8 @@
     VmList(u64, Vec<VmRow>, BootTime),
     VmCall(u64, String, VmOperation, bool),
     VmAnswer(u64, String, Option<bool>),
+    /// A view of the evacuated zones, when it was requested, and whether the answer arrives.
+    Zones((Vec<AvailabilityZoneId>, BootTime), bool),
 }
 
 /// A change in the worker list.
@@ -124,6 +130,7 @@
     vms: Vec<Vm>,
     vms_listed_at: BootTime,
     waves: Vec<Wave>,
+    zones: Zones,
     config: FleetConfig,
     full_config: FleetConfig,
     rows_until: BootTime,
@@ -138,7 +145,7 @@
         let config = crate::model::config(&["q-a", "q-b", "spare"]);
         let mut world = Self {
             now: BootTime::new(Duration::from_secs(100)),
-            scheduler: Scheduler::new(settings()),
+            scheduler: Scheduler::new(settings(trouble)),
             epoch: 1,
             processes: Vec::new(),
             clients: Vec::new(),
@@ -163,6 +170,7 @@
             vms: Vec::new(),
             vms_listed_at: BootTime::default(),
             waves: Vec::new(),
+            zones: Zones::new(),
             config: config.clone(),
             full_config: config.clone(),
             rows_until: BootTime::default(),
@@ -287,6 +295,7 @@
         self.execute(is_active);
         self.store_next();
         self.list_vms();
+        self.poll_zones();
         self.check();
     }
 
@@ -488,6 +497,9 @@
             });
             self.scheduler.wave_requested(wave, stored, now, unix_ms);
         }
+        if self.has(Trouble::Zones) && self.rng.random_bool(0.5) {
+            self.pass_zones();
+        }
         self.publish_all();
     }
 }
--- a/rhubarbfall-runs/tests/hostile/network.rs
+++ b/rhubarbfall-runs/tests/hostile/network.rs
@@ -102,6 +102,7 @@
                 let vm = vm.parse().expect("valid VM name");
                 self.scheduler.vm_answered(&vm, is_done, self.now);
             }
+            Event::Zones(view, is_answered) => self.zones_viewed(view, is_answered),
             _ => {}
         }
     }
@@ -245,7 +246,11 @@
                     is_gang: step.is_gang,
                     stops_at: None,
                 };
+                let (runs, vm) = (process.runs.len(), process.vm);
                 let outcome = process.start(order, call.fence, run, now);
+                if process.runs.len() > runs {
+                    self.check_zone(&order.worker, vm, &order.task.to_string());
+                }
                 Some(Reply::Start(outcome))
             }
             Message::Stop(order) => {
--- a/rhubarbfall-runs/tests/hostile/places.rs
+++ b/rhubarbfall-runs/tests/hostile/places.rs
@@ -10,6 +10,7 @@
 
 use super::faults::Trouble;
 use super::worker::Process;
+use super::zones::zone_of;
 use super::{Event, RowChange, World};
 use crate::model::WORKER_CAPACITY;
 
@@ -65,7 +66,7 @@
             id: name,
             address,
             service: self.vms[vm].pool.parse().expect("valid service name"),
-            availability_zone: "zone-a".parse().expect("valid availability zone name"),
+            availability_zone: zone_of(vm),
             capacity: WORKER_CAPACITY,
             labels: vec!["a".into(), "r1".into()],
             rack: Some("r1".parse().expect("valid rack name")),
@@ -185,7 +186,7 @@
                 .iter()
                 .find(|process| process.vm == index)
                 .map(|process| process.report.id.clone()),
-            availability_zone: None,
+            availability_zone: Some(zone_of(index)),
             capacity: WORKER_CAPACITY,
             labels: Vec::new(),
         });
--- a/rhubarbfall-runs/tests/hostile/scenario.rs
+++ b/rhubarbfall-runs/tests/hostile/scenario.rs
@@ -53,6 +53,9 @@
         if self.has(Trouble::Vms) && self.chance(0.12) {
             self.request_wave();
         }
+        if self.has(Trouble::Zones) && self.chance(0.4) {
+            self.change_zones();
+        }
         if self.has(Trouble::Config) && self.chance(0.3) {
             self.change_config();
         }
