fix(runs): count a step's limit for each worker, and the customer's, before a task leaves

Change: the room of a worker counts the steps that take it and give it up; a task whose customer is beyond its limit stays.

--- a/rhubarbfall-runs/src/scheduler/leaving.rs
+++ b/rhubarbfall-runs/src/scheduler/leaving.rs
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-use rhubarbfall_core::{AvailabilityZoneId, BootTime};
+use rhubarbfall_core::{AvailabilityZoneId, BootTime, WorkerId};
 
 use super::Scheduler;
 use crate::{JobState, Resources, RunState, Step, StepId, Task, TaskId, TaskPhase, Worker};
@@ -57,7 +57,37 @@
 /// The room that workers of other zones have for tasks that leave.
 #[derive(Debug, Clone)]
 struct Room<'a> {
-    workers: Vec<(&'a Worker, Resources)>,
+    places: Vec<Place<'a>>,
+}
+
+/// The room on one worker.
+#[derive(Debug, Clone)]
+struct Place<'a> {
+    worker: &'a Worker,
+    free: Resources,
+    /// The steps of the tasks that take room here, and of those that give it up.
+    taken: Vec<StepId>,
+    returned: Vec<StepId>,
+}
+
+impl<'a> Place<'a> {
+    const fn new(worker: &'a Worker) -> Self {
+        Self {
+            worker,
+            free: worker.free_capacity(),
+            taken: Vec::new(),
+            returned: Vec::new(),
+        }
+    }
+
+    fn has_room(&self, id: &StepId, step: &Step) -> bool {
+        let count = |steps: &[StepId]| steps.iter().filter(|other| *other == id).count();
+        let placed = self.worker.placed.iter().filter(|task| id.contains(task));
+        let tasks = placed.count() + count(&self.taken) - count(&self.returned);
+        step.reserved().fits_in(self.free)
+            && super::placing::has_label(self.worker, step)
+            && step.max_per_worker.is_none_or(|max| tasks < max as usize)
+    }
 }
 
 impl Room<'_> {
@@ -70,20 +100,27 @@
         let Some(queue) = scheduler.config.queue(&job.submission.queue) else {
             return false;
         };
-        let reserved = step.reserved();
         let step_id = StepId::of(id);
-        let has_room = |(worker, free): &&mut (&Worker, Resources)| {
-            worker.report.service == queue.service
-                && reserved.fits_in(*free)
-                && super::placing::may_run(worker, &step_id, step)
-        };
-        let best = self.workers.iter_mut().filter(has_room);
-        let Some((_, free)) = best.min_by_key(|(_, free)| (free.cpu_millis, free.memory_mb)) else {
+        let of_service = |place: &&mut Place| place.worker.report.service == queue.service;
+        let places = self.places.iter_mut().filter(of_service);
+        let fitting = places.filter(|place| place.has_room(&step_id, step));
+        let Some(best) = fitting.min_by_key(|place| (place.free.cpu_millis, place.free.memory_mb))
+        else {
             return false;
         };
-        *free = free.saturating_sub(reserved);
+        best.free = best.free.saturating_sub(step.reserved());
+        best.taken.push(step_id);
         true
     }
+
+    /// Adds the place that a task gives up on one of the workers.
+    fn give_up(&mut self, id: &TaskId, step: &Step, worker: &WorkerId) {
+        let is_there = |place: &&mut Place| place.worker.report.id == *worker;
+        if let Some(place) = self.places.iter_mut().find(is_there) {
+            place.free += step.reserved();
+            place.returned.push(StepId::of(id));
+        }
+    }
 }
 
 impl Scheduler {
@@ -138,10 +175,15 @@
                 continue;
             }
             let mut left = room.clone();
-            if step.is_gang {
-                self.return_places(&group, step, &mut left);
+            for member in group.iter().filter(|_| step.is_gang) {
+                if let Some(placed) = self.placement(member) {
+                    left.give_up(member, step, &placed.worker);
+                }
             }
-            if group.iter().all(|member| left.take(member, step, self)) {
+            // The customer's usage already contains the task.
+            let customer = job.submission.customer.as_ref();
+            let may_start = self.is_within_customer_limit(customer, Resources::default());
+            if may_start && group.iter().all(|member| left.take(member, step, self)) {
                 room = left;
                 leaving.extend(group);
             } else {
@@ -202,9 +244,7 @@
             .workers()
             .filter(|worker| self.is_usable(worker, &cordoned, now));
         let mut room = Room {
-            workers: usable
-                .map(|worker| (worker, worker.free_capacity()))
-                .collect(),
+            places: usable.map(Place::new).collect(),
         };
         for job in self.jobs().filter(|job| job.state == JobState::Active) {
             let is_long_running = job.submission.is_long_running();
@@ -220,18 +260,6 @@
         room
     }
 
-    /// Adds the places that members of a gang leave on usable workers.
-    fn return_places(&self, members: &[TaskId], step: &Step, room: &mut Room<'_>) {
-        let places = members.iter().filter_map(|id| self.placement(id));
-        for placed in places {
-            let of_member =
-                |(worker, _): &&mut (&Worker, Resources)| worker.report.id == placed.worker;
-            if let Some((_, free)) = room.workers.iter_mut().find(of_member) {
-                *free += step.reserved();
-            }
-        }
-    }
-
     /// Returns the workers in evacuated zones that answer.
     fn evacuated_workers(&self, now: BootTime) -> impl Iterator<Item = &Worker> {
         let is_evacuated =
--- a/rhubarbfall-runs/src/scheduler/placing.rs
+++ b/rhubarbfall-runs/src/scheduler/placing.rs
@@ -494,13 +494,7 @@
     }
 }
 
-/// Returns whether a worker can run another task of a step, as far as its labels and the step's limit
-/// for a worker are concerned.
-pub(super) fn may_run(worker: &Worker, id: &StepId, step: &Step) -> bool {
-    has_label(worker, step) && !is_step_full(worker, id, step)
-}
-
-fn has_label(worker: &Worker, step: &Step) -> bool {
+pub(super) fn has_label(worker: &Worker, step: &Step) -> bool {
     step.required_label
         .as_ref()
         .is_none_or(|needed| worker.report.labels.contains(needed))
--- a/rhubarbfall-runs/tests/evacuation_leaving.rs
+++ b/rhubarbfall-runs/tests/evacuation_leaving.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use model::{step, submission};
+use model::{config, step, submission};
 use rhubarbfall_core::AvailabilityZoneId;
 use rhubarbfall_runs::scheduler::{Action, StartOrder, StopOrder, ZoneRuns};
 use rhubarbfall_runs::{ActiveRun, RunEnd, RunEndKind, Step};
@@ -198,6 +198,39 @@
     assert_eq!((fleet.runs_on("w-a"), fleet.runs_on("w-b")), (1, 2));
 }
 
+/// Two tasks of a step of which a worker may hold one, and one such worker.
+#[test]
+fn room_counts_the_limit_of_a_step_for_each_worker() {
+    let mut fleet = Fleet::new(&[("w-a", "zone-a"), ("w-a1", "zone-a")]);
+    let spread = Step {
+        max_unavailable: 2,
+        max_per_worker: Some(1),
+        ..lasting(2, 10_000)
+    };
+    fleet.submit(1, spread);
+    fleet.steps(3);
+    fleet.owner.list_in_zone("w-b", "zone-b");
+    fleet.workers.push("w-b");
+    fleet.owner.evacuate([zone("zone-a")]);
+    fleet.steps(20);
+    assert_eq!((fleet.stops, fleet.runs_on("w-b")), (1, 1));
+}
+
+/// A customer whose limit was lowered below what it runs: a task that is stopped may not start again.
+#[test]
+fn nothing_of_a_customer_beyond_its_limit_leaves() {
+    let mut fleet = Fleet::new(&[("w-a", "zone-a"), ("w-b", "zone-b")]);
+    fleet.submit(1, lasting(2, 20_000));
+    fleet.steps(3);
+    let mut config = config(&["labels", "spare"]);
+    config.version = 2;
+    config.customers[0].limit.cpu_millis = 30_000;
+    fleet.owner.scheduler.set_config(config.into());
+    fleet.owner.evacuate([zone("zone-a")]);
+    fleet.steps(20);
+    assert_eq!((fleet.stops, fleet.runs_on("w-a")), (0, 2));
+}
+
 /// A short task that is stopped without a checkpoint has worked for nothing; one with a checkpoint
 /// that is nearly done loses more by the stop than it would by staying.
 #[test]
