test(soak): availability zones are evacuated and taken back beside all faults

Cause: no process test met the request beside kills, cut links and leaving workers. The stand-in knows zones. A test that pools get VMs ahead for what is to leave.

--- a/rhubarbfall-runs/src/scheduler/evacuation.rs
+++ b/rhubarbfall-runs/src/scheduler/evacuation.rs
@@ -107,9 +107,7 @@
         for worker in self.workers() {
             if worker.report.availability_zone == *zone {
                 let of_service = workers.entry(worker.report.service.clone());
-                of_service
-                    .or_insert_with(Vec::new)
-                    .push(worker.report.id.clone());
+                of_service.or_default().push(worker.report.id.clone());
             }
         }
         let count: usize = workers.iter().map(|(_, ids)| ids.len()).sum();
--- a/rhubarbfall-runs/tests/evacuation_leaving.rs
+++ b/rhubarbfall-runs/tests/evacuation_leaving.rs
@@ -6,9 +6,9 @@
 
 use std::time::Duration;
 
-use model::{config, step, submission};
+use model::{WORKER_CAPACITY, config, step, submission};
 use rhubarbfall_core::AvailabilityZoneId;
-use rhubarbfall_runs::scheduler::{Action, StartOrder, StopOrder, ZoneRuns};
+use rhubarbfall_runs::scheduler::{Action, StartOrder, StopOrder, VmRow, VmState, ZoneRuns};
 use rhubarbfall_runs::{ActiveRun, RunEnd, RunEndKind, Step};
 use single_owner::{Owner, running};
 
@@ -26,6 +26,8 @@
     /// The highest number of tasks that ran nowhere after a step.
     most_absent: usize,
     stops: usize,
+    /// The VMs for which moves were ordered.
+    moved: Vec<String>,
 }
 
 impl Fleet {
@@ -42,6 +44,7 @@
             percent: 100,
             most_absent: 0,
             stops: 0,
+            moved: Vec::new(),
         }
     }
 
@@ -64,6 +67,7 @@
                         self.runs.push(order);
                     }
                     Action::Stop(order) => self.stop(&order),
+                    Action::Vm { vm, .. } => self.moved.push(vm.to_string()),
                     _ => {}
                 }
             }
@@ -180,6 +184,43 @@
     assert_eq!((fleet.runs_on("w-a"), fleet.runs_on("w-c")), (0, 2));
 }
 
+/// Long-running tasks whose pool has no room beside the zone: they stay until it is lost unless the pool
+/// gets VMs of another zone ahead.
+#[test]
+fn pools_get_vms_of_other_zones_for_what_is_to_leave() {
+    let mut fleet = Fleet::new(&[("w-a", "zone-a"), ("w-b", "zone-b")]);
+    let spare = |vm: &str, of: &str| VmRow {
+        vm: vm.parse().expect("valid VM name"),
+        pool: "spare".parse().expect("valid service name"),
+        state: VmState::Up,
+        worker: None,
+        availability_zone: Some(zone(of)),
+        capacity: WORKER_CAPACITY,
+        labels: Vec::new(),
+    };
+    let in_use = |vm: &str, worker: &str, of: &str| VmRow {
+        pool: "labels".parse().expect("valid service name"),
+        worker: worker.parse().ok(),
+        ..spare(vm, of)
+    };
+    let rows = vec![
+        in_use("vm-a", "w-a", "zone-a"),
+        in_use("vm-b", "w-b", "zone-b"),
+        spare("vm-1", "zone-a"),
+        spare("vm-2", "zone-b"),
+    ];
+    let now = fleet.owner.now;
+    fleet.owner.scheduler.vms_listed(rows, now, now);
+    // Each worker has a task, and room for a third of another one.
+    fleet.submit(1, lasting(1, 44_000));
+    fleet.submit(2, lasting(1, 44_000));
+    fleet.steps(5);
+    assert_eq!(fleet.moved, Vec::<String>::new());
+    fleet.owner.evacuate([zone("zone-a")]);
+    fleet.steps(5);
+    assert_eq!((fleet.stops, fleet.moved), (0, vec!["vm-2".to_owned()]));
+}
+
 /// Two tasks of different submissions and room for one of them.
 #[test]
 fn no_more_tasks_leave_than_there_is_room_for() {
--- a/rhubarbfall/tests/soak/checker.rs
+++ b/rhubarbfall/tests/soak/checker.rs
@@ -6,6 +6,7 @@
 use crate::callers::{CallerHistory, SubmissionRecord};
 use crate::disturbances::DisturbanceLog;
 use crate::entry::Entries;
+use crate::evacuations::EvacuationLog;
 use crate::stand_in::{Span, StandInSite};
 
 /// The number of the soak's tasks that fit on a worker at once.
@@ -111,6 +112,19 @@
     verdict
 }
 
+/// Checks that no run began in an availability zone while a request to evacuate it was in force.
+pub(crate) fn check_evacuations(
+    verdict: &mut SoakVerdict,
+    site: &StandInSite,
+    evacuations: &EvacuationLog,
+) {
+    for span in site.spans() {
+        verdict.check("evacuated zones", !evacuations.forbids(&span), || {
+            format!("started in an evacuated zone: {span:?}")
+        });
+    }
+}
+
 fn check_submission(
     verdict: &mut SoakVerdict,
     id: &str,
--- a/rhubarbfall/tests/soak/main.rs
+++ b/rhubarbfall/tests/soak/main.rs
@@ -3,13 +3,15 @@
 //!
 //! `cargo test --release -p rhubarbfall --test soak -- --seed 7` runs one seed, `--seeds 50` runs
 //! fifty from `--first`, and without either the regression seeds and a few more are run. `--cells 2` divides
-//! the fleet into two cells; with `--restarts` workers start again under their identifiers, in series.
+//! the fleet into two cells; with `--restarts` workers start again under their identifiers, in series;
+//! with `--evacuations` availability zones are evacuated and taken back.
 
 mod callers;
 mod cancels;
 mod checker;
 mod disturbances;
 mod entry;
+mod evacuations;
 mod faults;
 mod fleet;
 mod restarts;
@@ -33,6 +35,7 @@
 use checker::{ACK_BOUND, SETTLE_TIME, SoakVerdict};
 use disturbances::DisturbanceLog;
 use entry::Entries;
+use evacuations::{EVACUATION_BOUND_MS, Evacuation, EvacuationLog};
 use faults::Fault;
 use fleet::{Fleet, FleetChange};
 use restarts::RestartSeries;
@@ -65,6 +68,9 @@
 /// Seeds that CI runs with restarts of workers.
 const CI_RESTART_SEEDS: [u64; 2] = [1, 2];
 
+/// Seeds that CI runs with evacuations.
+const CI_EVACUATION_SEEDS: [u64; 2] = [1, 3];
+
 /// The number of workers that each cell of a divided fleet has at first.
 const WORKERS_PER_CELL: usize = 5;
 
@@ -117,6 +123,8 @@
     cells: usize,
     /// Whether workers start again under their identifiers, in series.
     has_restarts: bool,
+    /// Whether availability zones are evacuated and taken back.
+    has_evacuations: bool,
 }
 
 impl SoakConfig {
@@ -153,6 +161,16 @@
         }
     }
 
+    /// Returns the time that submissions may take to complete after the last fault. Those that could not
+    /// start for the evacuations run after them.
+    fn completion_timeout(&self) -> Duration {
+        if self.has_evacuations {
+            COMPLETION_TIMEOUT + FAULT_DURATION
+        } else {
+            COMPLETION_TIMEOUT
+        }
+    }
+
     /// Returns for how long workers restart.
     const fn restart_duration(&self) -> Duration {
         if self.has_restarts {
@@ -164,12 +182,36 @@
 
     /// Returns the settings that divide the fleet.
     fn settings(&self) -> String {
+        let mut settings = String::new();
+        if self.has_evacuations {
+            settings += &format!("evacuation_bound_ms = {EVACUATION_BOUND_MS}\n");
+        }
         if !self.is_divided() {
-            return String::new();
+            return settings;
         }
         let vms = self.workers + SPARE_WORKERS;
         let per_cell = vms / self.cells;
-        format!("min_divided_vms = {vms}\nvms_per_cell = {per_cell}\n")
+        settings + &format!("min_divided_vms = {vms}\nvms_per_cell = {per_cell}\n")
+    }
+}
+
+/// One run of the soak.
+#[derive(Debug, Clone, Copy)]
+struct SoakRun {
+    seed: u64,
+    cells: usize,
+    has_restarts: bool,
+    has_evacuations: bool,
+}
+
+impl SoakRun {
+    const fn new(seed: u64, cells: usize) -> Self {
+        Self {
+            seed,
+            cells,
+            has_restarts: false,
+            has_evacuations: false,
+        }
     }
 }
 
@@ -185,21 +227,32 @@
     let first = arguments.get_one::<u64>("first").copied().unwrap_or(1_000);
     let cells = arguments.get_one::<usize>("cells").copied().unwrap_or(1);
     let has_restarts = arguments.get_flag("restarts");
-    let seeds: Vec<(u64, usize, bool)> = match (
+    let has_evacuations = arguments.get_flag("evacuations");
+    let with_flags = |seed| SoakRun {
+        has_restarts,
+        has_evacuations,
+        ..SoakRun::new(seed, cells)
+    };
+    let runs: Vec<SoakRun> = match (
         arguments.get_one::<u64>("seed"),
         arguments.get_one::<u64>("seeds"),
     ) {
-        (Some(seed), _) => vec![(*seed, cells, has_restarts)],
-        (None, Some(count)) => (first..first + count)
-            .map(|seed| (seed, cells, has_restarts))
-            .collect(),
+        (Some(seed), _) => vec![with_flags(*seed)],
+        (None, Some(count)) => (first..first + count).map(with_flags).collect(),
         (None, None) => REGRESSION_SEEDS
             .iter()
             .map(|(seed, _)| *seed)
             .chain(CI_SEEDS)
-            .map(|seed| (seed, cells, false))
-            .chain(CI_CELL_SEEDS.map(|(seed, cells)| (seed, cells, false)))
-            .chain(CI_RESTART_SEEDS.map(|seed| (seed, cells, true)))
+            .map(|seed| SoakRun::new(seed, cells))
+            .chain(CI_CELL_SEEDS.map(|(seed, cells)| SoakRun::new(seed, cells)))
+            .chain(CI_RESTART_SEEDS.map(|seed| SoakRun {
+                has_restarts: true,
+                ..SoakRun::new(seed, cells)
+            }))
+            .chain(CI_EVACUATION_SEEDS.map(|seed| SoakRun {
+                has_evacuations: true,
+                ..SoakRun::new(seed, cells)
+            }))
             .collect(),
     };
     let config = SoakConfig {
@@ -208,30 +261,30 @@
         callers: arguments.get_one::<usize>("callers").copied().unwrap_or(8),
         cells: 1,
         has_restarts: false,
+        has_evacuations: false,
     };
     let runtime = tokio::runtime::Runtime::new().expect("the runtime starts");
-    let failed: Vec<(u64, usize, bool)> = seeds
+    let failed: Vec<SoakRun> = runs
         .iter()
         .copied()
-        .filter(|(seed, cells, has_restarts)| {
+        .filter(|run| {
             let config = SoakConfig {
-                has_restarts: *has_restarts,
-                ..config.with_cells(*cells)
+                has_restarts: run.has_restarts,
+                has_evacuations: run.has_evacuations,
+                ..config.with_cells(run.cells)
             };
-            !runtime.block_on(run_seed(*seed, config))
+            !runtime.block_on(run_seed(run.seed, config))
         })
         .collect();
     println!(
         "{} passed, {} failed",
-        seeds.len() - failed.len(),
+        runs.len() - failed.len(),
         failed.len()
     );
     if failed.is_empty() {
         ExitCode::SUCCESS
     } else {
-        println!(
-            "failed seeds, each with the number of cells and whether workers restart: {failed:?}"
-        );
+        println!("failed: {failed:?}");
         ExitCode::FAILURE
     }
 }
@@ -259,6 +312,7 @@
         .arg(count("callers"))
         .arg(count("cells"))
         .arg(flag("restarts"))
+        .arg(flag("evacuations"))
         // Arguments that the test harness of the workspace passes to every test program.
         .arg(flag("list"))
         .arg(flag("exact"))
@@ -319,6 +373,12 @@
     let changes = fleet::schedule(&mut rng, FAULT_DURATION, worker_relays.len());
     let leaving = spawn_callers(LEAVING_CALLERS, &mut rng, &shared, cancels::run_leaving);
     let restarts = restarts::schedule(&mut rng, config.restart_duration(), config.workers);
+    let evacuations = if config.has_evacuations {
+        evacuations::schedule(&mut rng, FAULT_DURATION)
+    } else {
+        Vec::new()
+    };
+    let evacuation_log = EvacuationLog::default();
     let faults_end = tokio::time::Instant::now() + FAULT_DURATION;
     tokio::join!(
         async {
@@ -328,12 +388,13 @@
         },
         fleet.play(&changes),
         restarts::play(&restarts, &fleet, &worker_relays),
+        evacuations::play(&evacuations, &site, &evacuation_log),
     );
     history.stop();
     for caller in submitting.into_iter().chain(cancelling).chain(leaving) {
         caller.await.expect("the caller's task ends");
     }
-    callers::wait_completed(&entries, &history, COMPLETION_TIMEOUT).await;
+    callers::wait_completed(&entries, &history, config.completion_timeout()).await;
     let last_due = history
         .last_left_cancel()
         .map(|sent_at| disturbances.calm_for(sent_at, ACK_BOUND));
@@ -342,7 +403,10 @@
         .max(history.last_cancel())
         .max(last_due);
     tokio::time::sleep_until((last_event.unwrap_or(started_at) + SETTLE_TIME).into()).await;
-    let verdict = checker::check_history(&history, &entries, &site, &disturbances);
+    let mut verdict = checker::check_history(&history, &entries, &site, &disturbances);
+    if config.has_evacuations {
+        checker::check_evacuations(&mut verdict, &site, &evacuation_log);
+    }
     let elapsed = started_at.elapsed();
     println!(
         "seed {seed}, cells {}: {} in {elapsed:.1?}; {}",
@@ -351,14 +415,19 @@
         history.summary()
     );
     if !verdict.violations.is_empty() {
-        print_plan(&schedule, &changes, &restarts);
+        print_plan(&schedule, &changes, &restarts, &evacuations);
         print_violations(seed, config, &verdict, &entries);
     }
     entries.kill_all();
     verdict.violations.is_empty()
 }
 
-fn print_plan(faults: &[Fault], changes: &[FleetChange], restarts: &[RestartSeries]) {
+fn print_plan(
+    faults: &[Fault],
+    changes: &[FleetChange],
+    restarts: &[RestartSeries],
+    evacuations: &[Evacuation],
+) {
     for fault in faults {
         println!("  fault: {fault:?}");
     }
@@ -368,6 +437,9 @@
     for series in restarts {
         println!("  restarts: {series:?}");
     }
+    for evacuation in evacuations {
+        println!("  evacuation: {evacuation:?}");
+    }
 }
 
 fn print_violations(seed: u64, config: SoakConfig, verdict: &SoakVerdict, entries: &Entries) {
@@ -375,14 +447,12 @@
         println!("  broken: {violation}");
     }
     println!("  logs: {}", entries.keep_logs().display());
+    let flag = |is_set: bool, name: &'static str| if is_set { name } else { "" };
     println!(
-        "  again: cargo test --release -p rhubarbfall --test soak -- --seed {seed} --cells {}{}",
+        "  again: cargo test --release -p rhubarbfall --test soak -- --seed {seed} --cells {}{}{}",
         config.cells,
-        if config.has_restarts {
-            " --restarts"
-        } else {
-            ""
-        }
+        flag(config.has_restarts, " --restarts"),
+        flag(config.has_evacuations, " --evacuations"),
     );
 }
 
@@ -393,6 +463,9 @@
     if config.is_divided() {
         site.list_vms();
     }
+    if config.has_evacuations {
+        site.spread_over_zones(evacuations::ZONES);
+    }
     site
 }
 
