--- a/rhubarbfall-scheduler/src/operator_feed/pace/tests.rs
+++ b/rhubarbfall-scheduler/src/operator_feed/pace/tests.rs
@@ -20,9 +20,9 @@
             continue;
         }
         now += pace.wait + latency;
-        pace = pace.after_answer(now - sent_at);
+        pace = pace.after_answer(now.saturating_sub(sent_at));
         if let Some(before) = viewed_at.replace(sent_at) {
-            ages.push(now - before);
+            ages.push(now.saturating_sub(before));
         }
     }
     // The first view after a change of the latency follows a poll of the usual length.
--- a/rhubarbfall/tests/soak/evacuations.rs
+++ b/rhubarbfall/tests/soak/evacuations.rs
@@ -51,7 +51,7 @@
         while at < duration {
             let longest_ms = if rng.random_bool(0.3) { 1_000 } else { 9_000 };
             let length = Duration::from_millis(rng.random_range(100..longest_ms));
-            let length = length.min(duration - at);
+            let length = length.min(duration.saturating_sub(at));
             evacuations.push(Evacuation { at, length, zone });
             at += length + MEAN_PAUSE.mul_f64(rng.random_range(0.1..2.0));
         }
