--- a/rhubarbfall/tests/soak/main.rs
+++ b/rhubarbfall/tests/soak/main.rs
@@ -161,16 +161,21 @@
         }
     }
 
-    /// Returns the time that submissions may take to complete after the last fault. Those that could not
-    /// start for the evacuations run after them.
-    fn completion_timeout(&self) -> Duration {
+    /// Returns for how long zones are evacuated and taken back.
+    const fn evacuation_duration(&self) -> Duration {
         if self.has_evacuations {
-            COMPLETION_TIMEOUT + FAULT_DURATION
+            FAULT_DURATION
         } else {
-            COMPLETION_TIMEOUT
+            Duration::ZERO
         }
     }
 
+    /// Returns the time that submissions may take to complete after the last fault. Those that could not
+    /// start for the evacuations run after them.
+    fn completion_timeout(&self) -> Duration {
+        COMPLETION_TIMEOUT + self.evacuation_duration()
+    }
+
     /// Returns for how long workers restart.
     const fn restart_duration(&self) -> Duration {
         if self.has_restarts {
@@ -182,10 +187,11 @@
 
     /// Returns the settings that divide the fleet.
     fn settings(&self) -> String {
-        let mut settings = String::new();
-        if self.has_evacuations {
-            settings += &format!("evacuation_bound_ms = {EVACUATION_BOUND_MS}\n");
-        }
+        let settings = if self.has_evacuations {
+            format!("evacuation_bound_ms = {EVACUATION_BOUND_MS}\n")
+        } else {
+            String::new()
+        };
         if !self.is_divided() {
             return settings;
         }
@@ -373,11 +379,7 @@
     let changes = fleet::schedule(&mut rng, FAULT_DURATION, worker_relays.len());
     let leaving = spawn_callers(LEAVING_CALLERS, &mut rng, &shared, cancels::run_leaving);
     let restarts = restarts::schedule(&mut rng, config.restart_duration(), config.workers);
-    let evacuations = if config.has_evacuations {
-        evacuations::schedule(&mut rng, FAULT_DURATION)
-    } else {
-        Vec::new()
-    };
+    let evacuations = evacuations::schedule(&mut rng, config.evacuation_duration());
     let evacuation_log = EvacuationLog::default();
     let faults_end = tokio::time::Instant::now() + FAULT_DURATION;
     tokio::join!(
@@ -404,9 +406,7 @@
         .max(last_due);
     tokio::time::sleep_until((last_event.unwrap_or(started_at) + SETTLE_TIME).into()).await;
     let mut verdict = checker::check_history(&history, &entries, &site, &disturbances);
-    if config.has_evacuations {
-        checker::check_evacuations(&mut verdict, &site, &evacuation_log);
-    }
+    checker::check_evacuations(&mut verdict, &site, &evacuation_log);
     let elapsed = started_at.elapsed();
     println!(
         "seed {seed}, cells {}: {} in {elapsed:.1?}; {}",
