perf(runs): what leaves a zone is chosen four times a second

Cause (review): every check of 80 ms copied the room of all workers for each task in the zone and counted the tasks of each worker. Change: every 240 ms; the room is copied for gangs only, tasks of a worker are counted only where the step limits them, and a step that found no room is looked at once.

--- a/rhubarbfall-runs/src/scheduler/evacuation.rs
+++ b/rhubarbfall-runs/src/scheduler/evacuation.rs
@@ -52,6 +52,8 @@
     pub(super) counts: LiteMap<AvailabilityZoneId, super::leaving::ZoneCounts>,
     /// The zones whose counts have changed since they were taken.
     pub(super) reported: Vec<super::ZoneRuns>,
+    /// When tasks that leave were last chosen.
+    pub(super) left_at: BootTime,
     /// When the counts were last logged.
     pub(super) logged_at: BootTime,
 }
--- a/rhubarbfall-runs/src/scheduler/leaving.rs
+++ b/rhubarbfall-runs/src/scheduler/leaving.rs
@@ -17,6 +17,9 @@
 /// restoring of the checkpoint take about a second.
 const MIN_REST_TO_LEAVE: Duration = Duration::from_secs(3);
 
+/// The interval at which tasks are chosen that leave. The choice looks at all open tasks.
+const LEAVE_INTERVAL: Duration = Duration::from_millis(240);
+
 /// The interval between log lines about a zone.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -80,13 +83,19 @@
         }
     }
 
-    fn has_room(&self, id: &StepId, step: &Step) -> bool {
+    /// Returns how many tasks of a step the worker would have.
+    fn tasks_of(&self, id: &StepId) -> usize {
         let count = |steps: &[StepId]| steps.iter().filter(|other| *other == id).count();
         let placed = self.worker.placed.iter().filter(|task| id.contains(task));
-        let tasks = placed.count() + count(&self.taken) - count(&self.returned);
+        placed.count() + count(&self.taken) - count(&self.returned)
+    }
+
+    fn has_room(&self, id: &StepId, step: &Step) -> bool {
         step.reserved().fits_in(self.free)
             && super::placing::has_label(self.worker, step)
-            && step.max_per_worker.is_none_or(|max| tasks < max as usize)
+            && step
+                .max_per_worker
+                .is_none_or(|max| self.tasks_of(id) < max as usize)
     }
 }
 
@@ -126,9 +135,11 @@
 impl Scheduler {
     /// Stops tasks in evacuated zones for which there is room elsewhere, and counts what the zones run.
     pub(super) fn leave_evacuated_zones(&mut self, now: BootTime) {
-        if self.evacuated_zones().is_empty() {
+        let is_due = now.since(self.evacuation.left_at) >= LEAVE_INTERVAL;
+        if self.evacuated_zones().is_empty() || !is_due {
             return;
         }
+        self.evacuation.left_at = now;
         let (leaving, waiting) = if self.is_operator_view_current(now) {
             self.choose_leaving(now)
         } else {
@@ -163,28 +174,20 @@
             if leaving.contains(&id) || waiting.contains(&id) {
                 continue;
             }
-            let group = self.leaving_group(&id);
             let Some(job) = self.jobs.get(&id.submission) else {
                 continue;
             };
-            let step = job.step(&id);
-            let of_step = leaving
-                .iter()
-                .filter(|other| StepId::of(&id).contains(other));
+            let (step, step_id) = (job.step(&id), StepId::of(&id));
+            let of_step = leaving.iter().filter(|other| step_id.contains(other));
             if step.is_long_running && !self.may_interrupt(&id, of_step.count(), now) {
                 continue;
             }
-            let mut left = room.clone();
-            for member in group.iter().filter(|_| step.is_gang) {
-                if let Some(placed) = self.placement(member) {
-                    left.give_up(member, step, &placed.worker);
-                }
-            }
+            let group = self.leaving_group(&id);
             // The customer's usage already contains the task.
             let customer = job.submission.customer.as_ref();
             let may_start = self.is_within_customer_limit(customer, Resources::default());
-            if may_start && group.iter().all(|member| left.take(member, step, self)) {
-                room = left;
+            let has_failed = waiting.iter().any(|other| step_id.contains(other));
+            if may_start && !has_failed && self.take_room(&group, step, &mut room) {
                 leaving.extend(group);
             } else {
                 waiting.extend(group);
@@ -193,6 +196,25 @@
         (leaving, waiting)
     }
 
+    /// Takes the room for tasks of a step that leave together, and returns whether there was room for
+    /// all of them.
+    fn take_room<'a>(&'a self, group: &[TaskId], step: &Step, room: &mut Room<'a>) -> bool {
+        if let [id] = group {
+            return room.take(id, step, self);
+        }
+        let mut left = room.clone();
+        for member in group {
+            if let Some(placed) = self.placement(member) {
+                left.give_up(member, step, &placed.worker);
+            }
+        }
+        let has_room = group.iter().all(|member| left.take(member, step, self));
+        if has_room {
+            room.places = left.places;
+        }
+        has_room
+    }
+
     /// Returns the tasks in evacuated zones that are to leave as soon as there is room.
     fn candidates(&self, now: BootTime) -> Vec<TaskId> {
         let placed = self
