--- a/rhubarbfall-runs/src/scheduler/placing.rs
+++ b/rhubarbfall-runs/src/scheduler/placing.rs
@@ -107,7 +107,7 @@
     /// operation.
     pub(super) fn is_usable(&self, worker: &Worker, cordoned: &[WorkerId], now: BootTime) -> bool {
         cordoned.binary_search(&worker.report.id).is_err()
-            && !self.evacuation.includes(&worker.report.availability_zone)
+            && self.evacuation.allows(worker, now)
             && worker.accepts_work(now, self.settings.unreachable_after)
     }
 
@@ -124,7 +124,7 @@
         let with_candidates = services.filter(|(_, (_, work))| !work.candidates.is_empty());
         for (number, (service, work)) in with_candidates {
             let accepting = fleet.service(&service.id).map_or(0, |view| view.accepting);
-            let workers = accepting + self.vm_ops.moving_to(&service.id);
+            let workers = accepting + self.usable_moving_to(&service.id);
             let (capacity_per_s, begun_load_s) = (workers.max(1) as f64, work.begun_load_s);
             let mut deferred = beyond_capacity(work.candidates, begun_load_s, capacity_per_s, now);
             if deferred.is_empty() {
@@ -508,7 +508,7 @@
         .collect()
 }
 
-fn has_label(worker: &Worker, step: &Step) -> bool {
+pub(super) fn has_label(worker: &Worker, step: &Step) -> bool {
     step.required_label
         .as_ref()
         .is_none_or(|needed| worker.report.labels.contains(needed))
--- a/rhubarbfall-runs/src/scheduler/service_view.rs
+++ b/rhubarbfall-runs/src/scheduler/service_view.rs
@@ -58,7 +58,7 @@
                 continue;
             }
             service.accepting += 1;
-            if is_view_current && cordoned.binary_search(&worker.report.id).is_err() {
+            if is_view_current && self.is_usable(worker, &cordoned, now) {
                 service.usable.push(index);
             }
         }
--- a/rhubarbfall-runs/src/scheduler/start_backlog.rs
+++ b/rhubarbfall-runs/src/scheduler/start_backlog.rs
@@ -86,7 +86,7 @@
         let mut pools: LiteMap<ServiceId, (Resources, PoolBacklog)> = LiteMap::new();
         for service in &self.config.services {
             let arriving = PoolBacklog {
-                free: self.vm_ops.moving_to(&service.id) as f64,
+                free: self.usable_moving_to(&service.id) as f64,
                 ..PoolBacklog::default()
             };
             pools.insert(service.id.clone(), (Resources::default(), arriving));
