feat(runs): waves are spread over their time and give way to pools that need the VMs

Cause: a wave counted 5 s a VM (2.2 to 2.4 s were traced), kept 0.4 of its time and doubled the result for idle VMs, so that 182 VMs in 25 s became 73 at once; it took idle VMs at its limit whatever a turn that began a second later needed.

Change: scheduler/wave_pace.rs decides without I/O, from the VMs and the time left, what a VM of this wave takes (learned, from 4 s on) and the VMs beyond what open work in time and the forecast need. It takes VMs evenly, none that pools count on while there is no room, and as many as the time requires once the rest would take all of it with as many away as may be. 8 s, at most 0.4 of the time, are kept for a lost owner and a store out of reach. Tasks are broken off for a late wave only if the rest does not fit with half of that margin. VMs of an evacuated zone need no room. The room is counted with the pools, which costs no second count.

Ruled out: pressing as the only condition for breaking tasks off.

--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -29,6 +29,7 @@
 mod token_bucket;
 mod vm_operations;
 mod wave_choice;
+mod wave_pace;
 mod waves;
 
 use std::sync::Arc;
@@ -49,6 +50,7 @@
 pub use settings::SchedulerSettings;
 pub use storing::{Batch, BatchRow, WaveRow};
 pub use vm_operations::{VmOperation, VmRow, VmState};
+pub use wave_pace::{PaceReason, VmCycle, WaveLoad, WavePace, wave_pace};
 pub use waves::{CalledVm, Wave, WaveProgress, WaveState};
 
 /// The scheduler of one owner: decides which task starts where, what is stored and which state is
--- a/rhubarbfall-runs/src/scheduler/pools.rs
+++ b/rhubarbfall-runs/src/scheduler/pools.rs
@@ -57,6 +57,7 @@
         }
         let mut pools = self.pool_loads(now);
         self.limit_unused_late_work(&mut pools, now);
+        self.vm_ops.room = Some((vms_left(&pools), now));
         self.log_pools(&pools, now);
         let rate_per_s = self.settings.vm_moves_per_s / f64::from(self.settings.cells);
         // A bucket holds one token at least.
@@ -89,7 +90,7 @@
         }
     }
 
-    fn pool_loads(&self, now: BootTime) -> Vec<PoolLoad> {
+    pub(super) fn pool_loads(&self, now: BootTime) -> Vec<PoolLoad> {
         let vm_sizes = self.vm_sizes();
         let vm_size = |service: &ServiceId| vm_sizes.get(service).copied().unwrap_or_default();
         let mut demand = self.fleet_demand(vm_size, now);
--- a/rhubarbfall-runs/src/scheduler/vm_operations.rs
+++ b/rhubarbfall-runs/src/scheduler/vm_operations.rs
@@ -92,6 +92,9 @@
     pub(super) has_unanswered_call: bool,
     /// Whether a list that was requested after the call has shown the VM as away.
     pub(super) was_listed_away: bool,
+    /// Whether the time until the VM's return shows how long others take: this owner began the
+    /// operation, and no long-running task had to leave the VM.
+    pub(super) shows_cycle: bool,
 }
 
 impl ActiveOperation {
@@ -141,6 +144,8 @@
     pub(super) vms: LiteMap<VmId, VmRow>,
     pub(super) active: LiteMap<VmId, ActiveOperation>,
     pub(super) waves: LiteMap<WaveId, ActiveWave>,
+    /// The VMs beyond what pools need, and when they were counted.
+    pub(super) room: Option<(usize, BootTime)>,
     /// Limits the rate of moves.
     pub(super) move_bucket: Option<TokenBucket>,
     /// The late work of each pool that needs VMs for it.
@@ -226,9 +231,18 @@
             .collect();
         for vm in returned {
             log::info!("event=vm_returned vm={vm}");
-            let active = self.vm_ops.active.remove(&vm);
-            if let Some(VmOperation::Maintain(wave)) = active.map(|active| active.operation) {
-                self.mark_returned(&vm, &wave);
+            let Some(active) = self.vm_ops.active.remove(&vm) else {
+                continue;
+            };
+            let VmOperation::Maintain(wave) = &active.operation else {
+                continue;
+            };
+            self.mark_returned(&vm, wave);
+            if active.shows_cycle
+                && self.vm_ops.vms.get(&vm).is_some()
+                && let Some(of_wave) = self.vm_ops.waves.get_mut(wave)
+            {
+                of_wave.add_cycle(now.since(active.since));
             }
         }
     }
@@ -382,6 +396,7 @@
             operation,
             since: now,
             phase: VmPhase::Draining,
+            shows_cycle: self.long_running_steps_on(worker.as_ref()).is_empty(),
             worker,
             has_unanswered_call: false,
             was_listed_away: false,
--- a/rhubarbfall-runs/src/scheduler/waves.rs
+++ b/rhubarbfall-runs/src/scheduler/waves.rs
@@ -7,17 +7,11 @@
 use super::Scheduler;
 use super::storing::WaveRow;
 use super::vm_operations::{ActiveOperation, VmOperation, VmPhase};
+use super::wave_pace::{PaceReason, VmCycle, WaveLoad, is_too_late_to_wait};
 use crate::row_size::{encode_wave_within, vm_digest};
 
-/// The duration of a VM's maintenance cycle: until its tasks have ended or its long-running tasks
-/// have moved one by one, plus the maintenance itself.
-const VM_CYCLE: Duration = Duration::from_secs(5);
-
-/// The factor by which more VMs may be in progress while they are idle.
-const IDLE_VM_FACTOR: usize = 2;
-
-/// The share of a wave's time that is reserved for its last VMs.
-const WAVE_TIME_RESERVE_SHARE: f64 = 0.4;
+/// The interval between log entries about the pace of a wave.
+const PACE_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The maximum number of waves whose progress one batch stores, which leaves most of a transaction
 /// to jobs.
@@ -86,6 +80,12 @@
     progress: WaveProgress,
     /// The VMs that are back from their maintenance, sorted.
     returned: Vec<VmId>,
+    /// How long the VMs of the wave are out of service.
+    cycle: VmCycle,
+    /// What the pace was decided from last.
+    last_load: Option<WaveLoad>,
+    /// The reason for the pace that was logged last, and when.
+    logged_pace: Option<(PaceReason, BootTime)>,
     /// The version of the progress, which increases with each change that has to be stored.
     version: u64,
     stored_version: u64,
@@ -93,15 +93,6 @@
     reported_state: Option<WaveState>,
 }
 
-/// How many VMs of a wave may be in progress at the same time.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct WaveConcurrency {
-    /// The limit when the next VM has tasks.
-    pub(super) busy: usize,
-    /// The limit when the next VM is idle.
-    pub(super) idle: usize,
-}
-
 impl ActiveWave {
     pub(super) fn contains(&self, vm: &VmId) -> bool {
         self.wave.vms.contains(vm)
@@ -122,29 +113,48 @@
         encode_wave_within(&self.progress, is_returned, max_bytes)
     }
 
-    /// Returns how many VMs may be in progress at the same time: as many as the remaining time
-    /// requires, and more if they are idle. A wave that has used up its time waits for no VM in
-    /// progress.
-    pub(super) fn concurrency(&self, now: BootTime) -> WaveConcurrency {
-        let max_concurrent = self.max_down;
-        if max_concurrent == 0 {
-            return WaveConcurrency { busy: 0, idle: 0 };
-        }
-        let usable = self.wave.duration.mul_f64(1.0 - WAVE_TIME_RESERVE_SHARE);
-        let elapsed = now.since(self.started_at);
-        if elapsed >= usable {
-            return WaveConcurrency {
-                busy: max_concurrent,
-                idle: max_concurrent,
-            };
+    /// Returns what is left of the wave, with these VMs in progress and waiting.
+    pub(super) fn load(
+        &self,
+        in_progress: usize,
+        waiting: usize,
+        room: usize,
+        now: BootTime,
+    ) -> WaveLoad {
+        WaveLoad {
+            vms: self.vms.len(),
+            not_begun: self.waiting().count(),
+            waiting,
+            in_progress,
+            max_down: self.max_down,
+            elapsed: now.since(self.started_at),
+            duration: self.wave.duration,
+            cycle: self.cycle.mean(),
+            room,
         }
-        let left = usable.saturating_sub(elapsed).max(VM_CYCLE);
-        let needed =
-            (self.waiting().count() as f64 * VM_CYCLE.div_duration_f64(left)).ceil() as usize;
-        WaveConcurrency {
-            busy: needed.clamp(1, max_concurrent),
-            idle: (needed * IDLE_VM_FACTOR).clamp(1, max_concurrent),
+    }
+
+    /// Records how long a VM was out of service.
+    pub(super) fn add_cycle(&mut self, took: Duration) {
+        self.cycle.add(took);
+    }
+
+    /// Records what the pace was decided from, and returns whether that is to be logged: when the reason
+    /// has changed, and from time to time.
+    pub(super) fn record_pace(
+        &mut self,
+        load: WaveLoad,
+        reason: PaceReason,
+        now: BootTime,
+    ) -> bool {
+        self.last_load = Some(load);
+        let is_due = self
+            .logged_pace
+            .is_none_or(|(logged, at)| logged != reason || now.since(at) >= PACE_LOG_INTERVAL);
+        if is_due {
+            self.logged_pace = Some((reason, now));
         }
+        is_due
     }
 
     /// Returns whether one more VM may go down while `down` VMs are down.
@@ -159,6 +169,13 @@
 }
 
 impl Scheduler {
+    /// Returns what the pace of each wave with VMs left to maintain was decided from last.
+    pub fn wave_loads(&self) -> impl Iterator<Item = (&WaveId, &WaveLoad)> {
+        let waves = self.vm_ops.waves.iter();
+        let open = waves.filter(|(_, of_wave)| of_wave.waiting().next().is_some());
+        open.filter_map(|(id, of_wave)| Some((id, of_wave.last_load.as_ref()?)))
+    }
+
     /// Records the progress of waves that an earlier owner has stored, with `None` for a row that
     /// cannot be read. Nothing is done for such a wave, because the VMs that are down for it are
     /// unknown.
@@ -228,6 +245,7 @@
                 worker: called.worker.clone(),
                 has_unanswered_call: !called.has_begun,
                 was_listed_away: false,
+                shows_cycle: false,
             };
             self.vm_ops.active.insert(called.vm.clone(), active);
         }
@@ -239,6 +257,9 @@
             started_at: now.before(Duration::from_millis(age_ms)),
             progress,
             returned,
+            cycle: VmCycle::default(),
+            last_load: None,
+            logged_pace: None,
             version,
             stored_version: 0,
             row,
@@ -425,22 +446,12 @@
         }
     }
 
-    /// Returns whether the share of VMs that have begun or may be down is smaller than the share of
-    /// the wave's time that has passed.
+    /// Returns whether a wave is so late that it does not wait for tasks to end.
     pub(super) fn is_behind_schedule(&self, wave: &WaveId, now: BootTime) -> bool {
         let Some(active_wave) = self.vm_ops.waves.get(wave) else {
             return false;
         };
-        let usable = active_wave
-            .wave
-            .duration
-            .mul_f64(1.0 - WAVE_TIME_RESERVE_SHARE);
-        let passed =
-            now.since(active_wave.started_at).as_secs_f64() / usable.as_secs_f64().max(0.001);
-        let vms = active_wave.vms.len();
-        let begun = vms - active_wave.waiting().count();
-        let begun = (begun + active_wave.max_down) as f64 / vms.max(1) as f64;
-        passed > begun
+        is_too_late_to_wait(&active_wave.load(0, 0, 0, now))
     }
 
     /// Calls for a move immediately, and for maintenance once the call is stored: a successor must
--- a/rhubarbfall-runs/tests/vm_returns.rs
+++ b/rhubarbfall-runs/tests/vm_returns.rs
@@ -23,8 +23,8 @@
     format!("vm-{index}").parse().expect("valid VM name")
 }
 
-fn worker(name: &str) -> Option<WorkerId> {
-    Some(name.parse().expect("valid worker name"))
+fn worker(name: &str) -> WorkerId {
+    name.parse().expect("valid worker name")
 }
 
 /// An owner of a wave over three spare VMs, one of which may be down at a time.
@@ -53,7 +53,7 @@
         let wave = Wave {
             id: "1".parse::<WaveId>().expect("valid wave name"),
             vms: (0..VMS).map(vm).collect(),
-            duration: Duration::from_secs(60),
+            duration: Duration::from_mins(1),
             max_down: 1,
         };
         let unix_ms = self.now.as_millis();
@@ -146,7 +146,7 @@
 #[test]
 fn vm_with_the_same_worker_is_back_when_it_is_listed_as_up_again() {
     let mut owner = Owner::new(None);
-    owner.workers = [worker("w-0"), worker("w-1"), worker("w-2")];
+    owner.workers = ["w-0", "w-1", "w-2"].map(|name| Some(worker(name)));
     let first = owner.begin_first();
     owner.states[first] = VmState::Up;
     let (second, after) = owner.next_call(LONGEST_ABSENCE).expect("a second call");
--- a/rhubarbfall-scheduler/src/owner/vm_loop.rs
+++ b/rhubarbfall-scheduler/src/owner/vm_loop.rs
@@ -27,11 +27,25 @@
             let rows = listed.into_iter().filter(is_own).map(|vm| vm.row).collect();
             let now = node.now();
             owner.with(|scheduler| scheduler.vms_listed(rows, polled_at, now));
+            report_waves(&owner);
         }
         tokio::time::sleep(LIST_INTERVAL).await;
     }
 }
 
+/// Sets the gauges of the waves that have VMs left to maintain, for all of them together.
+fn report_waves(owner: &Owner) {
+    let (mut not_begun, mut in_progress, mut room) = (0, 0, 0);
+    for (_, load) in owner.scheduler.borrow().wave_loads() {
+        not_begun += load.not_begun;
+        in_progress += load.in_progress;
+        room = load.room;
+    }
+    metrics::gauge!("wave_vms_not_begun").set(not_begun as f64);
+    metrics::gauge!("wave_vms_in_progress").set(in_progress as f64);
+    metrics::gauge!("wave_room_vms").set(room as f64);
+}
+
 /// Sends an order for a VM in the background and passes the outcome to the scheduler.
 pub(super) fn send_order(node: &Rc<Node>, owner: &Rc<Owner>, vm: VmId, operation: VmOperation) {
     let (node, owner) = (Rc::clone(node), Rc::clone(owner));
