fix(runs): VMs with long-running tasks are drained only when their place is near

Cause: each step lets a task go by itself, so that with many submissions all their VMs were drained at once and stood cordoned and idle, since only few may be away for a wave at a time.

Change: no more VMs of a wave are drained or away than twice as many as may be away, which leaves the tasks of the next round time to go; none with long-running tasks is drained while as many as may be away are in progress.

--- a/rhubarbfall-runs/src/scheduler/wave_choice.rs
+++ b/rhubarbfall-runs/src/scheduler/wave_choice.rs
@@ -13,6 +13,10 @@
 /// How old the count of the VMs beyond what pools need may be.
 const MAX_ROOM_AGE: Duration = Duration::from_millis(300);
 
+/// How many times as many VMs as may be away may be drained or away: while one round is away, the
+/// long-running tasks of the next one leave.
+const DRAINED_ROUNDS: usize = 2;
+
 /// A VM of a wave that may be drained.
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct WaitingVm {
@@ -82,6 +86,8 @@
         }
         let mut draining = self.draining_steps();
         let (mut more, mut in_service) = (pace.more, pace.more_in_service);
+        let operations = self.vm_ops.active.iter();
+        let mut drained = operations.filter(|(_, of)| of.is_for_wave(id)).count();
         let mut chosen = Vec::new();
         for next in waiting {
             if next.steps.is_empty() {
@@ -95,12 +101,14 @@
                 }
                 chosen.push(next.vm);
             } else if in_progress < load.max_down
+                && drained < load.max_down * DRAINED_ROUNDS
                 && next
                     .steps
                     .iter()
                     .any(|step| self.may_drain(step, &draining))
             {
                 draining.extend(next.steps);
+                drained += 1;
                 chosen.push(next.vm);
             }
         }
