fix(runs): spare VMs that are away are not called for

Cause: a spare VM counted as idle in whatever state it was listed. After a takeover those that the earlier owner moves or maintains are in no operation of the new owner, and were called for first; the VM service refuses such a call, and a refusal holds up all further drains for 0.4 s.

Change: a spare VM listed as moving or under maintenance counts in no pool until it is back. One listed as down still counts, since spare VMs are switched off.

Result: tests/vm_returns.rs spare_vm_that_is_away_is_not_moved failed before (vm-2, listed as moving, was called for instead of vm-0) and passes now; pool_shares, lending and evacuation pass unchanged.

--- a/rhubarbfall-runs/src/scheduler/pools.rs
+++ b/rhubarbfall-runs/src/scheduler/pools.rs
@@ -136,7 +136,13 @@
         };
         let mut drainable = Vec::new();
         for row in self.vm_ops.vms().filter(|row| row.pool == service.id) {
-            if row.state != VmState::Up && !service.is_spare || self.vm_ops.is_busy(&row.vm) {
+            // Spare VMs may be listed as down, since they are switched off.
+            let is_available = match row.state {
+                VmState::Up => true,
+                VmState::Down => service.is_spare,
+                VmState::Moving | VmState::Maintenance => false,
+            };
+            if !is_available || self.vm_ops.is_busy(&row.vm) {
                 continue;
             }
             // VMs of an evacuated zone do no work for their pool and move to no other one.
--- a/rhubarbfall-runs/tests/vm_returns.rs
+++ b/rhubarbfall-runs/tests/vm_returns.rs
@@ -265,3 +265,20 @@
     }
     assert!(called.contains(&moved), "{called:?} without {moved}");
 }
+
+/// After a takeover, spare VMs are listed as away for the operations of the earlier owner. They were called
+/// for first, and each refusal held up all other calls for a while.
+#[test]
+fn spare_vm_that_is_away_is_not_moved() {
+    for away in [VmState::Moving, VmState::Maintenance] {
+        let mut owner = Owner::without_wave();
+        owner
+            .scheduler
+            .set_config(config(&["labels", "spare"]).into());
+        owner.states = [VmState::Up, away, away];
+        let work = submission(1, "labels", step(1, 1_000));
+        owner.scheduler.submit(work, owner.now);
+        let (moved, _) = owner.next_call(Duration::from_secs(2)).expect("a move");
+        assert_eq!(moved, 0);
+    }
+}
