docs(runs): why an idle VM stays in its pool for a second

The comment gave the cost of a move as the reason. What callers lose by a shorter time is the wait of work that comes after a pause. The value is unchanged.

--- a/rhubarbfall-runs/src/scheduler/pool_plan.rs
+++ b/rhubarbfall-runs/src/scheduler/pool_plan.rs
@@ -4,8 +4,8 @@
 
 use rhubarbfall_core::{ServiceId, VmId};
 
-/// How long a VM is idle before it moves to the spare pool: a move costs about as much as one
-/// second in a pool.
+/// How long a VM is idle before it moves to the spare pool. Work of its queue that arrives after that
+/// waits for a move back, which takes longer than this.
 const MIN_IDLE_BEFORE_SPARE: Duration = Duration::from_secs(1);
 
 /// How long a VM is idle before it may move to another pool.
