--- a/rhubarbfall-runs/src/scheduler/pools.rs
+++ b/rhubarbfall-runs/src/scheduler/pools.rs
@@ -58,6 +58,7 @@
         }
         let mut pools = self.pool_loads(now);
         self.limit_unused_late_work(&mut pools, now);
+        self.vm_ops.room = Some((vms_left(&pools), now));
         self.log_pools(&pools, now);
         let rate_per_s = self.settings.vm_moves_per_s / f64::from(self.settings.cells);
         // A bucket holds one token at least.
@@ -90,7 +91,7 @@
         }
     }
 
-    fn pool_loads(&self, now: BootTime) -> Vec<PoolLoad> {
+    pub(super) fn pool_loads(&self, now: BootTime) -> Vec<PoolLoad> {
         let vm_sizes = self.vm_sizes();
         let vm_size = |service: &ServiceId| vm_sizes.get(service).copied().unwrap_or_default();
         let mut demand = self.fleet_demand(vm_size, now);
@@ -136,7 +137,13 @@
         };
         let mut drainable = Vec::new();
         for row in self.vm_ops.vms().filter(|row| row.pool == service.id) {
-            if row.state != VmState::Up && !service.is_spare || self.vm_ops.is_busy(&row.vm) {
+            // Spare VMs may be listed as down, since they are switched off.
+            let is_available = match row.state {
+                VmState::Up => true,
+                VmState::Down => service.is_spare,
+                VmState::Moving | VmState::Maintenance => false,
+            };
+            if !is_available || self.vm_ops.is_busy(&row.vm) {
                 continue;
             }
             // VMs of an evacuated zone do no work for their pool and move to no other one.
