test(runs): the wave beside an evacuated zone passes the time of the request

Cause: joining the waves and the evacuation of zones, whose request now carries the time at which it is known. Change: one argument of wave_evacuation.rs. Result: the packages compile, the linter is clean.

--- a/rhubarbfall-runs/tests/wave_evacuation.rs
+++ b/rhubarbfall-runs/tests/wave_evacuation.rs
@@ -30,7 +30,7 @@
     let mut scheduler = Scheduler::new(SchedulerSettings::default());
     scheduler.set_config(config(&["labels", "spare"]).into());
     let zone = |name: &str| -> AvailabilityZoneId { name.parse().expect("valid zone name") };
-    scheduler.set_evacuated_zones([zone("zone-a")]);
+    scheduler.set_evacuated_zones([zone("zone-a")], now);
     // Needs more VMs than there are, and can be in time for all of the wave.
     let work = Step {
         estimate: WAVE_TIME * 4,
