feat(runs): estimates of when runs end, and reservations, as pure modules

Cause: announced estimates are off by kind of request and the tail decides when VMs empty; large tasks wait while small ones take gaps. Change: run_estimates.rs learns by queue and customer, expected_ends.rs keeps a worker's expected ends, reservations.rs holds places; lookahead.rs joins them with the placement pass behind SchedulerSettings::placement_lookahead, off by default.

--- a/rhubarbfall-runs/src/lib.rs
+++ b/rhubarbfall-runs/src/lib.rs
@@ -5,6 +5,7 @@
 //! carry out.
 
 mod cell_layout;
+mod expected_ends;
 mod fleet_config;
 mod job;
 pub mod lending;
@@ -22,6 +23,7 @@
 mod worker_events;
 
 pub use cell_layout::{CellLayout, LayoutError, MAX_CELLS};
+pub use expected_ends::{ExpectedEnds, NEVER};
 pub use fleet_config::{AdviceTiming, Customer, FleetConfig, Queue, Service};
 pub use job::{Job, JobState, Occurrence, StepState};
 pub use progress::{JobProgress, OpenTask, PlacedRun};
--- a/rhubarbfall-runs/src/scheduler/lease_renewal.rs
+++ b/rhubarbfall-runs/src/scheduler/lease_renewal.rs
@@ -212,6 +212,7 @@
             end.kind
         );
         if is_current {
+            self.learn_duration(worker_id, end, now);
             self.release(&end.task, now);
             self.mark_started(&end.task);
             self.end_stage(&end.task, Stage::Running, now);
--- /dev/null
+++ b/rhubarbfall-runs/src/scheduler/lookahead.rs
@@ -0,0 +1,301 @@
+//! Placement by what waits and what ends: which worker empties when, and where room is held.
+
+use std::time::Duration;
+
+use rhubarbfall_core::{BootTime, ServiceId, WorkerId};
+
+use super::Scheduler;
+use super::placing::{PlacementPass, WaitingStep, has_label, is_step_full};
+use super::reservations::{Hold, Passage, Passing, Reservations, RoomTimes, first_room};
+use super::run_estimates::{Forecast, RunEstimates, RunKind};
+use crate::expected_ends::NEVER;
+use crate::{
+    Job, JobState, Resources, RunEnd, RunEndKind, Step, StepId, TaskId, TaskPhase, Worker,
+};
+
+/// The number of parts of a run's length in which the putting off of a VM's emptying is compared.
+const PUT_OFF_PARTS: u128 = 4;
+
+/// What an owner remembers of ended runs and holds for waiting tasks.
+#[derive(Debug, Default)]
+pub(super) struct Lookahead {
+    estimates: RunEstimates,
+    reservations: Reservations,
+}
+
+/// When the tasks of a step are expected to end if they start now.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct StepOutlook {
+    pub(super) now: BootTime,
+    pub(super) likely_end: BootTime,
+    pub(super) late_end: BootTime,
+}
+
+impl StepOutlook {
+    /// Returns by how many quarters of its own length a run puts off the time at which a worker
+    /// is empty.
+    pub(super) fn put_off(&self, worker: &Worker) -> u128 {
+        let busy_until = worker.expected_ends.empties_at().max(self.now);
+        let put_off = self.likely_end.since(busy_until).as_nanos();
+        let length = self.likely_end.since(self.now).as_nanos().max(1);
+        (put_off * PUT_OFF_PARTS).div_ceil(length)
+    }
+}
+
+fn kind<'a>(job: &'a Job, step: &Step) -> RunKind<'a> {
+    RunKind {
+        queue: &job.submission.queue,
+        customer: job.submission.customer.as_ref(),
+        announced: step.estimate,
+    }
+}
+
+impl Scheduler {
+    /// Brings the expected ends of runs up to date, and drops the reservations that do not hold any
+    /// more.
+    pub(super) fn begin_lookahead(
+        &mut self,
+        pass: &mut PlacementPass,
+        waiting_steps: &[WaitingStep],
+    ) {
+        if !self.settings.placement_lookahead {
+            return;
+        }
+        let now = pass.now;
+        for waiting_step in waiting_steps {
+            pass.note_demand(waiting_step);
+        }
+        let (jobs, estimates) = (&self.jobs, &self.lookahead.estimates);
+        for (_, worker) in self.workers.iter_mut() {
+            let placed = &worker.placed;
+            worker.expected_ends.refresh(now, |index, lasted| {
+                let id = placed.get(index);
+                let Some((job, id)) = id.and_then(|id| Some((jobs.get(&id.submission)?, id)))
+                else {
+                    return now;
+                };
+                let step = job.step(id);
+                if step.is_long_running {
+                    return NEVER;
+                }
+                now + estimates.forecast(kind(job, step), lasted).likely
+            });
+        }
+        let is_waiting = |step: &StepId| {
+            let job = jobs.get(&step.submission);
+            let job = job.filter(|job| job.state == JobState::Active);
+            let occurrence = job.and_then(|job| job.occurrences.get(step.occurrence as usize));
+            let run = occurrence.and_then(|run| run.steps.get(usize::from(step.step)));
+            run.is_some_and(|run| {
+                let mut tasks = run.tasks.iter();
+                tasks.any(|task| task.phase == TaskPhase::Waiting)
+            })
+        };
+        let workers = &self.workers;
+        let is_usable = |worker: &WorkerId, service: &ServiceId| {
+            let usable = pass.usable.get(service);
+            usable.into_iter().flatten().any(|index| {
+                let known = workers.get_indexed(*index);
+                known.is_some_and(|(id, _)| id == worker)
+            })
+        };
+        self.lookahead.reservations.retain(|reservation| {
+            let mut holds = reservation.holds.iter();
+            is_waiting(&reservation.step)
+                && holds.all(|hold| is_usable(&hold.worker, &reservation.service))
+        });
+    }
+
+    /// Returns when the tasks of a step end if they start now, or `None` without lookahead.
+    pub(super) fn outlook(&self, job: &Job, step: &Step, now: BootTime) -> Option<StepOutlook> {
+        if !self.settings.placement_lookahead {
+            return None;
+        }
+        if step.is_long_running {
+            return Some(StepOutlook {
+                now,
+                likely_end: NEVER,
+                late_end: NEVER,
+            });
+        }
+        let estimates = &self.lookahead.estimates;
+        let Forecast { likely, late } = estimates.forecast(kind(job, step), Duration::ZERO);
+        Some(StepOutlook {
+            now,
+            likely_end: now + likely,
+            late_end: now + late,
+        })
+    }
+
+    /// Returns whether a task of a step may be placed on a worker where other steps hold room.
+    pub(super) fn passage(
+        &self,
+        worker: &Worker,
+        waiting_step: &WaitingStep,
+        reserved: Resources,
+        outlook: Option<StepOutlook>,
+    ) -> Passage {
+        let reservations = &self.lookahead.reservations;
+        let Some(outlook) = outlook.filter(|_| !reservations.is_empty()) else {
+            return Passage::Free;
+        };
+        let passing = passing(waiting_step, reserved, outlook);
+        reservations.passage(&worker.report.id, &passing)
+    }
+
+    /// Records the expected end of a task that was just placed on a worker.
+    pub(super) fn expect_end(&mut self, id: &TaskId, worker: &WorkerId, now: BootTime) {
+        let Some(job) = self.jobs.get(&id.submission) else {
+            return;
+        };
+        let Some(outlook) = self.outlook(job, job.step(id), now) else {
+            return;
+        };
+        if let Some(worker) = self.workers.get_mut(worker) {
+            worker.expected_ends.set_last(now, outlook.likely_end);
+        }
+    }
+
+    /// Records that a task has taken room on a worker beside what others hold there.
+    pub(super) fn take_passage(
+        &mut self,
+        worker: &WorkerId,
+        waiting_step: &WaitingStep,
+        step: &Step,
+        pass: &mut PlacementPass,
+    ) {
+        pass.placed_of_step += 1;
+        if let Some(outlook) = pass.outlook {
+            let passing = passing(waiting_step, step.reserved(), outlook);
+            self.lookahead.reservations.passed(worker, &passing);
+        }
+    }
+
+    /// Learns from a run that is done how long such runs last; must be called before its place is
+    /// released.
+    pub(super) fn learn_duration(&mut self, worker: &WorkerId, end: &RunEnd, now: BootTime) {
+        if !self.settings.placement_lookahead || end.kind != RunEndKind::Done {
+            return;
+        }
+        let Some(worker) = self.workers.get(worker) else {
+            return;
+        };
+        let index = worker.placed.iter().position(|task| *task == end.task);
+        let lasted = index.and_then(|index| worker.expected_ends.lasted(index, now));
+        let (Some(lasted), Some(job)) = (lasted, self.jobs.get(&end.task.submission)) else {
+            return;
+        };
+        let step = job.step(&end.task);
+        if !step.is_long_running {
+            let estimates = &mut self.lookahead.estimates;
+            estimates.record(kind(job, step), lasted, now);
+        }
+    }
+
+    /// Ends the reservation of a step of which a task was placed, and holds a place for one that
+    /// fits nowhere.
+    pub(super) fn settle_reservation(
+        &mut self,
+        waiting_step: &WaitingStep,
+        step: &Step,
+        is_placed: bool,
+        pass: &PlacementPass,
+    ) {
+        if pass.placed_of_step > 0 && self.lookahead.reservations.remove(&waiting_step.step) {
+            // Steps that come earlier in the pass may have been kept out.
+            self.needs_placement = true;
+        }
+        if !is_placed {
+            self.hold_place(waiting_step, step, pass);
+        }
+    }
+
+    /// Returns whether room is held for a step.
+    pub(super) const fn has_reservations(&self) -> bool {
+        !self.lookahead.reservations.is_empty()
+    }
+
+    /// Holds the place where room for a step that fits nowhere comes first.
+    fn hold_place(&mut self, waiting_step: &WaitingStep, step: &Step, pass: &PlacementPass) {
+        let now = pass.now;
+        if !self.settings.placement_lookahead || waiting_step.needs_ticket {
+            return;
+        }
+        let reserved = step.reserved();
+        let standing = waiting_step.rank.standing();
+        let reservations = &self.lookahead.reservations;
+        let (service, id) = (&waiting_step.service, &waiting_step.step);
+        let is_passed = step.is_gang || pass.has_smaller(service, reserved);
+        if !is_passed || !reservations.is_due(service, id, standing, now) {
+            return;
+        }
+        let Some(job) = self.jobs.get(&id.submission) else {
+            return;
+        };
+        let tasks = if step.is_gang { step.tasks as usize } else { 1 };
+        let demand = step.demand.times(tasks as u64);
+        if !self.is_within_customer_limit(job.submission.customer.as_ref(), demand) {
+            return;
+        }
+        let first_index = waiting_step.indexes.first().copied().unwrap_or_default();
+        let task = job.task(&id.task(first_index));
+        let avoided = task.and_then(|task| task.avoided_worker.as_ref());
+        let max_tasks = step
+            .max_per_worker
+            .map_or(tasks, |max| tasks.min(max as usize));
+        let usable = pass.usable.get(service).into_iter().flatten();
+        let candidates = usable
+            .filter_map(|index| self.workers.get_indexed(*index).map(|(_, worker)| worker))
+            .filter(|worker| reserved.fits_in(worker.report.capacity))
+            .filter(|worker| has_label(worker, step) && !is_step_full(worker, id, step))
+            .filter(|worker| !reservations.is_held_for_other(&worker.report.id, id));
+        let rooms: Vec<RoomTimes> = candidates
+            .map(|worker| {
+                let awaits_wave = step.is_long_running && pass.awaits_wave(&worker.report.id);
+                let is_avoided = avoided == Some(&worker.report.id);
+                let free = worker.free_capacity();
+                RoomTimes {
+                    reluctance: u8::from(is_avoided) * 2 + u8::from(awaits_wave),
+                    worker: worker.report.id.clone(),
+                    times: worker
+                        .expected_ends
+                        .room_times(free, reserved, max_tasks, now),
+                }
+            })
+            .collect();
+        let Some((expected_at, places)) = first_room(&rooms, tasks) else {
+            return;
+        };
+        let hold = |(worker, count): (WorkerId, u64)| {
+            let known = self.workers.get(&worker);
+            let by_then = known
+                .map(|known| known.free_capacity() + known.expected_ends.freed_by(expected_at));
+            Hold {
+                spare: by_then
+                    .unwrap_or_default()
+                    .saturating_sub(reserved.times(count)),
+                worker,
+            }
+        };
+        let holds: Vec<Hold> = places.into_iter().map(hold).collect();
+        log::info!(
+            "event=place_reserved id={} worker={} workers={} expected_wait={:?}",
+            id.task(first_index),
+            holds[0].worker,
+            holds.len(),
+            expected_at.since(now)
+        );
+        let (service, id) = (service.clone(), id.clone());
+        let reservations = &mut self.lookahead.reservations;
+        reservations.hold(service, id, standing, (expected_at, holds), now);
+    }
+}
+
+fn passing(waiting_step: &WaitingStep, reserved: Resources, outlook: StepOutlook) -> Passing<'_> {
+    Passing {
+        step: &waiting_step.step,
+        standing: waiting_step.rank.standing(),
+        reserved,
+        late_end: outlook.late_end,
+    }
+}
--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -12,6 +12,7 @@
 mod late_jobs;
 mod lease_renewal;
 mod listing;
+mod lookahead;
 mod ordering;
 mod orders;
 mod pacing;
@@ -22,6 +23,8 @@
 mod recent_work;
 mod recovery;
 mod refused_rows;
+mod reservations;
+pub mod run_estimates;
 mod settings;
 mod start_rate;
 mod starting;
@@ -93,6 +96,7 @@
     /// The placed tasks whose start has not been answered yet, sorted.
     pending_starts: Vec<TaskId>,
     start_rate: start_rate::StartRate,
+    lookahead: lookahead::Lookahead,
     shares: cell_shares::CellShares,
     evacuation: evacuation::Evacuation,
     pools_logged_at: BootTime,
@@ -134,6 +138,7 @@
             cleared_jobs: Vec::new(),
             pending_starts: Vec::new(),
             start_rate: start_rate::StartRate::default(),
+            lookahead: lookahead::Lookahead::default(),
             shares: cell_shares::CellShares::default(),
             evacuation: evacuation::Evacuation::default(),
             pools_logged_at: BootTime::default(),
@@ -198,6 +203,8 @@
             self.tick_vm_operations(now);
             self.send_due_stops(now);
             self.count_start_backlog(now);
+            // A held place may be due to move, or no longer be needed.
+            self.needs_placement |= self.has_reservations();
         }
         self.place_waiting(now);
         self.log_absent(now);
--- a/rhubarbfall-runs/src/scheduler/ordering.rs
+++ b/rhubarbfall-runs/src/scheduler/ordering.rs
@@ -17,6 +17,19 @@
     latest_start: BootTime,
 }
 
+/// The part of a rank that no wait changes the order of: steps of a better standing are never kept
+/// from room that they need.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Standing(Tier, u32);
+
+impl Standing {
+    /// Returns the standing of work that can be in time, with this priority of its queue.
+    #[cfg(test)]
+    pub(super) const fn in_time(priority: u32) -> Self {
+        Self(Tier::InTime, priority)
+    }
+}
+
 /// The best outcome that is still possible for a submission, in start order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Tier {
@@ -86,6 +99,11 @@
         self.latest_start
     }
 
+    /// Returns the tier and priority.
+    pub(super) const fn standing(&self) -> Standing {
+        Standing(self.tier, self.priority)
+    }
+
     /// Ranks the job with those that can only be late.
     pub(super) const fn demote(&mut self) {
         self.tier = Tier::Late;
--- a/rhubarbfall-runs/src/scheduler/placing.rs
+++ b/rhubarbfall-runs/src/scheduler/placing.rs
@@ -4,7 +4,9 @@
 use rhubarbfall_core::{BootTime, CustomerId, ServiceId, SubmissionId, WorkerId};
 
 use super::Scheduler;
+use super::lookahead::StepOutlook;
 use super::ordering::{Candidate, Rank, beyond_capacity, load_s, rank};
+use super::reservations::Passage;
 use crate::row_size::{always_fits, room_for_new_tasks};
 use crate::{
     JobState, Placement, Resources, RunState, Stage, Step, StepId, TaskId, TaskPhase, Worker,
@@ -16,27 +18,56 @@
 
 /// Values computed once for a placement pass.
 #[derive(Debug, Default)]
-struct PlacementPass {
+pub(super) struct PlacementPass {
     /// The time of the pass.
-    now: BootTime,
+    pub(super) now: BootTime,
     /// The indexes of each service's workers that accept work.
-    usable: LiteMap<ServiceId, Vec<usize>>,
+    pub(super) usable: LiteMap<ServiceId, Vec<usize>>,
     /// The demands for which no worker of a service has capacity; demands at least as large are
     /// skipped.
     unplaceable: LiteMap<ServiceId, Vec<Resources>>,
     /// The workers on VMs that are still due for maintenance in a wave, sorted.
     awaiting_wave: Vec<WorkerId>,
+    /// The smallest demand of the steps that wait for each service, by component.
+    smallest: LiteMap<ServiceId, Resources>,
+    /// When the tasks of the step that is being placed end, or `None` without lookahead.
+    pub(super) outlook: Option<StepOutlook>,
+    /// The number of its tasks that were placed.
+    pub(super) placed_of_step: usize,
 }
 
 /// The tasks of one step that are waiting and may start.
 #[derive(Debug)]
-struct WaitingStep {
-    rank: Rank,
-    step: StepId,
-    service: ServiceId,
+pub(super) struct WaitingStep {
+    pub(super) rank: Rank,
+    pub(super) step: StepId,
+    pub(super) service: ServiceId,
     /// Whether starting the tasks requires a ticket of the advice service.
-    needs_ticket: bool,
-    indexes: Vec<u32>,
+    pub(super) needs_ticket: bool,
+    /// The resources that each task reserves.
+    reserved: Resources,
+    pub(super) indexes: Vec<u32>,
+}
+
+impl PlacementPass {
+    /// Takes the demand of a waiting step into account for [`Self::has_smaller`].
+    pub(super) fn note_demand(&mut self, waiting_step: &WaitingStep) {
+        let reserved = waiting_step.reserved;
+        let known = self.smallest.get(&waiting_step.service).copied();
+        let smallest = known.map_or(reserved, |known| known.min(reserved));
+        self.smallest.insert(waiting_step.service.clone(), smallest);
+    }
+
+    /// Returns whether a step that waits for a service needs less than `demand` of something.
+    pub(super) fn has_smaller(&self, service: &ServiceId, demand: Resources) -> bool {
+        let smallest = self.smallest.get(service);
+        smallest.is_some_and(|smallest| !demand.fits_in(*smallest))
+    }
+
+    /// Returns whether a worker is on a VM that is still due for maintenance in a wave.
+    pub(super) fn awaits_wave(&self, worker: &WorkerId) -> bool {
+        self.awaiting_wave.binary_search(worker).is_ok()
+    }
 }
 
 impl Scheduler {
@@ -52,6 +83,7 @@
         self.demote_beyond_start_rate(&mut waiting_steps, now);
         waiting_steps.sort_by_key(|waiting_step| waiting_step.rank);
         let mut pass = self.new_pass(now);
+        self.begin_lookahead(&mut pass, &waiting_steps);
         self.quarantine_end = self.first_quarantine_end(now);
         let mut is_limited = false;
         for waiting_step in &waiting_steps {
@@ -236,7 +268,7 @@
             let Some(queue) = self.config.queue(&job.submission.queue) else {
                 continue;
             };
-            for (occurrence, number, _, run) in job.open_steps() {
+            for (occurrence, number, step, run) in job.open_steps() {
                 let mut indexes = Vec::new();
                 for (index, task) in run.tasks.iter().enumerate() {
                     if task.phase != TaskPhase::Waiting {
@@ -258,6 +290,7 @@
                         },
                         service: queue.service.clone(),
                         needs_ticket: queue.advice.is_some(),
+                        reserved: step.reserved(),
                         indexes,
                     });
                 }
@@ -272,6 +305,8 @@
             return;
         };
         let step = job.submission.steps[usize::from(waiting_step.step.step)].clone();
+        pass.outlook = self.outlook(job, &step, now);
+        pass.placed_of_step = 0;
         let tasks = waiting_step
             .indexes
             .iter()
@@ -281,6 +316,7 @@
         } else {
             self.place_each(waiting_step, &step, tasks, pass, now)
         };
+        self.settle_reservation(waiting_step, &step, are_placed, pass);
         if !are_placed && waiting_step.needs_ticket {
             let usable = pass.usable.get(&waiting_step.service);
             let usable = usable.map_or(&[][..], Vec::as_slice);
@@ -312,6 +348,7 @@
             };
             let run = self.next_run(&id);
             self.place(&id, &worker, run, now);
+            self.take_passage(&worker, waiting_step, step, pass);
             room -= usize::from(is_new);
         }
         true
@@ -358,6 +395,9 @@
             placed.push((id.clone(), worker));
         }
         if placed.len() == tasks.len() {
+            for (_, worker) in &placed {
+                self.take_passage(worker, waiting_step, step, pass);
+            }
             return true;
         }
         for (id, _) in placed {
@@ -409,6 +449,9 @@
         let mut has_room = false;
         let chosen = fitting
             .inspect(|_| has_room = true)
+            .filter(|worker| {
+                self.passage(worker, waiting_step, reserved, pass.outlook) != Passage::Closed
+            })
             .filter(|worker| has_label(worker, step))
             .filter(|worker| {
                 let ticket = || self.advice.ticket(&waiting_step.step, worker, pass.now);
@@ -422,8 +465,9 @@
                     step.data_rack.is_some() && step.data_rack != worker.report.rack;
                 let interferes = (step.is_best_effort && worker.latency_sensitive_tasks > 0)
                     || (step.tail_latency_target.is_some() && worker.best_effort_tasks > 0);
-                let awaits_wave = step.is_long_running
-                    && pass.awaiting_wave.binary_search(&worker.report.id).is_ok();
+                let awaits_wave = step.is_long_running && pass.awaits_wave(&worker.report.id);
+                let passage = self.passage(worker, waiting_step, reserved, pass.outlook);
+                let put_off = pass.outlook.map_or(0, |outlook| outlook.put_off(worker));
                 let remaining = worker.free_capacity().saturating_sub(step.reserved());
                 (
                     is_avoided,
@@ -431,6 +475,8 @@
                     interferes,
                     is_suspect,
                     is_on_other_rack,
+                    passage,
+                    put_off,
                     remaining.cpu_millis,
                     remaining.memory_mb,
                 )
@@ -463,6 +509,7 @@
         };
         let incarnation_unix_ms = worker.report.incarnation_unix_ms;
         self.reserve(id, worker_id);
+        self.expect_end(id, worker_id, now);
         let Some(job) = self.jobs.get_mut(&id.submission) else {
             return;
         };
@@ -494,14 +541,14 @@
     }
 }
 
-fn has_label(worker: &Worker, step: &Step) -> bool {
+pub(super) fn has_label(worker: &Worker, step: &Step) -> bool {
     step.required_label
         .as_ref()
         .is_none_or(|needed| worker.report.labels.contains(needed))
 }
 
 /// Returns whether a worker has the maximum number of tasks of a step.
-fn is_step_full(worker: &Worker, id: &StepId, step: &Step) -> bool {
+pub(super) fn is_step_full(worker: &Worker, id: &StepId, step: &Step) -> bool {
     let Some(max_tasks) = step.max_per_worker else {
         return false;
     };
--- /dev/null
+++ b/rhubarbfall-runs/src/scheduler/reservations.rs
@@ -0,0 +1,222 @@
+//! Places that are held for tasks that fit nowhere, so that smaller ones do not take each gap.
+//!
+//! The load: a pool has room for a large task or a gang in total, but small tasks take what each
+//! ended run frees, and the large one waits for as long as small ones come. The place where room
+//! comes first is therefore held; smaller tasks pass there if they end before, or fit beside it.
+
+#[cfg(test)]
+mod tests;
+
+use std::time::Duration;
+
+use rhubarbfall_core::{BootTime, ServiceId, WorkerId};
+
+use super::ordering::Standing;
+use crate::{Resources, StepId};
+
+/// The maximum number of reservations for each service.
+const MAX_PER_SERVICE: usize = 2;
+
+/// How often a reservation may move or be estimated again; then its place stays closed.
+const MAX_MOVES: u32 = 3;
+
+/// The longest expected wait: forecasts beyond it say little.
+const MAX_EXPECTED_WAIT: Duration = Duration::from_secs(10);
+
+/// How long room may be late before the reservation is estimated again: lists of ends come at the
+/// interval of lease renewals.
+const PATIENCE: Duration = Duration::from_millis(300);
+
+/// A place that is held for a step.
+#[derive(Debug, Clone)]
+pub(super) struct Reservation {
+    pub(super) service: ServiceId,
+    pub(super) step: StepId,
+    pub(super) standing: Standing,
+    /// When room is expected.
+    pub(super) expected_at: BootTime,
+    /// How often the reservation has moved or was estimated again.
+    moves: u32,
+    pub(super) holds: Vec<Hold>,
+}
+
+/// Room that is held on a worker.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Hold {
+    pub(super) worker: WorkerId,
+    /// The resources beside the held room when it is expected.
+    pub(super) spare: Resources,
+}
+
+/// A task that looks for a worker.
+#[derive(Debug, Clone)]
+pub(super) struct Passing<'a> {
+    pub(super) step: &'a StepId,
+    pub(super) standing: Standing,
+    pub(super) reserved: Resources,
+    /// When nine of ten such runs have ended.
+    pub(super) late_end: BootTime,
+}
+
+/// Whether a task may be placed on a worker where others hold room.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Passage {
+    /// The task delays nobody there.
+    Free,
+    /// The task comes first, but would delay the step that holds room there.
+    IfNeeded,
+    /// The room is held.
+    Closed,
+}
+
+/// The times at which a worker has room for one, two and more tasks, each after the other.
+#[derive(Debug, Clone)]
+pub(super) struct RoomTimes {
+    /// Workers with lower values are preferred.
+    pub(super) reluctance: u8,
+    pub(super) worker: WorkerId,
+    pub(super) times: Vec<BootTime>,
+}
+
+/// The reservations of an owner.
+#[derive(Debug, Default)]
+pub(super) struct Reservations {
+    held: Vec<Reservation>,
+}
+
+impl Reservations {
+    /// Returns whether nothing is held.
+    pub(super) const fn is_empty(&self) -> bool {
+        self.held.is_empty()
+    }
+
+    /// Keeps the reservations for which `is_valid` returns true.
+    pub(super) fn retain(&mut self, is_valid: impl Fn(&Reservation) -> bool) {
+        self.held.retain(is_valid);
+    }
+
+    /// Removes the reservation of a step, and returns whether there was one.
+    pub(super) fn remove(&mut self, step: &StepId) -> bool {
+        let before = self.held.len();
+        self.held.retain(|reservation| reservation.step != *step);
+        self.held.len() < before
+    }
+
+    /// Returns whether a task may be placed on a worker.
+    pub(super) fn passage(&self, worker: &WorkerId, passing: &Passing<'_>) -> Passage {
+        let holds = self.others(passing.step).filter_map(|reservation| {
+            let mut holds = reservation.holds.iter();
+            let hold = holds.find(|hold| hold.worker == *worker)?;
+            Some((reservation, hold))
+        });
+        let passages = holds.map(|(reservation, hold)| {
+            let ends_before = passing.late_end <= reservation.expected_at;
+            if ends_before || passing.reserved.fits_in(hold.spare) {
+                Passage::Free
+            } else if passing.standing < reservation.standing {
+                Passage::IfNeeded
+            } else {
+                Passage::Closed
+            }
+        });
+        passages.max().unwrap_or(Passage::Free)
+    }
+
+    /// Records that a task was placed on a worker, where it takes room beside what is held.
+    pub(super) fn passed(&mut self, worker: &WorkerId, passing: &Passing<'_>) {
+        for reservation in &mut self.held {
+            if reservation.step == *passing.step || passing.late_end <= reservation.expected_at {
+                continue;
+            }
+            for hold in &mut reservation.holds {
+                if hold.worker == *worker {
+                    hold.spare = hold.spare.saturating_sub(passing.reserved);
+                }
+            }
+        }
+    }
+
+    /// Returns whether a step that has just found no room is to be given a place: it has none, or
+    /// the room did not come in time.
+    pub(super) fn is_due(
+        &self,
+        service: &ServiceId,
+        step: &StepId,
+        standing: Standing,
+        now: BootTime,
+    ) -> bool {
+        if let Some(own) = self.held.iter().find(|held| held.step == *step) {
+            return own.moves < MAX_MOVES && now > own.expected_at + PATIENCE;
+        }
+        let mut of_service = self.held.iter().filter(|held| held.service == *service);
+        of_service.clone().count() < MAX_PER_SERVICE
+            || of_service.any(|held| standing < held.standing)
+    }
+
+    /// Returns whether another step holds room on a worker.
+    pub(super) fn is_held_for_other(&self, worker: &WorkerId, step: &StepId) -> bool {
+        let mut others = self.others(step);
+        others.any(|held| held.holds.iter().any(|hold| hold.worker == *worker))
+    }
+
+    /// Holds a place, instead of the step's present one or, beyond the limit for the service, of
+    /// the one with the lowest standing.
+    pub(super) fn hold(
+        &mut self,
+        service: ServiceId,
+        step: StepId,
+        standing: Standing,
+        (expected_at, holds): (BootTime, Vec<Hold>),
+        now: BootTime,
+    ) {
+        let present = self.held.iter().position(|held| held.step == step);
+        let moves = present.map_or(0, |index| self.held.swap_remove(index).moves + 1);
+        let of_service = || self.held.iter().filter(|held| held.service == service);
+        if of_service().count() >= MAX_PER_SERVICE {
+            let lowest = of_service().max_by_key(|held| held.standing);
+            if let Some(lowest) = lowest.map(|held| held.step.clone()) {
+                self.remove(&lowest);
+            }
+        }
+        self.held.push(Reservation {
+            service,
+            step,
+            standing,
+            expected_at: expected_at.min(now + MAX_EXPECTED_WAIT),
+            moves,
+            holds,
+        });
+    }
+
+    fn others<'a>(&'a self, step: &'a StepId) -> impl Iterator<Item = &'a Reservation> {
+        self.held.iter().filter(move |held| held.step != *step)
+    }
+}
+
+/// Returns where `tasks` tasks have room first: when, and how many tasks on which worker. `None` if
+/// the workers never have room for all.
+pub(super) fn first_room(
+    workers: &[RoomTimes],
+    tasks: usize,
+) -> Option<(BootTime, Vec<(WorkerId, u64)>)> {
+    let slots = workers.iter().flat_map(|room| {
+        let times = room.times.iter();
+        times.map(move |at| (room.reluctance, *at, &room.worker))
+    });
+    let mut slots: Vec<_> = slots.collect();
+    if slots.len() < tasks || tasks == 0 {
+        return None;
+    }
+    slots.sort();
+    slots.truncate(tasks);
+    let expected_at = slots.iter().map(|(_, at, _)| *at).max()?;
+    slots.sort_by_key(|(_, _, worker)| *worker);
+    let mut counts: Vec<(WorkerId, u64)> = Vec::new();
+    for (_, _, worker) in slots {
+        match counts.last_mut().filter(|(last, _)| last == worker) {
+            Some((_, count)) => *count += 1,
+            None => counts.push((worker.clone(), 1)),
+        }
+    }
+    Some((expected_at, counts))
+}
--- /dev/null
+++ b/rhubarbfall-runs/src/scheduler/reservations/tests.rs
@@ -0,0 +1,143 @@
+use std::time::Duration;
+
+use rhubarbfall_core::{BootTime, WorkerId};
+
+use super::super::ordering::Standing;
+use super::{Hold, MAX_MOVES, Passage, Passing, Reservations, RoomTimes, first_room};
+use crate::{Resources, StepId};
+
+fn at(seconds: u64) -> BootTime {
+    BootTime::new(Duration::from_secs(seconds))
+}
+
+fn worker(number: usize) -> WorkerId {
+    format!("w-{number}").parse().expect("valid worker name")
+}
+
+fn step(number: u64) -> StepId {
+    StepId {
+        submission: format!("{number:016x}").parse().expect("valid identifier"),
+        occurrence: 0,
+        step: 0,
+    }
+}
+
+fn cpu(cpu_millis: u64) -> Resources {
+    Resources {
+        cpu_millis,
+        ..Resources::default()
+    }
+}
+
+fn holds(number: usize, spare: Resources) -> Vec<Hold> {
+    vec![Hold {
+        worker: worker(number),
+        spare,
+    }]
+}
+
+fn hold(
+    reservations: &mut Reservations,
+    number: u64,
+    standing: Standing,
+    on: usize,
+    now: BootTime,
+) {
+    let service = "labels".parse().expect("valid service name");
+    let place = (now + Duration::from_secs(2), holds(on, cpu(10)));
+    reservations.hold(service, step(number), standing, place, now);
+}
+
+/// Guards against tasks that delay the step for which room is held, and against room that stays
+/// empty although others would be done with it in time.
+#[test]
+fn tasks_that_end_before_or_fit_beside_pass() {
+    let mut reservations = Reservations::default();
+    hold(&mut reservations, 1, Standing::in_time(1), 1, at(100));
+    let (own, other) = (step(1), step(2));
+    let passage = |on: usize, step, standing, cpu_millis, end| {
+        let passing = Passing {
+            step,
+            standing,
+            reserved: cpu(cpu_millis),
+            late_end: end,
+        };
+        reservations.passage(&worker(on), &passing)
+    };
+    let (same, better) = (Standing::in_time(1), Standing::in_time(0));
+    assert_eq!(passage(1, &other, same, 50, at(102)), Passage::Free);
+    assert_eq!(passage(1, &other, same, 10, at(200)), Passage::Free);
+    assert_eq!(passage(1, &other, same, 50, at(103)), Passage::Closed);
+    assert_eq!(passage(1, &other, better, 50, at(103)), Passage::IfNeeded);
+    assert_eq!(passage(1, &own, same, 50, at(103)), Passage::Free);
+    assert_eq!(passage(2, &other, same, 50, at(103)), Passage::Free);
+}
+
+/// Guards against many small tasks that each fit beside the held room, and together do not.
+#[test]
+fn what_passes_beside_the_held_room_uses_it_up() {
+    let mut reservations = Reservations::default();
+    hold(&mut reservations, 1, Standing::in_time(1), 1, at(100));
+    let other = step(2);
+    let passing = Passing {
+        step: &other,
+        standing: Standing::in_time(1),
+        reserved: cpu(6),
+        late_end: at(200),
+    };
+    assert_eq!(reservations.passage(&worker(1), &passing), Passage::Free);
+    reservations.passed(&worker(1), &passing);
+    assert_eq!(reservations.passage(&worker(1), &passing), Passage::Closed);
+}
+
+/// Guards against a place that moves for ever, since the estimates are wrong each time: after some
+/// moves it stays where it is.
+#[test]
+fn a_reservation_moves_a_bounded_number_of_times() {
+    let mut reservations = Reservations::default();
+    let service = "labels".parse().expect("valid service name");
+    let standing = Standing::in_time(1);
+    let (mut now, mut moves) = (at(100), 0);
+    hold(&mut reservations, 1, standing, 1, now);
+    for _ in 0..100 {
+        now = now + Duration::from_secs(1);
+        if reservations.is_due(&service, &step(1), standing, now) {
+            hold(&mut reservations, 1, standing, 1, now);
+            moves += 1;
+        }
+    }
+    assert_eq!(moves, MAX_MOVES);
+}
+
+/// Guards against passes that grow with what waits, and against a lower standing that keeps a better
+/// one from a place.
+#[test]
+fn few_places_are_held_and_better_standings_get_them() {
+    let mut reservations = Reservations::default();
+    let service = "labels".parse().expect("valid service name");
+    hold(&mut reservations, 1, Standing::in_time(1), 1, at(100));
+    hold(&mut reservations, 2, Standing::in_time(2), 2, at(100));
+    let is_due = |reservations: &Reservations, standing| {
+        reservations.is_due(&service, &step(3), standing, at(100))
+    };
+    assert!(!is_due(&reservations, Standing::in_time(2)));
+    assert!(is_due(&reservations, Standing::in_time(1)));
+    hold(&mut reservations, 3, Standing::in_time(1), 3, at(100));
+    assert!(!reservations.is_held_for_other(&worker(2), &step(9)));
+    assert!(reservations.is_held_for_other(&worker(1), &step(9)));
+}
+
+/// Guards against a gang that is promised room which comes at different times: it starts when the
+/// last of its members has room.
+#[test]
+fn a_gang_has_room_when_its_last_member_has() {
+    let room = |number, times: &[u64]| RoomTimes {
+        reluctance: 0,
+        worker: worker(number),
+        times: times.iter().map(|seconds| at(*seconds)).collect(),
+    };
+    let rooms = [room(1, &[101, 109]), room(2, &[103, 104]), room(3, &[])];
+    let first = first_room(&rooms, 3);
+    assert_eq!(first, Some((at(104), vec![(worker(1), 1), (worker(2), 2)])));
+    assert_eq!(first_room(&rooms, 5), None);
+}
--- a/rhubarbfall-runs/src/scheduler/settings.rs
+++ b/rhubarbfall-runs/src/scheduler/settings.rs
@@ -49,6 +49,9 @@
     pub max_operator_view_age: Option<Duration>,
     /// The maximum number of moves per second by all entries together, as limited by the platform.
     pub vm_moves_per_s: f64,
+    /// Whether placement takes into account when runs are expected to end, and holds places for
+    /// tasks that fit nowhere while smaller ones would take each gap.
+    pub placement_lookahead: bool,
 }
 
 impl Default for SchedulerSettings {
@@ -72,6 +75,7 @@
             max_row_bytes: 48 * 1024,
             max_operator_view_age: None,
             vm_moves_per_s: 48.0,
+            placement_lookahead: false,
         }
     }
 }
--- a/rhubarbfall-runs/src/worker.rs
+++ b/rhubarbfall-runs/src/worker.rs
@@ -3,6 +3,7 @@
 
 use rhubarbfall_core::{BootTime, SubmissionId};
 
+use crate::expected_ends::ExpectedEnds;
 use crate::{Resources, Step, TaskId, WorkerReport};
 
 /// The lowest rate of a worker's clock relative to real time, as guaranteed by the platform.
@@ -40,6 +41,8 @@
     pub reserved: Resources,
     /// The tasks placed on the worker.
     pub placed: Vec<TaskId>,
+    /// When the runs of the placed tasks are expected to end, in the same order.
+    pub expected_ends: ExpectedEnds,
     /// Whether a placed task may have been ordered to start on an earlier incarnation.
     pub may_have_earlier_starts: bool,
     /// The number of placed tasks that have a tail latency target.
@@ -91,6 +94,7 @@
             lease_expiry: BootTime::default(),
             reserved: Resources::default(),
             placed: Vec::new(),
+            expected_ends: ExpectedEnds::default(),
             may_have_earlier_starts: true,
             latency_sensitive_tasks: 0,
             best_effort_tasks: 0,
@@ -182,6 +186,7 @@
         self.lease_expiry = earlier.lease_expiry;
         self.reserved = earlier.reserved;
         self.placed = earlier.placed;
+        self.expected_ends = earlier.expected_ends;
         self.latency_sensitive_tasks = earlier.latency_sensitive_tasks;
         self.best_effort_tasks = earlier.best_effort_tasks;
     }
@@ -189,6 +194,7 @@
     /// Adds a task and reserves the resources of its step.
     pub fn add(&mut self, task: TaskId, step: &Step) {
         self.placed.push(task);
+        self.expected_ends.push(step.reserved());
         self.reserved += step.reserved();
         self.latency_sensitive_tasks += u32::from(step.tail_latency_target.is_some());
         self.best_effort_tasks += u32::from(step.is_best_effort);
@@ -200,6 +206,7 @@
             return;
         };
         self.placed.swap_remove(index);
+        self.expected_ends.swap_remove(index);
         self.reserved -= step.reserved();
         self.latency_sensitive_tasks -= u32::from(step.tail_latency_target.is_some());
         self.best_effort_tasks -= u32::from(step.is_best_effort);
--- a/rhubarbfall-runs/tests/model/mod.rs
+++ b/rhubarbfall-runs/tests/model/mod.rs
@@ -99,6 +99,7 @@
     durations: BTreeMap<SubmissionId, Duration>,
     pub(crate) rng: ChaCha8Rng,
     config: FleetConfig,
+    settings: SchedulerSettings,
 }
 
 impl Model {
@@ -113,10 +114,21 @@
             cells,
             ..SchedulerSettings::default()
         };
+        Self::with_settings(pools, seed, settings)
+    }
+
+    /// Creates a fleet whose owners have these settings.
+    pub(crate) fn with_settings(
+        pools: &[(&str, usize)],
+        seed: u64,
+        settings: SchedulerSettings,
+    ) -> Self {
+        let cell = settings.cell;
         let names: Vec<&str> = pools.iter().map(|(name, _)| *name).collect();
         let config = config(&names);
         let mut model = Self {
-            scheduler: Scheduler::new(settings),
+            scheduler: Scheduler::new(settings.clone()),
+            settings,
             now: BootTime::new(Duration::from_secs(100)),
             workers: Vec::new(),
             store: ModelStore::default(),
@@ -543,7 +555,7 @@
     /// Replaces the owner by one that knows only what is stored.
     pub(crate) fn fail_over(&mut self) {
         self.fence += 1;
-        self.scheduler = Scheduler::new(SchedulerSettings::default());
+        self.scheduler = Scheduler::new(self.settings.clone());
         self.scheduler.set_config(self.config.clone().into());
         let stored = self.store.submissions.iter().map(|(id, bytes)| StoredJob {
             submission: decode_submission(bytes).expect("valid submission record"),
