feat(runs): one firm place for each service, after 10 s

Cause: a late task of a whole VM beside work in time on 86% of four VMs waited 38.6 s of 40 s with reservations that give way to better tiers, as without them (first run of tests/placement_lookahead.rs, seed 1). Change: the step of a service that has waited longest holds its place against better standings from 10 s on.

--- a/rhubarbfall-runs/src/scheduler/lookahead.rs
+++ b/rhubarbfall-runs/src/scheduler/lookahead.rs
@@ -99,11 +99,8 @@
                 known.is_some_and(|(id, _)| id == worker)
             })
         };
-        self.lookahead.reservations.retain(|reservation| {
-            let mut holds = reservation.holds.iter();
-            is_waiting(&reservation.step)
-                && holds.all(|hold| is_usable(&hold.worker, &reservation.service))
-        });
+        let reservations = &mut self.lookahead.reservations;
+        reservations.update(now, is_waiting, is_usable);
     }
 
     /// Returns when the tasks of a step end if they start now, or `None` without lookahead.
--- a/rhubarbfall-runs/src/scheduler/reservations.rs
+++ b/rhubarbfall-runs/src/scheduler/reservations.rs
@@ -23,6 +23,10 @@
 /// The longest expected wait: forecasts beyond it say little.
 const MAX_EXPECTED_WAIT: Duration = Duration::from_secs(10);
 
+/// How long a step waits with a place before that place is held against better standings, too: one
+/// for each service at a time.
+const FIRM_AFTER: Duration = Duration::from_secs(10);
+
 /// How long room may be late before the reservation is estimated again: lists of ends come at the
 /// interval of lease renewals.
 const PATIENCE: Duration = Duration::from_millis(300);
@@ -35,8 +39,13 @@
     pub(super) standing: Standing,
     /// When room is expected.
     pub(super) expected_at: BootTime,
+    /// Since when a place has been held for the step.
+    since: BootTime,
+    /// Whether the place is held against better standings, too.
+    is_firm: bool,
     /// How often the reservation has moved or was estimated again.
     moves: u32,
+    /// The room that is held; none after a worker was lost.
     pub(super) holds: Vec<Hold>,
 }
 
@@ -90,9 +99,30 @@
         self.held.is_empty()
     }
 
-    /// Keeps the reservations for which `is_valid` returns true.
-    pub(super) fn retain(&mut self, is_valid: impl Fn(&Reservation) -> bool) {
-        self.held.retain(is_valid);
+    /// Ends the reservations of steps that no longer wait, gives up places on workers that may not
+    /// get work, and makes the longest wait of each service firm.
+    pub(super) fn update(
+        &mut self,
+        now: BootTime,
+        is_waiting: impl Fn(&StepId) -> bool,
+        is_usable: impl Fn(&WorkerId, &ServiceId) -> bool,
+    ) {
+        self.held.retain(|held| is_waiting(&held.step));
+        for held in &mut self.held {
+            let mut holds = held.holds.iter();
+            if !holds.all(|hold| is_usable(&hold.worker, &held.service)) {
+                held.holds.clear();
+            }
+        }
+        self.held.sort_by_key(|held| held.since);
+        let mut services: Vec<ServiceId> = Vec::new();
+        for held in &mut self.held {
+            let is_first = !services.contains(&held.service);
+            held.is_firm = is_first && now.since(held.since) >= FIRM_AFTER;
+            if held.is_firm {
+                services.push(held.service.clone());
+            }
+        }
     }
 
     /// Removes the reservation of a step, and returns whether there was one.
@@ -113,7 +143,7 @@
             let ends_before = passing.late_end <= reservation.expected_at;
             if ends_before || passing.reserved.fits_in(hold.spare) {
                 Passage::Free
-            } else if passing.standing < reservation.standing {
+            } else if passing.standing < reservation.standing && !reservation.is_firm {
                 Passage::IfNeeded
             } else {
                 Passage::Closed
@@ -146,11 +176,12 @@
         now: BootTime,
     ) -> bool {
         if let Some(own) = self.held.iter().find(|held| held.step == *step) {
-            return own.moves < MAX_MOVES && now > own.expected_at + PATIENCE;
+            let is_late = own.moves < MAX_MOVES && now > own.expected_at + PATIENCE;
+            return own.holds.is_empty() || is_late;
         }
         let mut of_service = self.held.iter().filter(|held| held.service == *service);
         of_service.clone().count() < MAX_PER_SERVICE
-            || of_service.any(|held| standing < held.standing)
+            || of_service.any(|held| standing < held.standing && !held.is_firm)
     }
 
     /// Returns whether another step holds room on a worker.
@@ -170,10 +201,15 @@
         now: BootTime,
     ) {
         let present = self.held.iter().position(|held| held.step == step);
-        let moves = present.map_or(0, |index| self.held.swap_remove(index).moves + 1);
+        let present = present.map(|index| self.held.remove(index));
+        let (since, is_firm, moves) = present.map_or((now, false, 0), |held| {
+            let moves = held.moves + u32::from(!held.holds.is_empty());
+            (held.since, held.is_firm, moves)
+        });
         let of_service = || self.held.iter().filter(|held| held.service == service);
         if of_service().count() >= MAX_PER_SERVICE {
-            let lowest = of_service().max_by_key(|held| held.standing);
+            let lowest = of_service().filter(|held| !held.is_firm);
+            let lowest = lowest.max_by_key(|held| held.standing);
             if let Some(lowest) = lowest.map(|held| held.step.clone()) {
                 self.remove(&lowest);
             }
@@ -183,6 +219,8 @@
             step,
             standing,
             expected_at: expected_at.min(now + MAX_EXPECTED_WAIT),
+            since,
+            is_firm,
             moves,
             holds,
         });
--- a/rhubarbfall-runs/src/scheduler/reservations/tests.rs
+++ b/rhubarbfall-runs/src/scheduler/reservations/tests.rs
@@ -109,6 +109,41 @@
     assert_eq!(moves, MAX_MOVES);
 }
 
+/// Guards against work of a low tier that waits for as long as better ones come: the longest wait of a
+/// service holds its place against these, too, and only it does.
+#[test]
+fn the_longest_wait_of_a_service_is_firm_after_a_time() {
+    let mut reservations = Reservations::default();
+    hold(&mut reservations, 1, Standing::in_time(2), 1, at(100));
+    hold(&mut reservations, 2, Standing::in_time(2), 2, at(100));
+    let other = step(9);
+    let passages = |reservations: &Reservations| {
+        let passing = Passing {
+            step: &other,
+            standing: Standing::in_time(1),
+            reserved: cpu(50),
+            late_end: at(500),
+        };
+        [1, 2].map(|number| reservations.passage(&worker(number), &passing))
+    };
+    reservations.update(at(109), |_| true, |_, _| true);
+    assert_eq!(passages(&reservations), [Passage::IfNeeded; 2]);
+    reservations.update(at(110), |_| true, |_, _| true);
+    assert_eq!(
+        passages(&reservations),
+        [Passage::Closed, Passage::IfNeeded]
+    );
+    // The wait counts on when the worker is lost.
+    reservations.update(at(111), |_| true, |worker, _| worker.as_str() != "w-1");
+    hold(&mut reservations, 1, Standing::in_time(2), 3, at(111));
+    let service = "labels".parse().expect("valid service name");
+    let best = Standing::in_time(0);
+    assert!(reservations.is_due(&service, &other, best, at(111)));
+    hold(&mut reservations, 9, best, 4, at(111));
+    assert!(reservations.is_held_for_other(&worker(3), &other));
+    assert!(!reservations.is_held_for_other(&worker(2), &other));
+}
+
 /// Guards against passes that grow with what waits, and against a lower standing that keeps a better
 /// one from a place.
 #[test]
