--- a/rhubarbfall-runs/src/scheduler/lookahead.rs
+++ b/rhubarbfall-runs/src/scheduler/lookahead.rs
@@ -14,7 +14,10 @@
 };
 
 /// The number of parts of a run's length in which the putting off of a VM's emptying is compared.
-const PUT_OFF_PARTS: u128 = 4;
+const PUT_OFF_PARTS: u128 = 2;
+
+/// The maximum number of searches for room in a pass.
+const MAX_SEARCHES: usize = 16;
 
 /// What an owner remembers of ended runs and holds for waiting tasks.
 #[derive(Debug, Default)]
@@ -32,7 +35,7 @@
 }
 
 impl StepOutlook {
-    /// Returns by how many quarters of its own length a run puts off the time at which a worker
+    /// Returns by how many halves of its own length a run puts off the time at which a worker
     /// is empty.
     pub(super) fn put_off(&self, worker: &Worker) -> u128 {
         let busy_until = worker.expected_ends.empties_at().max(self.now);
@@ -196,7 +199,7 @@
         waiting_step: &WaitingStep,
         step: &Step,
         is_placed: bool,
-        pass: &PlacementPass,
+        pass: &mut PlacementPass,
     ) {
         if pass.placed_of_step > 0 && self.lookahead.reservations.remove(&waiting_step.step) {
             // Steps that come earlier in the pass may have been kept out.
@@ -213,7 +216,7 @@
     }
 
     /// Holds the place where room for a step that fits nowhere comes first.
-    fn hold_place(&mut self, waiting_step: &WaitingStep, step: &Step, pass: &PlacementPass) {
+    fn hold_place(&mut self, waiting_step: &WaitingStep, step: &Step, pass: &mut PlacementPass) {
         let now = pass.now;
         if !self.settings.placement_lookahead || waiting_step.needs_ticket {
             return;
@@ -223,9 +226,11 @@
         let reservations = &self.lookahead.reservations;
         let (service, id) = (&waiting_step.service, &waiting_step.step);
         let is_passed = step.is_gang || pass.has_smaller(service, reserved);
-        if !is_passed || !reservations.is_due(service, id, standing, now) {
+        let may_search = is_passed && pass.searches < MAX_SEARCHES;
+        if !may_search || !reservations.is_due(service, id, standing, now) {
             return;
         }
+        pass.searches += 1;
         let Some(job) = self.jobs.get(&id.submission) else {
             return;
         };
--- a/rhubarbfall-runs/src/scheduler/placing.rs
+++ b/rhubarbfall-runs/src/scheduler/placing.rs
@@ -34,6 +34,8 @@
     pub(super) outlook: Option<StepOutlook>,
     /// The number of its tasks that were placed.
     pub(super) placed_of_step: usize,
+    /// The number of searches for a place to hold.
+    pub(super) searches: usize,
 }
 
 /// The tasks of one step that are waiting and may start.
--- a/rhubarbfall-scheduler/src/settings.rs
+++ b/rhubarbfall-scheduler/src/settings.rs
@@ -105,6 +105,10 @@
     /// Number of VMs of a cell, about; at least 1.
     #[serde(default = "default_vms_per_cell")]
     pub vms_per_cell: usize,
+    /// Whether tasks are placed by when runs are expected to end, and room is held for large tasks
+    /// and gangs that smaller tasks would pass for ever.
+    #[serde(default)]
+    pub placement_lookahead: bool,
     /// Share of a core available to this entry, such as 0.25; above 0.
     #[serde(default = "default_cpu_share")]
     pub cpu_share: f64,
@@ -166,6 +170,7 @@
             max_row_bytes: self.store_row_bytes / 4 * 3,
             vm_moves_per_s: self.vm_calls_per_s * VM_MOVE_SHARE,
             max_operator_view_age: self.max_operator_view_age(),
+            placement_lookahead: self.placement_lookahead,
             ..SchedulerSettings::default()
         }
     }
