--- a/rhubarbfall-runs/src/scheduler/lookahead.rs
+++ b/rhubarbfall-runs/src/scheduler/lookahead.rs
@@ -86,18 +86,13 @@
         }
         let is_waiting = |step: &StepId| {
             let job = jobs.get(&step.submission);
-            let job = job.filter(|job| job.state == JobState::Active);
-            let occurrence = job.and_then(|job| job.occurrences.get(step.occurrence as usize));
-            let run = occurrence.and_then(|run| run.steps.get(usize::from(step.step)));
-            run.is_some_and(|run| {
-                let mut tasks = run.tasks.iter();
-                tasks.any(|task| task.phase == TaskPhase::Waiting)
+            job.is_some_and(|job| {
+                job.state == JobState::Active && first_waiting(job, step).is_some()
             })
         };
         let workers = &self.workers;
         let is_usable = |worker: &WorkerId, service: &ServiceId| {
-            let usable = pass.usable.get(service);
-            usable.into_iter().flatten().any(|index| {
+            pass.usable_of(service).iter().any(|index| {
                 let known = workers.get_indexed(*index);
                 known.is_some_and(|(id, _)| id == worker)
             })
@@ -239,13 +234,15 @@
         if !self.is_within_customer_limit(job.submission.customer.as_ref(), demand) {
             return;
         }
-        let first_index = waiting_step.indexes.first().copied().unwrap_or_default();
+        let Some(first_index) = first_waiting(job, id) else {
+            return;
+        };
         let task = job.task(&id.task(first_index));
         let avoided = task.and_then(|task| task.avoided_worker.as_ref());
         let max_tasks = step
             .max_per_worker
             .map_or(tasks, |max| tasks.min(max as usize));
-        let usable = pass.usable.get(service).into_iter().flatten();
+        let usable = pass.usable_of(service).iter();
         let candidates = usable
             .filter_map(|index| self.workers.get_indexed(*index).map(|(_, worker)| worker))
             .filter(|worker| reserved.fits_in(worker.report.capacity))
@@ -301,3 +298,12 @@
         late_end: outlook.late_end,
     }
 }
+
+/// Returns the index of the first waiting task of a step.
+fn first_waiting(job: &Job, step: &StepId) -> Option<u32> {
+    let occurrence = job.occurrences.get(step.occurrence as usize)?;
+    let run = occurrence.steps.get(usize::from(step.step))?;
+    let mut tasks = run.tasks.iter();
+    let index = tasks.position(|task| task.phase == TaskPhase::Waiting)?;
+    Some(index as u32)
+}
--- a/rhubarbfall-runs/src/scheduler/placing.rs
+++ b/rhubarbfall-runs/src/scheduler/placing.rs
@@ -22,7 +22,7 @@
     /// The time of the pass.
     pub(super) now: BootTime,
     /// The indexes of each service's workers that accept work.
-    pub(super) usable: LiteMap<ServiceId, Vec<usize>>,
+    usable: LiteMap<ServiceId, Vec<usize>>,
     /// The demands for which no worker of a service has capacity; demands at least as large are
     /// skipped.
     unplaceable: LiteMap<ServiceId, Vec<Resources>>,
@@ -48,7 +48,7 @@
     pub(super) needs_ticket: bool,
     /// The resources that each task reserves.
     reserved: Resources,
-    pub(super) indexes: Vec<u32>,
+    indexes: Vec<u32>,
 }
 
 impl PlacementPass {
@@ -66,6 +66,11 @@
         smallest.is_some_and(|smallest| !demand.fits_in(*smallest))
     }
 
+    /// Returns the indexes of a service's workers that accept work.
+    pub(super) fn usable_of(&self, service: &ServiceId) -> &[usize] {
+        self.usable.get(service).map_or(&[], Vec::as_slice)
+    }
+
     /// Returns whether a worker is on a VM that is still due for maintenance in a wave.
     pub(super) fn awaits_wave(&self, worker: &WorkerId) -> bool {
         self.awaiting_wave.binary_search(worker).is_ok()
--- a/rhubarbfall-runs/tests/placement_lookahead.rs
+++ b/rhubarbfall-runs/tests/placement_lookahead.rs
@@ -92,7 +92,7 @@
 }
 
 /// How long small tasks come beside the large submission.
-const SMALL_TASKS_FOR: Duration = Duration::from_secs(60);
+const SMALL_TASKS_FOR: Duration = Duration::from_mins(1);
 
 /// The bound that docs/design/placement.md states: the time after which a place is firm, four
 /// expected waits of 10 s with what each may be late by, and the longest run.
