perf(runs): fewer and cheaper searches for room to hold

Change: one place for each service and pass; a single task's search neither sorts nor allocates; a task that finds only held room speaks for those that need as much for as long.

--- a/rhubarbfall-runs/src/expected_ends.rs
+++ b/rhubarbfall-runs/src/expected_ends.rs
@@ -100,6 +100,32 @@
         ending.fold(Resources::default(), |sum, run| sum + run.reserved)
     }
 
+    /// Returns when there is room for a task of a demand, given what is free now, or `None` if that is
+    /// not before `before`.
+    #[must_use]
+    pub fn room_before(
+        &self,
+        before: BootTime,
+        free: Resources,
+        demand: Resources,
+        now: BootTime,
+    ) -> Option<BootTime> {
+        let (mut free, mut at) = (free, now);
+        let mut ended = None;
+        while !demand.fits_in(free) {
+            let later = self
+                .runs
+                .iter()
+                .filter(|run| ended.is_none_or(|at| run.at > at));
+            let end = later.map(|run| run.at).min().filter(|end| *end < before)?;
+            let ending = self.runs.iter().filter(|run| run.at == end);
+            free = ending.fold(free, |free, run| free + run.reserved);
+            ended = Some(end);
+            at = end.max(now);
+        }
+        Some(at).filter(|at| *at < before)
+    }
+
     /// Returns when there is room for one, two and more tasks of a demand, up to `max_tasks`, given
     /// what is free now.
     #[must_use]
@@ -112,7 +138,7 @@
     ) -> Vec<BootTime> {
         let mut ends: Vec<(BootTime, Resources)> =
             self.runs.iter().map(|run| (run.at, run.reserved)).collect();
-        ends.sort_by_key(|(at, _)| *at);
+        ends.sort_unstable_by_key(|(at, _)| *at);
         let mut times = Vec::new();
         let (mut free, mut at) = (free, now);
         let mut ends = ends.into_iter().filter(|(at, _)| *at < NEVER);
--- a/rhubarbfall-runs/src/scheduler/lookahead.rs
+++ b/rhubarbfall-runs/src/scheduler/lookahead.rs
@@ -5,6 +5,7 @@
 use rhubarbfall_core::{BootTime, ServiceId, WorkerId};
 
 use super::Scheduler;
+use super::ordering::Standing;
 use super::placing::{PlacementPass, WaitingStep, has_label, is_step_full};
 use super::reservations::{Hold, Passage, Passing, Reservations, RoomTimes, first_room};
 use super::run_estimates::{Forecast, RunEstimates, RunKind};
@@ -16,9 +17,6 @@
 /// The number of parts of a run's length in which the putting off of a VM's emptying is compared.
 const PUT_OFF_PARTS: u128 = 2;
 
-/// The maximum number of searches for room in a pass.
-const MAX_SEARCHES: usize = 16;
-
 /// What an owner remembers of ended runs and holds for waiting tasks.
 #[derive(Debug, Default)]
 pub(super) struct Lookahead {
@@ -34,6 +32,15 @@
     pub(super) late_end: BootTime,
 }
 
+/// A task that found no room but held room; others that need as much, for as long, are skipped.
+#[derive(Debug)]
+pub(super) struct ClosedTo {
+    pub(super) service: ServiceId,
+    pub(super) standing: Standing,
+    pub(super) reserved: Resources,
+    pub(super) late_end: BootTime,
+}
+
 impl StepOutlook {
     /// Returns by how many halves of its own length a run puts off the time at which a worker
     /// is empty.
@@ -122,6 +129,27 @@
         })
     }
 
+    /// Returns whether another task has shown in this pass that there is no room but held room.
+    pub(super) fn is_closed_to(
+        &self,
+        waiting_step: &WaitingStep,
+        reserved: Resources,
+        pass: &PlacementPass,
+    ) -> bool {
+        let Some(outlook) = pass.outlook.filter(|_| !pass.closed.is_empty()) else {
+            return false;
+        };
+        let standing = waiting_step.rank.standing();
+        let mut closed = pass.closed.iter();
+        let is_closed = closed.any(|closed| {
+            closed.standing <= standing
+                && closed.late_end <= outlook.late_end
+                && closed.reserved.fits_in(reserved)
+                && closed.service == waiting_step.service
+        });
+        is_closed && !self.lookahead.reservations.has(&waiting_step.step)
+    }
+
     /// Returns whether a task of a step may be placed on a worker where other steps hold room.
     pub(super) fn passage(
         &self,
@@ -197,6 +225,7 @@
         pass: &mut PlacementPass,
     ) {
         if pass.placed_of_step > 0 && self.lookahead.reservations.remove(&waiting_step.step) {
+            pass.closed.clear();
             // Steps that come earlier in the pass may have been kept out.
             self.needs_placement = true;
         }
@@ -221,50 +250,15 @@
         let reservations = &self.lookahead.reservations;
         let (service, id) = (&waiting_step.service, &waiting_step.step);
         let is_passed = step.is_gang || pass.has_smaller(service, reserved);
-        let may_search = is_passed && pass.searches < MAX_SEARCHES;
+        // One place for each service and pass: a search looks at all runs of the service.
+        let may_search = is_passed && !pass.given_place.contains(service);
         if !may_search || !reservations.is_due(service, id, standing, now) {
             return;
         }
-        pass.searches += 1;
-        let Some(job) = self.jobs.get(&id.submission) else {
-            return;
-        };
-        let tasks = if step.is_gang { step.tasks as usize } else { 1 };
-        let demand = step.demand.times(tasks as u64);
-        if !self.is_within_customer_limit(job.submission.customer.as_ref(), demand) {
-            return;
-        }
-        let Some(first_index) = first_waiting(job, id) else {
-            return;
-        };
-        let task = job.task(&id.task(first_index));
-        let avoided = task.and_then(|task| task.avoided_worker.as_ref());
-        let max_tasks = step
-            .max_per_worker
-            .map_or(tasks, |max| tasks.min(max as usize));
-        let usable = pass.usable_of(service).iter();
-        let candidates = usable
-            .filter_map(|index| self.workers.get_indexed(*index).map(|(_, worker)| worker))
-            .filter(|worker| reserved.fits_in(worker.report.capacity))
-            .filter(|worker| has_label(worker, step) && !is_step_full(worker, id, step))
-            .filter(|worker| !reservations.is_held_for_other(&worker.report.id, id));
-        let rooms: Vec<RoomTimes> = candidates
-            .map(|worker| {
-                let awaits_wave = step.is_long_running && pass.awaits_wave(&worker.report.id);
-                let is_avoided = avoided == Some(&worker.report.id);
-                let free = worker.free_capacity();
-                RoomTimes {
-                    reluctance: u8::from(is_avoided) * 2 + u8::from(awaits_wave),
-                    worker: worker.report.id.clone(),
-                    times: worker
-                        .expected_ends
-                        .room_times(free, reserved, max_tasks, now),
-                }
-            })
-            .collect();
-        let Some((expected_at, places)) = first_room(&rooms, tasks) else {
+        let Some((expected_at, places)) = self.first_place(waiting_step, step, pass) else {
             return;
         };
+        pass.given_place.push(service.clone());
         let hold = |(worker, count): (WorkerId, u64)| {
             let known = self.workers.get(&worker);
             let by_then = known
@@ -277,9 +271,11 @@
             }
         };
         let holds: Vec<Hold> = places.into_iter().map(hold).collect();
+        let job = self.jobs.get(&id.submission);
+        let first_index = job.and_then(|job| first_waiting(job, id));
         log::info!(
             "event=place_reserved id={} worker={} workers={} expected_wait={:?}",
-            id.task(first_index),
+            id.task(first_index.unwrap_or_default()),
             holds[0].worker,
             holds.len(),
             expected_at.since(now)
@@ -288,6 +284,72 @@
         let reservations = &mut self.lookahead.reservations;
         reservations.hold(service, id, standing, (expected_at, holds), now);
     }
+
+    /// Returns where room for a step comes first: when, and for how many of its tasks on which worker.
+    fn first_place(
+        &self,
+        waiting_step: &WaitingStep,
+        step: &Step,
+        pass: &PlacementPass,
+    ) -> Option<(BootTime, Vec<(WorkerId, u64)>)> {
+        let (service, id) = (&waiting_step.service, &waiting_step.step);
+        let (now, reserved) = (pass.now, step.reserved());
+        let reservations = &self.lookahead.reservations;
+        let job = self.jobs.get(&id.submission)?;
+        let tasks = if step.is_gang { step.tasks as usize } else { 1 };
+        let demand = step.demand.times(tasks as u64);
+        if !self.is_within_customer_limit(job.submission.customer.as_ref(), demand) {
+            return None;
+        }
+        let task = job.task(&id.task(first_waiting(job, id)?));
+        let avoided = task.and_then(|task| task.avoided_worker.as_ref());
+        let usable = pass.usable_of(service).iter();
+        let candidates = usable
+            .filter_map(|index| self.workers.get_indexed(*index).map(|(_, worker)| worker))
+            .filter(|worker| reserved.fits_in(worker.report.capacity));
+        let may_hold = |worker: &Worker| {
+            has_label(worker, step)
+                && !is_step_full(worker, id, step)
+                && !reservations.is_held_for_other(&worker.report.id, id)
+        };
+        let reluctance = |worker: &Worker| {
+            let awaits_wave = step.is_long_running && pass.awaits_wave(&worker.report.id);
+            u8::from(avoided == Some(&worker.report.id)) * 2 + u8::from(awaits_wave)
+        };
+        if step.is_gang {
+            let max_tasks = step
+                .max_per_worker
+                .map_or(tasks, |max| tasks.min(max as usize));
+            let rooms = candidates.filter(|worker| may_hold(worker)).map(|worker| {
+                let free = worker.free_capacity();
+                let ends = &worker.expected_ends;
+                RoomTimes {
+                    reluctance: reluctance(worker),
+                    worker: worker.report.id.clone(),
+                    times: ends.room_times(free, reserved, max_tasks, now),
+                }
+            });
+            first_room(&rooms.collect::<Vec<_>>(), tasks)
+        } else {
+            let mut best: Option<(u8, BootTime, &Worker)> = None;
+            for worker in candidates {
+                let reluctance = reluctance(worker);
+                let before = match best {
+                    Some((best, _, _)) if reluctance > best => continue,
+                    Some((best, at, _)) if reluctance == best => at,
+                    _ => NEVER,
+                };
+                let free = worker.free_capacity();
+                let at = worker
+                    .expected_ends
+                    .room_before(before, free, reserved, now);
+                if let Some(at) = at.filter(|_| may_hold(worker)) {
+                    best = Some((reluctance, at, worker));
+                }
+            }
+            best.map(|(_, at, worker)| (at, vec![(worker.report.id.clone(), 1)]))
+        }
+    }
 }
 
 fn passing(waiting_step: &WaitingStep, reserved: Resources, outlook: StepOutlook) -> Passing<'_> {
--- a/rhubarbfall-runs/src/scheduler/placing.rs
+++ b/rhubarbfall-runs/src/scheduler/placing.rs
@@ -4,7 +4,7 @@
 use rhubarbfall_core::{BootTime, CustomerId, ServiceId, SubmissionId, WorkerId};
 
 use super::Scheduler;
-use super::lookahead::StepOutlook;
+use super::lookahead::{ClosedTo, StepOutlook};
 use super::ordering::{Candidate, Rank, beyond_capacity, load_s, rank};
 use super::reservations::Passage;
 use crate::row_size::{always_fits, room_for_new_tasks};
@@ -34,8 +34,10 @@
     pub(super) outlook: Option<StepOutlook>,
     /// The number of its tasks that were placed.
     pub(super) placed_of_step: usize,
-    /// The number of searches for a place to hold.
-    pub(super) searches: usize,
+    /// The tasks that found no room but held room.
+    pub(super) closed: Vec<ClosedTo>,
+    /// The services for whose steps a place was held in this pass.
+    pub(super) given_place: Vec<ServiceId>,
 }
 
 /// The tasks of one step that are waiting and may start.
@@ -60,6 +62,16 @@
         self.smallest.insert(waiting_step.service.clone(), smallest);
     }
 
+    /// Records that a task found no room but held room.
+    fn record_closed(&mut self, waiting_step: &WaitingStep, reserved: Resources) {
+        self.closed.extend(self.outlook.map(|outlook| ClosedTo {
+            service: waiting_step.service.clone(),
+            standing: waiting_step.rank.standing(),
+            reserved,
+            late_end: outlook.late_end,
+        }));
+    }
+
     /// Returns whether a step that waits for a service needs less than `demand` of something.
     pub(super) fn has_smaller(&self, service: &ServiceId, demand: Resources) -> bool {
         let smallest = self.smallest.get(service);
@@ -448,17 +460,21 @@
         {
             return None;
         }
+        if self.is_closed_to(waiting_step, reserved, pass) {
+            return None;
+        }
         let usable = pass.usable.get(&waiting_step.service)?;
         let fitting = usable
             .iter()
             .filter_map(|index| self.workers.get_indexed(*index).map(|(_, worker)| worker))
             .filter(|worker| reserved.fits_in(worker.free_capacity()));
-        let mut has_room = false;
+        let (mut has_room, mut is_open) = (false, false);
         let chosen = fitting
             .inspect(|_| has_room = true)
             .filter(|worker| {
                 self.passage(worker, waiting_step, reserved, pass.outlook) != Passage::Closed
             })
+            .inspect(|_| is_open = true)
             .filter(|worker| has_label(worker, step))
             .filter(|worker| {
                 let ticket = || self.advice.ticket(&waiting_step.step, worker, pass.now);
@@ -492,6 +508,8 @@
         if !has_room {
             let unplaceable = pass.unplaceable.entry(waiting_step.service.clone());
             unplaceable.or_default().push(reserved);
+        } else if !is_open && !step.is_gang {
+            pass.record_closed(waiting_step, reserved);
         }
         chosen
     }
--- a/rhubarbfall-runs/src/scheduler/reservations.rs
+++ b/rhubarbfall-runs/src/scheduler/reservations.rs
@@ -184,6 +184,11 @@
             || of_service.any(|held| standing < held.standing && !held.is_firm)
     }
 
+    /// Returns whether a place is held for a step.
+    pub(super) fn has(&self, step: &StepId) -> bool {
+        self.held.iter().any(|held| held.step == *step)
+    }
+
     /// Returns whether another step holds room on a worker.
     pub(super) fn is_held_for_other(&self, worker: &WorkerId, step: &StepId) -> bool {
         let mut others = self.others(step);
--- a/rhubarbfall-runs/tests/expected_ends.rs
+++ b/rhubarbfall-runs/tests/expected_ends.rs
@@ -65,5 +65,10 @@
     assert_eq!(times(40, 2), [at(102)]);
     assert_eq!(times(70, 1), [at(104)]);
     assert_eq!(times(71, 1), []);
+    let first = |demand, before| ends.room_before(before, cpu(10), cpu(demand), at(101));
+    assert_eq!(first(10, NEVER), Some(at(101)));
+    assert_eq!(first(40, NEVER), Some(at(102)));
+    assert_eq!(first(70, NEVER), Some(at(104)));
+    assert_eq!((first(71, NEVER), first(70, at(104))), (None, None));
     assert_eq!(ends.freed_by(at(102)), cpu(30));
 }
