--- a/rhubarbfall-runs/src/scheduler/lookahead.rs
+++ b/rhubarbfall-runs/src/scheduler/lookahead.rs
@@ -239,22 +239,33 @@
         !self.lookahead.reservations.is_empty()
     }
 
-    /// Holds the place where room for a step that fits nowhere comes first.
-    fn hold_place(&mut self, waiting_step: &WaitingStep, step: &Step, pass: &mut PlacementPass) {
-        let now = pass.now;
+    /// Returns whether a step that finds no room is to be given a place in this pass.
+    pub(super) fn is_place_due(
+        &self,
+        waiting_step: &WaitingStep,
+        step: &Step,
+        pass: &PlacementPass,
+    ) -> bool {
         if !self.settings.placement_lookahead || waiting_step.needs_ticket {
-            return;
+            return false;
         }
-        let reserved = step.reserved();
         let standing = waiting_step.rank.standing();
         let reservations = &self.lookahead.reservations;
         let (service, id) = (&waiting_step.service, &waiting_step.step);
-        let is_passed = step.is_gang || pass.has_smaller(service, reserved);
+        let is_passed = step.is_gang || pass.has_smaller(service, step.reserved());
         // One place for each service and pass: a search looks at all runs of the service.
         let may_search = is_passed && !pass.given_place.contains(service);
-        if !may_search || !reservations.is_due(service, id, standing, now) {
+        may_search && reservations.is_due(service, id, standing, pass.now)
+    }
+
+    /// Holds the place where room for a step that fits nowhere comes first.
+    fn hold_place(&mut self, waiting_step: &WaitingStep, step: &Step, pass: &mut PlacementPass) {
+        if !self.is_place_due(waiting_step, step, pass) {
             return;
         }
+        let (now, reserved) = (pass.now, step.reserved());
+        let standing = waiting_step.rank.standing();
+        let (service, id) = (&waiting_step.service, &waiting_step.step);
         let Some((expected_at, places)) = self.first_place(waiting_step, step, pass) else {
             return;
         };
--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -7,10 +7,13 @@
 mod clearing;
 mod early_cancellations;
 mod evacuation;
+mod free_room;
 mod intake;
 mod interruptions;
+mod job_index;
 mod late_jobs;
 mod lease_renewal;
+mod leaving;
 mod listing;
 mod lookahead;
 mod ordering;
@@ -25,7 +28,9 @@
 mod refused_rows;
 mod reservations;
 pub mod run_estimates;
+mod service_view;
 mod settings;
+mod start_backlog;
 mod start_rate;
 mod starting;
 mod storing;
@@ -47,6 +52,7 @@
 pub use early_cancellations::encode_early_cancellation;
 pub use intake::SubmissionState;
 pub use lease_renewal::LeaseRenewalRequest;
+pub use leaving::ZoneRuns;
 pub use pool_plan::{PoolLoad, PoolNeed, plan_moves};
 pub use recovery::StoredJob;
 pub use settings::SchedulerSettings;
@@ -60,7 +66,7 @@
 pub struct Scheduler {
     settings: SchedulerSettings,
     config: Arc<FleetConfig>,
-    jobs: LiteMap<SubmissionId, Box<Job>>,
+    jobs: job_index::JobIndex,
     early_cancellations: early_cancellations::EarlyCancellations,
     /// The submissions whose stored rows cannot be read.
     unreadable: Vec<SubmissionId>,
@@ -116,7 +122,7 @@
         Self {
             settings,
             config: Arc::new(FleetConfig::default()),
-            jobs: LiteMap::new(),
+            jobs: job_index::JobIndex::default(),
             early_cancellations: early_cancellations::EarlyCancellations::new(),
             unreadable: Vec::new(),
             workers: LiteMap::new(),
@@ -163,7 +169,7 @@
 
     /// Returns the jobs, sorted by identifier.
     pub fn jobs(&self) -> impl Iterator<Item = &Job> {
-        self.jobs.iter().map(|(_, job)| &**job)
+        self.jobs.iter()
     }
 
     /// Returns the known workers, sorted by identifier.
@@ -193,6 +199,7 @@
         if now.since(self.checked_at) >= self.settings.check_interval {
             self.checked_at = now;
             self.check_operator_view(now);
+            self.open_taken_back(now);
             self.drop_expired_workers(now);
             self.requeue_unreachable_inherited(now);
             self.stop_stalled(now);
@@ -201,6 +208,7 @@
             self.stop_long_running_on_draining();
             self.begin_due(unix_ms);
             self.tick_vm_operations(now);
+            self.leave_evacuated_zones(now);
             self.send_due_stops(now);
             self.count_start_backlog(now);
             // A held place may be due to move, or no longer be needed.
--- a/rhubarbfall-runs/src/scheduler/placing.rs
+++ b/rhubarbfall-runs/src/scheduler/placing.rs
@@ -7,9 +7,10 @@
 use super::lookahead::{ClosedTo, StepOutlook};
 use super::ordering::{Candidate, Rank, beyond_capacity, load_s, rank};
 use super::reservations::Passage;
+use super::service_view::FleetView;
 use crate::row_size::{always_fits, room_for_new_tasks};
 use crate::{
-    JobState, Placement, Resources, RunState, Stage, Step, StepId, TaskId, TaskPhase, Worker,
+    Job, Placement, Resources, RunState, Service, Stage, Step, StepId, TaskId, TaskPhase, Worker,
 };
 
 /// The average share of work that is still to be done in the open tasks of a submission that has
@@ -21,8 +22,8 @@
 pub(super) struct PlacementPass {
     /// The time of the pass.
     pub(super) now: BootTime,
-    /// The indexes of each service's workers that accept work.
-    usable: LiteMap<ServiceId, Vec<usize>>,
+    /// The workers of each service.
+    fleet: FleetView,
     /// The demands for which no worker of a service has capacity; demands at least as large are
     /// skipped.
     unplaceable: LiteMap<ServiceId, Vec<Resources>>,
@@ -40,17 +41,52 @@
     pub(super) given_place: Vec<ServiceId>,
 }
 
+impl PlacementPass {
+    /// Returns whether no worker of a service has capacity for a task of a step.
+    fn is_unplaceable(&self, service: &ServiceId, step: &Step) -> bool {
+        let reserved = step.reserved();
+        let unplaceable = self.unplaceable.get(service);
+        unplaceable.is_some_and(|demands| demands.iter().any(|demand| demand.fits_in(reserved)))
+    }
+}
+
+/// What speaks against a worker for a task, the most important first; the least free capacity decides
+/// between equals.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+struct WorkerPreference {
+    is_avoided: bool,
+    awaits_wave: bool,
+    interferes: bool,
+    is_suspect: bool,
+    is_on_other_rack: bool,
+    passage: Passage,
+    /// By how much the task puts off the time at which the worker is empty; 0 without lookahead.
+    put_off: u128,
+}
+
 /// The tasks of one step that are waiting and may start.
 #[derive(Debug)]
 pub(super) struct WaitingStep {
     pub(super) rank: Rank,
     pub(super) step: StepId,
     pub(super) service: ServiceId,
+    /// The position of the service in the configuration.
+    service_number: Option<usize>,
     /// Whether starting the tasks requires a ticket of the advice service.
     pub(super) needs_ticket: bool,
     /// The resources that each task reserves.
     reserved: Resources,
-    indexes: Vec<u32>,
+    /// The number of the tasks.
+    tasks: usize,
+}
+
+/// The work of one service that can be in time.
+#[derive(Debug, Default)]
+struct WorkInTime {
+    /// The submissions that have not begun.
+    candidates: Vec<Candidate>,
+    /// The remaining work of those that have begun, in seconds of one whole worker.
+    begun_load_s: f64,
 }
 
 impl PlacementPass {
@@ -80,7 +116,8 @@
 
     /// Returns the indexes of a service's workers that accept work.
     pub(super) fn usable_of(&self, service: &ServiceId) -> &[usize] {
-        self.usable.get(service).map_or(&[], Vec::as_slice)
+        let service = self.fleet.service(service);
+        service.map_or(&[], |service| &service.usable)
     }
 
     /// Returns whether a worker is on a VM that is still due for maintenance in a wave.
@@ -97,13 +134,19 @@
             self.start_rate.observe(false, now);
             return;
         }
-        let mut waiting_steps = self.waiting_steps(now);
-        self.demote_beyond_capacity(&mut waiting_steps, now);
+        let fleet = self.fleet_view(now);
+        self.quarantine_end = fleet.first_quarantine_end;
+        let (mut waiting_steps, work) = self.waiting_steps(&fleet, now);
+        self.demote_beyond_capacity(&mut waiting_steps, work, &fleet, now);
         self.demote_beyond_start_rate(&mut waiting_steps, now);
         waiting_steps.sort_by_key(|waiting_step| waiting_step.rank);
-        let mut pass = self.new_pass(now);
+        let mut pass = PlacementPass {
+            now,
+            fleet,
+            awaiting_wave: self.workers_awaiting_wave(),
+            ..PlacementPass::default()
+        };
         self.begin_lookahead(&mut pass, &waiting_steps);
-        self.quarantine_end = self.first_quarantine_end(now);
         let mut is_limited = false;
         for waiting_step in &waiting_steps {
             is_limited = self.pending_starts.len() >= self.settings.max_pending_starts;
@@ -115,79 +158,41 @@
         self.start_rate.observe(is_limited, now);
     }
 
-    fn new_pass(&self, now: BootTime) -> PlacementPass {
-        let cordoned = self.vm_ops.cordoned();
-        let mut pass = PlacementPass {
-            now,
-            awaiting_wave: self.workers_awaiting_wave(),
-            ..PlacementPass::default()
-        };
-        if !self.is_operator_view_current(now) {
-            return pass;
-        }
-        for (index, worker) in self.workers().enumerate() {
-            if !self.is_usable(worker, &cordoned, now) {
-                continue;
-            }
-            let service = worker.report.service.clone();
-            pass.usable.entry(service).or_default().push(index);
-        }
-        pass
-    }
-
-    /// Returns when the first of the workers in quarantine may get work again.
-    fn first_quarantine_end(&self, now: BootTime) -> Option<BootTime> {
-        let ends = self.workers().map(|worker| worker.quarantined_until);
-        ends.filter(|end| *end > now).min()
-    }
-
     /// Returns whether tasks may start on a worker, given the sorted workers on VMs with an active
     /// operation.
     pub(super) fn is_usable(&self, worker: &Worker, cordoned: &[WorkerId], now: BootTime) -> bool {
         cordoned.binary_search(&worker.report.id).is_err()
-            && !self.evacuation.includes(&worker.report.availability_zone)
+            && self.evacuation.allows(worker, now)
             && worker.accepts_work(now, self.settings.unreachable_after)
     }
 
     /// Ranks submissions that exceed the capacity with those that can only be late.
-    fn demote_beyond_capacity(&mut self, waiting_steps: &mut [WaitingStep], now: BootTime) {
+    fn demote_beyond_capacity(
+        &mut self,
+        waiting_steps: &mut [WaitingStep],
+        work: Vec<WorkInTime>,
+        fleet: &FleetView,
+        now: BootTime,
+    ) {
         let config = Arc::clone(&self.config);
-        for service in &config.services {
-            let of_service = |waiting_step: &&WaitingStep| waiting_step.service == service.id;
-            let workers = self.usable_workers(&service.id, now);
-            let worker_size = self.worker_size(&service.id);
-            let mut candidates: Vec<Candidate> = Vec::new();
-            for waiting_step in waiting_steps.iter().filter(of_service) {
-                let is_listed = candidates
-                    .last()
-                    .is_some_and(|last| last.id == waiting_step.step.submission);
-                if !waiting_step.rank.is_new_in_time() || is_listed {
-                    continue;
-                }
-                if let Some(job) = self.jobs.get(&waiting_step.step.submission) {
-                    candidates.push(Candidate {
-                        id: waiting_step.step.submission.clone(),
-                        latest_start: waiting_step.rank.latest_start(),
-                        load_s: load_s(job, worker_size),
-                    });
-                }
-            }
-            if candidates.is_empty() {
+        let services = config.services.iter().zip(work).enumerate();
+        let with_candidates = services.filter(|(_, (_, work))| !work.candidates.is_empty());
+        for (number, (service, work)) in with_candidates {
+            let accepting = fleet.service(&service.id).map_or(0, |view| view.accepting);
+            let workers = accepting + self.usable_moving_to(&service.id);
+            let (capacity_per_s, begun_load_s) = (workers.max(1) as f64, work.begun_load_s);
+            let mut deferred = beyond_capacity(work.candidates, begun_load_s, capacity_per_s, now);
+            if deferred.is_empty() {
                 continue;
             }
-            let begun_load_s = self.begun_load_s(&service.id, worker_size, now);
-            let capacity_per_s = workers.max(1) as f64;
-            let mut deferred = beyond_capacity(candidates, begun_load_s, capacity_per_s, now);
             deferred.sort();
             self.record_deferred(&deferred, workers, begun_load_s);
-            for waiting_step in waiting_steps
-                .iter_mut()
-                .filter(|waiting_step| waiting_step.service == service.id)
-            {
-                if deferred
-                    .binary_search(&waiting_step.step.submission)
-                    .is_ok()
-                {
+            let of_service = |waiting_step: &&mut WaitingStep| {
+                waiting_step.service_number == Some(number) && waiting_step.rank.is_new_in_time()
+            };
+            for waiting_step in waiting_steps.iter_mut().filter(of_service) {
+                let id = &waiting_step.step.submission;
+                if deferred.binary_search(id).is_ok() {
                     waiting_step.rank.demote();
                 }
             }
@@ -204,7 +209,7 @@
         let mut begun_starts = 0;
         for waiting_step in waiting_steps.iter() {
             let id = &waiting_step.step.submission;
-            let starts = waiting_step.indexes.len();
+            let starts = waiting_step.tasks;
             if waiting_step.rank.is_begun_in_time() {
                 begun_starts += starts;
             }
@@ -246,100 +251,97 @@
         }
     }
 
-    /// Returns the remaining work of a service's submissions that have begun and can be in time.
-    fn begun_load_s(&self, service: &ServiceId, worker_size: Resources, now: BootTime) -> f64 {
-        self.jobs()
-            .filter(|job| job.state == JobState::Active && job.has_begun)
-            .filter(|job| {
-                let queue = self.config.queue(&job.submission.queue);
-                queue.is_some_and(|queue| {
-                    queue.service == *service && rank(job, queue, now).is_begun_in_time()
-                })
-            })
-            .map(|job| load_s(job, worker_size) * BEGUN_REMAINING_SHARE)
-            .sum()
-    }
-
-    fn usable_workers(&self, service: &ServiceId, now: BootTime) -> usize {
-        let unreachable_after = self.settings.unreachable_after;
-        let is_usable = |worker: &&Worker| {
-            worker.report.service == *service
-                && !self.evacuation.includes(&worker.report.availability_zone)
-                && worker.accepts_work(now, unreachable_after)
-        };
-        self.workers().filter(is_usable).count() + self.vm_ops.moving_to(service)
-    }
-
-    fn worker_size(&self, service: &ServiceId) -> Resources {
-        self.workers()
-            .filter(|worker| worker.report.service == *service)
-            .map(|worker| worker.report.capacity)
-            .fold(Resources::default(), Resources::max)
-    }
-
-    fn waiting_steps(&mut self, now: BootTime) -> Vec<WaitingStep> {
+    /// Returns the steps with tasks that may start, and the work in time of each configured service,
+    /// from one walk over the active jobs.
+    fn waiting_steps(
+        &mut self,
+        fleet: &FleetView,
+        now: BootTime,
+    ) -> (Vec<WaitingStep>, Vec<WorkInTime>) {
+        let services = &self.config.services;
+        let size = |service: &Service| fleet.service(&service.id).map(|view| view.worker_size);
+        let sizes: Vec<Resources> = services
+            .iter()
+            .map(|service| size(service).unwrap_or_default())
+            .collect();
+        let mut work: Vec<WorkInTime> = Vec::new();
+        work.resize_with(services.len(), WorkInTime::default);
         let mut waiting_steps = Vec::new();
         let mut has_delayed_tasks = false;
-        for (id, job) in self.jobs.iter() {
-            if job.state != JobState::Active {
-                continue;
-            }
+        for job in self.jobs.active() {
             let Some(queue) = self.config.queue(&job.submission.queue) else {
                 continue;
             };
+            let rank = rank(job, queue, now);
+            let service_number = services
+                .iter()
+                .position(|service| service.id == queue.service);
+            let steps_before = waiting_steps.len();
             for (occurrence, number, step, run) in job.open_steps() {
-                let mut indexes = Vec::new();
-                for (index, task) in run.tasks.iter().enumerate() {
-                    if task.phase != TaskPhase::Waiting {
-                        continue;
-                    }
-                    if task.not_before <= now {
-                        indexes.push(index as u32);
-                    } else {
-                        has_delayed_tasks = true;
-                    }
+                let mut tasks = 0;
+                for task in &run.tasks {
+                    let is_waiting = task.phase == TaskPhase::Waiting;
+                    let is_due = task.not_before <= now;
+                    tasks += usize::from(is_waiting && is_due);
+                    has_delayed_tasks |= is_waiting && !is_due;
                 }
-                if !indexes.is_empty() {
+                if tasks > 0 {
                     waiting_steps.push(WaitingStep {
-                        rank: rank(job, queue, now),
+                        rank,
                         step: StepId {
-                            submission: id.clone(),
+                            submission: job.submission.id.clone(),
                             occurrence,
                             step: number as u16,
                         },
                         service: queue.service.clone(),
+                        service_number,
                         needs_ticket: queue.advice.is_some(),
                         reserved: step.reserved(),
-                        indexes,
+                        tasks,
                     });
                 }
             }
+            let Some(number) = service_number else {
+                continue;
+            };
+            if rank.is_begun_in_time() {
+                work[number].begun_load_s += load_s(job, sizes[number]) * BEGUN_REMAINING_SHARE;
+            } else if rank.is_new_in_time() && waiting_steps.len() > steps_before {
+                work[number].candidates.push(Candidate {
+                    id: job.submission.id.clone(),
+                    latest_start: rank.latest_start(),
+                    load_s: load_s(job, sizes[number]),
+                });
+            }
         }
         self.needs_placement |= has_delayed_tasks;
-        waiting_steps
+        (waiting_steps, work)
     }
 
     fn place_step(&mut self, waiting_step: &WaitingStep, pass: &mut PlacementPass, now: BootTime) {
         let Some(job) = self.jobs.get(&waiting_step.step.submission) else {
             return;
         };
-        let step = job.submission.steps[usize::from(waiting_step.step.step)].clone();
-        pass.outlook = self.outlook(job, &step, now);
+        let submission = Arc::clone(&job.submission);
+        let step = &submission.steps[usize::from(waiting_step.step.step)];
+        if !waiting_step.needs_ticket
+            && pass.is_unplaceable(&waiting_step.service, step)
+            && !self.is_place_due(waiting_step, step, pass)
+        {
+            return;
+        }
+        pass.outlook = self.outlook(job, step, now);
         pass.placed_of_step = 0;
-        let tasks = waiting_step
-            .indexes
-            .iter()
-            .map(|index| waiting_step.step.task(*index));
+        let tasks = ready_tasks(job, &waiting_step.step, now);
         let are_placed = if step.is_gang {
-            self.place_gang(waiting_step, &step, &tasks.collect::<Vec<_>>(), pass, now)
+            self.place_gang(waiting_step, step, &tasks, pass, now)
         } else {
-            self.place_each(waiting_step, &step, tasks, pass, now)
+            self.place_each(waiting_step, step, tasks.into_iter(), pass, now)
         };
-        self.settle_reservation(waiting_step, &step, are_placed, pass);
+        self.settle_reservation(waiting_step, step, are_placed, pass);
         if !are_placed && waiting_step.needs_ticket {
-            let usable = pass.usable.get(&waiting_step.service);
-            let usable = usable.map_or(&[][..], Vec::as_slice);
-            self.request_advice(&waiting_step.step, &step, usable, now);
+            let usable = pass.usable_of(&waiting_step.service);
+            self.request_advice(&waiting_step.step, step, usable, now);
         }
     }
 
@@ -366,7 +368,9 @@
                 return false;
             };
             let run = self.next_run(&id);
-            self.place(&id, &worker, run, now);
+            self.with_room_of(&mut pass.fleet, &worker, |scheduler| {
+                scheduler.place(&id, &worker, run, now);
+            });
             self.take_passage(&worker, waiting_step, step, pass);
             room -= usize::from(is_new);
         }
@@ -410,7 +414,9 @@
             let Some(worker) = self.choose_worker(id, step, waiting_step, pass) else {
                 break;
             };
-            self.place(id, &worker, run, now);
+            self.with_room_of(&mut pass.fleet, &worker, |scheduler| {
+                scheduler.place(id, &worker, run, now);
+            });
             placed.push((id.clone(), worker));
         }
         if placed.len() == tasks.len() {
@@ -419,8 +425,10 @@
             }
             return true;
         }
-        for (id, _) in placed {
-            self.release(&id, now);
+        for (id, worker) in placed {
+            self.with_room_of(&mut pass.fleet, &worker, |scheduler| {
+                scheduler.release(&id, now);
+            });
             if let Some(job) = self.jobs.get_mut(&id.submission)
                 && let Some(task) = job.task_mut(&id)
             {
@@ -454,57 +462,56 @@
             return None;
         }
         let reserved = step.reserved();
-        let unplaceable = pass.unplaceable.get(&waiting_step.service);
-        if unplaceable
-            .is_some_and(|unplaceable| unplaceable.iter().any(|demand| demand.fits_in(reserved)))
-        {
+        if pass.is_unplaceable(&waiting_step.service, step) {
             return None;
         }
         if self.is_closed_to(waiting_step, reserved, pass) {
             return None;
         }
-        let usable = pass.usable.get(&waiting_step.service)?;
-        let fitting = usable
-            .iter()
-            .filter_map(|index| self.workers.get_indexed(*index).map(|(_, worker)| worker))
-            .filter(|worker| reserved.fits_in(worker.free_capacity()));
+        self.sort_by_room(&mut pass.fleet, &waiting_step.service);
+        let fleet_service = pass.fleet.service(&waiting_step.service)?;
         let (mut has_room, mut is_open) = (false, false);
-        let chosen = fitting
-            .inspect(|_| has_room = true)
-            .filter(|worker| {
-                self.passage(worker, waiting_step, reserved, pass.outlook) != Passage::Closed
-            })
-            .inspect(|_| is_open = true)
-            .filter(|worker| has_label(worker, step))
-            .filter(|worker| {
-                let ticket = || self.advice.ticket(&waiting_step.step, worker, pass.now);
-                !waiting_step.needs_ticket || ticket().is_some()
-            })
-            .filter(|worker| !is_step_full(worker, &waiting_step.step, step))
-            .min_by_key(|worker| {
-                let is_avoided = task.avoided_worker.as_ref() == Some(&worker.report.id);
-                let is_suspect = !worker.failed_submissions.is_empty();
-                let is_on_other_rack =
-                    step.data_rack.is_some() && step.data_rack != worker.report.rack;
-                let interferes = (step.is_best_effort && worker.latency_sensitive_tasks > 0)
-                    || (step.tail_latency_target.is_some() && worker.best_effort_tasks > 0);
-                let awaits_wave = step.is_long_running && pass.awaits_wave(&worker.report.id);
-                let passage = self.passage(worker, waiting_step, reserved, pass.outlook);
-                let put_off = pass.outlook.map_or(0, |outlook| outlook.put_off(worker));
-                let remaining = worker.free_capacity().saturating_sub(step.reserved());
-                (
-                    is_avoided,
-                    awaits_wave,
-                    interferes,
-                    is_suspect,
-                    is_on_other_rack,
-                    passage,
-                    put_off,
-                    remaining.cpu_millis,
-                    remaining.memory_mb,
-                )
-            })
-            .map(|worker| worker.report.id.clone());
+        let mut chosen: Option<(WorkerPreference, &Worker)> = None;
+        // Workers come with the least free capacity first, so that only an earlier part of the
+        // preference can make a later one better.
+        for index in fleet_service.fitting(reserved) {
+            let Some((_, worker)) = self.workers.get_indexed(index) else {
+                continue;
+            };
+            if !reserved.fits_in(worker.free_capacity()) {
+                continue;
+            }
+            has_room = true;
+            let passage = self.passage(worker, waiting_step, reserved, pass.outlook);
+            if passage == Passage::Closed {
+                continue;
+            }
+            is_open = true;
+            if !has_label(worker, step) || is_step_full(worker, &waiting_step.step, step) {
+                continue;
+            }
+            let ticket = || self.advice.ticket(&waiting_step.step, worker, pass.now);
+            if waiting_step.needs_ticket && ticket().is_none() {
+                continue;
+            }
+            let preference = WorkerPreference {
+                is_avoided: task.avoided_worker.as_ref() == Some(&worker.report.id),
+                awaits_wave: step.is_long_running && pass.awaits_wave(&worker.report.id),
+                interferes: (step.is_best_effort && worker.latency_sensitive_tasks > 0)
+                    || (step.tail_latency_target.is_some() && worker.best_effort_tasks > 0),
+                is_suspect: !worker.failed_submissions.is_empty(),
+                is_on_other_rack: step.data_rack.is_some() && step.data_rack != worker.report.rack,
+                passage,
+                put_off: pass.outlook.map_or(0, |outlook| outlook.put_off(worker)),
+            };
+            if chosen.is_none_or(|(best, _)| preference < best) {
+                chosen = Some((preference, worker));
+            }
+            if preference == WorkerPreference::default() {
+                break;
+            }
+        }
+        let chosen = chosen.map(|(_, worker)| worker.report.id.clone());
         if !has_room {
             let unplaceable = pass.unplaceable.entry(waiting_step.service.clone());
             unplaceable.or_default().push(reserved);
@@ -566,6 +573,17 @@
     }
 }
 
+/// Returns the tasks of a step that may start.
+fn ready_tasks(job: &Job, step: &StepId, now: BootTime) -> Vec<TaskId> {
+    let occurrence = job.occurrences.get(step.occurrence as usize);
+    let run = occurrence.and_then(|occurrence| occurrence.steps.get(usize::from(step.step)));
+    let tasks = run.into_iter().flat_map(|run| run.tasks.iter().enumerate());
+    tasks
+        .filter(|(_, task)| task.phase == TaskPhase::Waiting && task.not_before <= now)
+        .map(|(index, _)| step.task(index as u32))
+        .collect()
+}
+
 pub(super) fn has_label(worker: &Worker, step: &Step) -> bool {
     step.required_label
         .as_ref()
--- a/rhubarbfall-runs/src/scheduler/pool_demand.rs
+++ b/rhubarbfall-runs/src/scheduler/pool_demand.rs
@@ -6,7 +6,7 @@
 use super::Scheduler;
 use super::ordering::{Urgency, urgency};
 use super::pool_plan::PoolNeed;
-use crate::{Job, JobState, Queue, Resources, Step, StepState, Task, TaskPhase};
+use crate::{Job, Queue, Resources, Step, StepState, Task, TaskPhase};
 
 /// The factor on the sum of demands that allows for capacity lost in packing tasks of different
 /// sizes.
@@ -121,7 +121,7 @@
         now: BootTime,
     ) -> FleetDemand {
         let mut jobs: Vec<(Urgency, &Job, &Queue)> = Vec::new();
-        for job in self.jobs().filter(|job| job.state == JobState::Active) {
+        for job in self.jobs.active() {
             if let Some(queue) = self.config.queue(&job.submission.queue) {
                 jobs.push((urgency(job, queue, now), job, queue));
             }
@@ -141,6 +141,7 @@
                 let allowed = self.within_limit(customer, step, waiting, &mut usage);
                 if step.is_long_running {
                     let ready = ready_tasks(run, now).min(allowed);
+                    let ready = ready + self.long_running_to_leave(step, &run.tasks);
                     demand.for_waiting_long_running += empty_vms_for(step, ready, vm_size);
                 }
                 match urgency {
@@ -200,6 +201,7 @@
         let demand = step.reserved();
         let can_run = |row: &&super::VmRow| {
             demand.fits_in(row.capacity)
+                && !self.is_in_evacuated_zone(row)
                 && step
                     .required_label
                     .as_ref()
--- a/rhubarbfall-runs/src/scheduler/pools.rs
+++ b/rhubarbfall-runs/src/scheduler/pools.rs
@@ -11,7 +11,8 @@
 use super::pool_plan::{PoolLoad, PoolNeed, plan_moves, vms_left};
 use super::token_bucket::TokenBucket;
 use super::vm_operations::{ActiveOperation, VmOperation, VmPhase, VmState};
-use crate::{Resources, Service, Step, Worker, WorkerState};
+use crate::worker::MAX_SHORT_ESTIMATE;
+use crate::{Resources, Service, Worker, WorkerState};
 
 /// The burst of moves, as a duration at their rate: with a quarter of a second, the platform's
 /// limit for any one second holds if the rate is three quarters of it.
@@ -27,7 +28,7 @@
 const LATE_RETRY_INTERVAL: Duration = Duration::from_secs(10);
 
 /// How long a VM may take to become empty for a move.
-const MAX_MOVE_DRAIN: Duration = Duration::from_secs(3);
+const MAX_MOVE_DRAIN: Duration = MAX_SHORT_ESTIMATE;
 
 /// How long a VM is not drained for a move again after a drain of it was withdrawn.
 const WITHDRAWN_DRAIN_INTERVAL: Duration = Duration::from_secs(10);
@@ -129,7 +130,7 @@
             service: service.id.clone(),
             is_spare: service.is_spare,
             need: PoolNeed::default(),
-            supply: self.vm_ops.moving_to(&service.id),
+            supply: self.usable_moving_to(&service.id),
             idle: Vec::new(),
             drainable: Vec::new(),
         };
@@ -176,27 +177,37 @@
     /// Returns whether a VM with work is empty soon if it gets no new work: all of its tasks are short,
     /// and a drain of it was not withdrawn lately.
     fn is_empty_soon(&self, vm: &VmId, worker: &Worker) -> bool {
-        let is_short = |step: &Step| !step.is_long_running && step.estimate <= MAX_MOVE_DRAIN;
         worker.unexpected_load == Resources::default()
             && self.vm_ops.withdrawn_drains.get(vm).is_none()
-            && worker.placed.iter().all(|id| {
-                let job = self.jobs.get(&id.submission);
-                job.is_some_and(|job| is_short(job.step(id)))
-            })
+            && worker.lasting_tasks == 0
     }
 
-    /// Ends the drains for moves that have taken too long: their VMs get work again.
+    /// Returns the number of VMs that move to a pool and will get work there.
+    pub(super) fn usable_moving_to(&self, service: &ServiceId) -> usize {
+        let is_unusable = |vm: &VmId| {
+            let row = self.vm_ops.vms.get(vm);
+            row.is_some_and(|row| self.is_in_evacuated_zone(row))
+        };
+        self.vm_ops.moving_to(service, is_unusable)
+    }
+
+    /// Ends the drains for moves that have taken too long, or that an evacuation has made useless:
+    /// their VMs get work again when they may.
     pub(super) fn withdraw_slow_drains(&mut self, now: BootTime) {
-        let is_slow = |active: &ActiveOperation| {
+        let is_evacuated = |vm: &VmId| {
+            let row = self.vm_ops.vms.get(vm);
+            row.is_some_and(|row| self.is_in_evacuated_zone(row))
+        };
+        let is_slow = |vm: &VmId, active: &ActiveOperation| {
             matches!(active.operation, VmOperation::Move(_))
                 && active.phase == VmPhase::Draining
-                && now.since(active.since) > MAX_MOVE_DRAIN
+                && (now.since(active.since) > MAX_MOVE_DRAIN || is_evacuated(vm))
         };
-        let is_recent = |at: &BootTime| now.since(*at) < WITHDRAWN_DRAIN_INTERVAL;
-        self.vm_ops.withdrawn_drains.retain(|_, at| is_recent(at));
         let operations = self.vm_ops.active.iter();
-        let slow = operations.filter(|(_, active)| is_slow(active));
+        let slow = operations.filter(|(vm, active)| is_slow(vm, active));
         let slow: Vec<VmId> = slow.map(|(vm, _)| vm.clone()).collect();
+        let is_recent = |at: &BootTime| now.since(*at) < WITHDRAWN_DRAIN_INTERVAL;
+        self.vm_ops.withdrawn_drains.retain(|_, at| is_recent(at));
         for vm in slow {
             log::info!("event=vm_drain_withdrawn vm={vm}");
             self.vm_ops.active.remove(&vm);
@@ -227,7 +238,7 @@
     /// waits for something else.
     fn limit_unused_late_work(&mut self, pools: &mut [PoolLoad], now: BootTime) {
         for pool in pools.iter_mut().filter(|pool| !pool.is_spare) {
-            let arriving = self.vm_ops.moving_to(&pool.service);
+            let arriving = self.usable_moving_to(&pool.service);
             let known = &mut self.vm_ops.late_work;
             if pool.need.total <= pool.need.in_time {
                 known.remove(&pool.service);
--- a/rhubarbfall-runs/src/scheduler/reservations.rs
+++ b/rhubarbfall-runs/src/scheduler/reservations.rs
@@ -68,9 +68,10 @@
 }
 
 /// Whether a task may be placed on a worker where others hold room.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Passage {
     /// The task delays nobody there.
+    #[default]
     Free,
     /// The task comes first, but would delay the step that holds room there.
     IfNeeded,
--- a/rhubarbfall-runs/src/scheduler/start_rate.rs
+++ b/rhubarbfall-runs/src/scheduler/start_rate.rs
@@ -11,8 +11,8 @@
 use rhubarbfall_core::BootTime;
 
 use super::Scheduler;
-use super::ordering::{is_still_useful, slack};
-use crate::{JobState, Submission, TaskPhase};
+use super::ordering::slack;
+use crate::Submission;
 
 /// The time over which answers to starts are counted.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
@@ -41,7 +41,7 @@
     limited: Option<(BootTime, BootTime)>,
     /// The last measured rate in starts per second, and when it was measured.
     measured: Option<(f64, BootTime)>,
-    /// The number of tasks that are still to be started.
+    /// The number of waiting tasks that compete for starts.
     backlog: usize,
 }
 
@@ -78,6 +78,12 @@
         }
     }
 
+    /// Returns whether the limit on pending starts was reached just now.
+    fn is_limited(&self, now: BootTime) -> bool {
+        self.limited
+            .is_some_and(|(_, last)| now.since(last) <= MAX_INTERRUPTION)
+    }
+
     /// Returns the rate in starts per second if it was the limit recently.
     pub(super) fn per_s(&self, now: BootTime) -> Option<f64> {
         let (rate_per_s, at) = self.measured?;
@@ -86,6 +92,12 @@
 }
 
 impl Scheduler {
+    /// Returns whether tasks wait because the maximum number of starts is pending.
+    #[must_use]
+    pub fn are_starts_limited(&self, now: BootTime) -> bool {
+        self.start_rate.is_limited(now)
+    }
+
     /// Decides whether a submission is accepted, and returns after how long its caller may come back
     /// if it is not. A refused submission has left no trace and never runs.
     ///
@@ -137,25 +149,12 @@
         Ok(())
     }
 
-    /// Counts the tasks that are still to be started and still wanted in time, if the rate of starts
+    /// Counts the tasks that compete for starts with submissions that arrive, if the rate of starts
     /// matters.
     pub(super) fn count_start_backlog(&mut self, now: BootTime) {
-        if self.start_rate.per_s(now).is_none() {
-            return;
+        if self.start_rate.per_s(now).is_some() {
+            self.start_rate.backlog = self.competing_starts(now);
         }
-        let active = self.jobs().filter(|job| job.state == JobState::Active);
-        let wanted = active.filter(|job| {
-            let queue = self.config.queue(&job.submission.queue);
-            !job.is_excess && queue.is_some_and(|queue| is_still_useful(job, queue, now))
-        });
-        let waiting = wanted.map(|job| {
-            let mut waiting = 0;
-            job.for_each_task(|_, _, _, task| {
-                waiting += usize::from(task.phase == TaskPhase::Waiting);
-            });
-            waiting
-        });
-        self.start_rate.backlog = waiting.sum();
     }
 }
 
--- a/rhubarbfall-runs/src/scheduler/storing.rs
+++ b/rhubarbfall-runs/src/scheduler/storing.rs
@@ -155,6 +155,7 @@
     /// Records that a batch was stored under `row_version`, and continues the starts and calls that
     /// waited for it.
     pub fn batch_stored(&mut self, batch: &Batch, row_version: RowVersion, now: BootTime) {
+        let cordoned = self.vm_ops.cordoned();
         for row in &batch.rows {
             let Some(job) = self.jobs.get_mut(&row.id) else {
                 continue;
@@ -176,13 +177,13 @@
                     |run| matches!(run.state, RunState::Storing(version) if version <= stored),
                 )
             });
-            self.send_stored_starts(&ready, now);
+            self.send_stored_starts(&ready, &cordoned, now);
         }
         let cancellations = &mut self.early_cancellations;
         cancellations.stored(&batch.early_cancellations);
         cancellations.removed(&batch.expired_cancellations);
         for wave in &batch.waves {
-            self.wave_stored(wave, row_version);
+            self.wave_stored(wave, row_version, now);
         }
         self.acknowledge_stored();
         self.needs_placement = true;
@@ -190,18 +191,11 @@
 
     /// Advances the acknowledged run end of each worker as far as the jobs are stored.
     pub(super) fn acknowledge_stored(&mut self) {
+        let jobs = &self.jobs;
         for (_, worker) in self.workers.iter_mut() {
-            while let Some((number, id, version)) = worker.unacknowledged_ends.front() {
-                let is_stored = self
-                    .jobs
-                    .get(id)
-                    .is_none_or(|job| job.stored_version >= *version);
-                if !is_stored {
-                    break;
-                }
-                worker.last_stored_end = worker.last_stored_end.max(*number);
-                worker.unacknowledged_ends.pop_front();
-            }
+            worker.acknowledge_stored_ends(|id, version| {
+                jobs.get(id).is_none_or(|job| job.stored_version >= version)
+            });
         }
     }
 }
