fix(runs): runs that outlast their forecast are forecast again on busy workers, too

Cause: forecasts were renewed only once the last run of a worker was due. Beside a long-running task a straggler counted as ended, so that room for a step seemed to come at once there, and its place moved three times to the same worker. Change: the earliest expected end decides whether a worker is looked at.

--- a/rhubarbfall-runs/src/expected_ends.rs
+++ b/rhubarbfall-runs/src/expected_ends.rs
@@ -13,8 +13,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct ExpectedEnds {
     runs: Vec<ExpectedEnd>,
-    /// The latest expected end, or `None` if it has to be determined again.
-    empties_at: Option<BootTime>,
+    /// The earliest and the latest expected end, or `None` if they have to be determined again.
+    bounds: Option<(BootTime, BootTime)>,
 }
 
 /// A run with its expected end.
@@ -32,7 +32,7 @@
 impl ExpectedEnds {
     /// Adds a run without a forecast.
     pub fn push(&mut self, reserved: Resources) {
-        self.empties_at = None;
+        self.bounds = None;
         self.runs.push(ExpectedEnd {
             reserved,
             ..ExpectedEnd::default()
@@ -41,7 +41,7 @@
 
     /// Removes a run and puts the last one in its place.
     pub fn swap_remove(&mut self, index: usize) {
-        self.empties_at = None;
+        self.bounds = None;
         if index < self.runs.len() {
             self.runs.swap_remove(index);
         }
@@ -57,7 +57,7 @@
                 ..*run
             };
         }
-        self.empties_at = None;
+        self.bounds = None;
     }
 
     /// Returns how long a run has lasted, or `None` if this owner did not place it.
@@ -70,7 +70,7 @@
     /// Makes forecasts for the runs that have none or have outlasted theirs. `end` returns the
     /// expected end of the run at an index that has lasted for a duration.
     pub fn refresh(&mut self, now: BootTime, end: impl Fn(usize, Duration) -> BootTime) {
-        if self.empties_at.is_some_and(|at| at > now) || self.runs.is_empty() {
+        if self.bounds.is_some_and(|(first, _)| first > now) || self.runs.is_empty() {
             return;
         }
         for (index, run) in self.runs.iter_mut().enumerate() {
@@ -79,13 +79,15 @@
                 run.at = end(index, now.since(since));
             }
         }
-        self.empties_at = Some(self.latest());
+        let ends = self.runs.iter().map(|run| run.at);
+        self.bounds = ends.clone().min().zip(ends.max());
     }
 
     /// Returns when the last of the runs is expected to end; zero without runs.
     #[must_use]
     pub fn empties_at(&self) -> BootTime {
-        self.empties_at.unwrap_or_else(|| self.latest())
+        let known = self.bounds.map(|(_, last)| last);
+        known.unwrap_or_else(|| self.latest())
     }
 
     fn latest(&self) -> BootTime {
--- a/rhubarbfall-runs/tests/expected_ends.rs
+++ b/rhubarbfall-runs/tests/expected_ends.rs
@@ -45,6 +45,21 @@
     assert_eq!(ends.empties_at(), at(102));
 }
 
+/// Guards against a straggler that counts as ended for as long as another run of its worker lasts: room
+/// is then expected at once there, each time that it is looked for.
+#[test]
+fn a_straggler_beside_a_lasting_run_is_forecast_again() {
+    let mut ends = ends(&[(60, NEVER), (40, at(101))]);
+    ends.refresh(at(100), |_, _| NEVER);
+    ends.refresh(at(102), |index, lasted| {
+        assert_eq!((index, lasted), (1, Duration::from_secs(2)));
+        at(103)
+    });
+    let room_at = ends.room_before(NEVER, cpu(0), cpu(40), at(102));
+    assert_eq!(room_at, Some(at(103)));
+    assert_eq!(ends.empties_at(), NEVER);
+}
+
 /// Guards against a new owner that learns wrong durations: it sees the runs that it inherits begin when
 /// it takes over.
 #[test]
