fix(runs): a reservation follows the standing, service and limit of its step

Cause: a reservation kept the standing that its step had when it began: a step that had become late meanwhile, or whose customer had gone over its rate, went on to keep work in time from its place. It stayed held when the step's queue had moved to another service, while its customer was at its limit, and for a gang of which some members still ran or waited for a repetition. Change: each pass gives reservations the present standing of their steps, and ends those of steps that could not start if there was room. In reservations/tests.rs three calls of update pass a closure that returns the standing instead of true; what they assert is the same.

--- a/rhubarbfall-runs/src/scheduler/lookahead.rs
+++ b/rhubarbfall-runs/src/scheduler/lookahead.rs
@@ -7,12 +7,12 @@
 use super::Scheduler;
 use super::ordering::Standing;
 use super::placing::{PlacementPass, WaitingStep, has_label, is_step_full};
-use super::reservations::{Hold, Passage, Passing, Reservations, RoomTimes, first_room};
+use super::reservations::{
+    Hold, Passage, Passing, Reservation, Reservations, RoomTimes, first_room,
+};
 use super::run_estimates::{Forecast, RunEstimates, RunKind};
 use crate::expected_ends::NEVER;
-use crate::{
-    Job, JobState, Resources, RunEnd, RunEndKind, Step, StepId, TaskId, TaskPhase, Worker,
-};
+use crate::{Job, Resources, RunEnd, RunEndKind, Step, StepId, TaskId, TaskPhase, Worker};
 
 /// The number of parts of a run's length in which the putting off of a VM's emptying is compared.
 const PUT_OFF_PARTS: u128 = 2;
@@ -75,6 +75,7 @@
         for waiting_step in waiting_steps {
             pass.note_demand(waiting_step);
         }
+        let mut reservations = std::mem::take(&mut self.lookahead.reservations);
         let (jobs, estimates) = (&self.jobs, &self.lookahead.estimates);
         for (_, worker) in self.workers.iter_mut() {
             let placed = &worker.placed;
@@ -91,11 +92,11 @@
                 now + estimates.forecast(kind(job, step), lasted).likely
             });
         }
-        let is_waiting = |step: &StepId| {
-            let job = jobs.get(&step.submission);
-            job.is_some_and(|job| {
-                job.state == JobState::Active && first_waiting(job, step).is_some()
-            })
+        let waits = |held: &Reservation| {
+            let mut waiting_steps = waiting_steps.iter();
+            let found = waiting_steps.find(|waiting_step| waiting_step.step == held.step)?;
+            let may_start = found.service == held.service && self.may_hold_place(found);
+            may_start.then(|| found.rank.standing())
         };
         let workers = &self.workers;
         let is_usable = |worker: &WorkerId, service: &ServiceId| {
@@ -104,8 +105,22 @@
                 known.is_some_and(|(id, _)| id == worker)
             })
         };
-        let reservations = &mut self.lookahead.reservations;
-        reservations.update(now, is_waiting, is_usable);
+        reservations.update(now, waits, is_usable);
+        self.lookahead.reservations = reservations;
+    }
+
+    /// Returns whether the tasks of a step could start if there was room: all members of a gang wait,
+    /// and its customer may use as much.
+    fn may_hold_place(&self, waiting_step: &WaitingStep) -> bool {
+        let id = &waiting_step.step;
+        let Some(job) = self.jobs.get(&id.submission) else {
+            return false;
+        };
+        let step = &job.submission.steps[usize::from(id.step)];
+        let tasks = if step.is_gang { step.tasks } else { 1 };
+        let demand = step.demand.times(u64::from(tasks));
+        waiting_step.tasks >= tasks as usize
+            && self.is_within_customer_limit(job.submission.customer.as_ref(), demand)
     }
 
     /// Returns when the tasks of a step end if they start now, or `None` without lookahead.
@@ -255,7 +270,9 @@
         let is_passed = step.is_gang || pass.has_smaller(service, step.reserved());
         // One place for each service and pass: a search looks at all runs of the service.
         let may_search = is_passed && !pass.given_place.contains(service);
-        may_search && reservations.is_due(service, id, standing, pass.now)
+        may_search
+            && reservations.is_due(service, id, standing, pass.now)
+            && self.may_hold_place(waiting_step)
     }
 
     /// Holds the place where room for a step that fits nowhere comes first.
@@ -308,10 +325,6 @@
         let reservations = &self.lookahead.reservations;
         let job = self.jobs.get(&id.submission)?;
         let tasks = if step.is_gang { step.tasks as usize } else { 1 };
-        let demand = step.demand.times(tasks as u64);
-        if !self.is_within_customer_limit(job.submission.customer.as_ref(), demand) {
-            return None;
-        }
         let task = job.task(&id.task(first_waiting(job, id)?));
         let avoided = task.and_then(|task| task.avoided_worker.as_ref());
         let usable = pass.usable_of(service).iter();
--- a/rhubarbfall-runs/src/scheduler/placing.rs
+++ b/rhubarbfall-runs/src/scheduler/placing.rs
@@ -77,7 +77,7 @@
     /// The resources that each task reserves.
     reserved: Resources,
     /// The number of the tasks.
-    tasks: usize,
+    pub(super) tasks: usize,
 }
 
 /// The work of one service that can be in time.
--- a/rhubarbfall-runs/src/scheduler/reservations.rs
+++ b/rhubarbfall-runs/src/scheduler/reservations.rs
@@ -101,14 +101,19 @@
     }
 
     /// Ends the reservations of steps that no longer wait, gives up places on workers that may not
-    /// get work, and makes the longest wait of each service firm.
+    /// get work, and makes the longest wait of each service firm. `waits` returns the present standing
+    /// of the step of a reservation, or `None` if it does not wait for its service any more.
     pub(super) fn update(
         &mut self,
         now: BootTime,
-        is_waiting: impl Fn(&StepId) -> bool,
+        waits: impl Fn(&Reservation) -> Option<Standing>,
         is_usable: impl Fn(&WorkerId, &ServiceId) -> bool,
     ) {
-        self.held.retain(|held| is_waiting(&held.step));
+        self.held.retain_mut(|held| {
+            let standing = waits(held);
+            held.standing = standing.unwrap_or(held.standing);
+            standing.is_some()
+        });
         for held in &mut self.held {
             let mut holds = held.holds.iter();
             if !holds.all(|hold| is_usable(&hold.worker, &held.service)) {
--- a/rhubarbfall-runs/src/scheduler/reservations/tests.rs
+++ b/rhubarbfall-runs/src/scheduler/reservations/tests.rs
@@ -3,7 +3,7 @@
 use rhubarbfall_core::{BootTime, WorkerId};
 
 use super::super::ordering::Standing;
-use super::{Hold, MAX_MOVES, Passage, Passing, Reservations, RoomTimes, first_room};
+use super::{Hold, MAX_MOVES, Passage, Passing, Reservation, Reservations, RoomTimes, first_room};
 use crate::{Resources, StepId};
 
 fn at(seconds: u64) -> BootTime {
@@ -126,15 +126,19 @@
         };
         [1, 2].map(|number| reservations.passage(&worker(number), &passing))
     };
-    reservations.update(at(109), |_| true, |_, _| true);
+    reservations.update(at(109), |held| Some(held.standing), |_, _| true);
     assert_eq!(passages(&reservations), [Passage::IfNeeded; 2]);
-    reservations.update(at(110), |_| true, |_, _| true);
+    reservations.update(at(110), |held| Some(held.standing), |_, _| true);
     assert_eq!(
         passages(&reservations),
         [Passage::Closed, Passage::IfNeeded]
     );
     // The wait counts on when the worker is lost.
-    reservations.update(at(111), |_| true, |worker, _| worker.as_str() != "w-1");
+    reservations.update(
+        at(111),
+        |held| Some(held.standing),
+        |worker, _| worker.as_str() != "w-1",
+    );
     hold(&mut reservations, 1, Standing::in_time(2), 3, at(111));
     let service = "labels".parse().expect("valid service name");
     let best = Standing::in_time(0);
@@ -176,3 +180,24 @@
     assert_eq!(first, Some((at(104), vec![(worker(1), 1), (worker(2), 2)])));
     assert_eq!(first_room(&rooms, 5), None);
 }
+
+/// Guards against a step that had a better standing when its place was held, and against one that is
+/// not waiting for the service any more: both kept others from room that these may use.
+#[test]
+fn a_reservation_has_the_present_standing_of_its_step() {
+    let mut reservations = Reservations::default();
+    hold(&mut reservations, 1, Standing::in_time(1), 1, at(100));
+    hold(&mut reservations, 2, Standing::in_time(1), 2, at(100));
+    let is_first = |held: &Reservation| held.step == step(1);
+    let waits = |held: &Reservation| is_first(held).then_some(Standing::in_time(3));
+    reservations.update(at(101), waits, |_, _| true);
+    let other = step(9);
+    let passing = Passing {
+        step: &other,
+        standing: Standing::in_time(2),
+        reserved: cpu(50),
+        late_end: at(500),
+    };
+    let passages = [1, 2].map(|number| reservations.passage(&worker(number), &passing));
+    assert_eq!(passages, [Passage::IfNeeded, Passage::Free]);
+}
