fix(runs): steps that lost their workers keep no others from a place

Cause: a reservation whose worker was lost or evacuated counted among the two of its service although it held no room. Where no other worker could hold its step, it counted for as long as the step waited; two of them, or a firm one, ended the bound on waiting for all others of the service. Change: reservations without room count neither among the two nor, after one pass, as the firm one; their wait counts on. A firm one gets the next place in any case, others only if one is left for them. Result: new test steps_without_a_place_keep_no_others_from_one; lib and placement_lookahead pass.

--- a/rhubarbfall-runs/src/scheduler/lookahead.rs
+++ b/rhubarbfall-runs/src/scheduler/lookahead.rs
@@ -250,7 +250,7 @@
     }
 
     /// Returns whether room is held for a step.
-    pub(super) const fn has_reservations(&self) -> bool {
+    pub(super) fn has_reservations(&self) -> bool {
         !self.lookahead.reservations.is_empty()
     }
 
--- a/rhubarbfall-runs/src/scheduler/reservations.rs
+++ b/rhubarbfall-runs/src/scheduler/reservations.rs
@@ -45,7 +45,8 @@
     is_firm: bool,
     /// How often the reservation has moved or was estimated again.
     moves: u32,
-    /// The room that is held; none after a worker was lost.
+    /// The room that is held, sorted by worker; none after a worker was lost. A reservation without
+    /// room keeps no other step from a place.
     pub(super) holds: Vec<Hold>,
 }
 
@@ -96,8 +97,8 @@
 
 impl Reservations {
     /// Returns whether nothing is held.
-    pub(super) const fn is_empty(&self) -> bool {
-        self.held.is_empty()
+    pub(super) fn is_empty(&self) -> bool {
+        self.held.iter().all(|held| held.holds.is_empty())
     }
 
     /// Ends the reservations of steps that no longer wait, gives up places on workers that may not
@@ -114,21 +115,22 @@
             held.standing = standing.unwrap_or(held.standing);
             standing.is_some()
         });
-        for held in &mut self.held {
-            let mut holds = held.holds.iter();
-            if !holds.all(|hold| is_usable(&hold.worker, &held.service)) {
-                held.holds.clear();
-            }
-        }
         self.held.sort_by_key(|held| held.since);
         let mut services: Vec<ServiceId> = Vec::new();
         for held in &mut self.held {
             let is_first = !services.contains(&held.service);
             held.is_firm = is_first && now.since(held.since) >= FIRM_AFTER;
-            if held.is_firm {
+            if held.is_firm && !held.holds.is_empty() {
                 services.push(held.service.clone());
             }
         }
+        // A step that has just lost its place stays the firm one while it looks for another.
+        for held in &mut self.held {
+            let mut holds = held.holds.iter();
+            if !holds.all(|hold| is_usable(&hold.worker, &held.service)) {
+                held.holds.clear();
+            }
+        }
     }
 
     /// Removes the reservation of a step, and returns whether there was one.
@@ -181,11 +183,12 @@
         standing: Standing,
         now: BootTime,
     ) -> bool {
-        if let Some(own) = self.held.iter().find(|held| held.step == *step) {
+        let own = self.held.iter().find(|held| held.step == *step);
+        if let Some(own) = own.filter(|own| own.is_firm || !own.holds.is_empty()) {
             let is_late = own.moves < MAX_MOVES && now > own.expected_at + PATIENCE;
             return own.holds.is_empty() || is_late;
         }
-        let mut of_service = self.held.iter().filter(|held| held.service == *service);
+        let mut of_service = self.with_room(service);
         of_service.clone().count() < MAX_PER_SERVICE
             || of_service.any(|held| standing < held.standing && !held.is_firm)
     }
@@ -217,9 +220,8 @@
             let moves = held.moves + u32::from(!held.holds.is_empty());
             (held.since, held.is_firm, moves)
         });
-        let of_service = || self.held.iter().filter(|held| held.service == service);
-        if of_service().count() >= MAX_PER_SERVICE {
-            let lowest = of_service().filter(|held| !held.is_firm);
+        if self.with_room(&service).count() >= MAX_PER_SERVICE {
+            let lowest = self.with_room(&service).filter(|held| !held.is_firm);
             let lowest = lowest.max_by_key(|held| held.standing);
             if let Some(lowest) = lowest.map(|held| held.step.clone()) {
                 self.remove(&lowest);
@@ -237,6 +239,15 @@
         });
     }
 
+    /// Returns the reservations for a service that hold room.
+    fn with_room<'a>(
+        &'a self,
+        service: &'a ServiceId,
+    ) -> impl Iterator<Item = &'a Reservation> + Clone {
+        let of_service = self.held.iter().filter(|held| held.service == *service);
+        of_service.filter(|held| !held.holds.is_empty())
+    }
+
     fn others<'a>(&'a self, step: &'a StepId) -> impl Iterator<Item = &'a Reservation> {
         self.held.iter().filter(move |held| held.step != *step)
     }
--- a/rhubarbfall-runs/src/scheduler/reservations/tests.rs
+++ b/rhubarbfall-runs/src/scheduler/reservations/tests.rs
@@ -201,3 +201,33 @@
     let passages = [1, 2].map(|number| reservations.passage(&worker(number), &passing));
     assert_eq!(passages, [Passage::IfNeeded, Passage::Free]);
 }
+
+/// Guards against steps that lost their workers and that no other worker can hold: they took the places
+/// of a service for as long as they waited, and no other step was given one.
+#[test]
+fn steps_without_a_place_keep_no_others_from_one() {
+    let mut reservations = Reservations::default();
+    let standing = Standing::in_time(1);
+    hold(&mut reservations, 1, standing, 1, at(100));
+    hold(&mut reservations, 2, standing, 2, at(101));
+    reservations.update(at(120), |held| Some(held.standing), |_, _| false);
+    assert!(reservations.is_empty());
+    let service = "labels".parse().expect("valid service name");
+    for number in [3, 4] {
+        assert!(reservations.is_due(&service, &step(number), standing, at(120)));
+        hold(
+            &mut reservations,
+            number,
+            standing,
+            number as usize,
+            at(120),
+        );
+    }
+    assert!(!reservations.is_due(&service, &step(5), standing, at(120)));
+    // The longest wait gets the next place in any case, another one only if one is left.
+    assert!(reservations.is_due(&service, &step(1), standing, at(120)));
+    reservations.update(at(121), |held| Some(held.standing), |_, _| true);
+    hold(&mut reservations, 1, standing, 1, at(121));
+    reservations.update(at(122), |held| Some(held.standing), |_, _| true);
+    assert!(!reservations.is_due(&service, &step(2), standing, at(122)));
+}
