perf(runs): no search for places where smaller ones have none

Cause: one place is given for each service and pass, but a search that finds none did not count, and each step that fits nowhere searched all runs of its service in each pass. Whether a held worker accepts work was looked up in a walk over all usable workers for each member of a gang, and each worker's hold in a walk over all of them. Change: a pass keeps what no place was found for and skips steps that need as much; the look-ups are binary searches.

--- a/rhubarbfall-runs/src/scheduler/lookahead.rs
+++ b/rhubarbfall-runs/src/scheduler/lookahead.rs
@@ -1,5 +1,6 @@
 //! Placement by what waits and what ends: which worker empties when, and where room is held.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use rhubarbfall_core::{BootTime, ServiceId, WorkerId};
@@ -41,6 +42,35 @@
     pub(super) late_end: BootTime,
 }
 
+/// What no worker of a service is expected to have room for, at any time.
+#[derive(Debug)]
+pub(super) struct Placeless {
+    service: ServiceId,
+    required_label: Option<Arc<str>>,
+    reserved: Resources,
+    tasks: usize,
+}
+
+impl Placeless {
+    fn new(waiting_step: &WaitingStep, step: &Step) -> Self {
+        Self {
+            service: waiting_step.service.clone(),
+            required_label: step.required_label.clone(),
+            reserved: step.reserved(),
+            tasks: places_of(step),
+        }
+    }
+
+    /// Returns whether there is no room for `other`, either.
+    fn covers(&self, other: &Self) -> bool {
+        let is_any = self.required_label.is_none();
+        self.tasks <= other.tasks
+            && self.reserved.fits_in(other.reserved)
+            && (is_any || self.required_label == other.required_label)
+            && self.service == other.service
+    }
+}
+
 impl StepOutlook {
     /// Returns by how many halves of its own length a run puts off the time at which a worker
     /// is empty.
@@ -100,10 +130,8 @@
         };
         let workers = &self.workers;
         let is_usable = |worker: &WorkerId, service: &ServiceId| {
-            pass.usable_of(service).iter().any(|index| {
-                let known = workers.get_indexed(*index);
-                known.is_some_and(|(id, _)| id == worker)
-            })
+            let index = workers.find_index(worker);
+            index.is_ok_and(|index| pass.usable_of(service).binary_search(&index).is_ok())
         };
         reservations.update(now, waits, is_usable);
         self.lookahead.reservations = reservations;
@@ -117,9 +145,9 @@
             return false;
         };
         let step = &job.submission.steps[usize::from(id.step)];
-        let tasks = if step.is_gang { step.tasks } else { 1 };
-        let demand = step.demand.times(u64::from(tasks));
-        waiting_step.tasks >= tasks as usize
+        let tasks = places_of(step);
+        let demand = step.demand.times(tasks as u64);
+        waiting_step.tasks >= tasks
             && self.is_within_customer_limit(job.submission.customer.as_ref(), demand)
     }
 
@@ -282,8 +310,17 @@
         }
         let (now, reserved) = (pass.now, step.reserved());
         let standing = waiting_step.rank.standing();
+        let reservations = &self.lookahead.reservations;
         let (service, id) = (&waiting_step.service, &waiting_step.step);
+        let search = Placeless::new(waiting_step, step);
+        let is_known = pass.placeless.iter().any(|known| known.covers(&search));
+        if is_known && !reservations.has(id) {
+            return;
+        }
         let Some((expected_at, places)) = self.first_place(waiting_step, step, pass) else {
+            if step.max_per_worker.is_none() && !reservations.has(id) {
+                pass.placeless.push(search);
+            }
             return;
         };
         pass.given_place.push(service.clone());
@@ -324,7 +361,7 @@
         let (now, reserved) = (pass.now, step.reserved());
         let reservations = &self.lookahead.reservations;
         let job = self.jobs.get(&id.submission)?;
-        let tasks = if step.is_gang { step.tasks as usize } else { 1 };
+        let tasks = places_of(step);
         let task = job.task(&id.task(first_waiting(job, id)?));
         let avoided = task.and_then(|task| task.avoided_worker.as_ref());
         let usable = pass.usable_of(service).iter();
@@ -385,6 +422,11 @@
     }
 }
 
+/// Returns the number of tasks for which a step needs room at the same time.
+const fn places_of(step: &Step) -> usize {
+    if step.is_gang { step.tasks as usize } else { 1 }
+}
+
 /// Returns the index of the first waiting task of a step.
 fn first_waiting(job: &Job, step: &StepId) -> Option<u32> {
     let occurrence = job.occurrences.get(step.occurrence as usize)?;
--- a/rhubarbfall-runs/src/scheduler/placing.rs
+++ b/rhubarbfall-runs/src/scheduler/placing.rs
@@ -4,7 +4,7 @@
 use rhubarbfall_core::{BootTime, CustomerId, ServiceId, SubmissionId, WorkerId};
 
 use super::Scheduler;
-use super::lookahead::{ClosedTo, StepOutlook};
+use super::lookahead::{ClosedTo, Placeless, StepOutlook};
 use super::ordering::{Candidate, Rank, beyond_capacity, load_s, rank};
 use super::reservations::Passage;
 use super::service_view::FleetView;
@@ -37,6 +37,8 @@
     pub(super) placed_of_step: usize,
     /// The tasks that found no room but held room.
     pub(super) closed: Vec<ClosedTo>,
+    /// What no place was found for; steps that need as much are skipped.
+    pub(super) placeless: Vec<Placeless>,
     /// The services for whose steps a place was held in this pass.
     pub(super) given_place: Vec<ServiceId>,
 }
--- a/rhubarbfall-runs/src/scheduler/reservations.rs
+++ b/rhubarbfall-runs/src/scheduler/reservations.rs
@@ -95,6 +95,14 @@
     held: Vec<Reservation>,
 }
 
+impl Reservation {
+    /// Returns what is held on a worker.
+    fn hold_on(&self, worker: &WorkerId) -> Option<&Hold> {
+        let index = self.holds.binary_search_by(|hold| hold.worker.cmp(worker));
+        self.holds.get(index.ok()?)
+    }
+}
+
 impl Reservations {
     /// Returns whether nothing is held.
     pub(super) fn is_empty(&self) -> bool {
@@ -142,11 +150,9 @@
 
     /// Returns whether a task may be placed on a worker.
     pub(super) fn passage(&self, worker: &WorkerId, passing: &Passing<'_>) -> Passage {
-        let holds = self.others(passing.step).filter_map(|reservation| {
-            let mut holds = reservation.holds.iter();
-            let hold = holds.find(|hold| hold.worker == *worker)?;
-            Some((reservation, hold))
-        });
+        let holds = self
+            .others(passing.step)
+            .filter_map(|reservation| Some((reservation, reservation.hold_on(worker)?)));
         let passages = holds.map(|(reservation, hold)| {
             let ends_before = passing.late_end <= reservation.expected_at;
             if ends_before || passing.reserved.fits_in(hold.spare) {
@@ -201,7 +207,7 @@
     /// Returns whether another step holds room on a worker.
     pub(super) fn is_held_for_other(&self, worker: &WorkerId, step: &StepId) -> bool {
         let mut others = self.others(step);
-        others.any(|held| held.holds.iter().any(|hold| hold.worker == *worker))
+        others.any(|held| held.hold_on(worker).is_some())
     }
 
     /// Holds a place, instead of the step's present one or, beyond the limit for the service, of
@@ -211,9 +217,10 @@
         service: ServiceId,
         step: StepId,
         standing: Standing,
-        (expected_at, holds): (BootTime, Vec<Hold>),
+        (expected_at, mut holds): (BootTime, Vec<Hold>),
         now: BootTime,
     ) {
+        holds.sort_by(|one, other| one.worker.cmp(&other.worker));
         let present = self.held.iter().position(|held| held.step == step);
         let present = present.map(|index| self.held.remove(index));
         let (since, is_firm, moves) = present.map_or((now, false, 0), |held| {
