--- a/rhubarbfall-runs/src/scheduler/lookahead.rs
+++ b/rhubarbfall-runs/src/scheduler/lookahead.rs
@@ -7,7 +7,8 @@
 
 use super::Scheduler;
 use super::ordering::Standing;
-use super::placing::{PlacementPass, WaitingStep, has_label, is_step_full};
+use super::placement_pass::PlacementPass;
+use super::placing::{WaitingStep, has_label, is_step_full};
 use super::reservations::{
     Hold, Passage, Passing, Reservation, Reservations, RoomTimes, first_room,
 };
--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -19,6 +19,7 @@
 mod ordering;
 mod orders;
 mod pacing;
+mod placement_pass;
 mod placing;
 mod pool_demand;
 mod pool_plan;
--- a/rhubarbfall-runs/src/scheduler/placing.rs
+++ b/rhubarbfall-runs/src/scheduler/placing.rs
@@ -1,11 +1,10 @@
 use std::sync::Arc;
 
-use litemap::LiteMap;
 use rhubarbfall_core::{BootTime, CustomerId, ServiceId, SubmissionId, WorkerId};
 
 use super::Scheduler;
-use super::lookahead::{ClosedTo, Placeless, StepOutlook};
 use super::ordering::{Candidate, Rank, beyond_capacity, load_s, rank};
+use super::placement_pass::PlacementPass;
 use super::reservations::Passage;
 use super::service_view::FleetView;
 use crate::row_size::{always_fits, room_for_new_tasks};
@@ -17,41 +16,6 @@
 /// begun: they are taken as halfway through.
 const BEGUN_REMAINING_SHARE: f64 = 0.5;
 
-/// Values computed once for a placement pass.
-#[derive(Debug, Default)]
-pub(super) struct PlacementPass {
-    /// The time of the pass.
-    pub(super) now: BootTime,
-    /// The workers of each service.
-    fleet: FleetView,
-    /// The demands for which no worker of a service has capacity; demands at least as large are
-    /// skipped.
-    unplaceable: LiteMap<ServiceId, Vec<Resources>>,
-    /// The workers on VMs that are still due for maintenance in a wave, sorted.
-    awaiting_wave: Vec<WorkerId>,
-    /// The smallest demand of the steps that wait for each service, by component.
-    smallest: LiteMap<ServiceId, Resources>,
-    /// When the tasks of the step that is being placed end, or `None` without lookahead.
-    pub(super) outlook: Option<StepOutlook>,
-    /// The number of its tasks that were placed.
-    pub(super) placed_of_step: usize,
-    /// The tasks that found no room but held room.
-    pub(super) closed: Vec<ClosedTo>,
-    /// What no place was found for; steps that need as much are skipped.
-    pub(super) placeless: Vec<Placeless>,
-    /// The services for whose steps a place was held in this pass.
-    pub(super) given_place: Vec<ServiceId>,
-}
-
-impl PlacementPass {
-    /// Returns whether no worker of a service has capacity for a task of a step.
-    fn is_unplaceable(&self, service: &ServiceId, step: &Step) -> bool {
-        let reserved = step.reserved();
-        let unplaceable = self.unplaceable.get(service);
-        unplaceable.is_some_and(|demands| demands.iter().any(|demand| demand.fits_in(reserved)))
-    }
-}
-
 /// What speaks against a worker for a task, the most important first; the least free capacity decides
 /// between equals.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -77,7 +41,7 @@
     /// Whether starting the tasks requires a ticket of the advice service.
     pub(super) needs_ticket: bool,
     /// The resources that each task reserves.
-    reserved: Resources,
+    pub(super) reserved: Resources,
     /// The number of the tasks.
     pub(super) tasks: usize,
 }
@@ -91,43 +55,6 @@
     begun_load_s: f64,
 }
 
-impl PlacementPass {
-    /// Takes the demand of a waiting step into account for [`Self::has_smaller`].
-    pub(super) fn note_demand(&mut self, waiting_step: &WaitingStep) {
-        let reserved = waiting_step.reserved;
-        let known = self.smallest.get(&waiting_step.service).copied();
-        let smallest = known.map_or(reserved, |known| known.min(reserved));
-        self.smallest.insert(waiting_step.service.clone(), smallest);
-    }
-
-    /// Records that a task found no room but held room.
-    fn record_closed(&mut self, waiting_step: &WaitingStep, reserved: Resources) {
-        self.closed.extend(self.outlook.map(|outlook| ClosedTo {
-            service: waiting_step.service.clone(),
-            standing: waiting_step.rank.standing(),
-            reserved,
-            late_end: outlook.late_end,
-        }));
-    }
-
-    /// Returns whether a step that waits for a service needs less than `demand` of something.
-    pub(super) fn has_smaller(&self, service: &ServiceId, demand: Resources) -> bool {
-        let smallest = self.smallest.get(service);
-        smallest.is_some_and(|smallest| !demand.fits_in(*smallest))
-    }
-
-    /// Returns the indexes of a service's workers that accept work.
-    pub(super) fn usable_of(&self, service: &ServiceId) -> &[usize] {
-        let service = self.fleet.service(service);
-        service.map_or(&[], |service| &service.usable)
-    }
-
-    /// Returns whether a worker is on a VM that is still due for maintenance in a wave.
-    pub(super) fn awaits_wave(&self, worker: &WorkerId) -> bool {
-        self.awaiting_wave.binary_search(worker).is_ok()
-    }
-}
-
 impl Scheduler {
     /// Places waiting tasks on workers in the order of their ranks.
     pub(super) fn place_waiting(&mut self, now: BootTime) {
