fix(runs): nothing leaves an evacuated zone for room that is held

Cause: what leaves an evacuated zone is chosen by what other workers have free. With placement_lookahead, room that is held for a waiting step counted as free: the task was stopped and then kept from that room. Change: such room counts only for tasks that may be placed there, with what has been chosen before them. Result: new test nothing_is_stopped_for_room_that_is_held fails without the check (one stop, the task away) and passes with it; without reservations the choice is as before.

--- a/rhubarbfall-runs/src/scheduler/leaving.rs
+++ b/rhubarbfall-runs/src/scheduler/leaving.rs
@@ -11,6 +11,7 @@
 use rhubarbfall_core::{AvailabilityZoneId, BootTime, WorkerId};
 
 use super::Scheduler;
+use super::ordering::rank;
 use crate::{JobState, Resources, RunState, Step, StepId, Task, TaskId, TaskPhase, Worker};
 
 /// A short task that has no more than this to go ends in the zone: a stop, a new start and the
@@ -60,6 +61,7 @@
 /// The room that workers of other zones have for tasks that leave.
 #[derive(Debug, Clone)]
 struct Room<'a> {
+    now: BootTime,
     places: Vec<Place<'a>>,
 }
 
@@ -112,7 +114,18 @@
         let step_id = StepId::of(id);
         let of_service = |place: &&mut Place| place.worker.report.service == queue.service;
         let places = self.places.iter_mut().filter(of_service);
-        let fitting = places.filter(|place| place.has_room(&step_id, step));
+        let standing = scheduler.has_reservations().then(|| {
+            let rank = rank(job, queue, self.now);
+            rank.standing()
+        });
+        let is_open = |place: &Place<'_>| {
+            standing.is_none_or(|standing| {
+                let taken = place.worker.free_capacity().saturating_sub(place.free);
+                let reserved = taken + step.reserved();
+                !scheduler.is_held_against(place.worker, &step_id, standing, reserved)
+            })
+        };
+        let fitting = places.filter(|place| place.has_room(&step_id, step) && is_open(place));
         let Some(best) = fitting.min_by_key(|place| (place.free.cpu_millis, place.free.memory_mb))
         else {
             return false;
@@ -266,6 +279,7 @@
             .workers()
             .filter(|worker| self.is_usable(worker, &cordoned, now));
         let mut room = Room {
+            now,
             places: usable.map(Place::new).collect(),
         };
         for job in self.jobs().filter(|job| job.state == JobState::Active) {
--- a/rhubarbfall-runs/src/scheduler/lookahead.rs
+++ b/rhubarbfall-runs/src/scheduler/lookahead.rs
@@ -210,6 +210,24 @@
         reservations.passage(&worker.report.id, &passing)
     }
 
+    /// Returns whether room is held on a worker that a step may not take for a task of any length.
+    pub(super) fn is_held_against(
+        &self,
+        worker: &Worker,
+        step: &StepId,
+        standing: Standing,
+        reserved: Resources,
+    ) -> bool {
+        let passing = Passing {
+            step,
+            standing,
+            reserved,
+            late_end: NEVER,
+        };
+        let reservations = &self.lookahead.reservations;
+        reservations.passage(&worker.report.id, &passing) == Passage::Closed
+    }
+
     /// Records the expected end of a task that was just placed on a worker.
     pub(super) fn expect_end(&mut self, id: &TaskId, worker: &WorkerId, now: BootTime) {
         let Some(job) = self.jobs.get(&id.submission) else {
--- a/rhubarbfall-runs/tests/evacuation_leaving.rs
+++ b/rhubarbfall-runs/tests/evacuation_leaving.rs
@@ -8,7 +8,9 @@
 
 use model::{WORKER_CAPACITY, config, step, submission};
 use rhubarbfall_core::AvailabilityZoneId;
-use rhubarbfall_runs::scheduler::{Action, StartOrder, StopOrder, VmRow, VmState, ZoneRuns};
+use rhubarbfall_runs::scheduler::{
+    Action, SchedulerSettings, StartOrder, StopOrder, VmRow, VmState, ZoneRuns,
+};
 use rhubarbfall_runs::{ActiveRun, RunEnd, RunEndKind, Step};
 use single_owner::{Owner, running};
 
@@ -32,7 +34,10 @@
 
 impl Fleet {
     fn new(workers: &[(&'static str, &str)]) -> Self {
-        let mut owner = Owner::new();
+        Self::of(Owner::new(), workers)
+    }
+
+    fn of(mut owner: Owner, workers: &[(&'static str, &str)]) -> Self {
         for (worker, of) in workers {
             owner.list_in_zone(worker, of);
         }
@@ -372,3 +377,40 @@
     let reported = fleet.reported();
     assert!(reported.iter().rev().take(2).all(|zone| zone.runs == 0));
 }
+
+/// A task that is stopped for room that is held for another one finds none, and is away until that one
+/// runs.
+#[test]
+fn nothing_is_stopped_for_room_that_is_held() {
+    let lasting_for = |seconds, cpu_millis| Step {
+        estimate: Duration::from_secs(seconds),
+        ..step(1, cpu_millis)
+    };
+    let settings = SchedulerSettings {
+        placement_lookahead: true,
+        ..SchedulerSettings::default()
+    };
+    let mut fleet = Fleet::of(Owner::with_settings(settings), &[("w-a", "zone-a")]);
+    fleet.submit(1, checkpointed(15_000));
+    fleet.submit(2, lasting_for(20, 30_000));
+    fleet.steps(3);
+    fleet.owner.list_in_zone("w-b", "zone-b");
+    fleet.workers.push("w-b");
+    fleet.submit(3, lasting_for(5, 20_000));
+    fleet.steps(3);
+    // The first room for a whole VM is on the second worker; the small task takes none of it.
+    fleet.submit(4, lasting(1, WORKER_CAPACITY.cpu_millis));
+    fleet.submit(5, lasting_for(20, 1_000));
+    fleet.percent = 10;
+    fleet.steps(3);
+    assert_eq!((fleet.runs_on("w-a"), fleet.runs_on("w-b")), (3, 1));
+    fleet.owner.evacuate([zone("zone-a")]);
+    fleet.steps(20);
+    assert_eq!((fleet.runs_on("w-a"), fleet.stops), (3, 0));
+    // The place is not needed any more once the task has another one.
+    fleet.owner.list_in_zone("w-c", "zone-b");
+    fleet.workers.push("w-c");
+    fleet.steps(20);
+    assert_eq!(fleet.runs_on("w-c"), 1);
+    assert_eq!((fleet.runs_on("w-a"), fleet.runs_on("w-b")), (2, 2));
+}
