--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -31,7 +31,6 @@
 pub mod run_estimates;
 mod service_view;
 mod settings;
-mod start_backlog;
 mod start_rate;
 mod starting;
 mod storing;
