--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -15,9 +15,11 @@
 mod lease_renewal;
 mod leaving;
 mod listing;
+mod lookahead;
 mod ordering;
 mod orders;
 mod pacing;
+mod placement_pass;
 mod placing;
 mod pool_demand;
 mod pool_plan;
@@ -25,6 +27,8 @@
 mod recent_work;
 mod recovery;
 mod refused_rows;
+mod reservations;
+pub mod run_estimates;
 mod service_view;
 mod settings;
 mod start_rate;
@@ -100,6 +104,7 @@
     /// The placed tasks whose start has not been answered yet, sorted.
     pending_starts: Vec<TaskId>,
     start_rate: start_rate::StartRate,
+    lookahead: lookahead::Lookahead,
     shares: cell_shares::CellShares,
     evacuation: evacuation::Evacuation,
     pools_logged_at: BootTime,
@@ -141,6 +146,7 @@
             cleared_jobs: Vec::new(),
             pending_starts: Vec::new(),
             start_rate: start_rate::StartRate::default(),
+            lookahead: lookahead::Lookahead::default(),
             shares: cell_shares::CellShares::default(),
             evacuation: evacuation::Evacuation::default(),
             pools_logged_at: BootTime::default(),
@@ -207,6 +213,8 @@
             self.leave_evacuated_zones(now);
             self.send_due_stops(now);
             self.count_start_backlog(now);
+            // A held place may be due to move, or no longer be needed.
+            self.needs_placement |= self.has_reservations();
         }
         self.place_waiting(now);
         self.log_absent(now);
--- a/rhubarbfall-runs/src/scheduler/placing.rs
+++ b/rhubarbfall-runs/src/scheduler/placing.rs
@@ -1,10 +1,11 @@
 use std::sync::Arc;
 
-use litemap::LiteMap;
 use rhubarbfall_core::{BootTime, CustomerId, ServiceId, SubmissionId, WorkerId};
 
 use super::Scheduler;
 use super::ordering::{Candidate, Rank, beyond_capacity, load_s, rank};
+use super::placement_pass::PlacementPass;
+use super::reservations::Passage;
 use super::service_view::FleetView;
 use crate::row_size::{always_fits, room_for_new_tasks};
 use crate::{
@@ -15,29 +16,6 @@
 /// begun: they are taken as halfway through.
 const BEGUN_REMAINING_SHARE: f64 = 0.5;
 
-/// Values computed once for a placement pass.
-#[derive(Debug, Default)]
-struct PlacementPass {
-    /// The time of the pass.
-    now: BootTime,
-    /// The workers of each service.
-    fleet: FleetView,
-    /// The demands for which no worker of a service has capacity; demands at least as large are
-    /// skipped.
-    unplaceable: LiteMap<ServiceId, Vec<Resources>>,
-    /// The workers on VMs that are still due for maintenance in a wave, sorted.
-    awaiting_wave: Vec<WorkerId>,
-}
-
-impl PlacementPass {
-    /// Returns whether no worker of a service has capacity for a task of a step.
-    fn is_unplaceable(&self, service: &ServiceId, step: &Step) -> bool {
-        let reserved = step.reserved();
-        let unplaceable = self.unplaceable.get(service);
-        unplaceable.is_some_and(|demands| demands.iter().any(|demand| demand.fits_in(reserved)))
-    }
-}
-
 /// What speaks against a worker for a task, the most important first; the least free capacity decides
 /// between equals.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -47,20 +25,25 @@
     interferes: bool,
     is_suspect: bool,
     is_on_other_rack: bool,
+    passage: Passage,
+    /// By how much the task puts off the time at which the worker is empty; 0 without lookahead.
+    put_off: u128,
 }
 
 /// The tasks of one step that are waiting and may start.
 #[derive(Debug)]
-struct WaitingStep {
-    rank: Rank,
-    step: StepId,
-    service: ServiceId,
+pub(super) struct WaitingStep {
+    pub(super) rank: Rank,
+    pub(super) step: StepId,
+    pub(super) service: ServiceId,
     /// The position of the service in the configuration.
     service_number: Option<usize>,
     /// Whether starting the tasks requires a ticket of the advice service.
-    needs_ticket: bool,
+    pub(super) needs_ticket: bool,
+    /// The resources that each task reserves.
+    pub(super) reserved: Resources,
     /// The number of the tasks.
-    tasks: usize,
+    pub(super) tasks: usize,
 }
 
 /// The work of one service that can be in time.
@@ -92,6 +75,7 @@
             awaiting_wave: self.workers_awaiting_wave(),
             ..PlacementPass::default()
         };
+        self.begin_lookahead(&mut pass, &waiting_steps);
         let mut is_limited = false;
         for waiting_step in &waiting_steps {
             is_limited = self.pending_starts.len() >= self.settings.max_pending_starts;
@@ -222,7 +206,7 @@
                 .iter()
                 .position(|service| service.id == queue.service);
             let steps_before = waiting_steps.len();
-            for (occurrence, number, _, run) in job.open_steps() {
+            for (occurrence, number, step, run) in job.open_steps() {
                 let mut tasks = 0;
                 for task in &run.tasks {
                     let is_waiting = task.phase == TaskPhase::Waiting;
@@ -241,6 +225,7 @@
                         service: queue.service.clone(),
                         service_number,
                         needs_ticket: queue.advice.is_some(),
+                        reserved: step.reserved(),
                         tasks,
                     });
                 }
@@ -268,18 +253,23 @@
         };
         let submission = Arc::clone(&job.submission);
         let step = &submission.steps[usize::from(waiting_step.step.step)];
-        if !waiting_step.needs_ticket && pass.is_unplaceable(&waiting_step.service, step) {
+        if !waiting_step.needs_ticket
+            && pass.is_unplaceable(&waiting_step.service, step)
+            && !self.is_place_due(waiting_step, step, pass)
+        {
             return;
         }
+        pass.outlook = self.outlook(job, step, now);
+        pass.placed_of_step = 0;
         let tasks = ready_tasks(job, &waiting_step.step, now);
         let are_placed = if step.is_gang {
             self.place_gang(waiting_step, step, &tasks, pass, now)
         } else {
             self.place_each(waiting_step, step, tasks.into_iter(), pass, now)
         };
+        self.settle_reservation(waiting_step, step, are_placed, pass);
         if !are_placed && waiting_step.needs_ticket {
-            let service = pass.fleet.service(&waiting_step.service);
-            let usable = service.map_or(&[][..], |service| &service.usable);
+            let usable = pass.usable_of(&waiting_step.service);
             self.request_advice(&waiting_step.step, step, usable, now);
         }
     }
@@ -310,6 +300,7 @@
             self.with_room_of(&mut pass.fleet, &worker, |scheduler| {
                 scheduler.place(&id, &worker, run, now);
             });
+            self.take_passage(&worker, waiting_step, step, pass);
             room -= usize::from(is_new);
         }
         true
@@ -358,6 +349,9 @@
             placed.push((id.clone(), worker));
         }
         if placed.len() == tasks.len() {
+            for (_, worker) in &placed {
+                self.take_passage(worker, waiting_step, step, pass);
+            }
             return true;
         }
         for (id, worker) in placed {
@@ -400,9 +394,12 @@
         if pass.is_unplaceable(&waiting_step.service, step) {
             return None;
         }
+        if self.is_closed_to(waiting_step, reserved, pass) {
+            return None;
+        }
         self.sort_by_room(&mut pass.fleet, &waiting_step.service);
         let fleet_service = pass.fleet.service(&waiting_step.service)?;
-        let mut has_room = false;
+        let (mut has_room, mut is_open) = (false, false);
         let mut chosen: Option<(WorkerPreference, &Worker)> = None;
         // Workers come with the least free capacity first, so that only an earlier part of the
         // preference can make a later one better.
@@ -414,6 +411,11 @@
                 continue;
             }
             has_room = true;
+            let passage = self.passage(worker, waiting_step, reserved, pass.outlook);
+            if passage == Passage::Closed {
+                continue;
+            }
+            is_open = true;
             if !has_label(worker, step) || is_step_full(worker, &waiting_step.step, step) {
                 continue;
             }
@@ -421,15 +423,15 @@
             if waiting_step.needs_ticket && ticket().is_none() {
                 continue;
             }
-            let awaits_wave =
-                step.is_long_running && pass.awaiting_wave.binary_search(&worker.report.id).is_ok();
             let preference = WorkerPreference {
                 is_avoided: task.avoided_worker.as_ref() == Some(&worker.report.id),
-                awaits_wave,
+                awaits_wave: step.is_long_running && pass.awaits_wave(&worker.report.id),
                 interferes: (step.is_best_effort && worker.latency_sensitive_tasks > 0)
                     || (step.tail_latency_target.is_some() && worker.best_effort_tasks > 0),
                 is_suspect: !worker.failed_submissions.is_empty(),
                 is_on_other_rack: step.data_rack.is_some() && step.data_rack != worker.report.rack,
+                passage,
+                put_off: pass.outlook.map_or(0, |outlook| outlook.put_off(worker)),
             };
             if chosen.is_none_or(|(best, _)| preference < best) {
                 chosen = Some((preference, worker));
@@ -442,6 +444,8 @@
         if !has_room {
             let unplaceable = pass.unplaceable.entry(waiting_step.service.clone());
             unplaceable.or_default().push(reserved);
+        } else if !is_open && !step.is_gang {
+            pass.record_closed(waiting_step, reserved);
         }
         chosen
     }
@@ -466,6 +470,7 @@
         };
         let incarnation_unix_ms = worker.report.incarnation_unix_ms;
         self.reserve(id, worker_id);
+        self.expect_end(id, worker_id, now);
         let Some(job) = self.jobs.get_mut(&id.submission) else {
             return;
         };
@@ -515,7 +520,7 @@
 }
 
 /// Returns whether a worker has the maximum number of tasks of a step.
-fn is_step_full(worker: &Worker, id: &StepId, step: &Step) -> bool {
+pub(super) fn is_step_full(worker: &Worker, id: &StepId, step: &Step) -> bool {
     let Some(max_tasks) = step.max_per_worker else {
         return false;
     };
--- a/rhubarbfall-runs/tests/model/mod.rs
+++ b/rhubarbfall-runs/tests/model/mod.rs
@@ -45,6 +45,7 @@
 #[derive(Debug, Clone)]
 struct ModelVm {
     pool: String,
+    capacity: Resources,
     /// The pool that the VM joins, and when.
     target: Option<(String, BootTime)>,
     incarnation: u32,
@@ -99,6 +100,7 @@
     durations: BTreeMap<SubmissionId, Duration>,
     pub(crate) rng: ChaCha8Rng,
     config: FleetConfig,
+    settings: SchedulerSettings,
 }
 
 impl Model {
@@ -113,10 +115,21 @@
             cells,
             ..SchedulerSettings::default()
         };
+        Self::with_settings(pools, seed, settings)
+    }
+
+    /// Creates a fleet whose owners have these settings.
+    pub(crate) fn with_settings(
+        pools: &[(&str, usize)],
+        seed: u64,
+        settings: SchedulerSettings,
+    ) -> Self {
+        let cell = settings.cell;
         let names: Vec<&str> = pools.iter().map(|(name, _)| *name).collect();
         let config = config(&names);
         let mut model = Self {
-            scheduler: Scheduler::new(settings),
+            scheduler: Scheduler::new(settings.clone()),
+            settings,
             now: BootTime::new(Duration::from_secs(100)),
             workers: Vec::new(),
             store: ModelStore::default(),
@@ -148,6 +161,7 @@
             for _ in 0..*count {
                 model.vms.push(ModelVm {
                     pool: (*name).to_owned(),
+                    capacity: WORKER_CAPACITY,
                     target: None,
                     incarnation: 0,
                 });
@@ -168,7 +182,7 @@
             address: "127.0.0.1:1".parse().expect("valid address"),
             service: self.vms[vm].pool.parse().expect("valid service name"),
             availability_zone: "zone-a".parse().expect("valid availability zone name"),
-            capacity: WORKER_CAPACITY,
+            capacity: self.vms[vm].capacity,
             labels: vec!["a".into(), "r1".into()],
             rack: Some("r1".parse().expect("valid rack name")),
             is_draining: false,
@@ -192,6 +206,16 @@
         });
     }
 
+    /// Changes the capacity of a VM and of its worker.
+    pub(crate) fn set_capacity(&mut self, vm: usize, capacity: Resources) {
+        self.vms[vm].capacity = capacity;
+        for worker in self.workers.iter_mut().filter(|worker| worker.vm == vm) {
+            worker.report.capacity = capacity;
+            self.scheduler
+                .worker_listed(worker.report.clone(), self.now);
+        }
+    }
+
     /// Submits a submission whose tasks run for `duration`.
     pub(crate) fn submit(&mut self, submission: Submission, duration: Duration) {
         self.durations.insert(submission.id.clone(), duration);
@@ -282,7 +306,7 @@
                 },
                 worker: worker.map(|worker| worker.report.id.clone()),
                 availability_zone: None,
-                capacity: WORKER_CAPACITY,
+                capacity: vm.capacity,
                 labels: vec!["a".into(), "r1".into()],
             }
         });
@@ -543,7 +567,7 @@
     /// Replaces the owner by one that knows only what is stored.
     pub(crate) fn fail_over(&mut self) {
         self.fence += 1;
-        self.scheduler = Scheduler::new(SchedulerSettings::default());
+        self.scheduler = Scheduler::new(self.settings.clone());
         self.scheduler.set_config(self.config.clone().into());
         let stored = self.store.submissions.iter().map(|(id, bytes)| StoredJob {
             submission: decode_submission(bytes).expect("valid submission record"),
@@ -586,7 +610,7 @@
                 .runs
                 .iter()
                 .fold(Resources::default(), |sum, run| sum + run.demand);
-            if !used.fits_in(WORKER_CAPACITY) {
+            if !used.fits_in(worker.report.capacity) {
                 self.violations.push(format!(
                     "{} exceeds its capacity at {}",
                     worker.report.id, self.now
