test(entries): an entry counts as started once it listens at its last address and still runs

Cause: the harness took an entry as started as soon as its peer address accepted; its metrics address is bound last. If another process has taken that one since it was picked, the entry exits and the test waits for a dead one. Shown with the settings of that entry and its metrics port held: the peer address accepts after 11 ms, the entry exits with that line.

Change: the harness waits for both addresses, then checks that the entry runs; as before it picks other addresses and starts it again otherwise.

--- a/rhubarbfall/tests/scheduler_process/mod.rs
+++ b/rhubarbfall/tests/scheduler_process/mod.rs
@@ -102,18 +102,31 @@
     }
 }
 
-/// Waits until an entry listens, and returns false if it has exited.
+/// The time within which an entry exits that could not bind an address.
+const EXIT_TIME: Duration = Duration::from_millis(100);
+
+/// Waits until an entry listens at all of its addresses, and returns false if it has exited. Another
+/// process that has taken one of them since it was picked listens there as well, so that the entry must
+/// still run a moment later.
 fn is_listening(entry: &mut SchedulerEntry) -> bool {
     let deadline = Instant::now() + START_TIMEOUT;
-    while TcpStream::connect(entry.addresses.peers).is_err() {
-        let exited = entry.child.try_wait().expect("the entry's state is known");
-        if exited.is_some() {
-            return false;
+    let addresses = &entry.addresses;
+    for address in [addresses.peers, addresses.metrics] {
+        while TcpStream::connect(address).is_err() {
+            if has_exited(&mut entry.child) {
+                return false;
+            }
+            assert!(Instant::now() < deadline, "the entry does not listen");
+            std::thread::sleep(Duration::from_millis(10));
         }
-        assert!(Instant::now() < deadline, "the entry does not listen");
-        std::thread::sleep(Duration::from_millis(10));
     }
-    true
+    std::thread::sleep(EXIT_TIME);
+    !has_exited(&mut entry.child)
+}
+
+fn has_exited(child: &mut Child) -> bool {
+    let state = child.try_wait().expect("the entry's state is known");
+    state.is_some()
 }
 
 pub(crate) async fn call(
--- a/rhubarbfall/tests/support/mod.rs
+++ b/rhubarbfall/tests/support/mod.rs
@@ -10,6 +10,8 @@
     pub(crate) callers: SocketAddr,
     pub(crate) readiness: SocketAddr,
     pub(crate) peers: SocketAddr,
+    /// The address that an entry binds last.
+    pub(crate) metrics: SocketAddr,
 }
 
 impl EntryAddresses {
@@ -19,6 +21,7 @@
             callers: free_address(),
             readiness: free_address(),
             peers: free_address(),
+            metrics: free_address(),
         }
     }
 
@@ -34,8 +37,8 @@
             callers,
             readiness,
             peers,
+            metrics,
         } = self;
-        let metrics = free_address();
         let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
         let seeds = seeds.join(", ");
         format!(
