test(review): show a start beyond the attempts of a queue

Cause: the number of attempts is taken from the configuration in force when a run ends; without the queue there is no limit, and nobody counts again when it is back.

--- a/review/stand-in-3/cases.rs
+++ b/review/stand-in-3/cases.rs
@@ -4,18 +4,14 @@
 use std::time::{Duration, Instant};
 
 use crate::fleet::{Fleet, JALPAI, Log, unix_ms};
-use crate::json::{decode_base64, encode_base64};
-use crate::store::Row;
+use crate::json::decode_base64;
+use crate::minion::{Attempt, FAILING};
 
 /// The outcome of a script, as its exit code.
 const HELD: u8 = 0;
 const BROKEN: u8 = 1;
 const NOT_RUN: u8 = 2;
 
-/// The ended submissions in the store: an hour of the 16.12 that the traffic of
-/// `sites/sssc-hooghly.toml` hands in each second.
-const ENDED: u64 = 58_000;
-
 /// The occurrences of the schedule: one each minute of a year.
 const OCCURRENCES: u64 = 525_600;
 
@@ -23,7 +19,6 @@
 const GANGS: u64 = 13;
 
 /// A submission of each tenant.
-const FIRST: &str = "5c0e7a21d94b36f8";
 const FIRST_PATH: &str = "/jalpai/5c0e7a21d94b36f8";
 const SECOND_PATH: &str = "/ganga/77aa01b2c3d4e5f6";
 
@@ -32,10 +27,10 @@
     let log = Log::create(record);
     log.add(&format!("case {case}, troubled: {is_troubled}"));
     let (minions, task_ms, run): (usize, u64, fn(&Fleet, bool) -> u8) = match case {
-        "history" => (4, 300, history),
         "schedule" => (4, 300, schedule),
         "gang" => (16, 8_000, gang),
         "wave" => (4, 300, wave),
+        "attempts" => (4, 1_500, attempts),
         _ => return NOT_RUN,
     };
     let fleet = Fleet::start(&log, minions, task_ms);
@@ -97,75 +92,6 @@
     }
 }
 
-/// The rows of an hour of ended submissions stand in the store; then the owner is killed.
-fn history(fleet: &Fleet, is_troubled: bool) -> u8 {
-    if !fleet.submit("key-jalpai", FIRST_PATH, &print_run("first"))
-        || !fleet.wait_for_state(
-            "key-jalpai",
-            FIRST_PATH,
-            "completed",
-            Duration::from_secs(20),
-        )
-    {
-        return NOT_RUN;
-    }
-    std::thread::sleep(Duration::from_millis(500));
-    if copy_rows(fleet, FIRST, ENDED) != 2 {
-        return NOT_RUN;
-    }
-    // Accepted before the disruption, and due after it.
-    let body = scheduled("second", unix_ms() + 8_000, 1_000, 1);
-    if !fleet.submit("key-ganga", SECOND_PATH, &body) {
-        return NOT_RUN;
-    }
-    std::thread::sleep(Duration::from_millis(500));
-    if is_troubled {
-        let Some(owner) = fleet.owner() else {
-            return NOT_RUN;
-        };
-        owner.kill(&fleet.log);
-    }
-    judge(fleet, Duration::from_secs(60))
-}
-
-/// Copies the rows that the entries have written for an ended submission under other identifiers, as
-/// the same traffic leaves them, and returns how many rows it has.
-fn copy_rows(fleet: &Fleet, id: &str, copies: u64) -> usize {
-    let mut originals = fleet.store.rows_of("submission");
-    originals.extend(fleet.store.rows_of("progress"));
-    originals.retain(|(key, _)| key.2 == id);
-    let mut rows = fleet.store.rows.lock().expect("rows");
-    for number in 0..copies {
-        let other = format!("{:016x}", number.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1);
-        rows.version += 1;
-        let version = rows.version;
-        for (key, row) in &originals {
-            let mut value = decode_base64(&row.value);
-            if let Some(at) = value
-                .windows(id.len())
-                .position(|part| part == id.as_bytes())
-            {
-                value[at..at + id.len()].copy_from_slice(other.as_bytes());
-            }
-            let key = (key.0.clone(), key.1.clone(), other.clone());
-            let value = encode_base64(&value);
-            rows.rows.insert(
-                key,
-                Row {
-                    value,
-                    version,
-                    is_removed: false,
-                },
-            );
-        }
-    }
-    fleet.log.add(&format!(
-        "store: the {} rows of {id} stand under {copies} other identifiers",
-        originals.len()
-    ));
-    originals.len()
-}
-
 /// A schedule is handed in whose occurrences are due; without the disruption it begins in an hour.
 fn schedule(fleet: &Fleet, is_troubled: bool) -> u8 {
     let body = scheduled("second", unix_ms() + 12_000, 1_000, 1);
@@ -296,3 +222,53 @@
         (false, false) => NOT_RUN,
     }
 }
+
+/// A queue is away while the last attempt of a subtask fails.
+fn attempts(fleet: &Fleet, is_troubled: bool) -> u8 {
+    let log = &fleet.log;
+    let body = format!(
+        "{{\"spec\":\"{FAILING}\",\"steps\":[{{\"count\":1,\"cpu\":3500,\"mem_mb\":256,\
+         \"estimate_ms\":1500}}]}}"
+    );
+    let task = "5c0e7a21d94b36f8.0.0.0";
+    if !fleet.submit("key-jalpai", FIRST_PATH, &body) {
+        return NOT_RUN;
+    }
+    let wait = |is_reached: &dyn Fn(Attempt) -> bool| {
+        let until = Instant::now() + Duration::from_secs(30);
+        while Instant::now() < until {
+            if is_reached(fleet.platform.attempts.of(task)) {
+                return true;
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        false
+    };
+    if !wait(&|attempt| attempt.starts == 3) {
+        return NOT_RUN;
+    }
+    if is_troubled {
+        log.add("DISRUPTION: the queue is removed, and added again after the third end");
+        fleet.configure(8, false);
+    }
+    if !wait(&|attempt| attempt.noted == 3) {
+        return NOT_RUN;
+    }
+    std::thread::sleep(Duration::from_secs(1));
+    if is_troubled {
+        fleet.configure(9, true);
+    }
+    let is_failed =
+        fleet.wait_for_state("key-jalpai", FIRST_PATH, "failed", Duration::from_secs(15));
+    let attempt = fleet.platform.attempts.of(task);
+    log.add(&format!(
+        "BUDGET: shown as failed: {is_failed}; {attempt:?}"
+    ));
+    if attempt.beyond > 0 && attempt.noted >= 3 {
+        BROKEN
+    } else if is_failed {
+        HELD
+    } else {
+        NOT_RUN
+    }
+}
--- a/review/stand-in-3/fleet.rs
+++ b/review/stand-in-3/fleet.rs
@@ -12,8 +12,8 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::http::{self, Answer, Request, listen};
-use crate::json::{Json, decode_base64, quote};
-use crate::minion::{Gangs, Minion};
+use crate::json::{Json, quote};
+use crate::minion::{Attempts, Gangs, Minion};
 use crate::store::Store;
 
 /// `memory_mb` of the small sites, in bytes.
@@ -117,6 +117,7 @@
             machines: Mutex::default(),
             is_down: AtomicBool::new(false),
             gangs: Arc::default(),
+            attempts: Arc::default(),
             task_ms,
             lives: AtomicU16::new(0),
         });
@@ -137,7 +138,7 @@
                 std::thread::sleep(LOOK_INTERVAL);
             }
         });
-        fleet.store.write("op", "", "config", config().as_bytes());
+        fleet.configure(7, true);
         for number in 0..minions {
             fleet.platform.add_machine(number, "a", service_of(number));
         }
@@ -205,6 +206,15 @@
         entry
     }
 
+    /// Writes a configuration, with or without the first queue.
+    pub fn configure(&self, version: u64, has_first: bool) {
+        self.log.add(&format!(
+            "operator: op/config version {version}, with jalpai-print: {has_first}"
+        ));
+        let text = config(version, has_first);
+        self.store.write("op", "", "config", text.as_bytes());
+    }
+
     /// Waits until all entries accept consumers.
     pub fn wait_until_ready(&self) -> bool {
         let until = Instant::now() + Duration::from_secs(20);
@@ -221,23 +231,6 @@
         })
     }
 
-    /// Returns the entry that the row of the owner names.
-    pub fn owner(&self) -> Option<Arc<Entry>> {
-        let rows = self.store.rows.lock().expect("rows");
-        let of_owner = rows.rows.iter().filter(|(key, _)| {
-            !matches!(key.0.as_str(), "op" | "servers" | "submission" | "progress")
-        });
-        let values = of_owner.map(|(_, row)| decode_base64(&row.value));
-        let texts: Vec<String> = values
-            .map(|value| String::from_utf8_lossy(&value).into_owned())
-            .collect();
-        let found = self
-            .entries
-            .iter()
-            .find(|entry| texts.iter().any(|text| text.contains(&entry.name)));
-        found.cloned()
-    }
-
     /// Makes one call of a consumer.
     pub fn call(
         &self,
@@ -334,15 +327,6 @@
         *self.child.lock().expect("child") = Some(child);
     }
 
-    /// Kills the process as by SIGKILL; it is started again like any process that has ended.
-    pub fn kill(&self, log: &Log) {
-        log.add(&format!("DISRUPTION: {} is killed (SIGKILL)", self.name));
-        if let Some(mut child) = self.child.lock().expect("child").take() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-
     /// Watches memory and ends of the process, and starts it again.
     fn supervise(&self, log: &Log, is_over: &AtomicBool) {
         while !is_over.load(Ordering::Relaxed) {
@@ -406,7 +390,7 @@
 pub const JALPAI: &str = "jalpai-svc";
 const GANGA: &str = "ganga-svc";
 
-fn config() -> String {
+fn config(version: u64, has_first: bool) -> String {
     let route = |name: &str, prefix: &str, service: &str| {
         format!(
             "{{\"name\":\"{name}\",\"host\":\"pule25.example\",\"path_prefix\":\"{prefix}\",\
@@ -420,10 +404,11 @@
              \"cap\":{{\"cpu\":0,\"mem_mb\":0,\"gpu\":0}}}}"
         )
     };
+    let first = route("jalpai-print", "/jalpai/", "jalpai-svc") + ",";
+    let first = if has_first { first } else { String::new() };
     format!(
-        "{{\"version\":7,\"routes\":[{},{}],\"services\":[{{\"name\":\"jalpai-svc\",\
+        "{{\"version\":{version},\"routes\":[{first}{}],\"services\":[{{\"name\":\"jalpai-svc\",\
          \"enforces_capacity\":false}},{{\"name\":\"ganga-svc\",\"enforces_capacity\":false}}],\"tenants\":[{},{}]}}",
-        route("jalpai-print", "/jalpai/", "jalpai-svc"),
         route("ganga-print", "/ganga/", "ganga-svc"),
         tenant("jalpai", "key-jalpai"),
         tenant("ganga", "key-ganga")
@@ -438,6 +423,7 @@
     /// Whether the list of machines is silent.
     pub is_down: AtomicBool,
     pub gangs: Arc<Gangs>,
+    pub attempts: Arc<Attempts>,
     task_ms: u64,
     /// The number of minions so far.
     lives: AtomicU16,
@@ -465,7 +451,8 @@
     /// Starts the minion of a machine, which registers itself.
     fn start_minion(&self, machine: &str, kind: &str, pool: &str) -> Arc<Minion> {
         let id = format!("minion-{}", self.lives.fetch_add(1, Ordering::Relaxed));
-        let (minion, address) = Minion::start(&id, self.task_ms, &self.log, &self.gangs);
+        let (minion, address) =
+            Minion::start(&id, self.task_ms, &self.log, &self.gangs, &self.attempts);
         let entry = format!(
             "{{\"service\":\"{pool}\",\"address\":\"{address}\",\"zone\":\"howrah\",\
              \"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"cold_left_ms\":0,\"seq\":1,\
--- a/review/stand-in-3/minion.rs
+++ b/review/stand-in-3/minion.rs
@@ -17,6 +17,38 @@
 const CHECKPOINT_MS: u64 = 1_000;
 const GANG_MS: u64 = 3_000;
 
+/// The spec of subtasks whose runs end `failed`.
+pub const FAILING: &str = "fails";
+
+/// What becomes of each subtask with this spec, over all minions.
+#[derive(Default)]
+pub struct Attempts(Mutex<BTreeMap<String, Attempt>>);
+
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Attempt {
+    pub starts: u32,
+    /// The runs that have ended `failed`, and those of them that were taken note of.
+    pub failed: u32,
+    pub noted: u32,
+    /// The starts after as many failed ends as the configuration allows.
+    pub beyond: u32,
+}
+
+/// `max_attempts` of the queues.
+const MAX_ATTEMPTS: u32 = 3;
+
+impl Attempts {
+    pub fn of(&self, task: &str) -> Attempt {
+        let attempts = self.0.lock().expect("attempts");
+        attempts.get(task).copied().unwrap_or_default()
+    }
+
+    fn update(&self, task: &str, change: impl Fn(&mut Attempt)) {
+        let mut attempts = self.0.lock().expect("attempts");
+        change(attempts.entry(task.to_owned()).or_default());
+    }
+}
+
 /// The runs of gangs, which the members on all minions share, by ID.K.STEP and run.
 #[derive(Default)]
 pub struct Gangs(Mutex<BTreeMap<(String, u64), Gang>>);
@@ -97,6 +129,7 @@
     changed: Condvar,
     log: Arc<Log>,
     gangs: Arc<Gangs>,
+    attempts: Arc<Attempts>,
 }
 
 impl Minion {
@@ -106,6 +139,7 @@
         task_ms: u64,
         log: &Arc<Log>,
         gangs: &Arc<Gangs>,
+        attempts: &Arc<Attempts>,
     ) -> (Arc<Self>, SocketAddr) {
         let minion = Arc::new(Self {
             id: id.to_owned(),
@@ -116,6 +150,7 @@
             changed: Condvar::new(),
             log: Arc::clone(log),
             gangs: Arc::clone(gangs),
+            attempts: Arc::clone(attempts),
         });
         let served = Arc::clone(&minion);
         let address = listen(move |request| served.answer(request));
@@ -191,8 +226,13 @@
         let runs = std::mem::take(&mut state.runs);
         for run in runs {
             let stop_ms = run.stop_ms.unwrap_or(u64::MAX);
+            let own_end = if run.spec == FAILING {
+                "failed"
+            } else {
+                "done"
+            };
             let (mut how, mut at_ms) = [
-                ("done", run.done_ms),
+                (own_end, run.done_ms),
                 ("stopped", stop_ms),
                 ("lapsed", lease_ms),
             ]
@@ -218,6 +258,10 @@
                 state.runs.push(run);
                 continue;
             }
+            if how == "failed" {
+                self.attempts
+                    .update(&run.task, |attempt| attempt.failed += 1);
+            }
             state.last_end += 1;
             self.log.add(&format!(
                 "minion={} ended task={} run={} how={how} saved={saved:?}",
@@ -279,6 +323,12 @@
             quote(&spec)
         ));
         state.seen.push((task.clone(), number));
+        if spec == FAILING {
+            self.attempts.update(&task, |attempt| {
+                attempt.starts += 1;
+                attempt.beyond += u32::from(attempt.failed >= MAX_ATTEMPTS);
+            });
+        }
         let mut done_ms = now_ms + self.task_ms;
         if let Some(size) = gang_size(&spec) {
             done_ms = u64::MAX;
@@ -337,6 +387,13 @@
         }
         self.extend(&mut state, body);
         let cursor = body.get("ack_cursor").number().unwrap_or(0);
+        for (number, task, run, how, _) in &state.ends {
+            if *how == "failed" && *number <= cursor {
+                self.log
+                    .add(&format!("minion={} noted task={task} run={run}", self.id));
+                self.attempts.update(task, |attempt| attempt.noted += 1);
+            }
+        }
         state.ends.retain(|(number, ..)| *number > cursor);
         loop {
             self.settle(&mut state);
