--- a/review/stand-in-3/cases.rs
+++ b/review/stand-in-3/cases.rs
@@ -31,6 +31,9 @@
         "gang" => (16, 8_000, gang),
         "wave" => (4, 300, wave),
         "attempts" => (4, 1_500, attempts),
+        // Trials without a folder, see review/REPORT-3.md.
+        "extended-wave" => (4, 300, extended_wave),
+        "same-id" => (4, 300, same_id),
         _ => return NOT_RUN,
     };
     let fleet = Fleet::start(&log, minions, task_ms);
@@ -272,3 +275,67 @@
         NOT_RUN
     }
 }
+
+/// A trial: the operator adds a machine to a wave that is at work or over.
+fn extended_wave(fleet: &Fleet, is_troubled: bool) -> u8 {
+    let log = &fleet.log;
+    let write = |machines: &str| {
+        let row = format!("{{\"wave\":3,\"machines\":[{machines}],\"duration_s\":25,\"cap\":1}}");
+        log.add(&format!("operator: op/wave/3 {row}"));
+        fleet.store.write("op", "", "wave/3", row.as_bytes());
+    };
+    std::thread::sleep(Duration::from_secs(2));
+    if is_troubled {
+        write("\"machine-0\"");
+        std::thread::sleep(Duration::from_secs(1));
+    }
+    write("\"machine-0\",\"machine-2\"");
+    std::thread::sleep(Duration::from_secs(30));
+    let rows = fleet.store.rows_of("status");
+    let row = rows.iter().find(|(key, _)| key.2 == "wave/3");
+    let state = row
+        .map(|(_, row)| decode_base64(&row.value))
+        .unwrap_or_default();
+    let state = String::from_utf8_lossy(&state).into_owned();
+    let has_begun = fleet.platform.upkeeps("machine-2") > 0;
+    log.add(&format!(
+        "status/wave/3 is {state}; upkeep of machine-2 begun: {has_begun}"
+    ));
+    match (state.contains("completed"), has_begun) {
+        (true, false) => BROKEN,
+        (true, true) => HELD,
+        (false, _) => NOT_RUN,
+    }
+}
+
+/// A trial: consumers of two tenants choose the same identifier, each in its own queue.
+fn same_id(fleet: &Fleet, is_troubled: bool) -> u8 {
+    let second = if is_troubled {
+        "/ganga/5c0e7a21d94b36f8"
+    } else {
+        SECOND_PATH
+    };
+    if !fleet.submit("key-jalpai", FIRST_PATH, &print_run("of jalpai")) {
+        return NOT_RUN;
+    }
+    if !fleet.submit("key-ganga", second, &print_run("of ganga")) {
+        fleet.log.add("the second submission is refused");
+        return HELD;
+    }
+    let is_completed =
+        fleet.wait_for_state("key-ganga", second, "completed", Duration::from_secs(20));
+    let starts = fleet
+        .platform
+        .minions()
+        .iter()
+        .map(|minion| minion.starts_of("of ganga"))
+        .sum::<usize>();
+    fleet.log.add(&format!(
+        "completed: {is_completed}; starts of the second submission: {starts}"
+    ));
+    match (is_completed, starts) {
+        (true, 0) => BROKEN,
+        (true, _) => HELD,
+        (false, _) => NOT_RUN,
+    }
+}
--- a/review/stand-in-3/minion.rs
+++ b/review/stand-in-3/minion.rs
@@ -117,6 +117,8 @@
     /// The highest run of each task that has started, ended or been stopped here.
     seen: Vec<(String, u64)>,
     has_crashed: bool,
+    /// The spec of each start.
+    specs: Vec<String>,
 }
 
 pub struct Minion {
@@ -180,6 +182,16 @@
         self.changed.notify_all();
     }
 
+    /// Returns how many starts had this spec.
+    pub fn starts_of(&self, spec: &str) -> usize {
+        let state = self.state.lock().expect("state");
+        state
+            .specs
+            .iter()
+            .filter(|started| *started == spec)
+            .count()
+    }
+
     /// Returns the number of runs.
     pub fn runs(&self) -> usize {
         self.state.lock().expect("state").runs.len()
@@ -323,6 +335,7 @@
             quote(&spec)
         ));
         state.seen.push((task.clone(), number));
+        state.specs.push(spec.clone());
         if spec == FAILING {
             self.attempts.update(&task, |attempt| {
                 attempt.starts += 1;
