feat(runs): log what keeps waiting submissions from starting

Change: once a second the oldest submissions that wait with nothing running, with their customer's use, share and limit and the obstacle; the same obstacle for long-running tasks; `event=pool` with the VMs on their way and the pause of late work. Result: lines only, no decision changes.

--- a/rhubarbfall-runs/src/scheduler/absence.rs
+++ b/rhubarbfall-runs/src/scheduler/absence.rs
@@ -6,7 +6,7 @@
 use rhubarbfall_core::BootTime;
 
 use super::Scheduler;
-use crate::{Job, RunState, Task, TaskId, TaskPhase};
+use crate::{Job, RunState, StepId, Task, TaskId, TaskPhase};
 
 /// The interval between lines about the same task.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
@@ -45,11 +45,11 @@
             return "cause=not_due".to_owned();
         };
         let TaskPhase::Placed(placed) = &task.phase else {
-            let customer = job.submission.customer.as_ref();
-            let is_within_limit = self.is_within_customer_limit(customer, job.step(id).demand);
             return format!(
-                "cause=waiting runs={} is_within_limit={is_within_limit}",
-                task.last_run
+                "cause=waiting runs={} demand={} obstacle={}",
+                task.last_run,
+                job.step(id).demand,
+                self.obstacle(job, &StepId::of(id), now)
             );
         };
         let inherited_ms = self.inherited_leases_remaining(now).as_millis();
--- a/rhubarbfall-runs/src/scheduler/cell_shares.rs
+++ b/rhubarbfall-runs/src/scheduler/cell_shares.rs
@@ -69,6 +69,19 @@
         })
     }
 
+    /// Returns this cell's part of the limit of a customer, 0 in what is not limited.
+    pub(super) fn customer_share(&self, customer: &Customer) -> Resources {
+        let of = |dimension: Dimension| match dimension.of(customer.limit) {
+            0 => 0,
+            limit => self.share_of(&Account::Customer(dimension, customer.id.clone()), limit),
+        };
+        Resources {
+            cpu_millis: of(Dimension::Cpu),
+            memory_mb: of(Dimension::Memory),
+            gpus: of(Dimension::Gpu),
+        }
+    }
+
     /// Returns how many VMs of this cell may be down for a wave at the same time.
     pub(super) fn wave_share(&self, wave: &WaveId, max_down: usize) -> usize {
         let limit = max_down.max(1) as u64;
--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -36,6 +36,7 @@
 mod storing;
 mod token_bucket;
 mod vm_operations;
+mod waiting_log;
 mod wave_choice;
 mod wave_pace;
 mod waves;
@@ -110,6 +111,8 @@
     pools_logged_at: BootTime,
     /// When the long-running tasks that do not run were last logged.
     absence_logged_at: BootTime,
+    /// When the submissions that wait with nothing running were last logged.
+    waiting_logged_at: BootTime,
     /// When the time-dependent checks last ran.
     checked_at: BootTime,
     /// The earliest time at which long-running tasks may be interrupted: an earlier owner may just
@@ -151,6 +154,7 @@
             evacuation: evacuation::Evacuation::default(),
             pools_logged_at: BootTime::default(),
             absence_logged_at: BootTime::default(),
+            waiting_logged_at: BootTime::default(),
             checked_at: BootTime::default(),
             interrupt_after: BootTime::default(),
         }
@@ -218,6 +222,7 @@
         }
         self.place_waiting(now);
         self.log_absent(now);
+        self.log_waiting(now);
     }
 
     /// Runs the checks that need no valid ownership lease if they are due: whoever owns the
--- a/rhubarbfall-runs/src/scheduler/pools.rs
+++ b/rhubarbfall-runs/src/scheduler/pools.rs
@@ -79,14 +79,19 @@
         }
         self.pools_logged_at = now;
         for pool in pools {
+            let late_work = self.vm_ops.late_work.get(&pool.service);
+            let late_paused = late_work.and_then(|late| late.paused_until).unwrap_or(now);
             log::info!(
-                "event=pool service={} in_time={} needed={} supply={} idle={} drainable={}",
+                "event=pool service={} in_time={} needed={} supply={} moving_to={} idle={} \
+                 drainable={} late_paused_ms={}",
                 pool.service,
                 pool.need.in_time,
                 pool.need.total,
                 pool.supply,
+                self.usable_moving_to(&pool.service),
                 pool.idle.len(),
-                pool.drainable.len()
+                pool.drainable.len(),
+                late_paused.since(now).as_millis()
             );
         }
     }
