fix(runs): meet what long-running work needs before all other work

Cause: what long-running tasks need was hidden in the need of work in time, met in proportion and only below three quarters of the pool's share; a pool that lacks one VM of 42 asked in vain, and late work of another pool came first. Change: a need of its own, from the places that the waiting tasks lack (VMs on their way count as empty ones), met first and however little is missing, also from VMs that others hold for work in time. Result: a_pool_that_lost_a_vm_of_long_running_work_gets_another_one failed before ("labels": not back after 9 s beside a steady overload) and passes.

--- a/rhubarbfall-runs/src/scheduler/pool_demand.rs
+++ b/rhubarbfall-runs/src/scheduler/pool_demand.rs
@@ -110,6 +110,7 @@
     /// to arrive.
     pub(super) fn vms(&self, vm_size: Resources, arriving: Resources) -> PoolNeed {
         PoolNeed {
+            long_running: 0,
             in_time: self.in_time.vms(vm_size, arriving),
             total: self.in_time.plus(&self.late).vms(vm_size, arriving),
         }
--- a/rhubarbfall-runs/src/scheduler/pool_plan.rs
+++ b/rhubarbfall-runs/src/scheduler/pool_plan.rs
@@ -38,6 +38,9 @@
 /// The numbers of VMs that the open work of a pool needs, each with the more urgent work included.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct PoolNeed {
+    /// For long-running tasks that wait and have room on no VM of the pool, with all VMs that the pool
+    /// has; 0 if there are none.
+    pub long_running: usize,
     /// For work that is long-running or can still be in time.
     pub in_time: usize,
     /// With the late work that may have VMs.
@@ -46,18 +49,23 @@
 
 impl PoolNeed {
     /// The needs in the order in which they are met.
-    const BY_URGENCY: [fn(&Self) -> usize; 2] = [|need| need.in_time, |need| need.total];
+    const BY_URGENCY: [fn(&Self) -> usize; 3] = [
+        |need| need.long_running,
+        |need| need.in_time,
+        |need| need.total,
+    ];
 
     /// Returns the need of work that can all be in time.
     #[must_use]
     pub const fn in_time(vms: usize) -> Self {
         Self {
+            long_running: 0,
             in_time: vms,
             total: vms,
         }
     }
 
-    /// Raises each number to at least `vms`.
+    /// Raises what work in time needs, and what all work needs, to at least `vms`.
     pub(super) fn raise(&mut self, vms: usize) {
         self.in_time = self.in_time.max(vms);
         self.total = self.total.max(vms);
@@ -65,9 +73,10 @@
 }
 
 /// Plans moves of VMs between pools: idle VMs move to pools with waiting work, those of the spare
-/// pool first, and the others move to the spare pool if no pool needs them. Late work gets what the
-/// work in time of all pools leaves. A pool that still has far fewer VMs than its share gets some
-/// that hold work, from pools beyond theirs.
+/// pool first, and the others move to the spare pool if no pool needs them. Long-running work comes
+/// first, and late work gets what the work in time of all pools leaves. A pool that still lacks a VM
+/// for long-running work, or has far fewer than its share, gets some that hold work, from pools beyond
+/// theirs.
 ///
 /// # Examples
 ///
@@ -94,8 +103,11 @@
 /// ```
 #[must_use]
 pub fn plan_moves(pools: &[PoolLoad]) -> Vec<(VmId, ServiceId)> {
-    let mut donors = donors(pools);
+    let mut donors = donors(pools, |need| need.in_time);
     let mut moves = Vec::new();
+    supply_short_pools(pools, |need| need.long_running, &mut donors, &mut moves);
+    supply_long_running(pools, &mut moves);
+    donors.retain(|donor| moves.iter().all(|(vm, _)| *vm != donor.vm));
     supply_short_pools(pools, |need| need.in_time, &mut donors, &mut moves);
     supply_short_pools(pools, |need| need.total, &mut donors, &mut moves);
     if let Some(spare) = pools.iter().find(|pool| pool.is_spare) {
@@ -108,6 +120,17 @@
     moves
 }
 
+/// Moves idle VMs that other pools have for work in time to pools that still lack VMs for long-running
+/// work.
+fn supply_long_running(pools: &[PoolLoad], moves: &mut Vec<(VmId, ServiceId)>) {
+    let is_short = |pool: &PoolLoad| pool.need.long_running > pool.supply;
+    if pools.iter().any(is_short) {
+        let mut donors = donors(pools, |need| need.long_running);
+        donors.retain(|donor| moves.iter().all(|(vm, _)| *vm != donor.vm));
+        supply_short_pools(pools, |need| need.long_running, &mut donors, moves);
+    }
+}
+
 /// Moves VMs of donors to the pools that have fewer VMs than they need. These get one VM in turn, so
 /// that one surge does not take all of them.
 fn supply_short_pools(
@@ -143,14 +166,14 @@
     idle_for: Duration,
 }
 
-/// Returns the VMs that their pools can spare, the preferred ones last.
-fn donors(pools: &[PoolLoad]) -> Vec<Donor> {
+/// Returns the idle VMs beyond what their pools are to keep, the preferred ones last.
+fn donors(pools: &[PoolLoad], kept: impl Fn(&PoolNeed) -> usize) -> Vec<Donor> {
     let mut donors = Vec::new();
     for pool in pools {
         let surplus = if pool.is_spare {
             pool.idle.len()
         } else {
-            pool.supply.saturating_sub(pool.need.in_time)
+            pool.supply.saturating_sub(kept(&pool.need))
         };
         let mut idle = pool.idle.clone();
         idle.sort_by_key(|(_, idle_for)| std::cmp::Reverse(*idle_for));
@@ -175,8 +198,8 @@
     donors
 }
 
-/// Moves VMs that hold work to pools that have less than [`STARVED_BELOW`] of their share, from the
-/// pools that are furthest beyond theirs.
+/// Moves VMs that hold work to pools that lack one for long-running work or have less than
+/// [`STARVED_BELOW`] of their share, from the pools that are furthest beyond theirs.
 fn drain_for_starved_pools(pools: &[PoolLoad], moves: &mut Vec<(VmId, ServiceId)>) {
     let shares = shares(pools);
     let gained = |service: &ServiceId| moves.iter().filter(|(_, to)| to == service).count();
@@ -186,6 +209,8 @@
         let supply = pool.supply + gained(&pool.service);
         if (supply as f64) < *share as f64 * STARVED_BELOW {
             short.push((share - supply, pool));
+        } else if supply < pool.need.long_running.min(*share) {
+            short.push((pool.need.long_running.min(*share) - supply, pool));
         } else if pool.supply > *share {
             beyond.push((pool.supply - share, &pool.drainable));
         }
--- a/rhubarbfall-runs/src/scheduler/pools.rs
+++ b/rhubarbfall-runs/src/scheduler/pools.rs
@@ -83,9 +83,10 @@
             let late_work = self.vm_ops.late_work.get(&pool.service);
             let late_paused = late_work.and_then(|late| late.paused_until).unwrap_or(now);
             log::info!(
-                "event=pool service={} in_time={} needed={} supply={} moving_to={} idle={} \
+                "event=pool service={} long_running={} in_time={} needed={} supply={} moving_to={} idle={} \
                  drainable={} late_paused_ms={}",
                 pool.service,
+                pool.need.long_running,
                 pool.need.in_time,
                 pool.need.total,
                 pool.supply,
@@ -106,9 +107,9 @@
             .map(|service| self.pool_supply(service, now))
             .collect();
         let places = self.places_for_long_running(&loads, &demand, vm_size, now);
-        self.set_needs(&mut loads, &demand, vm_size, now);
+        self.set_needs(&mut loads, &demand, &places, vm_size, now);
         demand.admit_late(vms_left(&loads), vm_size);
-        self.set_needs(&mut loads, &demand, vm_size, now);
+        self.set_needs(&mut loads, &demand, &places, vm_size, now);
         for (load, places) in loads.iter_mut().zip(&places) {
             let is_kept = |vm: &VmId| places.kept.contains(vm);
             load.idle.retain(|(vm, _)| !is_kept(vm));
@@ -140,10 +141,12 @@
         &self,
         loads: &mut [PoolLoad],
         demand: &FleetDemand,
+        places: &[LongRunningPlaces],
         vm_size: impl Fn(&ServiceId) -> Resources,
         now: BootTime,
     ) {
-        for load in loads.iter_mut().filter(|load| !load.is_spare) {
+        let loads = loads.iter_mut().zip(places);
+        for (load, places) in loads.filter(|(load, _)| !load.is_spare) {
             let no_demand = ServiceDemand::default();
             let demand = demand.services.get(&load.service).unwrap_or(&no_demand);
             let for_waiting = match demand.for_waiting_long_running {
@@ -153,6 +156,10 @@
             let arriving = self.recent_work.forecast(&load.service, now);
             load.need = demand.vms(vm_size(&load.service), arriving);
             load.need.raise(for_waiting);
+            if places.missing > 0 {
+                load.need.long_running = load.supply + places.missing;
+                load.need.raise(load.need.long_running);
+            }
         }
     }
 
--- a/rhubarbfall-runs/tests/long_running_vms.rs
+++ b/rhubarbfall-runs/tests/long_running_vms.rs
@@ -12,6 +12,9 @@
 /// take.
 const MAX_ABSENCE: Duration = Duration::from_secs(5);
 
+/// A time after which no lease of a worker that was cut off is in force.
+const LONGEST_LEASE: Duration = Duration::from_secs(4);
+
 /// The number of the first short submission.
 const FIRST_SHORT: u64 = 100;
 
@@ -87,3 +90,27 @@
         }
     }
 }
+
+/// Guards against a long-running task that waits for as long as other pools are busy, since its pool
+/// lacks one VM of many, which counts as enough for short work.
+#[test]
+fn a_pool_that_lost_a_vm_of_long_running_work_gets_another_one() {
+    for (queue, other) in [("labels", "permits"), ("permits", "labels")] {
+        let mut model = cell_with_surge(queue, &pools(queue, 6, 6));
+        let (worker, _) = model.runs_of(1).remove(0);
+        model.cut_off(&worker);
+        let end = model.now + LONGEST_LEASE + MAX_ABSENCE;
+        let mut number = FIRST_SHORT;
+        let mut is_back = false;
+        while model.now < end {
+            // Twice what the VMs of the pool do.
+            let work = submission(number, other, step(12, 6_400));
+            model.submit(work, Duration::from_secs(1));
+            number += 1;
+            model.run_for(Duration::from_millis(100));
+            let runs = model.runs_of(1).len() + model.runs_of(2).len();
+            is_back = runs == 6 && !model.runs_of(1).iter().any(|(id, _)| *id == worker);
+        }
+        assert!(is_back, "{queue}");
+    }
+}
--- a/rhubarbfall-runs/tests/pool_shares.rs
+++ b/rhubarbfall-runs/tests/pool_shares.rs
@@ -36,7 +36,11 @@
 }
 
 fn need(in_time: usize, total: usize) -> PoolNeed {
-    PoolNeed { in_time, total }
+    PoolNeed {
+        long_running: 0,
+        in_time,
+        total,
+    }
 }
 
 #[test]
@@ -96,6 +100,30 @@
     .assert_eq(&moves(&pools));
 }
 
+/// Guards against a long-running task that waits since its pool has most of its share, or since others
+/// use idle VMs for work in time.
+#[test]
+fn a_pool_that_lacks_a_vm_for_long_running_work_gets_it_first() {
+    let lacks_one = PoolNeed {
+        long_running: 42,
+        ..PoolNeed::in_time(127)
+    };
+    let mut labels = busy_pool("labels", lacks_one, 41);
+    labels.drainable.clear();
+    let busy = [labels.clone(), busy_pool("permits", need(73, 90), 21)];
+    expect![[r"
+        permits -> labels: 1
+    "]]
+    .assert_eq(&moves(&busy));
+    let mut permits = busy_pool("permits", need(73, 90), 21);
+    let idle = std::mem::take(&mut permits.drainable).into_iter();
+    permits.idle = idle.map(|vm| (vm, Duration::from_secs(1))).collect();
+    expect![[r"
+        permits -> labels: 1
+    "]]
+    .assert_eq(&moves(&[labels, permits]));
+}
+
 /// A step with long-running tasks of which a VM holds one, beside a few short tasks.
 fn lasting_step(tasks: u32) -> Step {
     Step {
