fix(runs): ask for VMs for tasks that fit beside no long-running task

Change: tasks that fit into none of these gaps count apart; the pool needs the VMs with gaps and those for such tasks.

--- a/rhubarbfall-runs/src/scheduler/long_running_places.rs
+++ b/rhubarbfall-runs/src/scheduler/long_running_places.rs
@@ -157,7 +157,7 @@
     }
 
     /// Returns what the tasks on a worker reserve that are not short.
-    fn lasting_load(&self, worker: &Worker) -> Resources {
+    pub(super) fn lasting_load(&self, worker: &Worker) -> Resources {
         let mut load = Resources::default();
         if worker.lasting_tasks == 0 {
             return load;
--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -36,6 +36,7 @@
 mod starting;
 mod storing;
 mod token_bucket;
+mod vm_gaps;
 mod vm_operations;
 mod waiting_log;
 mod wave_choice;
--- a/rhubarbfall-runs/src/scheduler/pool_demand.rs
+++ b/rhubarbfall-runs/src/scheduler/pool_demand.rs
@@ -7,6 +7,7 @@
 use super::long_running_places::WaitingLongRunning;
 use super::ordering::{Urgency, urgency};
 use super::pool_plan::PoolNeed;
+use super::vm_gaps::VmGaps;
 use crate::{Job, Queue, Resources, Step, StepId, StepState, Task, TaskPhase};
 
 /// The factor on the sum of demands that allows for capacity lost in packing tasks of different
@@ -27,6 +28,8 @@
     pub(super) waiting_long_running: Vec<WaitingLongRunning>,
     /// The other work that may have VMs.
     late: Demand,
+    /// What tasks that are not short leave on their VMs.
+    gaps: VmGaps,
 }
 
 /// What the open work of all services needs.
@@ -53,7 +56,7 @@
             if left <= 0.0 {
                 break;
             }
-            left -= job.demand.fraction_of(vm_size(&job.service));
+            left -= job.demand.all.fraction_of(vm_size(&job.service));
             let demand = self.services.entry(job.service.clone()).or_default();
             demand.late = demand.late.plus(&job.demand);
         }
@@ -62,31 +65,24 @@
 
 /// The sum of the demands of tasks.
 #[derive(Debug, Default, Clone, Copy)]
-struct Demand {
+struct Load {
     resources: Resources,
-    /// The number of VMs that the step with the lowest `max_per_worker` has to use.
-    min_spread_vms: usize,
     /// The number of tasks that need more than half a VM, each of which takes one.
     large_tasks: usize,
 }
 
-impl Demand {
+impl Load {
     /// Adds tasks of a step, for VMs of this size.
     fn add(&mut self, step: &Step, tasks: usize, vm_size: Resources) {
         if step.reserved().fraction_of(vm_size) > 0.5 {
             self.large_tasks += tasks;
         }
         self.resources += step.reserved().times(tasks as u64);
-        if let Some(max_per_worker) = step.max_per_worker {
-            let spread_vms = tasks.div_ceil(max_per_worker.max(1) as usize);
-            self.min_spread_vms = self.min_spread_vms.max(spread_vms);
-        }
     }
 
     fn plus(&self, other: &Self) -> Self {
         Self {
             resources: self.resources + other.resources,
-            min_spread_vms: self.min_spread_vms.max(other.min_spread_vms),
             large_tasks: self.large_tasks + other.large_tasks,
         }
     }
@@ -96,23 +92,73 @@
         let packed = self.resources.fraction_of(vm_size) * PACKING_HEADROOM_FACTOR;
         packed.max(self.large_tasks as f64)
     }
+}
+
+/// What tasks need.
+#[derive(Debug, Default, Clone, Copy)]
+struct Demand {
+    /// All tasks.
+    all: Load,
+    /// The tasks for which there is no room beside tasks that are not short.
+    beyond_gaps: Load,
+    /// The number of VMs that the step with the lowest `max_per_worker` has to use.
+    min_spread_vms: usize,
+}
+
+impl Demand {
+    /// Adds tasks of a step, for VMs of this size with these gaps.
+    fn add(&mut self, step: &Step, tasks: OpenTasks, vm_size: Resources, gaps: &VmGaps) {
+        let open = tasks.placed + tasks.waiting;
+        self.all.add(step, open, vm_size);
+        // There are other numbers for long-running tasks, and the VMs of the other placed ones that are
+        // not short count among those with gaps.
+        if !step.is_long_running && !gaps.has_room(step.reserved()) {
+            let placed = if step.is_lasting() { 0 } else { tasks.placed };
+            self.beyond_gaps.add(step, placed + tasks.waiting, vm_size);
+        }
+        if let Some(max_per_worker) = step.max_per_worker {
+            let spread_vms = open.div_ceil(max_per_worker.max(1) as usize);
+            self.min_spread_vms = self.min_spread_vms.max(spread_vms);
+        }
+    }
+
+    fn plus(&self, other: &Self) -> Self {
+        Self {
+            all: self.all.plus(&other.all),
+            beyond_gaps: self.beyond_gaps.plus(&other.beyond_gaps),
+            min_spread_vms: self.min_spread_vms.max(other.min_spread_vms),
+        }
+    }
 
-    /// Returns the number of VMs of this size for the tasks and for what is forecast to arrive.
-    fn vms(&self, vm_size: Resources, arriving: Resources) -> usize {
-        let open = self.fraction_of(vm_size);
+    /// Returns the number of VMs of this size for the tasks and for what is forecast to arrive, in a
+    /// pool with these gaps.
+    fn vms(&self, vm_size: Resources, arriving: Resources, gaps: &VmGaps) -> usize {
+        let open = self.all.fraction_of(vm_size);
         let vms = open.max(arriving.fraction_of(vm_size)).ceil() as usize;
-        vms.max(self.min_spread_vms)
+        let beyond_gaps = match self.beyond_gaps.fraction_of(vm_size).ceil() as usize {
+            0 => 0,
+            vms => gaps.vms + vms,
+        };
+        vms.max(beyond_gaps).max(self.min_spread_vms)
     }
 }
 
+/// The tasks of a step that are not done and may run.
+#[derive(Debug, Clone, Copy)]
+struct OpenTasks {
+    placed: usize,
+    waiting: usize,
+}
+
 impl ServiceDemand {
     /// Returns the number of VMs of this size that a pool needs for the work and for what is forecast
     /// to arrive.
     pub(super) fn vms(&self, vm_size: Resources, arriving: Resources) -> PoolNeed {
+        let total = self.in_time.plus(&self.late);
         PoolNeed {
             long_running: 0,
-            in_time: self.in_time.vms(vm_size, arriving),
-            total: self.in_time.plus(&self.late).vms(vm_size, arriving),
+            in_time: self.in_time.vms(vm_size, arriving, &self.gaps),
+            total: total.vms(vm_size, arriving, &self.gaps),
         }
     }
 }
@@ -134,6 +180,14 @@
         // The most urgent work comes first within the limit of its customer.
         jobs.sort_by_key(|(urgency, job, _)| (*urgency, job.accepted_at));
         let mut fleet = FleetDemand::default();
+        for service in &self.config.services {
+            let gaps = self.vm_gaps(&service.id, now);
+            let demand = ServiceDemand {
+                gaps,
+                ..ServiceDemand::default()
+            };
+            fleet.services.insert(service.id.clone(), demand);
+        }
         let mut usage: LiteMap<CustomerId, Resources> = LiteMap::new();
         for (urgency, job, queue) in jobs {
             let demand = fleet.services.entry(queue.service.clone()).or_default();
@@ -162,17 +216,24 @@
                             .push(WaitingLongRunning { step, tasks });
                     }
                 }
+                let waiting = allowed;
+                let open = OpenTasks { placed, waiting };
                 match urgency {
-                    Urgency::InTime => demand.in_time.add(step, placed + allowed, vm_size),
+                    Urgency::InTime => demand.in_time.add(step, open, vm_size, &demand.gaps),
                     // Late work waits without end, so that what no VM can run would hold VMs for as
                     // long.
                     Urgency::Late | Urgency::Excess if allowed > 0 && !self.has_vm_for(step) => {
-                        late.add(step, placed, vm_size);
+                        late.add(
+                            step,
+                            OpenTasks { placed, waiting: 0 },
+                            vm_size,
+                            &demand.gaps,
+                        );
                     }
-                    Urgency::Late | Urgency::Excess => late.add(step, placed + allowed, vm_size),
+                    Urgency::Late | Urgency::Excess => late.add(step, open, vm_size, &demand.gaps),
                 }
             }
-            if late.resources != Resources::default() {
+            if late.all.resources != Resources::default() {
                 fleet.late.push(LateDemand {
                     service: queue.service.clone(),
                     demand: late,
--- a/rhubarbfall-runs/src/scheduler/pools.rs
+++ b/rhubarbfall-runs/src/scheduler/pools.rs
@@ -11,6 +11,7 @@
 use super::pool_demand::{FleetDemand, ServiceDemand};
 use super::pool_plan::{PoolLoad, PoolNeed, plan_moves, vms_left};
 use super::token_bucket::TokenBucket;
+use super::vm_gaps::VmGaps;
 use super::vm_operations::{ActiveOperation, VmOperation, VmPhase, VmRow, VmState};
 use crate::submission::MAX_SHORT_ESTIMATE;
 use crate::{Resources, Service, Worker, WorkerState};
@@ -196,7 +197,7 @@
     }
 
     /// Returns the VMs of a pool that work can be given to, each with its worker once it is known.
-    fn usable_vms(
+    pub(super) fn usable_vms(
         &self,
         service: &ServiceId,
         now: BootTime,
@@ -226,6 +227,24 @@
         })
     }
 
+    /// Returns what is left on the VMs of a pool that hold tasks which are not short.
+    pub(super) fn vm_gaps(&self, service: &ServiceId, now: BootTime) -> VmGaps {
+        let mut gaps = VmGaps::default();
+        let workers = self
+            .usable_vms(service, now)
+            .filter_map(|(_, worker)| worker);
+        for worker in workers.filter(|worker| worker.lasting_tasks > 0) {
+            let lasting = self.lasting_load(worker);
+            let capacity = worker.report.capacity;
+            gaps.add(
+                capacity
+                    .saturating_sub(lasting)
+                    .saturating_sub(worker.unexpected_load),
+            );
+        }
+        gaps
+    }
+
     /// Returns whether a VM with work is empty soon if it gets no new work: all of its tasks are short,
     /// and a drain of it was not withdrawn lately.
     fn is_empty_soon(&self, vm: &VmId, worker: &Worker) -> bool {
--- a/rhubarbfall-runs/tests/large_tasks.rs
+++ b/rhubarbfall-runs/tests/large_tasks.rs
@@ -41,6 +41,48 @@
     assert!(model.moves <= moves + 4, "{} moves", model.moves);
 }
 
+/// Submits long-running tasks that leave half of each of `vms` VMs, of which each may hold one.
+fn hold_half_of_each_vm(model: &mut Model, vms: u32) {
+    let mut lasting = submission(7, "labels", step(vms, WORKER_CAPACITY.cpu_millis / 2));
+    lasting.steps[0].is_long_running = true;
+    lasting.steps[0].max_per_worker = Some(1);
+    model.submit(lasting, Duration::from_hours(2));
+    model.run_for(Duration::from_secs(4));
+    assert_eq!(model.runs_of(7).len(), vms as usize);
+}
+
+/// Guards against tasks that never run although VMs are spare: each VM of their pool holds a
+/// long-running task and has too little left for one of them, while the pool has enough in total.
+#[test]
+fn tasks_that_fit_beside_no_long_running_task_get_vms() {
+    let mut model = Model::new(&[("labels", 6), ("spare", 4)], 1);
+    hold_half_of_each_vm(&mut model, 6);
+    let large = step(3, WORKER_CAPACITY.cpu_millis * 7 / 10);
+    model.submit(submission(8, "labels", large), Duration::from_secs(1));
+    model.run_for(Duration::from_secs(5));
+    assert_eq!(model.count(JobState::Completed), 1);
+}
+
+/// Guards against tasks that never run beside late work of another queue, for the same reason.
+#[test]
+fn late_tasks_that_fit_beside_no_long_running_task_get_vms() {
+    let mut model = Model::new(&[("labels", 6), ("permits", 4), ("spare", 0)], 1);
+    hold_half_of_each_vm(&mut model, 6);
+    let large = step(3, WORKER_CAPACITY.cpu_millis * 7 / 10);
+    model.submit(submission(8, "labels", large), Duration::from_secs(1));
+    let backlog = 100..400;
+    for number in backlog {
+        let work = submission(number, "permits", step(10, 6_400));
+        model.submit(work, Duration::from_secs(1));
+    }
+    model.run_for(Duration::from_secs(20));
+    let is_done = |job: &rhubarbfall_runs::Job| {
+        job.submission.id.as_str() == format!("{:016x}", 8) && job.state == JobState::Completed
+    };
+    assert!(model.count(JobState::Active) > 20);
+    assert!(model.scheduler.jobs().any(is_done));
+}
+
 /// Guards against work that has become late and never runs although VMs are spare: a pool that nothing
 /// else needs gives all of its VMs away.
 #[test]
