fix(runs): pause VMs for late work only if tasks of it wait beside idle ones

Cause: VMs that are idle at the end of a backlog count as ones that late work cannot use, so that its pool gets none for 10 s, also for work that may start only then. Change: the pause begins only if late tasks that may start have waited beside the idle VM. Result: the new test failed before (not begun after 4 s beside spare VMs) and passes.

--- a/rhubarbfall-runs/src/scheduler/pool_demand.rs
+++ b/rhubarbfall-runs/src/scheduler/pool_demand.rs
@@ -103,12 +103,15 @@
     beyond_gaps: Load,
     /// The number of VMs that the step with the lowest `max_per_worker` has to use.
     min_spread_vms: usize,
+    /// The number of tasks that wait.
+    waiting: usize,
 }
 
 impl Demand {
     /// Adds tasks of a step, for VMs of this size with these gaps.
     fn add(&mut self, step: &Step, tasks: OpenTasks, vm_size: Resources, gaps: &VmGaps) {
         let open = tasks.placed + tasks.waiting;
+        self.waiting += tasks.waiting;
         self.all.add(step, open, vm_size);
         // There are other numbers for long-running tasks, and the VMs of the other placed ones that are
         // not short count among those with gaps.
@@ -127,6 +130,7 @@
             all: self.all.plus(&other.all),
             beyond_gaps: self.beyond_gaps.plus(&other.beyond_gaps),
             min_spread_vms: self.min_spread_vms.max(other.min_spread_vms),
+            waiting: self.waiting + other.waiting,
         }
     }
 
@@ -159,6 +163,7 @@
             long_running: 0,
             in_time: self.in_time.vms(vm_size, arriving, &self.gaps),
             total: total.vms(vm_size, arriving, &self.gaps),
+            late_waiting: self.late.waiting,
         }
     }
 }
--- a/rhubarbfall-runs/src/scheduler/pool_plan.rs
+++ b/rhubarbfall-runs/src/scheduler/pool_plan.rs
@@ -45,6 +45,8 @@
     pub in_time: usize,
     /// With the late work that may have VMs.
     pub total: usize,
+    /// The number of tasks of this late work that wait and may start.
+    pub late_waiting: usize,
 }
 
 impl PoolNeed {
@@ -62,6 +64,7 @@
             long_running: 0,
             in_time: vms,
             total: vms,
+            late_waiting: 0,
         }
     }
 
--- a/rhubarbfall-runs/src/scheduler/pools.rs
+++ b/rhubarbfall-runs/src/scheduler/pools.rs
@@ -23,7 +23,7 @@
 /// The interval between log entries about the pools.
 const POOL_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
-/// How long a VM is idle beside late work that waits before the work counts as unable to use it.
+/// How long late work waits, and a VM is idle beside it, before the work counts as unable to use it.
 const MAX_IDLE_BESIDE_LATE: Duration = Duration::from_millis(500);
 
 /// How long a pool gets no VMs for late work that was unable to use them.
@@ -38,8 +38,8 @@
 /// The late work of a pool.
 #[derive(Debug)]
 pub(super) struct LateWork {
-    /// Since when the work has needed VMs.
-    since: BootTime,
+    /// Since when tasks of the work have waited that may start; `None` if none wait.
+    waiting_since: Option<BootTime>,
     /// When the pool may get VMs for the work again after it left some idle; from then on it gets as
     /// many as it uses already, and one at least.
     paused_until: Option<BootTime>,
@@ -316,13 +316,19 @@
                 continue;
             }
             let begin = || LateWork {
-                since: now,
+                waiting_since: None,
                 paused_until: None,
             };
             let late_work = known.entry(pool.service.clone()).or_insert_with(begin);
-            let is_unused = |idle_for: Duration| idle_for >= MAX_IDLE_BESIDE_LATE;
-            if is_unused(now.since(late_work.since))
-                && pool.idle.iter().any(|(_, idle_for)| is_unused(*idle_for))
+            if pool.need.late_waiting == 0 {
+                late_work.waiting_since = None;
+            } else {
+                late_work.waiting_since.get_or_insert(now);
+            }
+            let is_long = |time: Duration| time >= MAX_IDLE_BESIDE_LATE;
+            let has_waited = late_work.waiting_since.map(|since| now.since(since));
+            if has_waited.is_some_and(is_long)
+                && pool.idle.iter().any(|(_, idle_for)| is_long(*idle_for))
             {
                 late_work.paused_until = Some(now + LATE_RETRY_INTERVAL);
             }
--- a/rhubarbfall-runs/tests/overdue_work.rs
+++ b/rhubarbfall-runs/tests/overdue_work.rs
@@ -123,6 +123,26 @@
     assert!(model.moves - moves <= 2 * (all_vms + 3), "{}", model.moves);
 }
 
+/// Guards against overdue work that gets no VM for ten seconds, since others had become idle at the end
+/// of overdue work before it: nothing that could use them waited then.
+#[test]
+fn overdue_work_gets_vms_after_others_of_its_pool_have_become_idle() {
+    let mut model = model_with_two_limited_customers();
+    let mut long = large_step(1);
+    long.estimate = Duration::from_secs(12);
+    submit_for(&mut model, 1, "labels", "house-a", large_step(3));
+    let long = submission(2, "labels", long);
+    model.submit(long, Duration::from_secs(12));
+    submit_for(&mut model, 3, "labels", "house-b", large_step(3));
+    model.run_for(Duration::from_secs(30));
+    model.update_config(|config| config.customers[0].limit.cpu_millis = 0);
+    model.run_for(Duration::from_secs(6));
+    assert!(has_begun(&model, 1) && has_begun(&model, 2));
+    lift_limits(&mut model);
+    model.run_for(Duration::from_secs(4));
+    assert!(has_begun(&model, 3));
+}
+
 /// Submits to a queue of a model with the queues `labels` and `permits`, for a customer.
 fn submit_for(model: &mut Model, number: u64, queue: &str, customer: &str, step: Step) {
     let mut work = submission(number, queue, step);
--- a/rhubarbfall-runs/tests/pool_shares.rs
+++ b/rhubarbfall-runs/tests/pool_shares.rs
@@ -37,9 +37,9 @@
 
 fn need(in_time: usize, total: usize) -> PoolNeed {
     PoolNeed {
-        long_running: 0,
         in_time,
         total,
+        ..PoolNeed::default()
     }
 }
 
