fix(runs): count the wait of a step on when a better standing takes its place

Cause: a step whose place was taken lost its wait with it, so that it never reached the time after which a place is firm; the bound in docs/design/placement.md did not hold. Change: the wait is kept without a place, for eight steps of a service. Result: the new test failed before (Free instead of Closed) and passes.

--- a/rhubarbfall-runs/src/scheduler/reservations.rs
+++ b/rhubarbfall-runs/src/scheduler/reservations.rs
@@ -17,6 +17,9 @@
 /// The maximum number of reservations for each service.
 const MAX_PER_SERVICE: usize = 2;
 
+/// The maximum number of steps for each service whose wait is kept although they lost their place.
+const MAX_PLACELESS_PER_SERVICE: usize = 8;
+
 /// How often a reservation may move or be estimated again; then its place stays closed.
 const MAX_MOVES: u32 = 3;
 
@@ -45,8 +48,8 @@
     is_firm: bool,
     /// How often the reservation has moved or was estimated again.
     moves: u32,
-    /// The room that is held, sorted by worker; none after a worker was lost. A reservation without
-    /// room keeps no other step from a place.
+    /// The room that is held, sorted by worker; none after a worker was lost or a better standing got
+    /// the place. A reservation without room keeps no other step from a place.
     pub(super) holds: Vec<Hold>,
 }
 
@@ -231,7 +234,7 @@
             let lowest = self.with_room(&service).filter(|held| !held.is_firm);
             let lowest = lowest.max_by_key(|held| held.standing);
             if let Some(lowest) = lowest.map(|held| held.step.clone()) {
-                self.remove(&lowest);
+                self.take_place_of(&lowest);
             }
         }
         self.held.push(Reservation {
@@ -246,6 +249,24 @@
         });
     }
 
+    /// Takes the place of a step, whose wait counts on: it would never be firm if better standings came
+    /// again and again.
+    fn take_place_of(&mut self, step: &StepId) {
+        let Some(held) = self.held.iter_mut().find(|held| held.step == *step) else {
+            return;
+        };
+        held.holds.clear();
+        let service = held.service.clone();
+        let is_placeless = |held: &Reservation| held.service == service && held.holds.is_empty();
+        let placeless = self.held.iter().filter(|held| is_placeless(held));
+        if placeless.clone().count() > MAX_PLACELESS_PER_SERVICE
+            && let Some(youngest) = placeless.max_by_key(|held| held.since)
+        {
+            let youngest = youngest.step.clone();
+            self.remove(&youngest);
+        }
+    }
+
     /// Returns the reservations for a service that hold room.
     fn with_room<'a>(
         &'a self,
--- a/rhubarbfall-runs/src/scheduler/reservations/tests.rs
+++ b/rhubarbfall-runs/src/scheduler/reservations/tests.rs
@@ -166,6 +166,42 @@
     assert!(reservations.is_held_for_other(&worker(1), &step(9)));
 }
 
+/// Guards against a step that never holds its place against better standings, since each of these that
+/// comes takes it and makes its wait begin anew.
+#[test]
+fn a_step_whose_place_better_standings_took_becomes_firm() {
+    let mut reservations = Reservations::default();
+    let service = "labels".parse().expect("valid service name");
+    let (low, best) = (Standing::in_time(2), Standing::in_time(1));
+    hold(&mut reservations, 1, low, 1, at(100));
+    for number in 2..40 {
+        let now = at(100 + number / 4);
+        reservations.update(now, |held| Some(held.standing), |_, _| true);
+        if number > 4 {
+            reservations.remove(&step(number - 3));
+        }
+        if reservations.is_due(&service, &step(number), best, now) {
+            hold(&mut reservations, number, best, number as usize, now);
+        }
+        if reservations.is_due(&service, &step(1), low, now) {
+            hold(&mut reservations, 1, low, 1, now);
+        }
+    }
+    reservations.update(at(111), |held| Some(held.standing), |_, _| true);
+    if reservations.is_due(&service, &step(1), low, at(111)) {
+        hold(&mut reservations, 1, low, 1, at(111));
+    }
+    let other = step(99);
+    let passing = Passing {
+        step: &other,
+        standing: best,
+        reserved: cpu(50),
+        late_end: at(500),
+    };
+    let passage = reservations.passage(&worker(1), &passing);
+    assert_eq!(passage, Passage::Closed);
+}
+
 /// Guards against a gang that is promised room which comes at different times: it starts when the
 /// last of its members has room.
 #[test]
