fix(lending): raise the shares of cells that can start least first

Cause: what came back from lowered shares went to the cells in the order of their numbers. Change: cells with the least room in their share first. Result: the new test failed before (10, its old share) and passes.

--- a/rhubarbfall-runs/src/lending/lender.rs
+++ b/rhubarbfall-runs/src/lending/lender.rs
@@ -179,8 +179,15 @@
             return;
         };
         let mut free = free as u64;
-        for (grant, target) in of_account.cells.iter_mut().zip(&targets) {
-            let raised = (*target).min(grant.ceiling + free);
+        // Room comes back little by little: cells that can start least get it first.
+        let mut order: Vec<usize> = (0..targets.len()).collect();
+        order.sort_by_key(|cell| {
+            let granted = of_account.cells[*cell].granted;
+            granted.saturating_sub(uses[*cell].used)
+        });
+        for cell in order {
+            let (grant, target) = (&mut of_account.cells[cell], targets[cell]);
+            let raised = target.min(grant.ceiling + free);
             if raised > grant.granted {
                 free -= raised.saturating_sub(grant.ceiling);
                 grant.granted = raised;
--- a/rhubarbfall-runs/tests/lending.rs
+++ b/rhubarbfall-runs/tests/lending.rs
@@ -288,6 +288,36 @@
     }
 }
 
+/// Guards against a cell that has used up its share and gets no more while others, which come before it
+/// in the order of cells, get what comes back although they use little of theirs.
+#[test]
+fn the_cell_with_the_least_room_in_its_share_gets_more_first() {
+    let mut fleet = Fleet::new(8, 80, 1);
+    for cell in &mut fleet.cells {
+        (cell.unit, cell.wanted) = (1, 400);
+    }
+    fleet.settle();
+    let used: Vec<u64> = fleet.cells.iter().map(|cell| cell.used).collect();
+    assert_eq!(used, [10; 8]);
+    // One cell gives a part of its share back, and the last one has none left.
+    for (index, used) in [6, 6, 6, 7, 9, 9, 9, 10].into_iter().enumerate() {
+        fleet.cells[index].used = used;
+    }
+    fleet.cells[3].wanted = 7;
+    for late in [0, 3] {
+        // The first cells have not followed their lowered shares yet when the others have.
+        for index in late..8 {
+            let grants = fleet.grants.clone();
+            fleet.cells[index].follow(&grants);
+            let report = fleet.cells[index].report();
+            fleet.reports.insert(CellId::new(index as u16), report);
+        }
+        fleet.lend();
+    }
+    let last = &fleet.grants.accounts[&account()].cells[7];
+    assert!(last.granted > 10, "{}", last.granted);
+}
+
 /// Guards against rows for limits that nobody contends for: equal shares need none.
 #[test]
 fn uncontended_limits_have_no_shares_of_their_own() {
