fix(runs): drain VMs with tasks of some seconds from pools that do not need them

Cause: VMs with a task of more than 3 s counted as fixed, so that the share of a pool that needs 59 was 18; with 17 it was not short, and 18 VMs of a pool that needed none were never empty under younger work (no drain from 23 s to 35 s). Change: only VMs with long-running or unknown tasks are fixed; the others are drained for starved pools, within 10 s, from pools with more than they need. Result: the new model test failed before (fewer than 20 of 60 begun after 14 s) and passes.

--- a/rhubarbfall-runs/src/scheduler/pool_plan.rs
+++ b/rhubarbfall-runs/src/scheduler/pool_plan.rs
@@ -33,6 +33,8 @@
     pub idle: Vec<(VmId, Duration)>,
     /// The VMs that are empty soon if they get no new work, the least loaded ones first.
     pub drainable: Vec<VmId>,
+    /// The VMs whose tasks end by themselves, but not soon; the least loaded ones first.
+    pub ending: Vec<VmId>,
 }
 
 /// The numbers of VMs that the open work of a pool needs, each with the more urgent work included.
@@ -94,6 +96,7 @@
 ///     supply,
 ///     idle: idle.iter().map(|vm| (vm.parse().unwrap(), Duration::from_secs(9))).collect(),
 ///     drainable: Vec::new(),
+///     ending: Vec::new(),
 /// };
 /// let pools = [
 ///     pool("labels", false, 3, 1, &[]),
@@ -218,6 +221,27 @@
             beyond.push((pool.supply - share, &pool.drainable));
         }
     }
+    drain(&mut short, &mut beyond, moves);
+    // VMs that take long to become empty only leave pools that have more than they need: younger late work
+    // would fill them again and again.
+    let mut unneeded: Vec<(usize, &[VmId])> = Vec::new();
+    for (pool, share) in pools.iter().zip(&shares).filter(|(pool, _)| !pool.is_spare) {
+        let leaving = moves.iter().filter(|(vm, _)| pool.drainable.contains(vm));
+        let left = pool.supply - leaving.count();
+        unneeded.push((
+            left.saturating_sub(pool.need.total.max(*share)),
+            &pool.ending,
+        ));
+    }
+    drain(&mut short, &mut unneeded, moves);
+}
+
+/// Moves VMs to the pools that miss most, from the pools with the largest excess.
+fn drain(
+    short: &mut [(usize, &PoolLoad)],
+    beyond: &mut [(usize, &[VmId])],
+    moves: &mut Vec<(VmId, ServiceId)>,
+) {
     while let Some((missing, pool)) = short.iter_mut().max_by_key(|(missing, _)| *missing)
         && *missing > 0
         && let Some((excess, drainable)) = beyond
@@ -240,9 +264,9 @@
     vms.saturating_sub(in_time)
 }
 
-/// Returns the number of VMs that cannot leave a pool soon.
+/// Returns the number of VMs that cannot leave a pool.
 fn fixed_vms(pool: &PoolLoad) -> usize {
-    pool.supply - pool.idle.len() - pool.drainable.len()
+    pool.supply - pool.idle.len() - pool.drainable.len() - pool.ending.len()
 }
 
 /// Divides all VMs among the pools: what the most urgent work needs first, and in proportion to the
--- a/rhubarbfall-runs/tests/overdue_work.rs
+++ b/rhubarbfall-runs/tests/overdue_work.rs
@@ -214,3 +214,30 @@
     let mut jobs = model.scheduler.jobs();
     jobs.any(|job| job.submission.id.as_str() == id && job.has_begun)
 }
+
+/// Guards against old overdue work that waits for as long as younger work of another queue keeps each VM
+/// with a task of some seconds: no VM is ever about to be empty.
+#[test]
+fn overdue_work_gets_vms_from_younger_work_of_some_seconds() {
+    let mut model = model_with_two_limited_customers();
+    for number in 0..60 {
+        submit_for(&mut model, number, "labels", "house-b", large_step(1));
+    }
+    model.run_for(Duration::from_secs(3));
+    let mut lasting = step(1, WORKER_CAPACITY.cpu_millis * 3 / 10);
+    lasting.estimate = Duration::from_secs(5);
+    for number in 100..400 {
+        let work = submission(number, "permits", lasting.clone());
+        let duration = model.sample_duration(lasting.estimate, 0.4);
+        model.submit(work, duration);
+    }
+    model.run_for(WAIT);
+    model.update_config(|config| config.customers[0].limit.cpu_millis = 0);
+    model.run_for(Duration::from_secs(8));
+    lift_limits(&mut model);
+    model.run_for(Duration::from_secs(14));
+    let begun = (0..60).filter(|number| has_begun(&model, *number));
+    assert!(begun.count() >= 20);
+    assert!((100..400).any(|number| !has_begun(&model, number)));
+    assert_eq!(model.violations, Vec::<String>::new());
+}
