fix(runs): drain no VM for seconds while work in time needs all VMs

Cause: VMs with tasks of some seconds were drained, and counted as movable, in surges too, where each of them does less work for up to 10 s. Change: they are fixed while work in time needs all VMs of the cell.

--- a/rhubarbfall-runs/src/scheduler/pool_plan.rs
+++ b/rhubarbfall-runs/src/scheduler/pool_plan.rs
@@ -222,6 +222,9 @@
         }
     }
     drain(&mut short, &mut beyond, moves);
+    if !has_room_to_drain(pools) {
+        return;
+    }
     // VMs that take long to become empty only leave pools that have more than they need: younger late work
     // would fill them again and again.
     let mut unneeded: Vec<(usize, &[VmId])> = Vec::new();
@@ -264,16 +267,25 @@
     vms.saturating_sub(in_time)
 }
 
-/// Returns the number of VMs that cannot leave a pool.
-fn fixed_vms(pool: &PoolLoad) -> usize {
-    pool.supply - pool.idle.len() - pool.drainable.len() - pool.ending.len()
+/// Returns whether VMs may do less work for some seconds until they are empty: work in time does not need
+/// all of them.
+fn has_room_to_drain(pools: &[PoolLoad]) -> bool {
+    vms_left(pools) > 0
+}
+
+/// Returns the number of VMs that cannot leave a pool; those that take long to become empty do so only if
+/// `has_room`.
+fn fixed_vms(pool: &PoolLoad, has_room: bool) -> usize {
+    let leaving_late = if has_room { pool.ending.len() } else { 0 };
+    pool.supply - pool.idle.len() - pool.drainable.len() - leaving_late
 }
 
 /// Divides all VMs among the pools: what the most urgent work needs first, and in proportion to the
 /// needs where they exceed what is left. VMs that cannot leave their pool count towards its share.
 fn shares(pools: &[PoolLoad]) -> Vec<usize> {
     let vms: usize = pools.iter().map(|pool| pool.supply).sum();
-    let mut shares: Vec<usize> = pools.iter().map(fixed_vms).collect();
+    let has_room = has_room_to_drain(pools);
+    let mut shares: Vec<usize> = pools.iter().map(|pool| fixed_vms(pool, has_room)).collect();
     for needed in PoolNeed::BY_URGENCY {
         let met = |part: f64| {
             let needs = pools.iter().map(|pool| needed(&pool.need) as f64 * part);
--- a/rhubarbfall-runs/tests/pool_shares.rs
+++ b/rhubarbfall-runs/tests/pool_shares.rs
@@ -141,7 +141,10 @@
     expect![[r"
         permits -> labels: 2
     "]]
-    .assert_eq(&moves(&[labels, permits]));
+    .assert_eq(&moves(&[labels.clone(), permits.clone()]));
+    // Work in time needs all VMs.
+    (labels.need, permits.need) = (need(59, 59), need(0, 0));
+    expect![[""]].assert_eq(&moves(&[labels, permits]));
 }
 
 /// A step with long-running tasks of which a VM holds one, beside a few short tasks.
