--- a/rhubarbfall-runs/src/scheduler/pool_plan.rs
+++ b/rhubarbfall-runs/src/scheduler/pool_plan.rs
@@ -33,8 +33,6 @@
     pub idle: Vec<(VmId, Duration)>,
     /// The VMs that are empty soon if they get no new work, the least loaded ones first.
     pub drainable: Vec<VmId>,
-    /// The VMs whose tasks end by themselves, but not soon; the least loaded ones first.
-    pub ending: Vec<VmId>,
 }
 
 /// The numbers of VMs that the open work of a pool needs, each with the more urgent work included.
@@ -96,7 +94,6 @@
 ///     supply,
 ///     idle: idle.iter().map(|vm| (vm.parse().unwrap(), Duration::from_secs(9))).collect(),
 ///     drainable: Vec::new(),
-///     ending: Vec::new(),
 /// };
 /// let pools = [
 ///     pool("labels", false, 3, 1, &[]),
@@ -221,30 +218,6 @@
             beyond.push((pool.supply - share, &pool.drainable));
         }
     }
-    drain(&mut short, &mut beyond, moves);
-    if !has_room_to_drain(pools) {
-        return;
-    }
-    // VMs that take long to become empty only leave pools that have more than they need: younger late work
-    // would fill them again and again.
-    let mut unneeded: Vec<(usize, &[VmId])> = Vec::new();
-    for (pool, share) in pools.iter().zip(&shares).filter(|(pool, _)| !pool.is_spare) {
-        let leaving = moves.iter().filter(|(vm, _)| pool.drainable.contains(vm));
-        let left = pool.supply - leaving.count();
-        unneeded.push((
-            left.saturating_sub(pool.need.total.max(*share)),
-            &pool.ending,
-        ));
-    }
-    drain(&mut short, &mut unneeded, moves);
-}
-
-/// Moves VMs to the pools that miss most, from the pools with the largest excess.
-fn drain(
-    short: &mut [(usize, &PoolLoad)],
-    beyond: &mut [(usize, &[VmId])],
-    moves: &mut Vec<(VmId, ServiceId)>,
-) {
     while let Some((missing, pool)) = short.iter_mut().max_by_key(|(missing, _)| *missing)
         && *missing > 0
         && let Some((excess, drainable)) = beyond
@@ -267,25 +240,16 @@
     vms.saturating_sub(in_time)
 }
 
-/// Returns whether VMs may do less work for some seconds until they are empty: work in time does not need
-/// all of them.
-fn has_room_to_drain(pools: &[PoolLoad]) -> bool {
-    vms_left(pools) > 0
-}
-
-/// Returns the number of VMs that cannot leave a pool; those that take long to become empty do so only if
-/// `has_room`.
-fn fixed_vms(pool: &PoolLoad, has_room: bool) -> usize {
-    let leaving_late = if has_room { pool.ending.len() } else { 0 };
-    pool.supply - pool.idle.len() - pool.drainable.len() - leaving_late
+/// Returns the number of VMs that cannot leave a pool soon.
+fn fixed_vms(pool: &PoolLoad) -> usize {
+    pool.supply - pool.idle.len() - pool.drainable.len()
 }
 
 /// Divides all VMs among the pools: what the most urgent work needs first, and in proportion to the
 /// needs where they exceed what is left. VMs that cannot leave their pool count towards its share.
 fn shares(pools: &[PoolLoad]) -> Vec<usize> {
     let vms: usize = pools.iter().map(|pool| pool.supply).sum();
-    let has_room = has_room_to_drain(pools);
-    let mut shares: Vec<usize> = pools.iter().map(|pool| fixed_vms(pool, has_room)).collect();
+    let mut shares: Vec<usize> = pools.iter().map(fixed_vms).collect();
     for needed in PoolNeed::BY_URGENCY {
         let met = |part: f64| {
             let needs = pools.iter().map(|pool| needed(&pool.need) as f64 * part);
--- a/rhubarbfall-runs/src/scheduler/pools.rs
+++ b/rhubarbfall-runs/src/scheduler/pools.rs
@@ -32,9 +32,6 @@
 /// How long a VM may take to become empty for a move.
 const MAX_MOVE_DRAIN: Duration = MAX_SHORT_ESTIMATE;
 
-/// How long a VM with a task that is not short may take to become empty for a move.
-const MAX_LASTING_MOVE_DRAIN: Duration = Duration::from_secs(10);
-
 /// How long a VM is not drained for a move again after a drain of it was withdrawn.
 const WITHDRAWN_DRAIN_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -118,7 +115,6 @@
             let is_kept = |vm: &VmId| places.kept.contains(vm);
             load.idle.retain(|(vm, _)| !is_kept(vm));
             load.drainable.retain(|vm| !is_kept(vm));
-            load.ending.retain(|vm| !is_kept(vm));
         }
         loads
     }
@@ -177,10 +173,8 @@
             supply: self.usable_moving_to(&service.id),
             idle: Vec::new(),
             drainable: Vec::new(),
-            ending: Vec::new(),
         };
         let mut drainable = Vec::new();
-        let mut ending = Vec::new();
         for (row, worker) in self.usable_vms(&service.id, now) {
             load.supply += 1;
             if service.is_spare {
@@ -195,14 +189,10 @@
                     .push((row.vm.clone(), now.since(worker.idle_since)));
             } else if self.is_empty_soon(&row.vm, worker) {
                 drainable.push((worker.reserved.cpu_millis, row.vm.clone()));
-            } else if self.has_an_end(&row.vm, worker) {
-                ending.push((worker.reserved.cpu_millis, row.vm.clone()));
             }
         }
         drainable.sort();
         load.drainable = drainable.into_iter().map(|(_, vm)| vm).collect();
-        ending.sort();
-        load.ending = ending.into_iter().map(|(_, vm)| vm).collect();
         load
     }
 
@@ -263,13 +253,6 @@
             && worker.lasting_tasks == 0
     }
 
-    /// Returns whether all tasks on a VM end by themselves, and a drain of it was not withdrawn lately.
-    fn has_an_end(&self, vm: &VmId, worker: &Worker) -> bool {
-        worker.unexpected_load == Resources::default()
-            && self.vm_ops.withdrawn_drains.get(vm).is_none()
-            && !worker.placed.iter().any(|task| self.is_long_running(task))
-    }
-
     /// Returns the number of VMs that move to a pool and will get work there.
     pub(super) fn usable_moving_to(&self, service: &ServiceId) -> usize {
         let is_unusable = |vm: &VmId| {
@@ -286,17 +269,10 @@
             let row = self.vm_ops.vms.get(vm);
             row.is_some_and(|row| self.is_in_evacuated_zone(row))
         };
-        let longest = |active: &ActiveOperation| {
-            if active.had_lasting_tasks {
-                MAX_LASTING_MOVE_DRAIN
-            } else {
-                MAX_MOVE_DRAIN
-            }
-        };
         let is_slow = |vm: &VmId, active: &ActiveOperation| {
             matches!(active.operation, VmOperation::Move(_))
                 && active.phase == VmPhase::Draining
-                && (now.since(active.since) > longest(active) || is_evacuated(vm))
+                && (now.since(active.since) > MAX_MOVE_DRAIN || is_evacuated(vm))
         };
         let operations = self.vm_ops.active.iter();
         let slow = operations.filter(|(vm, active)| is_slow(vm, active));
--- a/rhubarbfall-runs/src/scheduler/vm_operations.rs
+++ b/rhubarbfall-runs/src/scheduler/vm_operations.rs
@@ -85,8 +85,6 @@
     pub(super) operation: VmOperation,
     /// When this owner began or recovered the operation.
     pub(super) since: BootTime,
-    /// Whether the VM held a task that is not short when the operation began.
-    pub(super) had_lasting_tasks: bool,
     pub(super) phase: VmPhase,
     pub(super) worker: Option<WorkerId>,
     /// Whether a call of the operation, by this owner or an earlier one, got no answer: it may have
@@ -398,11 +396,9 @@
     pub(super) fn begin_drain(&mut self, vm: &VmId, operation: VmOperation, now: BootTime) {
         let worker = self.vm_ops.vms.get(vm).and_then(|row| row.worker.clone());
         log::info!("event=vm_draining vm={vm} operation={operation:?}");
-        let known = worker.as_ref().and_then(|id| self.workers.get(id));
         let active = ActiveOperation {
             operation,
             since: now,
-            had_lasting_tasks: known.is_some_and(|worker| worker.lasting_tasks > 0),
             phase: VmPhase::Draining,
             shows_cycle: self.long_running_steps_on(worker.as_ref()).is_empty(),
             worker,
--- a/rhubarbfall-runs/src/scheduler/waves.rs
+++ b/rhubarbfall-runs/src/scheduler/waves.rs
@@ -241,7 +241,6 @@
             let active = ActiveOperation {
                 operation: VmOperation::Maintain(wave.id.clone()),
                 since: now,
-                had_lasting_tasks: false,
                 phase,
                 worker: called.worker.clone(),
                 has_unanswered_call: !called.has_begun,
--- a/rhubarbfall-runs/tests/pool_shares.rs
+++ b/rhubarbfall-runs/tests/pool_shares.rs
@@ -19,7 +19,6 @@
         supply,
         idle: Vec::new(),
         drainable: (0..supply).map(vm).collect(),
-        ending: Vec::new(),
     }
 }
 
@@ -125,28 +124,6 @@
     .assert_eq(&moves(&[labels, permits]));
 }
 
-/// Guards against old late work that waits for as long as younger work of another queue fills VMs with
-/// tasks of some seconds: at no time are many of them empty soon.
-#[test]
-fn vms_with_tasks_that_are_not_short_leave_a_pool_that_does_not_need_them() {
-    let mut labels = busy_pool("labels", need(12, 59), 17);
-    labels.drainable.truncate(5);
-    let mut permits = busy_pool("permits", need(0, 0), 18);
-    permits.ending = permits.drainable.split_off(1);
-    expect![[r"
-        permits -> labels: 18
-    "]]
-    .assert_eq(&moves(&[labels.clone(), permits.clone()]));
-    permits.need = need(0, 16);
-    expect![[r"
-        permits -> labels: 2
-    "]]
-    .assert_eq(&moves(&[labels.clone(), permits.clone()]));
-    // Work in time needs all VMs.
-    (labels.need, permits.need) = (need(59, 59), need(0, 0));
-    expect![[""]].assert_eq(&moves(&[labels, permits]));
-}
-
 /// A step with long-running tasks of which a VM holds one, beside a few short tasks.
 fn lasting_step(tasks: u32) -> Step {
     Step {
