--- a/rhubarbfall-runs/src/scheduler/vm_operations.rs
+++ b/rhubarbfall-runs/src/scheduler/vm_operations.rs
@@ -142,6 +142,8 @@
 #[derive(Debug, Default)]
 pub(super) struct VmOperations {
     pub(super) vms: LiteMap<VmId, VmRow>,
+    /// When the list of VMs was requested.
+    pub(super) vms_requested_at: Option<BootTime>,
     pub(super) active: LiteMap<VmId, ActiveOperation>,
     pub(super) waves: LiteMap<WaveId, ActiveWave>,
     /// The VMs beyond what pools need, and when they were counted.
@@ -215,6 +217,7 @@
             vms.insert(row.vm.clone(), row);
         }
         self.vm_ops.vms = vms;
+        self.vm_ops.vms_requested_at = Some(asked_at);
         self.update_wave_vms();
         self.confirm_listed_operations(asked_at, now);
         self.note_listed_away(asked_at);
@@ -234,10 +237,15 @@
             .map(|(vm, _)| vm.clone())
             .collect();
         for vm in returned {
-            log::info!("event=vm_returned vm={vm}");
             let Some(active) = self.vm_ops.active.remove(&vm) else {
                 continue;
             };
+            log::info!(
+                "event=vm_returned vm={vm} is_listed={} phase={:?} list_age_ms={}",
+                self.vm_ops.vms.get(&vm).is_some(),
+                active.phase,
+                now.since(asked_at).as_millis()
+            );
             let VmOperation::Maintain(wave) = &active.operation else {
                 continue;
             };
--- a/rhubarbfall-runs/src/scheduler/waves.rs
+++ b/rhubarbfall-runs/src/scheduler/waves.rs
@@ -76,6 +76,8 @@
     vms: Vec<VmId>,
     /// How many VMs of this cell may be down for the wave at the same time.
     max_down: usize,
+    /// When this owner learned of the request.
+    requested_at: BootTime,
     started_at: BootTime,
     progress: WaveProgress,
     /// The VMs that are back from their maintenance, sorted.
@@ -254,6 +256,7 @@
         let active_wave = ActiveWave {
             vms: self.own_vms(&wave, &progress),
             max_down,
+            requested_at: now,
             started_at: now.before(Duration::from_millis(age_ms)),
             progress,
             returned,
@@ -392,10 +395,20 @@
 
     /// Records that a wave's state was reported.
     pub fn wave_reported(&mut self, id: &WaveId, state: WaveState) {
-        if let Some(active_wave) = self.vm_ops.waves.get_mut(id) {
-            active_wave.reported_state = Some(state);
-            log::info!("event=wave_reported wave={id} state={state:?}");
-        }
+        let Some(active_wave) = self.vm_ops.waves.get_mut(id) else {
+            return;
+        };
+        active_wave.reported_state = Some(state);
+        let requested_at = active_wave.requested_at;
+        let is_unlisted = |vm: &&VmId| self.vm_ops.vms.get(vm).is_none();
+        let list_requested_at = self.vm_ops.vms_requested_at;
+        log::info!(
+            "event=wave_reported wave={id} state={state:?} not_begun={} not_begun_unlisted={} \
+             list_after_request_ms={:?}",
+            active_wave.waiting().count(),
+            active_wave.waiting().filter(is_unlisted).count(),
+            list_requested_at.map(|listed| signed_ms_between(requested_at, listed))
+        );
     }
 
     fn wave_state(&self, active_wave: &ActiveWave) -> WaveState {
@@ -486,6 +499,11 @@
     }
 }
 
+/// Returns the milliseconds from one time to another, negative if that is earlier.
+fn signed_ms_between(from: BootTime, to: BootTime) -> i128 {
+    to.since(from).as_millis() as i128 - from.since(to).as_millis() as i128
+}
+
 /// Moves the VMs that a row holds as digests to the called ones, and returns them, sorted.
 fn restore_returned(progress: &mut WaveProgress, vms: &[VmId]) -> Vec<VmId> {
     let mut digests = std::mem::take(&mut progress.returned_digests);
