--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -37,6 +37,7 @@
 mod storing;
 mod token_bucket;
 mod vm_gaps;
+mod vm_list;
 mod vm_operations;
 mod waiting_log;
 mod wave_choice;
--- a/rhubarbfall-runs/src/scheduler/vm_operations.rs
+++ b/rhubarbfall-runs/src/scheduler/vm_operations.rs
@@ -11,6 +11,7 @@
 use super::action::Action;
 use super::pools::LateWork;
 use super::token_bucket::TokenBucket;
+use super::vm_list::VmList;
 use super::waves::ActiveWave;
 use crate::{Resources, WorkerState};
 
@@ -141,9 +142,7 @@
 /// The listed VMs and the operations on them.
 #[derive(Debug, Default)]
 pub(super) struct VmOperations {
-    pub(super) vms: LiteMap<VmId, VmRow>,
-    /// When the list of VMs was requested.
-    pub(super) vms_requested_at: Option<BootTime>,
+    pub(super) vms: VmList,
     pub(super) active: LiteMap<VmId, ActiveOperation>,
     pub(super) waves: LiteMap<WaveId, ActiveWave>,
     /// The VMs beyond what pools need, and when they were counted.
@@ -163,7 +162,7 @@
 impl VmOperations {
     /// Returns the listed VMs.
     pub(super) fn vms(&self) -> impl Iterator<Item = &VmRow> {
-        self.vms.iter().map(|(_, row)| row)
+        self.vms.iter()
     }
 
     /// Returns whether an operation on a VM is active.
@@ -212,12 +211,11 @@
 impl Scheduler {
     /// Processes the platform's list of VMs, which was requested at `asked_at`.
     pub fn vms_listed(&mut self, rows: Vec<VmRow>, asked_at: BootTime, now: BootTime) {
-        let mut vms = LiteMap::new();
-        for row in rows {
-            vms.insert(row.vm.clone(), row);
+        if !self.vm_ops.vms.replace(rows, asked_at) {
+            let age_ms = now.since(asked_at).as_millis();
+            log::info!("event=vm_list_outdated age_ms={age_ms}");
+            return;
         }
-        self.vm_ops.vms = vms;
-        self.vm_ops.vms_requested_at = Some(asked_at);
         self.update_wave_vms();
         self.confirm_listed_operations(asked_at, now);
         self.note_listed_away(asked_at);
--- a/rhubarbfall-runs/src/scheduler/waves.rs
+++ b/rhubarbfall-runs/src/scheduler/waves.rs
@@ -280,8 +280,7 @@
         if self.settings.cells == 1 {
             return wave.vms.clone();
         }
-        let is_own =
-            |vm: &&VmId| self.vm_ops.vms.get(vm).is_some() || progress.position(vm).is_ok();
+        let is_own = |vm: &&VmId| self.vm_ops.vms.is_listed(vm) || progress.position(vm).is_ok();
         wave.vms.iter().filter(is_own).cloned().collect()
     }
 
@@ -401,7 +400,7 @@
         active_wave.reported_state = Some(state);
         let requested_at = active_wave.requested_at;
         let is_unlisted = |vm: &&VmId| self.vm_ops.vms.get(vm).is_none();
-        let list_requested_at = self.vm_ops.vms_requested_at;
+        let list_requested_at = self.vm_ops.vms.requested_at();
         log::info!(
             "event=wave_reported wave={id} state={state:?} not_begun={} not_begun_unlisted={} \
              list_after_request_ms={:?}",
@@ -420,12 +419,14 @@
         }
     }
 
-    /// Returns whether no VM of this cell is left to maintain for a wave. Without a list of VMs, a cell
-    /// does not know which ones are its own.
+    /// Returns whether no VM of this cell is left to maintain for a wave. The VMs existed when the
+    /// wave was requested, and only lists from after that tell a cell which ones are its own.
     fn is_own_part_completed(&self, active_wave: &ActiveWave) -> bool {
-        let is_listed = !self.vm_ops.vms.is_empty();
-        let is_gone = |vm: &VmId| is_listed && self.vm_ops.vms.get(vm).is_none();
-        (is_listed || self.settings.cells == 1) && active_wave.waiting().all(is_gone)
+        let list = &self.vm_ops.vms;
+        let requested_at = active_wave.requested_at;
+        let knows_own = self.settings.cells == 1 || list.is_newer_than(requested_at);
+        let is_gone = |vm: &VmId| list.is_gone_since(vm, requested_at);
+        knows_own && active_wave.waiting().all(is_gone)
     }
 
     /// Records that the maintenance of a VM has begun.
