--- a/rhubarbfall-runs/src/scheduler/vm_operations.rs
+++ b/rhubarbfall-runs/src/scheduler/vm_operations.rs
@@ -120,6 +120,15 @@
             && (has_changed || self.was_listed_away || now.since(since) > UNSEEN_RETURN_DELAY)
     }
 
+    /// Returns when the VM was last known to exist, or `None` while an answer will tell.
+    const fn vm_known_at(&self) -> Option<BootTime> {
+        match self.phase {
+            VmPhase::InProgress(answered_at) => Some(answered_at),
+            VmPhase::Draining | VmPhase::Unconfirmed(_) => Some(self.since),
+            VmPhase::Storing(_) | VmPhase::CallInFlight(_) => None,
+        }
+    }
+
     /// Returns the state in which a VM is listed while the operation is carried out.
     fn listed_state(&self) -> VmState {
         match self.operation {
@@ -220,18 +229,18 @@
         self.confirm_listed_operations(asked_at, now);
         self.note_listed_away(asked_at);
         self.drop_workers_of_absent(now);
-        let has_returned = |active: &ActiveOperation, row: Option<&VmRow>| match row {
+        let list = &self.vm_ops.vms;
+        let has_returned = |vm: &VmId, active: &ActiveOperation| match list.get(vm) {
             Some(row) => active.has_returned_in(row, asked_at, now),
-            None => matches!(
-                active.phase,
-                VmPhase::InProgress(_) | VmPhase::Draining | VmPhase::Unconfirmed(_)
-            ),
+            None => active
+                .vm_known_at()
+                .is_some_and(|known_at| list.is_gone_since(vm, known_at)),
         };
         let returned: Vec<VmId> = self
             .vm_ops
             .active
             .iter()
-            .filter(|(vm, active)| has_returned(active, self.vm_ops.vms.get(vm)))
+            .filter(|(vm, active)| has_returned(vm, active))
             .map(|(vm, _)| vm.clone())
             .collect();
         for vm in returned {
--- a/rhubarbfall-runs/tests/vm_lists.rs
+++ b/rhubarbfall-runs/tests/vm_lists.rs
@@ -206,6 +206,47 @@
     assert_eq!(owner.state(), None);
 }
 
+/// Begins the maintenance of VM 0 of a wave over two VMs, one of which may be down.
+fn with_one_down() -> Owner {
+    let mut owner = Owner::new();
+    let up = [row(0, VmState::Up), row(1, VmState::Up)];
+    owner.request(wave(&[0, 1], 1));
+    let called: Vec<VmId> = (0..3).flat_map(|_| owner.list_and_step(&up)).collect();
+    assert_eq!(called, [vm(0)]);
+    owner.scheduler.vm_answered(&vm(0), Some(true), owner.now);
+    owner
+}
+
+/// Guards against a VM that counts as back, so that another one goes down beside it.
+#[test]
+fn vm_under_maintenance_keeps_its_place_if_one_list_lacks_it() {
+    let mut owner = with_one_down();
+    for _ in 0..3 {
+        assert_eq!(owner.list_and_step(&[row(1, VmState::Up)]), []);
+        let both = [row(0, VmState::Maintenance), row(1, VmState::Up)];
+        assert_eq!(owner.list_and_step(&both), []);
+    }
+}
+
+/// As above, with lists from before the VM joined.
+#[test]
+fn vm_under_maintenance_keeps_its_place_if_lists_from_before_lack_it() {
+    let mut owner = with_one_down();
+    for _ in 0..3 {
+        owner.list(&[row(1, VmState::Up)], Duration::from_secs(5));
+        assert_eq!(owner.step(), []);
+    }
+}
+
+/// A VM that is removed during its maintenance gives its place up.
+#[test]
+fn vm_that_is_gone_gives_up_its_place() {
+    let mut owner = with_one_down();
+    let left = [row(1, VmState::Up)];
+    let called: Vec<VmId> = (0..4).flat_map(|_| owner.list_and_step(&left)).collect();
+    assert_eq!(called, [vm(1)]);
+}
+
 /// A list that arrives after one that was requested later does not replace it.
 #[test]
 fn earlier_list_does_not_replace_a_later_one() {
