--- a/rhubarbfall-runs/src/scheduler/waves.rs
+++ b/rhubarbfall-runs/src/scheduler/waves.rs
@@ -28,6 +28,8 @@
     pub duration: Duration,
     /// The maximum number of VMs that may be down for the wave at the same time.
     pub max_down: usize,
+    /// The version of the row with the request, which an operator may write again.
+    pub version: RowVersion,
 }
 
 /// The progress of a wave, stored before a call is made and after it was answered.
@@ -188,7 +190,8 @@
         self.recovered_waves.extend(waves);
     }
 
-    /// Adds a wave, with the progress that an earlier owner stored for it.
+    /// Adds a wave, with the progress that an earlier owner stored for it, or follows a newer request
+    /// for a known one.
     pub fn wave_requested(
         &mut self,
         wave: Wave,
@@ -196,7 +199,10 @@
         now: BootTime,
         unix_ms: u64,
     ) {
-        if self.vm_ops.waves.get(&wave.id).is_some() {
+        if let Some(known) = self.vm_ops.waves.get(&wave.id) {
+            if known.wave.version < wave.version {
+                self.change_wave(wave, now, unix_ms);
+            }
             return;
         }
         let stored = match self.recovered_waves.get(&wave.id) {
@@ -274,6 +280,47 @@
             .insert(active_wave.wave.id.clone(), active_wave);
     }
 
+    /// Follows a request that was written again. VMs whose maintenance has begun are not maintained
+    /// again, and the time allowed begins anew for the others.
+    fn change_wave(&mut self, wave: Wave, now: BootTime, unix_ms: u64) {
+        log::info!(
+            "event=wave_changed wave={} vms={} max_down={} duration={:?} version={}",
+            wave.id,
+            wave.vms.len(),
+            wave.max_down,
+            wave.duration,
+            wave.version
+        );
+        let max_down = self.wave_share(&wave.id, wave.max_down);
+        let Some(mut active_wave) = self.vm_ops.waves.remove(&wave.id) else {
+            return;
+        };
+        let is_same = (&wave.vms, wave.duration, wave.max_down)
+            == (
+                &active_wave.wave.vms,
+                active_wave.wave.duration,
+                active_wave.wave.max_down,
+            );
+        if !is_same {
+            active_wave.started_at = now;
+            active_wave.progress.first_seen_unix_ms = unix_ms;
+            active_wave.version += 1;
+        }
+        active_wave.vms = self.own_vms(&wave, &active_wave.progress);
+        active_wave.max_down = max_down;
+        active_wave.requested_at = now;
+        let is_withdrawn = |vm: &VmId, active: &ActiveOperation| {
+            active.is_for_wave(&wave.id) && !active.may_be_down() && !wave.vms.contains(vm)
+        };
+        self.vm_ops
+            .active
+            .retain(|vm, active| !is_withdrawn(vm, active));
+        self.needs_placement = true;
+        let id = wave.id.clone();
+        active_wave.wave = wave;
+        self.vm_ops.waves.insert(id, active_wave);
+    }
+
     /// Returns the VMs of a wave that this cell maintains: all of them in an undivided fleet, else those
     /// that are listed for the cell or that an owner of it has called for.
     fn own_vms(&self, wave: &Wave, progress: &WaveProgress) -> Vec<VmId> {
@@ -392,6 +439,13 @@
             .collect()
     }
 
+    /// Returns the version of the request for a wave that its state is about.
+    #[must_use]
+    pub fn wave_version(&self, id: &WaveId) -> Option<RowVersion> {
+        let of_wave = self.vm_ops.waves.get(id)?;
+        Some(of_wave.wave.version)
+    }
+
     /// Records that a wave's state was reported.
     pub fn wave_reported(&mut self, id: &WaveId, state: WaveState) {
         let Some(active_wave) = self.vm_ops.waves.get_mut(id) else {
--- a/rhubarbfall-runs/tests/cell_shares.rs
+++ b/rhubarbfall-runs/tests/cell_shares.rs
@@ -6,7 +6,7 @@
 
 use litemap::LiteMap;
 use model::{Model, step, submission};
-use rhubarbfall_core::{CellId, VmId};
+use rhubarbfall_core::{CellId, RowVersion, VmId};
 use rhubarbfall_runs::lending::{CellReport, Grants, lend};
 use rhubarbfall_runs::scheduler::{Wave, WaveState};
 use rhubarbfall_runs::{JobState, Resources};
@@ -117,6 +117,7 @@
             vms,
             duration: Duration::from_secs(30),
             max_down,
+            version: RowVersion::new(1),
         };
         for model in &mut self.models {
             let now = model.now;
--- a/rhubarbfall-runs/tests/evacuation.rs
+++ b/rhubarbfall-runs/tests/evacuation.rs
@@ -347,6 +347,7 @@
         vms: vec![vm.clone()],
         duration: Duration::from_secs(20),
         max_down: 1,
+        version: RowVersion::new(1),
     };
     owner.scheduler.wave_requested(wave, None, owner.now, 0);
     let row = VmRow {
--- a/rhubarbfall-runs/tests/faults.rs
+++ b/rhubarbfall-runs/tests/faults.rs
@@ -131,6 +131,7 @@
             .collect(),
         duration: Duration::from_secs(20),
         max_down,
+        version: RowVersion::new(1),
     }
 }
 
--- a/rhubarbfall-runs/tests/hostile/scenario.rs
+++ b/rhubarbfall-runs/tests/hostile/scenario.rs
@@ -177,6 +177,7 @@
             vms: vms.collect(),
             duration: Duration::from_secs(self.rng.random_range(3..25)),
             max_down: self.rng.random_range(1..3),
+            version: rhubarbfall_core::RowVersion::new(1),
         };
         self.waves.push(wave.clone());
         self.scheduler
--- a/rhubarbfall-runs/tests/inherited_vm_orders.rs
+++ b/rhubarbfall-runs/tests/inherited_vm_orders.rs
@@ -23,6 +23,7 @@
         vms: vec![vm(0), vm(1)],
         duration: Duration::from_secs(20),
         max_down: 2,
+        version: RowVersion::new(1),
     }
 }
 
--- a/rhubarbfall-runs/tests/late_wave.rs
+++ b/rhubarbfall-runs/tests/late_wave.rs
@@ -38,6 +38,7 @@
         vms: (0..3).map(vm).collect(),
         duration: WAVE_TIME,
         max_down,
+        version: RowVersion::new(1),
     };
     let unix_ms = 100_000 + elapsed.as_millis() as u64;
     scheduler.wave_requested(wave, Some((progress, RowVersion::new(1))), NOW, unix_ms);
--- a/rhubarbfall-runs/tests/row_size.rs
+++ b/rhubarbfall-runs/tests/row_size.rs
@@ -291,6 +291,7 @@
         vms: vms.clone(),
         duration: Duration::from_secs(10),
         max_down: 500,
+        version: RowVersion::new(1),
     };
     let mut now = BootTime::new(Duration::from_secs(100));
     let (mut stored, mut called) = (None, Vec::new());
--- a/rhubarbfall-runs/tests/unanswered_vm_calls.rs
+++ b/rhubarbfall-runs/tests/unanswered_vm_calls.rs
@@ -22,6 +22,7 @@
         vms: (0..3).map(vm).collect(),
         duration: Duration::from_secs(5),
         max_down: 1,
+        version: RowVersion::new(1),
     }
 }
 
--- a/rhubarbfall-runs/tests/unconfirmed_starts.rs
+++ b/rhubarbfall-runs/tests/unconfirmed_starts.rs
@@ -568,6 +568,7 @@
         vms: vec!["vm-0".parse().expect("valid VM name")],
         duration: Duration::from_secs(20),
         max_down: 1,
+        version: RowVersion::new(1),
     };
     let now = world.now;
     world
--- a/rhubarbfall-runs/tests/vm_lists.rs
+++ b/rhubarbfall-runs/tests/vm_lists.rs
@@ -1,16 +1,13 @@
 //! What a list of VMs proves: a wave was reported as completed, and its VM counted as gone, because a
 //! list from before the VM had joined does not contain it.
 
-mod model;
-
 use std::time::Duration;
 
-use model::WORKER_CAPACITY;
 use rhubarbfall_core::{BootTime, CellId, RowVersion, VmId, WaveId};
-use rhubarbfall_runs::Scheduler;
 use rhubarbfall_runs::scheduler::{
     Action, CalledVm, SchedulerSettings, VmRow, VmState, Wave, WaveProgress, WaveState,
 };
+use rhubarbfall_runs::{Resources, Scheduler};
 
 const TICK: Duration = Duration::from_millis(100);
 
@@ -28,6 +25,7 @@
         vms: vms.iter().map(|index| vm(*index)).collect(),
         duration: Duration::from_mins(1),
         max_down,
+        version: RowVersion::new(1),
     }
 }
 
@@ -38,7 +36,7 @@
         state,
         worker: None,
         availability_zone: None,
-        capacity: WORKER_CAPACITY,
+        capacity: Resources::default(),
         labels: Vec::new(),
     }
 }
--- a/rhubarbfall-runs/tests/vm_returns.rs
+++ b/rhubarbfall-runs/tests/vm_returns.rs
@@ -55,6 +55,7 @@
             vms: (0..VMS).map(vm).collect(),
             duration: Duration::from_mins(1),
             max_down: 1,
+            version: RowVersion::new(1),
         };
         let unix_ms = self.now.as_millis();
         self.scheduler
--- a/rhubarbfall-runs/tests/waiting_starts.rs
+++ b/rhubarbfall-runs/tests/waiting_starts.rs
@@ -137,6 +137,7 @@
             vms: vec![vm.parse().expect("valid VM name")],
             duration: Duration::from_secs(20),
             max_down: 1,
+            version: rhubarbfall_core::RowVersion::new(1),
         };
         model.scheduler.wave_requested(wave, None, model.now, 0);
         model.run_for(Duration::from_millis(200));
--- a/rhubarbfall-runs/tests/wave_beside_surge.rs
+++ b/rhubarbfall-runs/tests/wave_beside_surge.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use model::{Model, STEP, step, submission};
+use rhubarbfall_core::RowVersion;
 use rhubarbfall_core::SubmissionId;
 use rhubarbfall_runs::scheduler::{Wave, WaveState};
 use rhubarbfall_runs::{JobState, Submission};
@@ -56,6 +57,7 @@
         vms: vms.map(|vm| vm.parse().expect("valid VM name")).collect(),
         duration,
         max_down,
+        version: RowVersion::new(1),
     }
 }
 
--- a/rhubarbfall-runs/tests/wave_drains.rs
+++ b/rhubarbfall-runs/tests/wave_drains.rs
@@ -43,6 +43,7 @@
         vms,
         duration: WAVE_TIME,
         max_down: MAX_DOWN,
+        version: rhubarbfall_core::RowVersion::new(1),
     };
     let began_at = model.now;
     model.scheduler.wave_requested(wave, None, model.now, 0);
--- a/rhubarbfall-runs/tests/wave_evacuation.rs
+++ b/rhubarbfall-runs/tests/wave_evacuation.rs
@@ -42,6 +42,7 @@
         vms: (0..VMS).map(vm).collect(),
         duration: WAVE_TIME,
         max_down: 2,
+        version: RowVersion::new(1),
     };
     let began_at = now;
     scheduler.wave_requested(wave, None, now, 0);
--- a/rhubarbfall-runs/tests/wave_time.rs
+++ b/rhubarbfall-runs/tests/wave_time.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use model::{Model, step, submission};
+use rhubarbfall_core::RowVersion;
 use rhubarbfall_runs::Step;
 use rhubarbfall_runs::scheduler::{Wave, WaveState};
 
@@ -44,6 +45,7 @@
             .collect(),
         duration: WAVE_TIME,
         max_down: 19,
+        version: RowVersion::new(1),
     };
     let began_at = model.now;
     model.scheduler.wave_requested(wave, None, model.now, 0);
--- a/rhubarbfall-scheduler/src/operator_feed.rs
+++ b/rhubarbfall-scheduler/src/operator_feed.rs
@@ -92,7 +92,11 @@
                         scheduler.wave_requested(wave.clone(), None, now, unix_ms);
                     });
                 }
-                node.waves.borrow_mut().insert(wave.id.clone(), wave);
+                let mut waves = node.waves.borrow_mut();
+                let known = waves.get(&wave.id).map(|known| known.version);
+                if known.is_none_or(|known| known < wave.version) {
+                    waves.insert(wave.id.clone(), wave);
+                }
             }
             Some(OperatorRow::Evacuation { zone, is_requested }) => {
                 node.set_evacuated(zone, is_requested);
