--- a/rhubarbfall-runs/src/lending/lender.rs
+++ b/rhubarbfall-runs/src/lending/lender.rs
@@ -49,10 +49,14 @@
     let Account::Wave(wave) = account else {
         return false;
     };
-    (0..cells).all(|cell| {
-        let report = reports.get(&CellId::new(cell));
-        report.is_some_and(|report| report.completed_waves.contains(wave))
-    })
+    let version_in = |cell: u16| {
+        let report = reports.get(&CellId::new(cell))?;
+        let mut completed = report.completed_waves.iter();
+        let of_wave = completed.find(|completed| completed.id == *wave);
+        of_wave.map(|completed| completed.version)
+    };
+    let first = version_in(0);
+    first.is_some() && (1..cells).all(|cell| version_in(cell) == first)
 }
 
 /// One look at an account.
--- a/rhubarbfall-runs/src/lending/mod.rs
+++ b/rhubarbfall-runs/src/lending/mod.rs
@@ -14,7 +14,7 @@
 mod record;
 
 use litemap::LiteMap;
-use rhubarbfall_core::{CellId, WaveId};
+use rhubarbfall_core::{CellId, RowVersion, WaveId};
 
 pub use account::{Account, Dimension, ParseAccountError};
 pub use lender::lend;
@@ -63,7 +63,17 @@
     /// The cell's use of each account that has shares of its own or of which it needs more.
     pub uses: LiteMap<Account, AccountUse>,
     /// The waves of which no VM of the cell is left to maintain, sorted.
-    pub completed_waves: Vec<WaveId>,
+    pub completed_waves: Vec<CompletedWave>,
+}
+
+/// A wave of which a cell has no VM left to maintain.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CompletedWave {
+    /// The wave.
+    pub id: WaveId,
+    /// The version of the request that the cell has followed: a report may be older than a request
+    /// that was written again.
+    pub version: RowVersion,
 }
 
 /// The use of an account by one cell.
--- a/rhubarbfall-runs/src/lending/record.rs
+++ b/rhubarbfall-runs/src/lending/record.rs
@@ -3,9 +3,11 @@
 use litemap::LiteMap;
 use prost::Message;
 use quick_error::quick_error;
-use rhubarbfall_core::ParseIdError;
+use rhubarbfall_core::{ParseIdError, RowVersion};
 
-use super::{Account, AccountGrants, AccountUse, CellReport, Grant, Grants, ParseAccountError};
+use super::{
+    Account, AccountGrants, AccountUse, CellReport, CompletedWave, Grant, Grants, ParseAccountError,
+};
 
 quick_error! {
     /// Why a stored record of shares cannot be used.
@@ -67,6 +69,10 @@
     uses: Vec<UseRecord>,
     #[prost(string, repeated, tag = "3")]
     completed_waves: Vec<String>,
+    /// The versions of the requests for the completed waves, in the same order. Earlier versions do not
+    /// state them, and their reports complete no wave.
+    #[prost(uint64, repeated, tag = "4")]
+    completed_versions: Vec<u64>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -156,7 +162,12 @@
             completed_waves: self
                 .completed_waves
                 .iter()
-                .map(ToString::to_string)
+                .map(|completed| completed.id.to_string())
+                .collect(),
+            completed_versions: self
+                .completed_waves
+                .iter()
+                .map(|completed| completed.version.get())
                 .collect(),
         };
         record.encode_to_vec()
@@ -182,7 +193,15 @@
                 },
             );
         }
-        let waves = record.completed_waves.iter().map(|wave| wave.parse());
+        let completed = record
+            .completed_waves
+            .iter()
+            .zip(&record.completed_versions);
+        let waves = completed.map(|(wave, version)| {
+            let id = wave.parse()?;
+            let version = RowVersion::new(*version);
+            Ok::<_, ParseIdError>(CompletedWave { id, version })
+        });
         Ok(Self {
             follows: record.follows,
             uses,
--- a/rhubarbfall-runs/src/scheduler/cell_shares.rs
+++ b/rhubarbfall-runs/src/scheduler/cell_shares.rs
@@ -3,8 +3,8 @@
 use litemap::LiteMap;
 use rhubarbfall_core::{CellId, CustomerId, WaveId};
 
-use super::Scheduler;
-use crate::lending::{Account, AccountUse, CellReport, Dimension, Grants};
+use super::{Scheduler, Wave};
+use crate::lending::{Account, AccountUse, CellReport, CompletedWave, Dimension, Grants};
 use crate::{Customer, FleetConfig, Resources, Task, TaskPhase};
 
 /// The shares that a cell follows.
@@ -16,7 +16,7 @@
     /// the shares have been withdrawn and set anew.
     unsettled: LiteMap<Account, u64>,
     /// The waves of which the other cells have no VM left to maintain, sorted.
-    completed_elsewhere: Vec<WaveId>,
+    completed_elsewhere: Vec<CompletedWave>,
 }
 
 /// What the waiting tasks of a customer need.
@@ -213,8 +213,9 @@
         waiting
     }
 
-    /// Records the waves of which no other cell has a VM left to maintain.
-    pub fn waves_completed_elsewhere(&mut self, mut waves: Vec<WaveId>) {
+    /// Records the waves of which no other cell has a VM left to maintain, by reports on the same
+    /// version of the request.
+    pub fn waves_completed_elsewhere(&mut self, mut waves: Vec<CompletedWave>) {
         waves.sort();
         self.shares.completed_elsewhere = waves;
     }
@@ -225,7 +226,12 @@
     }
 
     /// Returns whether all other cells have completed their part of a wave.
-    pub(super) fn is_completed_elsewhere(&self, wave: &WaveId) -> bool {
-        !self.is_divided() || self.shares.completed_elsewhere.binary_search(wave).is_ok()
+    pub(super) fn is_completed_elsewhere(&self, wave: &Wave) -> bool {
+        let completed = CompletedWave {
+            id: wave.id.clone(),
+            version: wave.version,
+        };
+        let elsewhere = &self.shares.completed_elsewhere;
+        !self.is_divided() || elsewhere.binary_search(&completed).is_ok()
     }
 }
--- a/rhubarbfall-runs/src/scheduler/waves.rs
+++ b/rhubarbfall-runs/src/scheduler/waves.rs
@@ -8,6 +8,7 @@
 use super::storing::WaveRow;
 use super::vm_operations::{ActiveOperation, VmOperation, VmPhase};
 use super::wave_pace::{PaceReason, VmCycle, WaveLoad, is_too_late_to_wait};
+use crate::lending::CompletedWave;
 use crate::row_size::{encode_wave_within, vm_digest};
 
 /// The interval between log entries about the pace of a wave.
@@ -377,10 +378,14 @@
     }
 
     /// Returns the waves of which no VM of this cell is left to maintain, sorted.
-    pub(super) fn completed_waves(&self) -> Vec<WaveId> {
+    pub(super) fn completed_waves(&self) -> Vec<CompletedWave> {
         let waves = self.vm_ops.waves.iter();
         let completed = waves.filter(|(_, of_wave)| self.is_own_part_completed(of_wave));
-        completed.map(|(id, _)| id.clone()).collect()
+        let completed = completed.map(|(id, of_wave)| CompletedWave {
+            id: id.clone(),
+            version: of_wave.wave.version,
+        });
+        completed.collect()
     }
 
     /// Returns waves with unstored progress, those first that were not stored for longest.
@@ -465,8 +470,8 @@
     }
 
     fn wave_state(&self, active_wave: &ActiveWave) -> WaveState {
-        let id = &active_wave.wave.id;
-        if self.is_own_part_completed(active_wave) && self.is_completed_elsewhere(id) {
+        let wave = &active_wave.wave;
+        if self.is_own_part_completed(active_wave) && self.is_completed_elsewhere(wave) {
             WaveState::Completed
         } else {
             WaveState::Running
--- a/rhubarbfall-runs/tests/cell_shares.rs
+++ b/rhubarbfall-runs/tests/cell_shares.rs
@@ -7,7 +7,7 @@
 use litemap::LiteMap;
 use model::{Model, step, submission};
 use rhubarbfall_core::{CellId, RowVersion, VmId};
-use rhubarbfall_runs::lending::{CellReport, Grants, lend};
+use rhubarbfall_runs::lending::{CellReport, CompletedWave, Grants, lend};
 use rhubarbfall_runs::scheduler::{Wave, WaveState};
 use rhubarbfall_runs::{JobState, Resources};
 
@@ -68,7 +68,7 @@
                 .iter()
                 .filter(|(id, _)| usize::from(id.number()) != cell);
             let others: Vec<&CellReport> = others.map(|(_, report)| report).collect();
-            let is_everywhere = |wave: &&rhubarbfall_core::WaveId| {
+            let is_everywhere = |wave: &&CompletedWave| {
                 others
                     .iter()
                     .all(|report| report.completed_waves.contains(wave))
--- a/rhubarbfall-runs/tests/changed_waves.rs
+++ b/rhubarbfall-runs/tests/changed_waves.rs
@@ -143,3 +143,22 @@
     let (_, load) = owner.scheduler.wave_loads().next().expect("an open wave");
     assert!(load.elapsed < Duration::from_secs(1), "{:?}", load.elapsed);
 }
+
+/// Other cells' reports count for the request that they are about: a cell may not have read the
+/// newer one yet, or have completed a wave of the same number before.
+#[test]
+fn reports_of_other_cells_on_an_earlier_request_complete_nothing() {
+    let mut owner = Owner::new(2);
+    owner.request(wave(1, &[0]));
+    owner.calls_within(10);
+    let first = owner.scheduler.cell_report().completed_waves;
+    owner.scheduler.waves_completed_elsewhere(first.clone());
+    assert_eq!(owner.state(), Some(WaveState::Completed));
+    owner.request(wave(2, &[0]));
+    owner.calls_within(10);
+    assert_eq!(owner.state(), Some(WaveState::Running));
+    let second = owner.scheduler.cell_report().completed_waves;
+    assert_ne!(first, second);
+    owner.scheduler.waves_completed_elsewhere(second);
+    assert_eq!(owner.state(), Some(WaveState::Completed));
+}
--- a/rhubarbfall-runs/tests/lending.rs
+++ b/rhubarbfall-runs/tests/lending.rs
@@ -4,9 +4,9 @@
 use litemap::LiteMap;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use rhubarbfall_core::CellId;
+use rhubarbfall_core::{CellId, RowVersion};
 use rhubarbfall_runs::lending::{
-    Account, AccountUse, CellReport, Dimension, Grants, equal_share, lend,
+    Account, AccountUse, CellReport, CompletedWave, Dimension, Grants, equal_share, lend,
 };
 
 fn account() -> Account {
@@ -352,7 +352,10 @@
     let decoded = Grants::decode(&fleet.grants.encode()).expect("valid record");
     assert_eq!(decoded, fleet.grants);
     let mut report = fleet.cells[1].report();
-    report.completed_waves = vec!["12".parse().expect("valid wave name")];
+    report.completed_waves = vec![CompletedWave {
+        id: "12".parse().expect("valid wave name"),
+        version: RowVersion::new(7),
+    }];
     let decoded = CellReport::decode(&report.encode()).expect("valid record");
     assert_eq!(decoded, report);
     assert!(Grants::decode(&[255, 255]).is_err());
--- a/rhubarbfall-scheduler/src/owner/lending_loop.rs
+++ b/rhubarbfall-scheduler/src/owner/lending_loop.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use litemap::LiteMap;
-use rhubarbfall_core::{CellId, RowVersion, WaveId};
-use rhubarbfall_runs::lending::{CellReport, Grants, lend};
+use rhubarbfall_core::{CellId, RowVersion};
+use rhubarbfall_runs::lending::{CellReport, CompletedWave, Grants, lend};
 use rhubarbfall_site::{CommitOutcome, RowKey, StoreError, StoredRow, Transaction};
 
 use super::Owner;
@@ -123,13 +123,13 @@
 }
 
 /// Returns the waves that every other cell has reported as completed.
-fn completed_elsewhere(owner: &Owner) -> Vec<WaveId> {
+fn completed_elsewhere(owner: &Owner) -> Vec<CompletedWave> {
     let lending = owner.lending.borrow();
     let others = || owner.layout.cells().filter(|cell| *cell != owner.cell.id);
     let Some(first) = others().next().and_then(|cell| lending.reports.get(&cell)) else {
         return Vec::new();
     };
-    let is_completed_in = |cell: CellId, wave: &WaveId| {
+    let is_completed_in = |cell: CellId, wave: &CompletedWave| {
         let report = lending.reports.get(&cell);
         report.is_some_and(|report| report.completed_waves.contains(wave))
     };
