--- a/rhubarbfall-scheduler/src/owner/mod.rs
+++ b/rhubarbfall-scheduler/src/owner/mod.rs
@@ -11,6 +11,7 @@
 mod store_loop;
 mod tick_loop;
 mod vm_loop;
+mod wave_reports;
 mod worker_list;
 mod worker_loop;
 
--- a/rhubarbfall-scheduler/src/owner/start.rs
+++ b/rhubarbfall-scheduler/src/owner/start.rs
@@ -6,7 +6,8 @@
 use rhubarbfall_site::StoreError;
 
 use super::{
-    Owner, cancellation_feed, lending_loop, state_rows, store_loop, tick_loop, vm_loop, worker_list,
+    Owner, cancellation_feed, lending_loop, state_rows, store_loop, tick_loop, vm_loop,
+    wave_reports, worker_list,
 };
 use crate::node::Node;
 use crate::processor_time::Activity;
@@ -91,7 +92,7 @@
     spawn(
         "wave_reports",
         Activity::Rows,
-        Box::pin(store_loop::run_wave_reports(of_node(), of_owner())),
+        Box::pin(wave_reports::run(of_node(), of_owner())),
     );
     spawn(
         "cancellations",
--- a/rhubarbfall-scheduler/src/owner/store_loop.rs
+++ b/rhubarbfall-scheduler/src/owner/store_loop.rs
@@ -1,4 +1,4 @@
-//! Stores the scheduler's changes in batches, one batch at a time, and reports the state of waves.
+//! Stores the scheduler's changes in batches, one batch at a time.
 
 use std::collections::VecDeque;
 use std::rc::Rc;
@@ -6,10 +6,7 @@
 
 use rhubarbfall_core::{RowVersion, SubmissionId};
 use rhubarbfall_runs::scheduler::Batch;
-use rhubarbfall_site::{
-    CommitOutcome, RowKey, STATUS_TABLE, StoreError, StoredRow, Transaction, encode_wave_state,
-    wave_status_key,
-};
+use rhubarbfall_site::{CommitOutcome, RowKey, StoreError, StoredRow, Transaction};
 
 use super::{Owner, state_rows};
 use crate::node::Node;
@@ -21,9 +18,6 @@
 /// Pause between two batches, which lets changes accumulate.
 const BATCH_PAUSE: Duration = Duration::from_millis(4);
 
-/// Interval at which the owner checks for wave states to report.
-const WAVE_REPORT_INTERVAL: Duration = Duration::from_millis(200);
-
 /// The outcome of storing a batch.
 enum BatchOutcome {
     /// The batch was stored under this version.
@@ -202,30 +196,5 @@
     version
 }
 
-/// Reports the state of waves to operators until the ownership ends.
-pub(super) async fn run_wave_reports(node: Rc<Node>, owner: Rc<Owner>) {
-    while !owner.has_ended() {
-        report_waves(&node, &owner).await;
-        tokio::time::sleep(WAVE_REPORT_INTERVAL).await;
-    }
-}
-
-async fn report_waves(node: &Node, owner: &Owner) {
-    let unreported = owner.scheduler.borrow().unreported_waves();
-    for (id, state) in unreported {
-        let transaction = Transaction {
-            writes: vec![(
-                RowKey::new(STATUS_TABLE, "", wave_status_key(&id)),
-                encode_wave_state(state),
-            )],
-            ..Transaction::default()
-        };
-        match node.store.commit(&transaction).await {
-            Ok(_) => owner.with(|scheduler| scheduler.wave_reported(&id, state)),
-            Err(error) => log::warn!("event=wave_report_failed wave={id} error={error}"),
-        }
-    }
-}
-
 #[cfg(test)]
 mod tests;
