--- a/rhubarbfall-runs/src/job.rs
+++ b/rhubarbfall-runs/src/job.rs
@@ -4,7 +4,7 @@
 
 use rhubarbfall_core::{BootTime, RowVersion};
 
-use crate::{StageTimes, Step, Submission, Task, TaskId, TaskPhase};
+use crate::{OccurrenceSet, StageTimes, Step, Submission, Task, TaskId, TaskPhase};
 
 /// A submission with the state of its tasks.
 #[derive(Debug, Clone)]
@@ -27,8 +27,10 @@
     pub is_excess: bool,
     /// The current state, which may not be stored yet.
     pub state: JobState,
-    /// The occurrences that are due, by number.
+    /// The occurrences that have begun and are not done, sorted by number.
     pub occurrences: Vec<Occurrence>,
+    /// The occurrences that are done.
+    pub done: OccurrenceSet,
     /// Whether any task was ever placed.
     pub has_begun: bool,
     /// Whether a worker is known to have started a task; unknown for a placement that an earlier
@@ -156,6 +158,7 @@
             is_excess: false,
             state: JobState::Active,
             occurrences: Vec::new(),
+            done: OccurrenceSet::default(),
             has_begun: false,
             has_started: false,
             version: 1,
@@ -170,20 +173,61 @@
         }
     }
 
-    /// Returns an occurrence, after creating it and all earlier ones as needed.
-    pub fn occurrence_mut(&mut self, number: u32) -> &mut Occurrence {
-        while self.occurrences.len() <= number as usize {
-            let next = self.occurrences.len() as u32;
-            self.occurrences
-                .push(Occurrence::new(next, &self.submission));
+    /// Returns the index of an occurrence in `occurrences`, or the index at which to insert it.
+    fn position(&self, number: u32) -> Result<usize, usize> {
+        // Mostly, the occurrences that have begun follow each other.
+        let first = self.occurrences.first().map_or(0, |first| first.number);
+        let index = number.saturating_sub(first) as usize;
+        match self.occurrences.get(index) {
+            Some(occurrence) if occurrence.number == number => Ok(index),
+            _ => self
+                .occurrences
+                .binary_search_by_key(&number, |occurrence| occurrence.number),
         }
-        &mut self.occurrences[number as usize]
     }
 
-    /// Returns a task, or `None` if its occurrence has not begun or its position does not exist.
+    /// Returns an occurrence, or `None` if it has not begun or is done.
+    #[must_use]
+    pub fn occurrence(&self, number: u32) -> Option<&Occurrence> {
+        let index = self.position(number).ok()?;
+        self.occurrences.get(index)
+    }
+
+    fn occurrence_mut(&mut self, number: u32) -> Option<&mut Occurrence> {
+        let index = self.position(number).ok()?;
+        self.occurrences.get_mut(index)
+    }
+
+    /// Begins an occurrence, unless it has begun or is done.
+    pub fn begin_occurrence(&mut self, number: u32) {
+        if let Err(index) = self.position(number)
+            && !self.done.contains(number)
+        {
+            let occurrence = Occurrence::new(number, &self.submission);
+            self.occurrences.insert(index, occurrence);
+        }
+    }
+
+    /// Returns the first occurrence that has not begun, or `None` if all have.
+    #[must_use]
+    pub fn next_occurrence(&self) -> Option<u32> {
+        let mut next = self.done.leading();
+        for begun in &self.occurrences {
+            next = self.done.first_missing(next);
+            if begun.number > next {
+                break;
+            }
+            next = begun.number + 1;
+        }
+        next = self.done.first_missing(next);
+        (next < self.submission.occurrences()).then_some(next)
+    }
+
+    /// Returns a task, or `None` if its occurrence has not begun or is done, or its position does not
+    /// exist.
     #[must_use]
     pub fn task(&self, id: &TaskId) -> Option<&Task> {
-        let occurrence = self.occurrences.get(id.occurrence as usize)?;
+        let occurrence = self.occurrence(id.occurrence)?;
         let step = occurrence.steps.get(usize::from(id.step))?;
         step.tasks.get(id.index as usize)
     }
@@ -194,18 +238,20 @@
         &self.submission.steps[usize::from(id.step)]
     }
 
-    /// Returns a task for modification, or `None` if it does not exist.
+    /// Returns a task for modification, or `None` as [`Self::task`] does.
     pub fn task_mut(&mut self, id: &TaskId) -> Option<&mut Task> {
-        let occurrence = self.occurrences.get_mut(id.occurrence as usize)?;
+        let occurrence = self.occurrence_mut(id.occurrence)?;
         let step = occurrence.steps.get_mut(usize::from(id.step))?;
         step.tasks.get_mut(id.index as usize)
     }
 
-    /// Marks a task as done and drops its checkpoint.
+    /// Marks a task as done and drops its checkpoint. Nothing but its number is kept of an occurrence
+    /// whose last task that was.
     pub fn set_done(&mut self, id: &TaskId) {
-        let Some(occurrence) = self.occurrences.get_mut(id.occurrence as usize) else {
+        let Ok(index) = self.position(id.occurrence) else {
             return;
         };
+        let occurrence = &mut self.occurrences[index];
         let Some(step) = occurrence.steps.get_mut(usize::from(id.step)) else {
             return;
         };
@@ -216,39 +262,35 @@
             task.checkpoint = None;
             step.done += 1;
         }
+        if occurrence.is_done() {
+            self.occurrences.remove(index);
+            self.done.insert(id.occurrence);
+        }
     }
 
     /// Returns the number of leading occurrences of which every task is done.
     #[must_use]
     pub fn done_occurrences(&self) -> u32 {
-        let occurrences = self.occurrences.iter();
-        occurrences
-            .take_while(|occurrence| occurrence.is_done())
-            .count() as u32
+        self.done.leading()
     }
 
-    /// Marks every task of an occurrence as done.
-    pub(crate) fn set_occurrence_done(&mut self, number: u32) {
-        for step in &mut self.occurrence_mut(number).steps {
-            for task in &mut step.tasks {
-                task.phase = TaskPhase::Done;
-            }
-            step.done = step.tasks.len() as u32;
-        }
+    /// Returns the number of tasks in the occurrences that have begun and are not done.
+    #[must_use]
+    pub fn begun_tasks(&self) -> usize {
+        self.submission.tasks_per_occurrence() * self.occurrences.len()
     }
 
-    /// Returns the number of tasks in the occurrences that have begun.
+    /// Returns the number of tasks that are not done in the occurrences that have begun.
     #[must_use]
-    pub fn begun_tasks(&self) -> usize {
-        let tasks = self.submission.steps.iter().map(|step| step.tasks as usize);
-        tasks.sum::<usize>() * self.occurrences.len()
+    pub fn open_tasks(&self) -> usize {
+        let steps = self.occurrences.iter().flat_map(|of_job| &of_job.steps);
+        steps.map(|run| run.tasks.len() - run.done as usize).sum()
     }
 
     /// Returns whether all occurrences are done.
     #[must_use]
     pub fn is_done(&self) -> bool {
-        self.occurrences.len() == self.submission.occurrences() as usize
-            && self.occurrences.iter().all(Occurrence::is_done)
+        self.done.leading() == self.submission.occurrences()
     }
 
     /// Returns the unfinished steps whose dependencies are done, each with the numbers of its
--- a/rhubarbfall-runs/src/lib.rs
+++ b/rhubarbfall-runs/src/lib.rs
@@ -5,10 +5,12 @@
 //! carry out.
 
 mod cell_layout;
+mod done_tasks;
 mod expected_ends;
 mod fleet_config;
 mod job;
 pub mod lending;
+mod occurrence_set;
 mod progress;
 mod record;
 mod resources;
@@ -23,9 +25,11 @@
 mod worker_events;
 
 pub use cell_layout::{CellLayout, LayoutError, MAX_CELLS};
+pub use done_tasks::{DoneTasks, TaskPosition, TaskRange};
 pub use expected_ends::{ExpectedEnds, NEVER};
 pub use fleet_config::{AdviceTiming, Customer, FleetConfig, Queue, Service};
 pub use job::{Job, JobState, Occurrence, StepState};
+pub use occurrence_set::OccurrenceSet;
 pub use progress::{JobProgress, OpenTask, PlacedRun};
 pub use record::{
     RecordError, decode_progress, decode_submission, decode_wave, encode_progress,
--- a/rhubarbfall-runs/src/progress.rs
+++ b/rhubarbfall-runs/src/progress.rs
@@ -2,7 +2,7 @@
 
 use rhubarbfall_core::WorkerId;
 
-use crate::{Job, JobState, TaskPhase};
+use crate::{DoneTasks, Job, JobState, TaskPhase, TaskPosition, TaskRange};
 
 /// The part of a job's state that is stored beside the submission.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -15,9 +15,8 @@
     pub has_started: bool,
     /// The number of leading occurrences of which every task is done.
     pub done_occurrences: u32,
-    /// The tasks that are done, each by occurrence, step and index. A row with ranges leaves out
-    /// those of the leading occurrences.
-    pub done: Vec<(u32, u16, u32)>,
+    /// The tasks that are done, without those of the leading occurrences.
+    pub done: DoneTasks,
     /// The unfinished tasks that were placed at least once.
     pub open: Vec<OpenTask>,
 }
@@ -26,7 +25,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct OpenTask {
     /// The occurrence, step and index of the task.
-    pub position: (u32, u16, u32),
+    pub position: TaskPosition,
     /// The number of failed runs.
     pub failures: u32,
     /// The highest run number used so far.
@@ -62,18 +61,13 @@
     /// Collects the progress of a job for storage.
     #[must_use]
     pub fn of(job: &Job) -> Self {
-        let mut progress = Self {
-            state: job.state,
-            has_begun: job.has_begun,
-            has_started: job.has_started,
-            done_occurrences: job.done_occurrences(),
-            ..Self::default()
-        };
+        let mut done = done_after_gap(job);
+        let mut open = Vec::new();
         job.for_each_task(|occurrence, step, index, task| {
             let position = (occurrence, step as u16, index as u32);
             let placed = match &task.phase {
                 TaskPhase::Done => {
-                    progress.done.push(position);
+                    done.push(TaskRange::from(position));
                     return;
                 }
                 TaskPhase::Placed(placement) => Some(PlacedRun {
@@ -84,7 +78,7 @@
                 TaskPhase::Waiting if task.last_run == 0 => return,
                 TaskPhase::Waiting => None,
             };
-            progress.open.push(OpenTask {
+            open.push(OpenTask {
                 position,
                 failures: task.failures,
                 last_run: task.last_run,
@@ -92,6 +86,27 @@
                 placed,
             });
         });
-        progress
+        Self {
+            state: job.state,
+            has_begun: job.has_begun,
+            has_started: job.has_started,
+            done_occurrences: job.done_occurrences(),
+            done: done.into_iter().collect(),
+            open,
+        }
     }
 }
+
+/// Returns the tasks of the done occurrences that follow one which is not done.
+fn done_after_gap(job: &Job) -> Vec<TaskRange> {
+    let steps = || job.submission.steps.iter().enumerate();
+    let of_occurrence = |occurrence: u32| {
+        steps().map(move |(number, step)| TaskRange {
+            occurrence,
+            step: number as u16,
+            first: 0,
+            count: step.tasks,
+        })
+    };
+    job.done.after_gap().flat_map(of_occurrence).collect()
+}
--- a/rhubarbfall-runs/src/record.rs
+++ b/rhubarbfall-runs/src/record.rs
@@ -9,7 +9,10 @@
 
 use crate::scheduler::{CalledVm, WaveProgress};
 use crate::submission::MAX_ESTIMATE;
-use crate::{JobProgress, JobState, OpenTask, PlacedRun, Resources, Schedule, Step, Submission};
+use crate::{
+    JobProgress, JobState, OpenTask, PlacedRun, Resources, Schedule, Step, Submission,
+    TaskPosition, TaskRange,
+};
 
 quick_error! {
     /// Why a stored record cannot be decoded.
@@ -134,9 +137,9 @@
 /// know it: they show the job as failed instead of running its done tasks again.
 const ACTIVE_WITH_RANGES: u32 = 4;
 
-/// The maximum number of done tasks that the ranges of a record stand for, which bounds the memory
-/// for decoding it.
-const MAX_DONE_IN_RANGES: u64 = 1_000_000;
+/// The maximum number of done tasks that the ranges of a record stand for. Earlier versions hold each
+/// of them in memory.
+pub(crate) const MAX_DONE_IN_RANGES: u64 = 1_000_000;
 
 #[derive(Clone, PartialEq, Message)]
 struct OpenTaskRecord {
@@ -318,7 +321,7 @@
             JobState::Failed => 2,
             JobState::Cancelled => 3,
         },
-        done: progress.done.iter().flat_map(flatten).collect(),
+        done: progress.done.positions().flat_map(flatten).collect(),
         ..progress_record(progress)
     };
     record.encode_to_vec()
@@ -328,32 +331,23 @@
 /// space.
 pub(crate) fn encode_progress_with_ranges(progress: &JobProgress) -> Vec<u8> {
     let leading = progress.done_occurrences;
-    let later = progress
-        .done
-        .iter()
-        .filter(|(occurrence, ..)| *occurrence >= leading);
-    let mut ranges: Vec<[u32; 4]> = Vec::new();
-    for [occurrence, step, index] in later.map(flatten) {
-        match ranges.last_mut() {
-            Some([of, at, first, count])
-                if (*of, *at, *first + *count) == (occurrence, step, index) =>
-            {
-                *count += 1;
-            }
-            _ => ranges.push([occurrence, step, index, 1]),
-        }
-    }
+    let ranges = progress.done.ranges().iter();
+    let later = ranges.filter(|range| range.occurrence >= leading);
+    let numbers = later.flat_map(|range| {
+        let step = u32::from(range.step);
+        [range.occurrence, step, range.first, range.count]
+    });
     let record = ProgressRecord {
         state: ACTIVE_WITH_RANGES,
         done_occurrences: leading,
-        done_ranges: ranges.concat(),
+        done_ranges: numbers.collect(),
         ..progress_record(progress)
     };
     record.encode_to_vec()
 }
 
-fn flatten((occurrence, step, index): &(u32, u16, u32)) -> [u32; 3] {
-    [*occurrence, u32::from(*step), *index]
+fn flatten((occurrence, step, index): TaskPosition) -> [u32; 3] {
+    [occurrence, u32::from(step), index]
 }
 
 /// Returns a record without the state and the done tasks.
@@ -361,7 +355,7 @@
     let open = progress.open.iter().map(|task| {
         let placed = task.placed.as_ref();
         OpenTaskRecord {
-            position: flatten(&task.position).to_vec(),
+            position: flatten(task.position).to_vec(),
             failures: task.failures,
             last_run: task.last_run,
             checkpoint: task.checkpoint.as_deref().map(str::to_owned),
@@ -414,8 +408,11 @@
             placed: placed.transpose()?,
         })
     });
-    let mut done: Vec<_> = record.done.chunks_exact(3).map(decode_position).collect();
-    done.extend(decode_ranges(&record.done_ranges)?);
+    let single = record.done.chunks_exact(3).map(decode_position);
+    let done = single
+        .map(TaskRange::from)
+        .chain(decode_ranges(&record.done_ranges)?)
+        .collect();
     Ok(JobProgress {
         state,
         has_begun: record.has_begun,
@@ -426,20 +423,25 @@
     })
 }
 
-fn decode_ranges(numbers: &[u32]) -> Result<Vec<(u32, u16, u32)>, RecordError> {
+fn decode_ranges(
+    numbers: &[u32],
+) -> Result<impl Iterator<Item = TaskRange> + use<'_>, RecordError> {
     let ranges = numbers.as_chunks::<4>().0;
     let count: u64 = ranges.iter().map(|[.., count]| u64::from(*count)).sum();
     if count > MAX_DONE_IN_RANGES {
         return Err(RecordError::TooManyDone);
     }
-    let tasks = ranges.iter().flat_map(|[occurrence, step, first, count]| {
-        let indexes = *first..first.saturating_add(*count);
-        indexes.map(|index| (*occurrence, *step as u16, index))
-    });
-    Ok(tasks.collect())
+    Ok(ranges
+        .iter()
+        .map(|[occurrence, step, first, count]| TaskRange {
+            occurrence: *occurrence,
+            step: *step as u16,
+            first: *first,
+            count: *count,
+        }))
 }
 
-fn decode_position(numbers: &[u32]) -> (u32, u16, u32) {
+fn decode_position(numbers: &[u32]) -> TaskPosition {
     let number = |index: usize| numbers.get(index).copied().unwrap_or_default();
     (number(0), number(1) as u16, number(2))
 }
--- a/rhubarbfall-runs/src/row_size.rs
+++ b/rhubarbfall-runs/src/row_size.rs
@@ -6,12 +6,15 @@
 
 use crate::record::{encode_progress, encode_progress_with_ranges, encode_wave};
 use crate::scheduler::WaveProgress;
-use crate::{Job, JobProgress, TaskPhase};
+use crate::{DoneTasks, Job, JobProgress, Step, TaskPhase};
 
 /// The space of an open task in bytes, without its checkpoint and the name of its worker: the
 /// longest encoding of its numbers.
 const OPEN_TASK_BYTES: usize = 48;
 
+/// The least space of a done task in bytes: its occurrence, step and index.
+const MIN_DONE_TASK_BYTES: u64 = 3;
+
 /// The longest name of a worker in bytes.
 const MAX_WORKER_NAME_BYTES: usize = 128;
 
@@ -41,13 +44,12 @@
 /// ```
 #[must_use]
 pub fn encode_progress_within(progress: &JobProgress, max_bytes: usize) -> Vec<u8> {
-    let whole = encode_progress(progress);
-    if whole.len() <= max_bytes {
+    if let Some(whole) = encode_whole_within(progress, max_bytes) {
         return whole;
     }
     let mut reduced = progress.clone();
     if reduced.state.is_final() {
-        reduced.done.clear();
+        reduced.done = DoneTasks::default();
         reduced.open.retain(|task| task.placed.is_some());
     }
     let checkpoints: Vec<_> = reduced
@@ -55,7 +57,8 @@
         .iter_mut()
         .map(|task| task.checkpoint.take())
         .collect();
-    let encode = if reduced.state.is_final() || encode_progress(&reduced).len() <= max_bytes {
+    let is_whole = reduced.state.is_final() || encode_whole_within(&reduced, max_bytes).is_some();
+    let encode = if is_whole {
         encode_progress
     } else {
         encode_progress_with_ranges
@@ -79,11 +82,38 @@
     encode(&reduced)
 }
 
+/// Encodes the progress of a job without ranges if that fits into `max_bytes`. A record without
+/// ranges states the done tasks of the leading occurrences, too.
+fn encode_whole_within(progress: &JobProgress, max_bytes: usize) -> Option<Vec<u8>> {
+    let first = progress.done.ranges().first();
+    let states_leading = first.is_some_and(|range| range.occurrence == 0);
+    let needs_ranges =
+        progress.done_occurrences > 0 && !states_leading && !progress.state.is_final();
+    let min_bytes = progress.done.count().saturating_mul(MIN_DONE_TASK_BYTES);
+    if needs_ranges || min_bytes > max_bytes as u64 {
+        return None;
+    }
+    let whole = encode_progress(progress);
+    (whole.len() <= max_bytes).then_some(whole)
+}
+
 /// Returns whether the progress row of a job fits into `max_bytes` whatever its workers are called,
 /// which holds for all but large jobs.
 pub(crate) fn always_fits(job: &Job, max_bytes: usize) -> bool {
     let open_bytes = OPEN_TASK_BYTES + MAX_WORKER_NAME_BYTES;
-    FIXED_BYTES + job.begun_tasks() * open_bytes <= max_bytes
+    FIXED_BYTES + bytes_after_gap(job) + job.begun_tasks() * open_bytes <= max_bytes
+}
+
+/// Returns the space of the done occurrences that follow one which is not done.
+fn bytes_after_gap(job: &Job) -> usize {
+    let steps = || job.submission.steps.iter().enumerate();
+    let of_occurrence = |occurrence: u32| {
+        let of_step = |(number, step): (usize, &Step)| {
+            range_bytes(occurrence, number, 0, step.tasks as usize)
+        };
+        steps().map(of_step).sum::<usize>()
+    };
+    job.done.after_gap().map(of_occurrence).sum()
 }
 
 /// Returns how many tasks that were never placed a job may place now, so that its progress row fits
@@ -92,13 +122,13 @@
 /// A task that ends frees space: a range of done tasks is shorter than an open task.
 pub(crate) fn room_for_new_tasks(job: &Job, max_bytes: usize, worker_name_bytes: usize) -> usize {
     let open_bytes = OPEN_TASK_BYTES + worker_name_bytes;
-    let room = max_bytes.saturating_sub(FIXED_BYTES) / open_bytes;
+    let mut used = FIXED_BYTES + bytes_after_gap(job);
+    let room = max_bytes.saturating_sub(used) / open_bytes;
     let begun = job.begun_tasks();
     if begun <= room {
         return begun;
     }
-    let mut used = FIXED_BYTES;
-    for occurrence in job.occurrences.iter().skip(job.done_occurrences() as usize) {
+    for occurrence in &job.occurrences {
         for (number, step) in occurrence.steps.iter().enumerate() {
             let mut first_done = None;
             for (index, task) in step.tasks.iter().enumerate() {
--- a/rhubarbfall-runs/src/scheduler/intake.rs
+++ b/rhubarbfall-runs/src/scheduler/intake.rs
@@ -4,6 +4,7 @@
 use rhubarbfall_core::{BootTime, CustomerId, QueueId, SubmissionId};
 
 use super::Scheduler;
+use super::occurrence_window::begin_due_of;
 use super::token_bucket::TokenBucket;
 use crate::{Job, JobState, RunState, Submission, SubmissionError, TaskPhase};
 
@@ -229,13 +230,6 @@
         self.record_cleared(id, now);
     }
 
-    /// Begins the occurrences that are due.
-    pub(super) fn begin_due(&mut self, unix_ms: u64) {
-        for job in self.jobs.active_mut() {
-            self.needs_placement |= begin_due_of(job, unix_ms);
-        }
-    }
-
     /// Removes ended jobs after their retention time. A job with a placed run stays, because the run
     /// takes room until it has certainly ended.
     pub(super) fn remove_ended_jobs(&mut self, now: BootTime) {
@@ -261,16 +255,3 @@
         }
     }
 }
-
-/// Begins the occurrences of a job that are due, and returns whether there are any.
-fn begin_due_of(job: &mut Job, unix_ms: u64) -> bool {
-    let begun_before = job.occurrences.len();
-    while job.state == JobState::Active
-        && (job.occurrences.len() as u32) < job.submission.occurrences()
-        && job.submission.due_unix_ms(job.occurrences.len() as u32) <= unix_ms
-    {
-        let next = job.occurrences.len() as u32;
-        job.occurrence_mut(next);
-    }
-    job.occurrences.len() > begun_before
-}
--- a/rhubarbfall-runs/src/scheduler/interruptions.rs
+++ b/rhubarbfall-runs/src/scheduler/interruptions.rs
@@ -60,8 +60,7 @@
             return false;
         }
         let tasks = job
-            .occurrences
-            .get(id.occurrence as usize)
+            .occurrence(id.occurrence)
             .map(|occurrence| &occurrence.steps[usize::from(id.step)].tasks);
         let unavailable = tasks.map_or(0, |tasks| {
             tasks.iter().filter(|task| !is_available(task)).count()
--- a/rhubarbfall-runs/src/scheduler/lookahead.rs
+++ b/rhubarbfall-runs/src/scheduler/lookahead.rs
@@ -448,7 +448,7 @@
 
 /// Returns the index of the first waiting task of a step.
 fn first_waiting(job: &Job, step: &StepId) -> Option<u32> {
-    let occurrence = job.occurrences.get(step.occurrence as usize)?;
+    let occurrence = job.occurrence(step.occurrence)?;
     let run = occurrence.steps.get(usize::from(step.step))?;
     let mut tasks = run.tasks.iter();
     let index = tasks.position(|task| task.phase == TaskPhase::Waiting)?;
--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -17,6 +17,7 @@
 mod listing;
 mod long_running_places;
 mod lookahead;
+mod occurrence_window;
 mod ordering;
 mod orders;
 mod pacing;
@@ -114,6 +115,8 @@
     pools_logged_at: BootTime,
     /// When the long-running tasks that do not run were last logged.
     absence_logged_at: BootTime,
+    /// When withheld occurrences were last logged.
+    withheld_logged_at: BootTime,
     /// When the submissions that wait with nothing running were last logged.
     waiting_logged_at: BootTime,
     /// When the time-dependent checks last ran.
@@ -157,6 +160,7 @@
             evacuation: evacuation::Evacuation::default(),
             pools_logged_at: BootTime::default(),
             absence_logged_at: BootTime::default(),
+            withheld_logged_at: BootTime::default(),
             waiting_logged_at: BootTime::default(),
             checked_at: BootTime::default(),
             interrupt_after: BootTime::default(),
@@ -215,7 +219,7 @@
             self.remove_ended_jobs(now);
             self.expire_early_cancellations(now);
             self.stop_long_running_on_draining();
-            self.begin_due(unix_ms);
+            self.begin_due(unix_ms, now);
             self.tick_vm_operations(now);
             self.leave_evacuated_zones(now);
             self.send_due_stops(now);
--- a/rhubarbfall-runs/src/scheduler/placement_pass.rs
+++ b/rhubarbfall-runs/src/scheduler/placement_pass.rs
@@ -1,7 +1,7 @@
 //! What a placement pass knows of workers and waiting steps, and what it finds out on its way.
 
 use litemap::LiteMap;
-use rhubarbfall_core::{BootTime, ServiceId, WorkerId};
+use rhubarbfall_core::{BootTime, ServiceId, SubmissionId, WorkerId};
 
 use super::lookahead::{ClosedTo, Placeless, StepOutlook};
 use super::placing::WaitingStep;
@@ -30,6 +30,8 @@
     pub(super) closed: Vec<ClosedTo>,
     /// What no place was found for; steps that need as much are skipped.
     pub(super) placeless: Vec<Placeless>,
+    /// How many tasks that were never placed the submission of the last step may still place.
+    pub(super) row_room: Option<(SubmissionId, usize)>,
     /// The services for whose steps a place was held in this pass.
     pub(super) given_place: Vec<ServiceId>,
 }
--- a/rhubarbfall-runs/src/scheduler/placing.rs
+++ b/rhubarbfall-runs/src/scheduler/placing.rs
@@ -284,7 +284,8 @@
         pass: &mut PlacementPass,
         now: BootTime,
     ) -> bool {
-        let mut room = self.room_for_new_tasks(&waiting_step.step.submission);
+        let submission = &waiting_step.step.submission;
+        let mut room = self.row_room(submission, pass);
         for id in tasks {
             if self.pending_starts.len() >= self.settings.max_pending_starts {
                 return true;
@@ -302,10 +303,24 @@
             });
             self.take_passage(&worker, waiting_step, step, pass);
             room -= usize::from(is_new);
+            pass.row_room = Some((submission.clone(), room));
         }
         true
     }
 
+    /// Returns how many tasks that were never placed a job may place in the rest of a pass. The steps of
+    /// a job follow each other in it.
+    fn row_room(&self, id: &SubmissionId, pass: &mut PlacementPass) -> usize {
+        match &pass.row_room {
+            Some((known, room)) if known == id => *room,
+            _ => {
+                let room = self.room_for_new_tasks(id);
+                pass.row_room = Some((id.clone(), room));
+                room
+            }
+        }
+    }
+
     /// Returns how many tasks that were never placed a job may place, so that its rows stay within
     /// the size that the store accepts.
     fn room_for_new_tasks(&self, id: &SubmissionId) -> usize {
@@ -333,7 +348,9 @@
             return false;
         }
         let new = tasks.iter().filter(|id| self.next_run(id) == 1).count();
-        if new > self.room_for_new_tasks(&waiting_step.step.submission) {
+        let submission = &waiting_step.step.submission;
+        let room = self.row_room(submission, pass);
+        if new > room {
             return true;
         }
         let run = tasks.iter().map(|id| self.next_run(id)).max().unwrap_or(1);
@@ -352,6 +369,7 @@
             for (_, worker) in &placed {
                 self.take_passage(worker, waiting_step, step, pass);
             }
+            pass.row_room = Some((submission.clone(), room - new));
             return true;
         }
         for (id, worker) in placed {
@@ -504,7 +522,7 @@
 
 /// Returns the tasks of a step that may start.
 fn ready_tasks(job: &Job, step: &StepId, now: BootTime) -> Vec<TaskId> {
-    let occurrence = job.occurrences.get(step.occurrence as usize);
+    let occurrence = job.occurrence(step.occurrence);
     let run = occurrence.and_then(|occurrence| occurrence.steps.get(usize::from(step.step)));
     let tasks = run.into_iter().flat_map(|run| run.tasks.iter().enumerate());
     tasks
--- a/rhubarbfall-runs/src/scheduler/recovery.rs
+++ b/rhubarbfall-runs/src/scheduler/recovery.rs
@@ -5,8 +5,8 @@
 
 use super::Scheduler;
 use crate::{
-    Job, JobProgress, JobState, Placement, RunState, Submission, Task, TaskId, TaskPhase, Worker,
-    WorkerState,
+    Job, JobProgress, JobState, OccurrenceSet, OpenTask, Placement, RunState, Submission, Task,
+    TaskId, TaskPhase, TaskPosition, TaskRange, Worker, WorkerState,
 };
 
 /// The maximum age of a recovered submission; a higher age would not change its rank.
@@ -248,18 +248,26 @@
         RunState::Inherited
     };
     let occurrences = job.submission.occurrences();
-    for number in 0..progress.done_occurrences.min(occurrences) {
-        job.set_occurrence_done(number);
-    }
-    let is_possible = |position: &(u32, u16, u32)| position.0 < occurrences;
-    for open in progress
-        .open
-        .iter()
-        .filter(|open| is_possible(&open.position))
+    let is_over = progress.state.is_final();
+    job.done = OccurrenceSet::first(progress.done_occurrences.min(occurrences));
+    for of_occurrence in progress
+        .done
+        .ranges()
+        .chunk_by(|one, other| one.occurrence == other.occurrence)
+        .filter(|_| !is_over)
     {
+        restore_done(job, of_occurrence);
+    }
+    // Of a job that is over, only the runs matter that have to be stopped.
+    let is_needed =
+        |open: &&OpenTask| open.position.0 < occurrences && (!is_over || open.placed.is_some());
+    for open in progress.open.iter().filter(is_needed) {
         let id = task_id(job, open.position);
-        job.occurrence_mut(id.occurrence);
-        let Some(task) = job.task_mut(&id) else {
+        job.begin_occurrence(id.occurrence);
+        let Some(task) = job
+            .task_mut(&id)
+            .filter(|task| task.phase != TaskPhase::Done)
+        else {
             continue;
         };
         task.failures = open.failures;
@@ -278,17 +286,35 @@
             });
         }
     }
-    for position in progress
-        .done
-        .iter()
-        .filter(|position| is_possible(position))
-    {
-        let id = task_id(job, *position);
-        job.occurrence_mut(id.occurrence);
+}
+
+/// Restores the done tasks of one occurrence. One that is done is not begun again: rows of earlier
+/// versions state each task of all occurrences.
+fn restore_done(job: &mut Job, ranges: &[TaskRange]) {
+    let Some(occurrence) = ranges.first().map(|range| range.occurrence) else {
+        return;
+    };
+    if occurrence >= job.submission.occurrences() || job.done.contains(occurrence) {
+        return;
+    }
+    let mut steps = job.submission.steps.iter().enumerate();
+    let is_done = steps.all(|(number, step)| {
+        let is_whole = |range: &TaskRange| {
+            usize::from(range.step) == number && range.first == 0 && range.count >= step.tasks
+        };
+        ranges.iter().any(is_whole)
+    });
+    if is_done {
+        job.done.insert(occurrence);
+        return;
+    }
+    job.begin_occurrence(occurrence);
+    for position in ranges.iter().flat_map(|range| range.positions()) {
+        let id = task_id(job, position);
         job.set_done(&id);
     }
 }
 
-fn task_id(job: &Job, (occurrence, step, index): (u32, u16, u32)) -> TaskId {
+fn task_id(job: &Job, (occurrence, step, index): TaskPosition) -> TaskId {
     job.task_id(occurrence, usize::from(step), index as usize)
 }
--- a/rhubarbfall-runs/src/scheduler/waves.rs
+++ b/rhubarbfall-runs/src/scheduler/waves.rs
@@ -561,7 +561,7 @@
 
 /// Returns the milliseconds from one time to another, negative if that is earlier.
 fn signed_ms_between(from: BootTime, to: BootTime) -> i128 {
-    to.since(from).as_millis() as i128 - from.since(to).as_millis() as i128
+    to.since(from).as_millis().cast_signed() - from.since(to).as_millis().cast_signed()
 }
 
 /// Moves the VMs that a row holds as digests to the called ones, and returns them, sorted.
--- a/rhubarbfall-runs/src/submission.rs
+++ b/rhubarbfall-runs/src/submission.rs
@@ -6,13 +6,13 @@
 
 use crate::{Resources, encode_submission};
 
-/// The maximum number of tasks in one occurrence of a submission, which bounds the memory of an
-/// entry.
-const MAX_TASKS_PER_SUBMISSION: u64 = 20_000;
+/// The maximum number of tasks of a submission that are held at the same time, which bounds the memory
+/// of an entry: those of one occurrence, or of all occurrences with long-running tasks.
+pub(crate) const MAX_TASKS_PER_SUBMISSION: u64 = 20_000;
 
 /// The maximum number of tasks of a submission that are needed at the same time: those of its
 /// long-running steps and of its largest gang. The progress row holds about as many open tasks.
-const MAX_TASKS_AT_ONCE: u64 = 640;
+pub(crate) const MAX_TASKS_AT_ONCE: u64 = 640;
 
 /// The longest estimate of a stored task; sums and multiples of it do not overflow.
 pub(crate) const MAX_ESTIMATE: Duration = Duration::from_hours(365 * 24);
@@ -167,7 +167,8 @@
                 return Err(SubmissionError::ForwardDependency(number));
             }
         }
-        let tasks = self.steps.iter().map(|step| u64::from(step.tasks)).sum();
+        let tasks: u64 = self.steps.iter().map(|step| u64::from(step.tasks)).sum();
+        let tasks = tasks.saturating_mul(self.lasting_occurrences());
         if tasks > MAX_TASKS_PER_SUBMISSION {
             return Err(SubmissionError::TooLarge(tasks));
         }
@@ -178,6 +179,7 @@
             .map(tasks_of)
             .sum();
         let gangs = steps().filter(|step| step.is_gang && !step.is_long_running);
+        let lasting = lasting.saturating_mul(self.lasting_occurrences());
         let at_once = lasting + gangs.map(tasks_of).max().unwrap_or_default();
         if at_once > MAX_TASKS_AT_ONCE {
             return Err(SubmissionError::TooManyAtOnce(at_once));
@@ -199,6 +201,30 @@
         Ok(())
     }
 
+    /// Returns the number of tasks in one occurrence.
+    #[must_use]
+    pub fn tasks_per_occurrence(&self) -> usize {
+        self.steps.iter().map(|step| step.tasks as usize).sum()
+    }
+
+    /// Returns how many occurrences must be open at the same time: all of them if tasks are
+    /// long-running, which go on until the submission is cancelled.
+    fn lasting_occurrences(&self) -> u64 {
+        if self.is_long_running() {
+            u64::from(self.occurrences())
+        } else {
+            1
+        }
+    }
+
+    /// Returns how many occurrences are held from when the submission is accepted, or as many of them as
+    /// earlier versions have accepted and an entry holds.
+    pub(crate) fn reserved_occurrences(&self) -> u64 {
+        let tasks = self.tasks_per_occurrence().max(1) as u64;
+        let held = (MAX_TASKS_PER_SUBMISSION / tasks).max(1);
+        self.lasting_occurrences().min(held)
+    }
+
     /// Returns the number of occurrences, at least 1.
     #[must_use]
     pub fn occurrences(&self) -> u32 {
--- a/rhubarbfall-runs/tests/model/mod.rs
+++ b/rhubarbfall-runs/tests/model/mod.rs
@@ -92,6 +92,8 @@
     pub(crate) tail_ms: u64,
     /// The tasks whose runs were done, each as often as it was.
     pub(crate) done: Vec<TaskId>,
+    /// When the clock of the entries was zero, or `None` if it stands still there.
+    pub(crate) unix_began_at: Option<BootTime>,
     /// The invariants that were violated.
     pub(crate) violations: Vec<String>,
     vms: Vec<ModelVm>,
@@ -149,6 +151,7 @@
             warm_up: Duration::ZERO,
             tail_ms: 0,
             done: Vec::new(),
+            unix_began_at: None,
             violations: Vec::new(),
             vms: Vec::new(),
             first_vm: usize::from(cell.number()) * MAX_VMS_PER_CELL,
@@ -238,7 +241,9 @@
         self.answer_advice();
         self.advance_runs();
         self.renew_leases();
-        self.scheduler.tick(self.now, 0);
+        let unix_ms = self.unix_began_at.map(|at| self.now.since(at).as_millis());
+        self.scheduler
+            .tick(self.now, unix_ms.unwrap_or_default() as u64);
         self.execute_actions();
         self.store_all();
         self.execute_actions();
--- a/rhubarbfall-runs/tests/placements.rs
+++ b/rhubarbfall-runs/tests/placements.rs
@@ -47,7 +47,8 @@
     owner.answer("w-1", 2, Vec::new(), Vec::new());
     owner.answer("w-2", 2, Vec::new(), Vec::new());
     let job = owner.scheduler.jobs().next().expect("the gang's job");
-    assert_eq!(JobProgress::of(job).done, vec![(0, 0, 0), (0, 0, 1)]);
+    let done: Vec<_> = JobProgress::of(job).done.positions().collect();
+    assert_eq!(done, vec![(0, 0, 0), (0, 0, 1)]);
 }
 
 /// A cancelled submission with a run on a worker that has gone when a new owner takes over: the
--- a/rhubarbfall-runs/tests/single_owner/mod.rs
+++ b/rhubarbfall-runs/tests/single_owner/mod.rs
@@ -5,8 +5,8 @@
 use rhubarbfall_core::{AvailabilityZoneId, BootTime, RowVersion, WorkerId};
 use rhubarbfall_runs::scheduler::{Action, SchedulerSettings, StartOrder, StopOrder, StoredJob};
 use rhubarbfall_runs::{
-    ActiveRun, JobProgress, JobState, LeaseRenewalResponse, OpenTask, PlacedRun, Resources, RunEnd,
-    RunEndKind, Scheduler, StartOutcome, Step, Submission, WorkerReport,
+    ActiveRun, DoneTasks, JobProgress, JobState, LeaseRenewalResponse, OpenTask, PlacedRun,
+    Resources, RunEnd, RunEndKind, Scheduler, StartOutcome, Step, Submission, WorkerReport,
 };
 
 use crate::model::{WORKER_CAPACITY, config, step, submission};
@@ -197,7 +197,7 @@
         has_begun: true,
         has_started: false,
         done_occurrences: 0,
-        done: Vec::new(),
+        done: DoneTasks::default(),
         open: vec![OpenTask {
             position: (0, 0, 0),
             failures: 0,
--- a/rhubarbfall-runs/tests/stored_submissions.rs
+++ b/rhubarbfall-runs/tests/stored_submissions.rs
@@ -9,8 +9,8 @@
 use rhubarbfall_core::{BootTime, RowVersion, SubmissionId};
 use rhubarbfall_runs::scheduler::{Action, Batch, SchedulerSettings, StoredJob, SubmissionState};
 use rhubarbfall_runs::{
-    JobProgress, JobState, LeaseRenewalResponse, OpenTask, PlacedRun, Scheduler, Submission,
-    WorkerReport, decode_progress,
+    DoneTasks, JobProgress, JobState, LeaseRenewalResponse, OpenTask, PlacedRun, Scheduler,
+    Submission, WorkerReport, decode_progress,
 };
 
 /// The version of the stored progress row.
@@ -125,7 +125,7 @@
         has_begun: true,
         has_started: false,
         done_occurrences: 0,
-        done: Vec::new(),
+        done: DoneTasks::default(),
         open: open.into_iter().collect(),
     };
     StoredJob {
