--- a/rhubarbfall-scheduler/src/owner/wave_reports.rs
+++ b/rhubarbfall-scheduler/src/owner/wave_reports.rs
@@ -74,15 +74,12 @@
     stored: &StoredReports,
 ) -> Result<CommitOutcome, StoreError> {
     let requested = owner.scheduler.borrow().wave_version(wave);
-    let known = match stored.get(wave) {
-        Some(version) => *version,
-        None => {
-            let row = node
-                .store
-                .read_row(STATUS_TABLE, "", &wave_key(wave))
-                .await?;
-            row.map(|row| row.version)
-        }
+    let known = if let Some(version) = stored.get(wave) {
+        *version
+    } else {
+        let key = wave_key(wave);
+        let row = node.store.read_row(STATUS_TABLE, "", &key).await?;
+        row.map(|row| row.version)
     };
     node.store
         .commit(&report_transaction(wave, state, requested, known))
