--- a/rhubarbfall-core/src/result_code.rs
+++ b/rhubarbfall-core/src/result_code.rs
@@ -105,7 +105,7 @@
     SubmissionUnknown = 2024, NotRun, 410, "No submission has this identifier.";
     NoOwner = 2025, NotRun, 503, "No reachable entry owns the submissions.";
     SubmissionInvalid = 2026, NotRun, 400, "The submission is malformed or violates a rule.";
-    OwnerBusy = 2027, NotRun, 503, "The owner cannot start the submission in time.";
+    OwnerBusy = 2027, NotRun, 503, "The owner has no room for the submission, or cannot start it in time.";
     UpstreamSilent = 3001, Unknown, 504, "The upstream did not respond in time.";
     UpstreamConnectionLost = 3002, Unknown, 502, "The connection to the upstream was lost after the request was sent.";
     AnswerCut = 3003, Unknown, 502, "The upstream's response was truncated.";
--- a/rhubarbfall-runs/src/job.rs
+++ b/rhubarbfall-runs/src/job.rs
@@ -287,6 +287,14 @@
         steps.map(|run| run.tasks.len() - run.done as usize).sum()
     }
 
+    /// Forgets the tasks once the final state is stored and no run is left.
+    pub(crate) fn forget_tasks_if_over(&mut self) {
+        let is_stored = self.ended_at.is_some() && self.stored_version == self.version;
+        if self.is_cleared && is_stored {
+            self.occurrences = Vec::new();
+        }
+    }
+
     /// Returns whether all occurrences are done.
     #[must_use]
     pub fn is_done(&self) -> bool {
--- a/rhubarbfall-runs/src/scheduler/clearing.rs
+++ b/rhubarbfall-runs/src/scheduler/clearing.rs
@@ -41,6 +41,7 @@
             return;
         }
         job.is_cleared = true;
+        job.forget_tasks_if_over();
         let took = now.since(finished_at);
         log::info!(
             "event=job_cleared id={id} state={} took_ms={}",
--- a/rhubarbfall-runs/src/scheduler/intake.rs
+++ b/rhubarbfall-runs/src/scheduler/intake.rs
@@ -4,7 +4,6 @@
 use rhubarbfall_core::{BootTime, CustomerId, QueueId, SubmissionId};
 
 use super::Scheduler;
-use super::occurrence_window::begin_due_of;
 use super::token_bucket::TokenBucket;
 use crate::{Job, JobState, RunState, Submission, SubmissionError, TaskPhase};
 
@@ -66,7 +65,8 @@
             self.start_rate.per_s(now)
         );
         // Occurrences that are due later begin in `tick`.
-        begin_due_of(&mut job, 0);
+        self.hold(&job.submission);
+        self.held_work.begin_due(&mut job, 0);
         self.jobs.insert(job);
         if is_cancelled {
             self.finish(&id, JobState::Cancelled, now);
--- a/rhubarbfall-runs/src/scheduler/mod.rs
+++ b/rhubarbfall-runs/src/scheduler/mod.rs
@@ -8,6 +8,7 @@
 mod early_cancellations;
 mod evacuation;
 mod free_room;
+mod held_work;
 mod intake;
 mod interruptions;
 mod job_index;
@@ -56,6 +57,7 @@
 pub use advice::AdviceResponse;
 pub use clearing::ClearedJob;
 pub use early_cancellations::encode_early_cancellation;
+pub use held_work::Held;
 pub use intake::SubmissionState;
 pub use lease_renewal::LeaseRenewalRequest;
 pub use leaving::ZoneRuns;
@@ -75,6 +77,7 @@
     config: Arc<FleetConfig>,
     jobs: job_index::JobIndex,
     early_cancellations: early_cancellations::EarlyCancellations,
+    held_work: held_work::HeldWork,
     /// The submissions whose stored rows cannot be read.
     unreadable: Vec<SubmissionId>,
     workers: LiteMap<WorkerId, Worker>,
@@ -135,6 +138,7 @@
             config: Arc::new(FleetConfig::default()),
             jobs: job_index::JobIndex::default(),
             early_cancellations: early_cancellations::EarlyCancellations::new(),
+            held_work: held_work::HeldWork::default(),
             unreadable: Vec::new(),
             workers: LiteMap::new(),
             customer_usage: LiteMap::new(),
--- a/rhubarbfall-runs/src/scheduler/occurrence_window.rs
+++ b/rhubarbfall-runs/src/scheduler/occurrence_window.rs
@@ -19,18 +19,18 @@
 const MAX_LOGGED: usize = 20;
 
 /// Returns the first occurrence of a job that has not begun, if it is due.
-fn next_due(job: &Job, unix_ms: u64) -> Option<u32> {
+pub(super) fn next_due(job: &Job, unix_ms: u64) -> Option<u32> {
     let next = job.next_occurrence()?;
     (job.submission.due_unix_ms(next) <= unix_ms).then_some(next)
 }
 
 /// Returns whether the next occurrence of a job is one of those that the job needs to go on.
-fn is_reserved(job: &Job) -> bool {
+pub(super) fn is_reserved(job: &Job) -> bool {
     (job.occurrences.len() as u64) < job.submission.reserved_occurrences()
 }
 
 /// Returns whether a job may hold its occurrence `next` beside those that have begun.
-fn is_in_window(job: &Job, next: u32) -> bool {
+pub(super) fn is_in_window(job: &Job, next: u32) -> bool {
     let tasks = job.submission.tasks_per_occurrence() as u64;
     let from_first = u64::from(next - job.done_occurrences());
     job.open_tasks() < MAX_TASKS_AT_ONCE as usize
@@ -38,24 +38,12 @@
         && from_first.saturating_mul(tasks) <= MAX_DONE_IN_RANGES
 }
 
-/// Begins the occurrences of a job that are due, as far as they may be held. Returns whether any began.
-pub(super) fn begin_due_of(job: &mut Job, unix_ms: u64) -> bool {
-    let mut has_begun = false;
-    while let Some(next) = next_due(job, unix_ms) {
-        if !is_reserved(job) && !is_in_window(job, next) {
-            break;
-        }
-        job.begin_occurrence(next);
-        has_begun = true;
-    }
-    has_begun
-}
-
 impl Scheduler {
     /// Begins the occurrences that are due, as far as they may be held.
     pub(super) fn begin_due(&mut self, unix_ms: u64, now: BootTime) {
+        self.count_held(now);
         for job in self.jobs.active_mut() {
-            self.needs_placement |= begin_due_of(job, unix_ms);
+            self.needs_placement |= self.held_work.begin_due(job, unix_ms);
         }
         if now.since(self.withheld_logged_at) >= LOG_INTERVAL {
             self.withheld_logged_at = now;
--- a/rhubarbfall-runs/src/scheduler/start_rate.rs
+++ b/rhubarbfall-runs/src/scheduler/start_rate.rs
@@ -30,7 +30,7 @@
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// The longest time after which a refused caller is asked to come back: a surge is over by then.
-const MAX_RETRY_AFTER: Duration = Duration::from_secs(20);
+pub(super) const MAX_RETRY_AFTER: Duration = Duration::from_secs(20);
 
 /// Measures the rate of starts while the owner's processor limits it.
 #[derive(Debug, Default)]
@@ -103,14 +103,18 @@
     ///
     /// # Errors
     ///
-    /// Returns the time to come back if the tasks that wait already take this owner longer to start
-    /// than the submission can wait for being in time.
+    /// Returns the time to come back if the submission would exceed what is held for its customer, or if
+    /// the tasks that wait already take this owner longer to start than the submission can wait for
+    /// being in time.
     pub fn admit(&mut self, submission: &Submission, now: BootTime) -> Result<(), Duration> {
+        let is_known = self.jobs.get(&submission.id).is_some()
+            || self.early_cancellations.contains(&submission.id);
+        if !is_known {
+            self.admit_to_hold(submission)?;
+        }
         let Some(rate_per_s) = self.start_rate.per_s(now) else {
             return Ok(());
         };
-        let is_known = self.jobs.get(&submission.id).is_some()
-            || self.early_cancellations.contains(&submission.id);
         let is_unlimited = submission.is_long_running() || submission.schedule.is_some();
         let Some(queue) = self
             .config
@@ -173,7 +177,7 @@
 
 /// Lengthens a time to come back by up to a half, by the identifier of the submission, so that callers
 /// that were refused together do not return together.
-fn spread(retry_after: Duration, submission: &Submission) -> Duration {
+pub(super) fn spread(retry_after: Duration, submission: &Submission) -> Duration {
     let digits = submission.id.as_str().bytes();
     let hash = digits.fold(0_u32, |hash, byte| {
         hash.wrapping_mul(31).wrapping_add(u32::from(byte))
--- a/rhubarbfall-runs/src/scheduler/storing.rs
+++ b/rhubarbfall-runs/src/scheduler/storing.rs
@@ -177,6 +177,7 @@
                     |run| matches!(run.state, RunState::Storing(version) if version <= stored),
                 )
             });
+            job.forget_tasks_if_over();
             self.send_stored_starts(&ready, &cordoned, now);
         }
         let cancellations = &mut self.early_cancellations;
--- a/rhubarbfall-scheduler/src/owner/mod.rs
+++ b/rhubarbfall-scheduler/src/owner/mod.rs
@@ -78,8 +78,8 @@
     NotFound,
     /// The submission violates a rule; it never runs.
     Invalid,
-    /// The owner cannot start the submission in time; nothing was accepted. The caller may come back
-    /// after `retry_after`.
+    /// The owner has no room for the submission, or cannot start it in time; nothing was accepted. The
+    /// caller may come back after `retry_after`.
     Busy { retry_after: Duration },
 }
 
--- a/rhubarbfall-scheduler/src/owner/tick_loop.rs
+++ b/rhubarbfall-scheduler/src/owner/tick_loop.rs
@@ -44,6 +44,7 @@
         let interval = node.now().since(logged_at);
         if interval >= PROCESSOR_TIME_LOG_INTERVAL {
             processor_time.log(interval);
+            telemetry::set_held(owner.cell.id, owner.scheduler.borrow().held());
             logged_at = node.now();
         }
     }
--- a/rhubarbfall-scheduler/src/telemetry.rs
+++ b/rhubarbfall-scheduler/src/telemetry.rs
@@ -4,7 +4,7 @@
 
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 use rhubarbfall_core::{AvailabilityZoneId, CellId};
-use rhubarbfall_runs::scheduler::ClearedJob;
+use rhubarbfall_runs::scheduler::{ClearedJob, Held};
 
 /// Upper bounds of the latency histograms, in seconds: from a call within one zone to the longest
 /// time limit of a caller.
@@ -46,6 +46,12 @@
     .set(runs as f64);
 }
 
+/// Sets what the owner of a cell holds for submissions.
+pub(crate) fn set_held(cell: CellId, held: Held) {
+    metrics::gauge!("held_bytes", "cell" => cell.to_string()).set(held.bytes as f64);
+    metrics::gauge!("held_steps", "cell" => cell.to_string()).set(held.steps as f64);
+}
+
 /// Counts an order to a worker as confirmed or unconfirmed.
 pub(crate) fn count_worker_order(call: &'static str, is_confirmed: bool) {
     let result = if is_confirmed {
--- a/rhubarbfall/tests/soak/checker.rs
+++ b/rhubarbfall/tests/soak/checker.rs
@@ -7,6 +7,7 @@
 use crate::disturbances::DisturbanceLog;
 use crate::entry::Entries;
 use crate::evacuations::EvacuationLog;
+use crate::overdue::OverdueOutcome;
 use crate::stand_in::{Span, StandInSite};
 
 /// The number of the soak's tasks that fit on a worker at once.
@@ -125,6 +126,17 @@
     }
 }
 
+/// Checks that no entry exceeded its memory, and that every overdue schedule was cancelled.
+pub(crate) fn check_overdue(verdict: &mut SoakVerdict, outcome: &OverdueOutcome) {
+    let OverdueOutcome { exceeded_kb, left } = outcome;
+    verdict.check("memory of entries", exceeded_kb.is_none(), || {
+        format!("an entry used {exceeded_kb:?} kB")
+    });
+    verdict.check(CANCELLED_STOPS, left.is_empty(), || {
+        format!("overdue schedules without a confirmed cancel: {left:?}")
+    });
+}
+
 fn check_submission(
     verdict: &mut SoakVerdict,
     id: &str,
--- a/rhubarbfall/tests/soak/entry.rs
+++ b/rhubarbfall/tests/soak/entry.rs
@@ -184,6 +184,16 @@
         });
     }
 
+    /// Returns the resident memory of the process in kilobytes, or `None` if it does not run.
+    pub(crate) fn memory_kb(&self) -> Option<u64> {
+        let id = lock(&self.child).as_ref()?.id();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmRSS:"))?;
+        line.split_whitespace().next()?.parse().ok()
+    }
+
     /// Returns whether the process was neither killed nor told to stop since `from`, nor has exited.
     pub(crate) fn has_lived_since(&self, from: Instant) -> bool {
         lock(&self.ends).iter().all(|end| *end < from)
--- a/rhubarbfall/tests/soak/main.rs
+++ b/rhubarbfall/tests/soak/main.rs
@@ -4,7 +4,8 @@
 //! `cargo test --release -p rhubarbfall --test soak -- --seed 7` runs one seed, `--seeds 50` runs
 //! fifty from `--first`, and without either the regression seeds and a few more are run. `--cells 2` divides
 //! the fleet into two cells; with `--restarts` workers start again under their identifiers, in series;
-//! with `--evacuations` availability zones are evacuated and taken back.
+//! with `--evacuations` availability zones are evacuated and taken back; with `--schedules` schedules are
+//! handed in that are a million occurrences behind.
 
 mod callers;
 mod cancels;
@@ -14,6 +15,7 @@
 mod evacuations;
 mod faults;
 mod fleet;
+mod overdue;
 mod restarts;
 #[path = "../../../platform/tests/stand_in/mod.rs"]
 mod stand_in;
@@ -38,6 +40,7 @@
 use evacuations::{EVACUATION_BOUND_MS, Evacuation, EvacuationLog};
 use faults::Fault;
 use fleet::{Fleet, FleetChange};
+use overdue::OverdueSchedules;
 use restarts::RestartSeries;
 
 /// Seeds that failed before, each with the cause. CI runs them every time.
@@ -68,6 +71,9 @@
 /// Seeds that CI runs with restarts of workers.
 const CI_RESTART_SEEDS: [u64; 2] = [1, 2];
 
+/// Seeds that CI runs with overdue schedules.
+const CI_SCHEDULE_SEEDS: [u64; 1] = [2];
+
 /// Seeds that CI runs with evacuations.
 const CI_EVACUATION_SEEDS: [u64; 2] = [1, 3];
 
@@ -125,6 +131,8 @@
     has_restarts: bool,
     /// Whether availability zones are evacuated and taken back.
     has_evacuations: bool,
+    /// Whether overdue schedules are handed in.
+    has_schedules: bool,
 }
 
 impl SoakConfig {
@@ -176,6 +184,15 @@
         COMPLETION_TIMEOUT + self.evacuation_duration()
     }
 
+    /// Returns the number of overdue schedules that are handed in.
+    const fn schedules(&self) -> usize {
+        if self.has_schedules {
+            overdue::SCHEDULES
+        } else {
+            0
+        }
+    }
+
     /// Returns for how long workers restart.
     const fn restart_duration(&self) -> Duration {
         if self.has_restarts {
@@ -208,6 +225,7 @@
     cells: usize,
     has_restarts: bool,
     has_evacuations: bool,
+    has_schedules: bool,
 }
 
 impl SoakRun {
@@ -217,6 +235,7 @@
             cells,
             has_restarts: false,
             has_evacuations: false,
+            has_schedules: false,
         }
     }
 }
@@ -234,9 +253,11 @@
     let cells = arguments.get_one::<usize>("cells").copied().unwrap_or(1);
     let has_restarts = arguments.get_flag("restarts");
     let has_evacuations = arguments.get_flag("evacuations");
+    let has_schedules = arguments.get_flag("schedules");
     let with_flags = |seed| SoakRun {
         has_restarts,
         has_evacuations,
+        has_schedules,
         ..SoakRun::new(seed, cells)
     };
     let runs: Vec<SoakRun> = match (
@@ -259,6 +280,10 @@
                 has_evacuations: true,
                 ..SoakRun::new(seed, cells)
             }))
+            .chain(CI_SCHEDULE_SEEDS.map(|seed| SoakRun {
+                has_schedules: true,
+                ..SoakRun::new(seed, cells)
+            }))
             .collect(),
     };
     let config = SoakConfig {
@@ -268,6 +293,7 @@
         cells: 1,
         has_restarts: false,
         has_evacuations: false,
+        has_schedules: false,
     };
     let runtime = tokio::runtime::Runtime::new().expect("the runtime starts");
     let failed: Vec<SoakRun> = runs
@@ -277,6 +303,7 @@
             let config = SoakConfig {
                 has_restarts: run.has_restarts,
                 has_evacuations: run.has_evacuations,
+                has_schedules: run.has_schedules,
                 ..config.with_cells(run.cells)
             };
             !runtime.block_on(run_seed(run.seed, config))
@@ -319,6 +346,7 @@
         .arg(count("cells"))
         .arg(flag("restarts"))
         .arg(flag("evacuations"))
+        .arg(flag("schedules"))
         // Arguments that the test harness of the workspace passes to every test program.
         .arg(flag("list"))
         .arg(flag("exact"))
@@ -381,6 +409,7 @@
     let restarts = restarts::schedule(&mut rng, config.restart_duration(), config.workers);
     let evacuations = evacuations::schedule(&mut rng, config.evacuation_duration());
     let evacuation_log = EvacuationLog::default();
+    let overdue = OverdueSchedules::start(config.schedules(), &entries, &history);
     let faults_end = tokio::time::Instant::now() + FAULT_DURATION;
     tokio::join!(
         async {
@@ -396,17 +425,13 @@
     for caller in submitting.into_iter().chain(cancelling).chain(leaving) {
         caller.await.expect("the caller's task ends");
     }
+    let overdue = overdue.finish().await;
     callers::wait_completed(&entries, &history, config.completion_timeout()).await;
-    let last_due = history
-        .last_left_cancel()
-        .map(|sent_at| disturbances.calm_for(sent_at, ACK_BOUND));
-    let last_event = disturbances
-        .last_end()
-        .max(history.last_cancel())
-        .max(last_due);
-    tokio::time::sleep_until((last_event.unwrap_or(started_at) + SETTLE_TIME).into()).await;
+    let last_event = last_event(&history, &disturbances).unwrap_or(started_at);
+    tokio::time::sleep_until((last_event + SETTLE_TIME).into()).await;
     let mut verdict = checker::check_history(&history, &entries, &site, &disturbances);
     checker::check_evacuations(&mut verdict, &site, &evacuation_log);
+    checker::check_overdue(&mut verdict, &overdue);
     let elapsed = started_at.elapsed();
     println!(
         "seed {seed}, cells {}: {} in {elapsed:.1?}; {}",
@@ -422,6 +447,17 @@
     verdict.violations.is_empty()
 }
 
+/// Returns the time of the last disturbance or cancel.
+fn last_event(history: &CallerHistory, disturbances: &DisturbanceLog) -> Option<Instant> {
+    let last_due = history
+        .last_left_cancel()
+        .map(|sent_at| disturbances.calm_for(sent_at, ACK_BOUND));
+    disturbances
+        .last_end()
+        .max(history.last_cancel())
+        .max(last_due)
+}
+
 fn print_plan(
     faults: &[Fault],
     changes: &[FleetChange],
@@ -449,10 +485,11 @@
     println!("  logs: {}", entries.keep_logs().display());
     let flag = |is_set: bool, name: &'static str| if is_set { name } else { "" };
     println!(
-        "  again: cargo test --release -p rhubarbfall --test soak -- --seed {seed} --cells {}{}{}",
+        "  again: cargo test --release -p rhubarbfall --test soak -- --seed {seed} --cells {}{}{}{}",
         config.cells,
         flag(config.has_restarts, " --restarts"),
         flag(config.has_evacuations, " --evacuations"),
+        flag(config.has_schedules, " --schedules"),
     );
 }
 
