--- a/rhubarbfall-runs/tests/held_work.rs
+++ b/rhubarbfall-runs/tests/held_work.rs
@@ -5,64 +5,17 @@
 
 use std::time::Duration;
 
-use model::{Model, step, submission};
+use model::schedules::{begun_tasks, model_of_two_customers, of_other_customer, print_run};
+use model::{step, submission};
 use rhubarbfall_core::{BootTime, CustomerId};
 use rhubarbfall_runs::scheduler::{Held, SchedulerSettings};
-use rhubarbfall_runs::{Customer, Job, JobState, Schedule, Scheduler, Step, Submission};
+use rhubarbfall_runs::{JobState, Scheduler, Submission};
 
 /// A part of the 128 MB that a process may use.
 const MAX_HELD_BYTES: u64 = 64 * 1024 * 1024;
 
 const TASK_TIME: Duration = Duration::from_millis(300);
 
-const POOLS: [(&str, usize); 2] = [("labels", 4), ("spare", 0)];
-
-/// A print run of twelve tasks in two steps, each occurrence due when the submission arrives.
-fn print_run(number: u64, occurrences: u32) -> Submission {
-    let mut run = submission(number, "labels", step(6, 3_500));
-    let second = Step {
-        after: vec![0],
-        ..step(6, 3_500)
-    };
-    run.steps.push(second);
-    scheduled(run, occurrences, 0)
-}
-
-fn scheduled(submission: Submission, occurrences: u32, interval_ms: u64) -> Submission {
-    Submission {
-        schedule: Some(Schedule {
-            first_due_unix_ms: 0,
-            interval_ms,
-            occurrences,
-        }),
-        ..submission
-    }
-}
-
-fn of_other_customer(submission: Submission) -> Submission {
-    Submission {
-        customer: Some("house-b".parse().expect("valid customer name")),
-        ..submission
-    }
-}
-
-fn model_of_two_customers() -> Model {
-    let mut model = Model::new(&POOLS, 1);
-    model.update_config(|config| {
-        let other = Customer {
-            id: "house-b".parse().expect("valid customer name"),
-            ..config.customers[0].clone()
-        };
-        config.customers.push(other);
-    });
-    model.run_for(Duration::from_millis(300));
-    model
-}
-
-fn begun_tasks(model: &Model) -> usize {
-    model.scheduler.jobs().map(Job::begun_tasks).sum()
-}
-
 /// Accepts submissions of one customer until one is refused, and returns how many were accepted.
 fn accepted_until_refused(
     scheduler: &mut Scheduler,
--- a/rhubarbfall-runs/tests/model/mod.rs
+++ b/rhubarbfall-runs/tests/model/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part of the model")]
 
 mod inputs;
+pub(crate) mod schedules;
 mod worker;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
--- a/rhubarbfall-runs/tests/occurrences.rs
+++ b/rhubarbfall-runs/tests/occurrences.rs
@@ -7,12 +7,15 @@
 
 use std::time::Duration;
 
+use model::schedules::{
+    POOLS, begun_tasks, model_of_two_customers, of_other_customer, open_tasks, print_run, scheduled,
+};
 use model::{Model, step, submission};
 use rhubarbfall_core::RowVersion;
 use rhubarbfall_runs::scheduler::StoredJob;
 use rhubarbfall_runs::{
-    Customer, Job, JobProgress, JobState, OpenTask, PlacedRun, Schedule, Scheduler, Step,
-    Submission, SubmissionError, decode_progress, encode_progress, encode_progress_within,
+    Job, JobProgress, JobState, OpenTask, PlacedRun, Scheduler, Step, SubmissionError,
+    decode_progress, encode_progress, encode_progress_within,
 };
 use single_owner::Owner;
 
@@ -24,50 +27,6 @@
 
 const TASK_TIME: Duration = Duration::from_millis(300);
 
-const POOLS: [(&str, usize); 2] = [("labels", 4), ("spare", 0)];
-
-/// A print run of twelve tasks in two steps, each occurrence due when the submission arrives.
-fn print_run(number: u64, occurrences: u32) -> Submission {
-    let mut run = submission(number, "labels", step(6, 3_500));
-    let second = Step {
-        after: vec![0],
-        ..step(6, 3_500)
-    };
-    run.steps.push(second);
-    scheduled(run, occurrences, 0)
-}
-
-fn scheduled(submission: Submission, occurrences: u32, interval_ms: u64) -> Submission {
-    Submission {
-        schedule: Some(Schedule {
-            first_due_unix_ms: 0,
-            interval_ms,
-            occurrences,
-        }),
-        ..submission
-    }
-}
-
-fn of_other_customer(submission: Submission) -> Submission {
-    Submission {
-        customer: Some("house-b".parse().expect("valid customer name")),
-        ..submission
-    }
-}
-
-fn model_of_two_customers() -> Model {
-    let mut model = Model::new(&POOLS, 1);
-    model.update_config(|config| {
-        let other = Customer {
-            id: "house-b".parse().expect("valid customer name"),
-            ..config.customers[0].clone()
-        };
-        config.customers.push(other);
-    });
-    model.run_for(Duration::from_millis(300));
-    model
-}
-
 fn job(scheduler: &Scheduler, number: u64) -> &Job {
     let id = format!("{number:016x}");
     let mut jobs = scheduler.jobs();
@@ -75,14 +34,6 @@
     found.expect("a known submission")
 }
 
-fn begun_tasks(model: &Model) -> usize {
-    model.scheduler.jobs().map(Job::begun_tasks).sum()
-}
-
-fn open_tasks(model: &Model) -> usize {
-    model.scheduler.jobs().map(Job::open_tasks).sum()
-}
-
 /// Guards against `review/12`: a schedule of a year whose occurrences are all due.
 #[test]
 fn overdue_schedule_is_held_in_part() {
--- a/rhubarbfall-scheduler/src/owner/wave_reports.rs
+++ b/rhubarbfall-scheduler/src/owner/wave_reports.rs
@@ -39,13 +39,12 @@
 
 /// Stores the reports that are due, and returns the pause until the next ones.
 async fn report_all(node: &Node, owner: &Owner, stored: &mut StoredReports) -> Duration {
-    let unreported = owner.scheduler.borrow().unreported_waves();
     let mut pause = REPORT_INTERVAL;
-    for (wave, state) in unreported {
+    for (wave, state, requested) in due_reports(owner) {
         if !owner.is_active(node.now()) {
             break;
         }
-        match report(node, owner, &wave, state, stored).await {
+        match report(node, &wave, state, requested, stored).await {
             Ok(CommitOutcome::Stored(version)) => {
                 stored.insert(wave.clone(), Some(version));
                 owner.with(|scheduler| scheduler.wave_reported(&wave, state));
@@ -65,15 +64,25 @@
     pause
 }
 
+/// Returns the waves whose state is to be reported, with the version of the request that it is about.
+fn due_reports(owner: &Owner) -> Vec<(WaveId, WaveState, Option<RowVersion>)> {
+    let scheduler = owner.scheduler.borrow();
+    let unreported = scheduler.unreported_waves().into_iter();
+    let with_version = unreported.map(|(wave, state)| {
+        let requested = scheduler.wave_version(&wave);
+        (wave, state, requested)
+    });
+    with_version.collect()
+}
+
 /// Stores a report in place of the last one.
 async fn report(
     node: &Node,
-    owner: &Owner,
     wave: &WaveId,
     state: WaveState,
+    requested: Option<RowVersion>,
     stored: &StoredReports,
 ) -> Result<CommitOutcome, StoreError> {
-    let requested = owner.scheduler.borrow().wave_version(wave);
     let known = if let Some(version) = stored.get(wave) {
         *version
     } else {
