--- a/rhubarbfall-runs/src/scheduler/held_work.rs
+++ b/rhubarbfall-runs/src/scheduler/held_work.rs
@@ -3,7 +3,7 @@
 //! A customer may hold as much as is free. Whoever hands in more than is served thus leaves room for
 //! others, however many do so. What a submission needs to go on is reserved when it is accepted:
 //! one occurrence, or all of them if they are long-running. Further occurrences begin as their
-//! customer's part allows.
+//! customer's part allows, and leave some of it for what the customer hands in.
 
 use std::time::Duration;
 
@@ -144,6 +144,14 @@
         total.fits_in(MAX_HELD) && held.fits_in(MAX_HELD.minus(total))
     }
 
+    /// Returns whether a customer may hold this much more for occurrences that can wait: no more than
+    /// half of what is then free.
+    fn allows_to_wait(&self, customer: Option<&CustomerId>, more: Held) -> bool {
+        let held = self.of_customer(customer).plus(more);
+        let free = MAX_HELD.minus(self.total.plus(more));
+        held.times(2).fits_in(free)
+    }
+
     /// Begins the occurrences of a job that are due, as far as they may be held. Returns whether any
     /// began.
     pub(super) fn begin_due(&mut self, job: &mut Job, unix_ms: u64) -> bool {
@@ -152,7 +160,7 @@
             if !is_reserved(job) {
                 let customer = job.submission.customer.as_ref();
                 let more = Held::of_occurrence(&job.submission);
-                if !is_in_window(job, next) || !self.allows(customer, more) {
+                if !is_in_window(job, next) || !self.allows_to_wait(customer, more) {
                     break;
                 }
                 self.add(customer, more);
--- a/rhubarbfall-runs/tests/held_work.rs
+++ b/rhubarbfall-runs/tests/held_work.rs
@@ -5,7 +5,9 @@
 
 use std::time::Duration;
 
-use model::schedules::{begun_tasks, model_of_two_customers, of_other_customer, print_run};
+use model::schedules::{
+    begun_tasks, model_of_two_customers, of_other_customer, print_run, scheduled,
+};
 use model::{step, submission};
 use rhubarbfall_core::{BootTime, CustomerId};
 use rhubarbfall_runs::scheduler::{Held, SchedulerSettings};
@@ -107,6 +109,22 @@
     assert_eq!(model.violations, Vec::<String>::new());
 }
 
+/// Schedules that are behind leave room for what their own customer hands in.
+#[test]
+fn overdue_schedules_leave_room_for_their_own_customer() {
+    let mut model = model_of_two_customers();
+    for number in 0..60 {
+        let one_task = scheduled(submission(number, "labels", step(1, 3_500)), 100_000, 0);
+        model.submit(one_task, TASK_TIME);
+    }
+    model.run_for(Duration::from_secs(2));
+    let urgent = submission(1_000, "labels", step(6, 3_500));
+    assert_eq!(model.scheduler.admit(&urgent, model.now), Ok(()));
+    model.submit(urgent, TASK_TIME);
+    model.run_for(Duration::from_secs(2));
+    assert_eq!(model.count(JobState::Completed), 1);
+}
+
 /// What has ended takes no memory for its tasks.
 #[test]
 fn ended_submissions_hold_no_tasks() {
