--- a/rhubarbfall-runs/tests/held_work.rs
+++ b/rhubarbfall-runs/tests/held_work.rs
@@ -140,3 +140,19 @@
     assert_eq!(begun_tasks(&model), 0);
     assert!(model.scheduler.held().bytes < 64 * 1024);
 }
+
+/// Guards against `review/2` on 29c2cc3: the texts of ended submissions filled their customer's part.
+#[test]
+fn ended_submissions_hold_no_text() {
+    let mut model = model_of_two_customers();
+    for number in 0..200 {
+        let long = Submission {
+            program: "x".repeat(4_000).into(),
+            ..submission(number, "labels", step(1, 100))
+        };
+        model.submit(long, TASK_TIME);
+    }
+    model.run_for(Duration::from_secs(4));
+    assert_eq!(model.count(JobState::Completed), 200);
+    assert!(model.scheduler.held().bytes < 200 * 2_000);
+}
