--- a/rhubarbfall-runs/tests/held_work.rs
+++ b/rhubarbfall-runs/tests/held_work.rs
@@ -9,9 +9,9 @@
     begun_tasks, model_of_two_customers, of_other_customer, print_run, scheduled,
 };
 use model::{step, submission};
-use rhubarbfall_core::{BootTime, CustomerId};
-use rhubarbfall_runs::scheduler::{Held, SchedulerSettings};
-use rhubarbfall_runs::{JobState, Scheduler, Submission};
+use rhubarbfall_core::{BootTime, CustomerId, RowVersion};
+use rhubarbfall_runs::scheduler::{Held, SchedulerSettings, StoredJob};
+use rhubarbfall_runs::{JobProgress, JobState, Scheduler, Submission};
 
 /// A part of the 128 MB that a process may use.
 const MAX_HELD_BYTES: u64 = 64 * 1024 * 1024;
@@ -156,3 +156,30 @@
     assert_eq!(model.count(JobState::Completed), 200);
     assert!(model.scheduler.held().bytes < 200 * 2_000);
 }
+
+/// Guards against a new owner that refuses every customer, since the texts of what has ended long ago
+/// fill all the room.
+#[test]
+fn ended_submissions_of_earlier_owners_leave_room() {
+    let now = BootTime::new(Duration::from_secs(1_000));
+    let stored = (0..12_000).map(|number| StoredJob {
+        submission: Submission {
+            program: "x".repeat(4_000).into(),
+            ..submission(number, "labels", step(1, 100))
+        },
+        progress: Some((
+            JobProgress {
+                state: JobState::Completed,
+                has_begun: true,
+                has_started: true,
+                ..JobProgress::default()
+            },
+            RowVersion::new(1),
+        )),
+    });
+    let mut scheduler = Scheduler::new(SchedulerSettings::default());
+    scheduler.recover(stored, now, now, 0);
+    scheduler.tick(now + Duration::from_secs(1), 0);
+    let other = of_other_customer(submission(1_000_000, "labels", step(1, 100)));
+    assert_eq!(scheduler.admit(&other, now), Ok(()));
+}
